Build skeleton and the shared value types

Need: every library and program shares names, times, outcomes, problems, VMs and endpoints; they are settled first so that the rest can be written side by side.

Not measured yet; nothing runs.

--- /dev/null
+++ b/src/libcore/clock.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+
+namespace cowslippin {
+
+/// All durations are counted in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// A reading of the monotonic clock. It means nothing to another process.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// Reads the time. Tests put a virtual clock in its place.
+using Clock = std::function<TimePoint()>;
+
+/// Reads the machine's monotonic clock.
+inline TimePoint
+steadyNow()
+{
+  return std::chrono::time_point_cast<Duration>(
+    std::chrono::steady_clock::now());
+}
+
+} // namespace cowslippin
