--- /dev/null
+++ b/src/libdispatch/attemptend.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "libcore/core.h"
+
+namespace cowslippin {
+
+/// How an attempt at an endpoint ended.
+enum class AttemptEnd
+{
+  /// The whole answer is there.
+  Answered,
+  /// It ran and failed.
+  Failed,
+  /// It surely did not start.
+  NotStarted,
+  /// It may have started and nobody can tell.
+  Unknown,
+};
+
+/// The report of an attempt that ended.
+struct AttemptReport
+{
+  EndpointId endpoint;
+  /// The number that the `Start` gave.
+  int attempt = 1;
+  AttemptEnd end = AttemptEnd::Unknown;
+  /// From the start to the end of the attempt.
+  Duration runTime = Duration::zero();
+  /// How many slots the endpoint said it has free, if it did.
+  std::optional<int> slotsFree;
+};
+
+} // namespace cowslippin
