--- /dev/null
+++ b/src/libobserve/eventratelimiter.cpp
@@ -0,0 +1,66 @@
+#include "eventratelimiter.h"
+
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+constexpr Duration windowLength = std::chrono::seconds(1);
+
+} // namespace
+
+EventRateLimiter::EventRateLimiter(unsigned eventsPerSecond)
+  : m_eventsPerSecond(eventsPerSecond)
+{
+}
+
+bool
+EventRateLimiter::admit(std::string_view event, TimePoint now)
+{
+  const std::lock_guard lock(m_mutex);
+  auto found = m_windows.find(event);
+  if (found == m_windows.end()) {
+    found = m_windows.emplace(std::string(event), Window{ now }).first;
+  }
+  Window& window = found->second;
+  startWindowIfEnded(found->first, window, now);
+  if (window.admitted >= m_eventsPerSecond) {
+    ++window.suppressed;
+    return false;
+  }
+  ++window.admitted;
+  return true;
+}
+
+std::vector<SuppressedEvents>
+EventRateLimiter::takeEnded(TimePoint now)
+{
+  const std::lock_guard lock(m_mutex);
+  for (auto& [event, window] : m_windows) {
+    startWindowIfEnded(event, window, now);
+  }
+  return std::exchange(m_ended, {});
+}
+
+std::vector<SuppressedEvents>
+EventRateLimiter::takeAll()
+{
+  return takeEnded(TimePoint::max());
+}
+
+void
+EventRateLimiter::startWindowIfEnded(const std::string& event,
+                                     Window& window,
+                                     TimePoint now)
+{
+  if (now - window.start < windowLength) {
+    return;
+  }
+  if (window.suppressed > 0) {
+    m_ended.emplace_back(event, window.suppressed);
+  }
+  window = Window{ now };
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libobserve/logging.cpp
@@ -0,0 +1,254 @@
+#include "logging.h"
+
+#include "eventratelimiter.h"
+#include "libcore/clock.h"
+
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <ctime>
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace cowslippin {
+
+namespace {
+
+namespace sinks = boost::log::sinks;
+
+constexpr std::size_t maxQueuedRecords = 8192;
+constexpr int nothingIsLogged = static_cast<int>(LogLevel::Error) + 1;
+
+using Backend = sinks::text_ostream_backend;
+using SynchronousSink = sinks::synchronous_sink<Backend>;
+using AsynchronousSink = sinks::asynchronous_sink<
+  Backend,
+  sinks::bounded_fifo_queue<maxQueuedRecords, sinks::drop_on_overflow>>;
+
+/// The logger of the process. Threads that log share it; only set-up and the
+/// end replace its parts, under a mutex that logging does not take.
+class ProcessLogger
+{
+public:
+  void start(const LogSettings& settings);
+  void stop();
+  void log(LogLevel level,
+           const char* event,
+           std::initializer_list<LogField> fields);
+  void reportSuppressed();
+
+private:
+  void stopLocked();
+  void write(const std::string& line);
+  void writeSuppressed(const std::vector<SuppressedEvents>& suppressed);
+
+  std::mutex m_setUpMutex;
+  std::atomic<int> m_threshold{ nothingIsLogged };
+  std::shared_ptr<EventRateLimiter> m_limiter;
+  std::function<void()> m_removeSink;
+  boost::log::sources::logger_mt m_source;
+};
+
+ProcessLogger&
+processLogger()
+{
+  static ProcessLogger logger;
+  return logger;
+}
+
+std::string
+timeText(std::chrono::system_clock::time_point time)
+{
+  using namespace std::chrono;
+  const auto sinceEpoch = duration_cast<milliseconds>(time.time_since_epoch());
+  const std::time_t wholeSeconds = system_clock::to_time_t(time);
+  const int millisecond = static_cast<int>(sinceEpoch.count() % 1000);
+  std::tm utc{};
+  gmtime_r(&wholeSeconds, &utc);
+  std::array<char, 40> text{};
+  const std::size_t length =
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &utc);
+  std::snprintf(
+    text.data() + length, text.size() - length, ".%03dZ", millisecond);
+  return text.data();
+}
+
+std::string
+jsonLine(LogLevel level,
+         const char* event,
+         std::initializer_list<LogField> fields)
+{
+  nlohmann::ordered_json json;
+  json["time"] = timeText(std::chrono::system_clock::now());
+  json["level"] = std::string(toString(level));
+  json["event"] = event;
+  for (const LogField& field : fields) {
+    std::visit([&](const auto& value) { json.emplace(field.name(), value); },
+               field.value());
+  }
+  return json.dump(
+    -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+boost::shared_ptr<Backend>
+makeBackend(std::ostream& stream)
+{
+  auto backend = boost::make_shared<Backend>();
+  backend->add_stream(
+    boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
+  backend->auto_flush(true);
+  // Messages end their line themselves, so that a line is one write.
+  backend->set_auto_newline_mode(sinks::disabled_auto_newline);
+  return backend;
+}
+
+template<class Sink>
+boost::shared_ptr<Sink>
+addSink(std::ostream& stream)
+{
+  auto sink = boost::make_shared<Sink>(makeBackend(stream));
+  boost::log::core::get()->add_sink(sink);
+  return sink;
+}
+
+std::function<void()>
+addSynchronousSink(std::ostream& stream)
+{
+  auto sink = addSink<SynchronousSink>(stream);
+  return [sink] {
+    boost::log::core::get()->remove_sink(sink);
+    sink->flush();
+  };
+}
+
+std::function<void()>
+addAsynchronousSink(std::ostream& stream)
+{
+  auto sink = addSink<AsynchronousSink>(stream);
+  return [sink] {
+    boost::log::core::get()->remove_sink(sink);
+    sink->stop();
+    sink->flush();
+  };
+}
+
+void
+ProcessLogger::start(const LogSettings& settings)
+{
+  const std::lock_guard lock(m_setUpMutex);
+  stopLocked();
+  std::atomic_store(
+    &m_limiter, std::make_shared<EventRateLimiter>(settings.eventsPerSecond));
+  m_removeSink = settings.delivery == LogDelivery::Synchronous
+                   ? addSynchronousSink(*settings.stream)
+                   : addAsynchronousSink(*settings.stream);
+  boost::log::core::get()->set_logging_enabled(true);
+  m_threshold = static_cast<int>(settings.level);
+}
+
+void
+ProcessLogger::stop()
+{
+  const std::lock_guard lock(m_setUpMutex);
+  stopLocked();
+}
+
+void
+ProcessLogger::stopLocked()
+{
+  if (!m_removeSink) {
+    return;
+  }
+  m_threshold = nothingIsLogged;
+  writeSuppressed(std::atomic_load(&m_limiter)->takeAll());
+  // Without a sink Boost.Log writes to the console.
+  boost::log::core::get()->set_logging_enabled(false);
+  m_removeSink();
+  m_removeSink = nullptr;
+}
+
+void
+ProcessLogger::log(LogLevel level,
+                   const char* event,
+                   std::initializer_list<LogField> fields)
+{
+  if (static_cast<int>(level) < m_threshold.load(std::memory_order_acquire)) {
+    return;
+  }
+  const auto limiter = std::atomic_load(&m_limiter);
+  const TimePoint now = steadyNow();
+  const bool isAdmitted = limiter->admit(event, now);
+  writeSuppressed(limiter->takeEnded(now));
+  if (isAdmitted) {
+    write(jsonLine(level, event, fields));
+  }
+}
+
+void
+ProcessLogger::reportSuppressed()
+{
+  const auto limiter = std::atomic_load(&m_limiter);
+  if (limiter) {
+    writeSuppressed(limiter->takeEnded(steadyNow()));
+  }
+}
+
+void
+ProcessLogger::write(const std::string& line)
+{
+  BOOST_LOG(m_source) << line << '\n';
+}
+
+void
+ProcessLogger::writeSuppressed(const std::vector<SuppressedEvents>& suppressed)
+{
+  for (const SuppressedEvents& events : suppressed) {
+    write(jsonLine(
+      LogLevel::Warning,
+      "log-suppressed",
+      { { "suppressedEvent", events.event() }, { "count", events.count() } }));
+  }
+}
+
+} // namespace
+
+void
+initialiseLogging(const LogSettings& settings)
+{
+  processLogger().start(settings);
+}
+
+void
+stopLogging()
+{
+  processLogger().stop();
+}
+
+void
+logEvent(LogLevel level,
+         const char* event,
+         std::initializer_list<LogField> fields)
+{
+  processLogger().log(level, event, fields);
+}
+
+void
+reportSuppressedEvents()
+{
+  processLogger().reportSuppressed();
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libobserve/logging.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "logfield.h"
+#include "loglevel.h"
+
+#include <initializer_list>
+#include <iostream>
+
+namespace cowslippin {
+
+/// Which thread writes log lines.
+enum class LogDelivery
+{
+  /// The thread that logs; a record has been written when `logEvent` returns.
+  Synchronous,
+  /// A thread of the logger's own. Its queue is bounded: records that find it
+  /// full are dropped, so that a blocked stream holds up no other thread.
+  Asynchronous,
+};
+
+/// How the process logs.
+struct LogSettings
+{
+  /// Records below this level are left out.
+  LogLevel level = LogLevel::Info;
+  LogDelivery delivery = LogDelivery::Asynchronous;
+  /// How many records of one event name are written within a second. The
+  /// rest are counted, and one `log-suppressed` record tells the count.
+  unsigned eventsPerSecond = 20;
+  /// Where lines go. It must live until `stopLogging` has returned.
+  std::ostream* stream = &std::clog;
+};
+
+/// Starts logging. Until then, and after `stopLogging`, records are dropped.
+/// Called again it replaces the earlier settings.
+void
+initialiseLogging(const LogSettings& settings);
+
+/// Writes what is still queued or counted as suppressed, and ends logging.
+void
+stopLogging();
+
+/// Writes one line of JSON: `time` (RFC 3339, UTC, with milliseconds),
+/// `level`, `event` and the fields in their order. `event` names the kind of
+/// occurrence in lower case with hyphens, such as `peer-down`. A field may not
+/// be called like one of these three or like an earlier one: it is left out.
+/// Control characters are escaped and invalid UTF-8 is replaced, so that every
+/// line is valid JSON. Safe to call from any thread.
+void
+logEvent(LogLevel level,
+         const char* event,
+         std::initializer_list<LogField> fields = {});
+
+/// Writes the `log-suppressed` records that are due. Every `logEvent` does
+/// so too; a process that may fall silent calls this from a timer.
+void
+reportSuppressedEvents();
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libobserve/observe.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// What a daemon tells of itself: JSON-line logs, metrics and state dumps.
+
+#include "counter.h"
+#include "eventratelimiter.h"
+#include "latencyrecorder.h"
+#include "latencysummary.h"
+#include "logfield.h"
+#include "logging.h"
+#include "loglevel.h"
+#include "metrics.h"
+#include "statedump.h"
--- /dev/null
+++ b/tests/observe/loggingtest.cpp
@@ -0,0 +1,164 @@
+#include "libcore/ids.h"
+#include "libobserve/observe.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <limits>
+#include <regex>
+#include <sstream>
+#include <thread>
+
+namespace cowslippin {
+namespace {
+
+class Logging : public testing::TestWithParam<LogDelivery>
+{
+protected:
+  void start(LogLevel level, unsigned eventsPerSecond = 1000)
+  {
+    initialiseLogging({ level, GetParam(), eventsPerSecond, &m_stream });
+  }
+
+  std::vector<nlohmann::json> stopAndRead()
+  {
+    stopLogging();
+    std::vector<nlohmann::json> records;
+    std::istringstream lines(m_stream.str());
+    for (std::string line; std::getline(lines, line);) {
+      records.push_back(nlohmann::json::parse(line));
+    }
+    return records;
+  }
+
+  std::string stopAndReadText()
+  {
+    stopLogging();
+    return m_stream.str();
+  }
+
+private:
+  std::ostringstream m_stream;
+};
+
+TEST_P(Logging, WritesTimeLevelEventAndTypedFieldsInOrder)
+{
+  start(LogLevel::Info);
+  logEvent(LogLevel::Warning,
+           "peer-down",
+           { { "vm", VmId("vm-1") },
+             { "attempts", -3 },
+             { "bytes", std::numeric_limits<std::uint64_t>::max() },
+             { "load", 0.5 },
+             { "again", true } });
+  const std::regex expected(
+    R"(\{"time":"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{3}Z",)"
+    R"("level":"warning","event":"peer-down","vm":"vm-1","attempts":-3,)"
+    R"("bytes":18446744073709551615,"load":0\.5,"again":true\}\n)");
+  const std::string text = stopAndReadText();
+  EXPECT_TRUE(std::regex_match(text, expected)) << text;
+}
+
+TEST_P(Logging, LeavesOutRecordsBelowTheLevel)
+{
+  start(LogLevel::Warning);
+  logEvent(LogLevel::Debug, "debug-event");
+  logEvent(LogLevel::Info, "info-event");
+  logEvent(LogLevel::Warning, "warning-event");
+  logEvent(LogLevel::Error, "error-event");
+  const auto records = stopAndRead();
+  ASSERT_EQ(records.size(), 2U);
+  EXPECT_EQ(records[0]["event"], "warning-event");
+  EXPECT_EQ(records[1]["event"], "error-event");
+}
+
+TEST_P(Logging, KeepsHostileValuesOnOneValidLine)
+{
+  const std::string hostile[] = { "two\nlines",
+                                  "quote\" back\\slash",
+                                  std::string("nul\0in", 6),
+                                  "\x1b[31mred",
+                                  "cut \xe2\x82",
+                                  "lone \xff byte",
+                                  "\xed\xa0\x80 surrogate" };
+  start(LogLevel::Info);
+  for (const std::string& value : hostile) {
+    logEvent(LogLevel::Info, "hostile", { { "value", value } });
+  }
+  logEvent(LogLevel::Info, "nan", { { "value", std::nan("") } });
+  const auto records = stopAndRead();
+  ASSERT_EQ(records.size(), std::size(hostile) + 1);
+  EXPECT_EQ(records[0]["value"], "two\nlines");
+  EXPECT_EQ(records[2]["value"], hostile[2]);
+  EXPECT_EQ(records[5]["value"], "lone \xef\xbf\xbd byte");
+  EXPECT_TRUE(records.back()["value"].is_null());
+}
+
+TEST_P(Logging, AFieldDoesNotReplaceAnEarlierMember)
+{
+  start(LogLevel::Info);
+  logEvent(LogLevel::Info, "clash", { { "level", "x" }, { "event", "y" } });
+  const auto records = stopAndRead();
+  ASSERT_EQ(records.size(), 1U);
+  EXPECT_EQ(records[0]["level"], "info");
+  EXPECT_EQ(records[0]["event"], "clash");
+}
+
+TEST_P(Logging, CountsEveryRecordOfAFloodAsWrittenOrSuppressed)
+{
+  constexpr int flood = 1000;
+  start(LogLevel::Info, 20);
+  for (int i = 0; i < flood; ++i) {
+    logEvent(LogLevel::Error, "platform-unavailable");
+  }
+  int written = 0;
+  int suppressed = 0;
+  for (const nlohmann::json& record : stopAndRead()) {
+    if (record["event"] == "log-suppressed") {
+      EXPECT_EQ(record["suppressedEvent"], "platform-unavailable");
+      suppressed += record["count"].get<int>();
+    } else {
+      ++written;
+    }
+  }
+  EXPECT_GE(written, 20);
+  EXPECT_GT(suppressed, 0);
+  EXPECT_EQ(written + suppressed, flood);
+}
+
+TEST_P(Logging, ThreadsDoNotMixTheirLines)
+{
+  constexpr int threadCount = 4;
+  constexpr int recordsEach = 200;
+  start(LogLevel::Info);
+  std::vector<std::thread> threads;
+  threads.reserve(threadCount);
+  for (int i = 0; i < threadCount; ++i) {
+    threads.emplace_back([i] {
+      for (int j = 0; j < recordsEach; ++j) {
+        logEvent(LogLevel::Info, "line", { { "thread", i }, { "record", j } });
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  EXPECT_EQ(stopAndRead().size(), 1U * threadCount * recordsEach);
+}
+
+TEST_P(Logging, DropsRecordsOnceStopped)
+{
+  start(LogLevel::Debug);
+  stopLogging();
+  logEvent(LogLevel::Error, "late");
+  EXPECT_TRUE(stopAndRead().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(BothDeliveries,
+                         Logging,
+                         testing::Values(LogDelivery::Synchronous,
+                                         LogDelivery::Asynchronous));
+
+} // namespace
+} // namespace cowslippin
