Dispatcher: fair queues, endpoint choice, early refusal and health

One daemon's decisions, free of I/O: tasks, attempt ends and the time go in; starts and give-ups come out.

Queue: start-time fair queuing between organisations, charged by learned run time, so that a job of 2,000 tasks cannot starve others. Deficit round robin was ruled out because an organisation that comes back from idle would wait for a whole round of all others. Lanes with the same allowed zones form a group, so a decision looks at one lane a group.

Endpoints: least in flight or two choices, with the price of crossing a zone as a setting. A failed attempt counts as a slow one, so an endpoint that fails at once attracts no work. Ejection compares an endpoint with the last 32 ends at the others: first tried with the median failure ratio of the service, which lags when everything begins to fail and then ejected endpoints by chance (Health.WorkThatFailsEverywhereEjectsNobody failed with it).

A probe that is due waits 30 s for repeatable work; then any task may be it. Otherwise an endpoint would never come back to a service whose work is not repeatable.

--- a/src/libdispatch/attemptend.h
+++ b/src/libdispatch/attemptend.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "libcore/core.h"
-
 namespace cowslippin {
 
 /// How an attempt at an endpoint ended.
@@ -17,17 +15,4 @@
   Unknown,
 };
 
-/// The report of an attempt that ended.
-struct AttemptReport
-{
-  EndpointId endpoint;
-  /// The number that the `Start` gave.
-  int attempt = 1;
-  AttemptEnd end = AttemptEnd::Unknown;
-  /// From the start to the end of the attempt.
-  Duration runTime = Duration::zero();
-  /// How many slots the endpoint said it has free, if it did.
-  std::optional<int> slotsFree;
-};
-
 } // namespace cowslippin
--- a/src/libdispatch/dispatch.h
+++ b/src/libdispatch/dispatch.h
@@ -4,6 +4,7 @@
 /// I/O: events and the time go in, actions come out.
 
 #include "attemptend.h"
+#include "attemptreport.h"
 #include "dispatchaction.h"
 #include "dispatcher.h"
 #include "dispatchsettings.h"
--- a/src/libdispatch/dispatcher.h
+++ b/src/libdispatch/dispatcher.h
@@ -1,14 +1,20 @@
 #pragma once
 
-#include "attemptend.h"
+#include "admission.h"
+#include "attemptreport.h"
 #include "dispatchaction.h"
 #include "dispatchsettings.h"
 #include "dispatchstats.h"
 #include "finishresult.h"
-#include "organisationshare.h"
-#include "taskspec.h"
+#include "organisationrecord.h"
+#include "retrybudget.h"
+#include "servicerecord.h"
+#include "taskrecord.h"
+#include "zonenumbers.h"
 
 #include <memory>
+#include <random>
+#include <unordered_map>
 
 namespace cowslippin {
 
@@ -22,7 +28,7 @@
 {
 public:
   explicit Dispatcher(const DispatchSettings& settings, std::uint64_t seed = 1);
-  ~Dispatcher();
+  ~Dispatcher() = default;
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
 
@@ -62,8 +68,77 @@
   DispatchStats stats() const;
 
 private:
-  class Engine;
-  std::unique_ptr<Engine> m_engine;
+  struct ByDeadline
+  {
+    bool operator()(const TaskRecord& a, const TaskRecord& b) const
+    {
+      return *a.spec.deadline() < *b.spec.deadline();
+    }
+  };
+  using Deadlines = boost::intrusive::multiset<
+    TaskRecord,
+    boost::intrusive::compare<ByDeadline>,
+    boost::intrusive::member_hook<TaskRecord,
+                                  decltype(TaskRecord::deadlineHook),
+                                  &TaskRecord::deadlineHook>>;
+  using Submission = std::unordered_map<TaskIndex, TaskRecord>;
+
+  OrganisationRecord& organisationRecord(const OrganisationName& name);
+  ServiceRecord& serviceRecord(const ServiceName& name);
+  TemplateRecord& templateRecord(const TaskSpec& task);
+  EndpointRecord& endpointRecord(const Endpoint& endpoint);
+  void dropUnlistedEndpoints();
+
+  void enqueue(TaskRecord& task);
+  void enqueueAgain(TaskRecord& task);
+  void dequeue(TaskRecord& task);
+  void remove(const TaskId& id);
+  void giveUp(TaskRecord& task, Problem problem, DispatchActions& actions);
+
+  void expireDeadlines(TimePoint now, DispatchActions& actions);
+  void giveUpUnusable(ServiceRecord& service,
+                      TimePoint now,
+                      DispatchActions& actions);
+  void startTasks(ServiceRecord& service,
+                  TimePoint now,
+                  DispatchActions& actions);
+  Lane* nextLane(const ServiceRecord& service) const;
+  void start(TaskRecord& task,
+             EndpointRecord& endpoint,
+             TimePoint now,
+             DispatchActions& actions);
+
+  TaskRecord* findInFlight(const TaskId& id, const AttemptReport& report);
+  void release(TaskRecord& task, const AttemptReport& report, TimePoint now);
+  FinishResult afterAttempt(TaskRecord& task, AttemptEnd end, TimePoint now);
+  FinishResult end(TaskRecord& task, FinishResult result);
+  bool mayTryAgain(const TaskRecord& task, TimePoint now) const;
+  Problem problemOf(const TaskRecord& task,
+                    AttemptEnd end,
+                    TimePoint now) const;
+
+  DispatchSettings m_settings;
+  std::mt19937_64 m_random;
+  Admission m_admission;
+  RetryBudget m_retryBudget;
+  ZoneNumbers m_zones;
+  bool m_listKnown = false;
+  std::optional<TimePoint> m_polledAt;
+  std::uint64_t m_lastSerial = 0;
+  DispatchStats m_counts;
+  // The queues link the tasks, so they are declared after them.
+  std::unordered_map<SubmissionKey, Submission> m_submissions;
+  std::unordered_map<EndpointId, std::unique_ptr<EndpointRecord>> m_endpoints;
+  /// Earlier ones with the id of another, until their attempts end.
+  std::vector<std::unique_ptr<EndpointRecord>> m_replaced;
+  std::unordered_map<TemplateName, TemplateRecord> m_templates;
+  std::unordered_map<OrganisationName, std::unique_ptr<OrganisationRecord>>
+    m_organisations;
+  std::unordered_map<ServiceName, std::unique_ptr<ServiceRecord>> m_services;
+  std::vector<ServiceRecord*> m_serviceOrder;
+  Deadlines m_deadlines;
+  std::vector<bool> m_blockedGroups;
+  std::vector<Lane*> m_parked;
 };
 
 } // namespace cowslippin
--- a/src/libdispatch/dispatchsettings.h
+++ b/src/libdispatch/dispatchsettings.h
@@ -18,7 +18,7 @@
 /// When an endpoint gets no more work and how it is tried again.
 struct EjectionSettings
 {
-  /// Failures in a row that eject it.
+  /// Failures in a row that eject it, unless the others fail as well.
   int consecutiveFailures = 5;
   /// The failure ratio above which it may be ejected...
   double failureRatio = 0.5;
@@ -31,6 +31,10 @@
   /// The wait before the first probe; doubled by each probe that fails.
   Duration firstBackoff = std::chrono::seconds(1);
   Duration longestBackoff = std::chrono::seconds(60);
+  /// How long a probe that is due waits for repeatable work. Then any task may
+  /// be the probe, or an endpoint would never come back to a service that has
+  /// no repeatable work.
+  Duration waitForRepeatableProbe = std::chrono::seconds(30);
 };
 
 /// The parameters of a dispatcher. The defaults suit tasks of 50 ms to 1 s.
@@ -51,6 +55,8 @@
   double retryBurst = 10.0;
   /// An endpoint this many times slower than the median gets fewer tasks.
   double slowFactor = 3.0;
+  /// How long tasks wait when every endpoint they could use has left.
+  Duration noEndpointPatience = std::chrono::seconds(5);
   /// The limits of what a refused caller is told to wait.
   Duration shortestRetryAfter = std::chrono::milliseconds(100);
   Duration longestRetryAfter = std::chrono::seconds(60);
--- /dev/null
+++ b/src/libdispatch/endpointrecord.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "endpointhealth.h"
+
+namespace cowslippin {
+
+/// An endpoint with this daemon's attempts at it.
+struct EndpointRecord
+{
+  EndpointRecord(Endpoint listedEndpoint, std::uint64_t serialNumber)
+    : endpoint(std::move(listedEndpoint))
+    , serial(serialNumber)
+  {
+  }
+
+  /// Whether it may be given work at all, apart from its health.
+  bool isLive() const { return listed && !endpoint.isLeaving(); }
+  bool isHealthy() const { return isLive() && !health.isEjected(); }
+
+  Endpoint endpoint;
+  /// Tells it from an earlier one with the same id.
+  std::uint64_t serial;
+  bool listed = true;
+  EndpointHealth health;
+  int inFlight = 0;
+  /// How many attempts this daemon may have there at once.
+  int limit = 1;
+  /// How many slots the others were using when it last said so.
+  int othersInUse = 0;
+  /// Its place in its service's pool.
+  std::size_t group = 0;
+  std::size_t member = 0;
+};
+
+} // namespace cowslippin
