Protocol: one connection a pair of daemons that survives going silent

Need: daemons ask each other about claims and configuration; connections can go silent for good while new ones work, VMs are replaced at any time, and a peer must not be called gone because of its connection alone. Change: PeerNetwork over websocketpp.

--- a/src/libprotocol/codec.cpp
+++ b/src/libprotocol/codec.cpp
@@ -102,6 +102,25 @@
   return { { "endpoints", std::move(endpoints) } };
 }
 
+json
+toJson(const SubmitCall& call)
+{
+  json payloads = json::array();
+  for (const std::string& payload : call.payloads())
+    payloads.push_back(binary(payload));
+  return { { "requestId", call.requestId() },
+           { "key", call.key().value() },
+           { "organisation", call.organisation().value() },
+           { "template", call.templateName().value() },
+           { "isJob", call.isJob() },
+           { "isRepeatable", call.isRepeatable() },
+           { "waitsForEnd", call.waitsForEnd() },
+           { "waitMs", call.waitMs() },
+           { "fingerprint", call.fingerprint() },
+           { "contentType", call.contentType() },
+           { "payloads", std::move(payloads) } };
+}
+
 Message
 readHello(MemberReader& reader)
 {
@@ -205,12 +224,31 @@
   return SlotLoad(std::move(fields));
 }
 
+Message
+readSubmitCall(MemberReader& reader)
+{
+  SubmitCall::Fields fields;
+  fields.requestId = reader.number<std::uint64_t>("requestId");
+  fields.key = reader.nonEmptyName<SubmissionKey>("key");
+  fields.organisation = reader.nonEmptyName<OrganisationName>("organisation");
+  fields.templateName = reader.nonEmptyName<TemplateName>("template");
+  fields.isJob = reader.flag("isJob");
+  fields.isRepeatable = reader.flag("isRepeatable");
+  fields.waitsForEnd = reader.flag("waitsForEnd");
+  fields.waitMs = reader.number<std::uint32_t>("waitMs");
+  fields.fingerprint = reader.number<std::uint64_t>("fingerprint");
+  fields.contentType = reader.text("contentType");
+  fields.payloads = reader.byteStrings("payloads");
+  return SubmitCall(std::move(fields));
+}
+
 using ReadMessage = Message (*)(MemberReader&);
 
 /// In the order of the types in `Message`.
 constexpr std::array<ReadMessage, std::variant_size_v<Message>> readers{
-  readHello,      readHeartbeat,     readHeartbeatReply, readOwnerCall,
-  readOwnerReply, readConfigRequest, readConfigTransfer, readSlotLoad,
+  readHello,          readHeartbeat,  readHeartbeatReply,
+  readOwnerCall,      readOwnerReply, readConfigRequest,
+  readConfigTransfer, readSlotLoad,   readSubmitCall,
 };
 
 Problem
--- a/src/libprotocol/configrequest.h
+++ b/src/libprotocol/configrequest.h
@@ -2,8 +2,6 @@
 
 #include "libcore/ids.h"
 
-#include <utility>
-
 namespace cowslippin {
 
 /// Asks a peer for a configuration newer than the one the sender has.
@@ -17,7 +15,7 @@
 
   ConfigRequest() = default;
   explicit ConfigRequest(Fields fields)
-    : m_fields(std::move(fields))
+    : m_fields(fields)
   {
   }
 
--- a/src/libprotocol/heartbeat.h
+++ b/src/libprotocol/heartbeat.h
@@ -3,7 +3,6 @@
 #include "libcore/ids.h"
 
 #include <cstdint>
-#include <utility>
 
 namespace cowslippin {
 
@@ -23,7 +22,7 @@
 
   Heartbeat() = default;
   explicit Heartbeat(Fields fields)
-    : m_fields(std::move(fields))
+    : m_fields(fields)
   {
   }
 
--- a/src/libprotocol/heartbeatreply.h
+++ b/src/libprotocol/heartbeatreply.h
@@ -3,7 +3,6 @@
 #include "libcore/ids.h"
 
 #include <cstdint>
-#include <utility>
 
 namespace cowslippin {
 
@@ -24,7 +23,7 @@
 
   HeartbeatReply() = default;
   explicit HeartbeatReply(Fields fields)
-    : m_fields(std::move(fields))
+    : m_fields(fields)
   {
   }
 
--- a/src/libprotocol/memberreader.cpp
+++ b/src/libprotocol/memberreader.cpp
@@ -38,6 +38,37 @@
   return std::string(binary.begin(), binary.end());
 }
 
+bool
+MemberReader::flag(const char* member)
+{
+  const nlohmann::json* value = find(member);
+  if (!value)
+    return false;
+  if (!value->is_boolean()) {
+    fail(member, value->type_name(), "true or false");
+    return false;
+  }
+  return value->get<bool>();
+}
+
+std::vector<std::string>
+MemberReader::byteStrings(const char* member)
+{
+  std::vector<std::string> strings;
+  const nlohmann::json* values = array(member);
+  if (!values)
+    return strings;
+  for (const nlohmann::json& value : *values) {
+    if (!value.is_binary()) {
+      fail(member, value.type_name(), "an array of byte strings");
+      return {};
+    }
+    const auto& binary = value.get_binary();
+    strings.emplace_back(binary.begin(), binary.end());
+  }
+  return strings;
+}
+
 const nlohmann::json*
 MemberReader::array(const char* member)
 {
--- a/src/libprotocol/memberreader.h
+++ b/src/libprotocol/memberreader.h
@@ -8,6 +8,7 @@
 #include <limits>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cowslippin {
 
@@ -34,6 +35,9 @@
     return static_cast<Enum>(unsignedUpTo(member, highest));
   }
 
+  /// A truth value.
+  bool flag(const char* member);
+
   /// An identifier as a `Name`. It may be empty.
   template<class Name>
   Name name(const char* member)
@@ -57,6 +61,9 @@
   /// A byte string.
   std::string bytes(const char* member);
 
+  /// An array of byte strings.
+  std::vector<std::string> byteStrings(const char* member);
+
   /// The elements of an array, or null when there is none.
   const nlohmann::json* array(const char* member);
 
--- a/src/libprotocol/message.h
+++ b/src/libprotocol/message.h
@@ -8,6 +8,7 @@
 #include "ownercall.h"
 #include "ownerreply.h"
 #include "slotload.h"
+#include "submitcall.h"
 
 #include <optional>
 #include <variant>
@@ -23,7 +24,8 @@
                              OwnerReply,
                              ConfigRequest,
                              ConfigTransfer,
-                             SlotLoad>;
+                             SlotLoad,
+                             SubmitCall>;
 
 /// The sender's configuration offset, if the message tells it: Hello,
 /// Heartbeat and HeartbeatReply do.
--- a/src/libprotocol/peernetwork.h
+++ b/src/libprotocol/peernetwork.h
@@ -15,7 +15,7 @@
 
 namespace cowslippin {
 
-class PeerMesh;
+class PeerNetworkThread;
 
 /// Keeps one WebSocket connection to every other entry VM and carries messages
 /// over it. The VM with the lower id dials. A connection that is lost or has
@@ -41,9 +41,9 @@
     /// How long a new connection may take, its Hello included.
     Duration connectTimeout = std::chrono::seconds(1);
     /// The longest message that is sent or accepted, in bytes.
-    std::size_t maxMessageBytes = 16 * 1024 * 1024;
+    std::size_t maxMessageBytes = std::size_t(16) * 1024 * 1024;
     /// A connection whose peer leaves more than this unread is given up.
-    std::size_t maxBufferedBytes = 32 * 1024 * 1024;
+    std::size_t maxBufferedBytes = std::size_t(32) * 1024 * 1024;
     /// The wait after the first failed connection; it doubles up to
     /// `reconnectMax` with every further one. Up to half is taken off at
     /// random.
@@ -66,6 +66,9 @@
     /// The connection to a peer that stayed up was replaced. What was sent or
     /// awaited on the old one may be lost.
     std::function<void(const VmId&)> reconnected;
+    /// A message was refused: bytes that are none, a Hello of another version
+    /// or of the wrong VM. The id is empty when the peer hasn't named itself.
+    std::function<void(const VmId&, const Problem&)> refused;
   };
 
   PeerNetwork(Settings settings, Hooks hooks);
@@ -103,7 +106,7 @@
   void stop();
 
 private:
-  std::unique_ptr<PeerMesh> m_mesh;
+  std::unique_ptr<PeerNetworkThread> m_thread;
 };
 
 } // namespace cowslippin
--- /dev/null
+++ b/src/libprotocol/websockettransport.cpp
@@ -0,0 +1,246 @@
+#include "websockettransport.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr int listenBacklog = 256;
+
+long
+milliseconds(Duration duration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+    .count();
+}
+
+Problem
+cannotListen(const Address& address, const std::string& reason)
+{
+  return Problem::invalidField("peer address",
+                               address.toString(),
+                               "an address of this VM to listen on (" + reason +
+                                 ")");
+}
+
+LinkEnd
+endOf(const WebSocketConnection& connection)
+{
+  const auto code = connection.get_remote_close_code();
+  const bool isLeaving = code == websocketpp::close::status::going_away;
+  return isLeaving ? LinkEnd::GoingAway : LinkEnd::Lost;
+}
+
+} // namespace
+
+WebSocketTransport::WebSocketTransport(asio::io_context& context,
+                                       Settings settings,
+                                       Hooks hooks)
+  : m_context(context)
+  , m_settings(settings)
+  , m_hooks(std::move(hooks))
+{
+  setUp(m_client);
+  setUp(m_server);
+}
+
+WebSocketTransport::~WebSocketTransport()
+{
+  closeAll();
+  for (const auto& entry : m_closing)
+    abort(entry.second);
+}
+
+Result<Address>
+WebSocketTransport::listen(const Address& address)
+{
+  boost::system::error_code hostError;
+  const auto host = asio::ip::make_address(address.host(), hostError);
+  if (hostError)
+    return failure(cannotListen(address, hostError.message()));
+  websocketpp::lib::error_code error;
+  m_server.listen(tcp::endpoint(host, address.port()), error);
+  if (error)
+    return failure(cannotListen(address, error.message()));
+  m_server.start_accept(error);
+  if (error)
+    return failure(cannotListen(address, error.message()));
+  const tcp::endpoint local = m_server.get_local_endpoint(hostError);
+  return Address(address.host(), local.port());
+}
+
+LinkId
+WebSocketTransport::dial(const Address& address)
+{
+  const LinkId link = ++m_lastLink;
+  websocketpp::lib::error_code error;
+  const ConnectionPtr connection =
+    m_client.get_connection("ws://" + address.toString() + "/", error);
+  if (error) {
+    asio::post(m_context,
+               [this, link] { m_hooks.closed(link, LinkEnd::Lost); });
+    return link;
+  }
+  connection->set_open_handler(
+    [this, link](const auto&) { dialledOpen(link); });
+  setHandlers(link, connection);
+  m_links.emplace(link, connection);
+  m_client.connect(connection);
+  return link;
+}
+
+void
+WebSocketTransport::send(LinkId link, const std::vector<std::uint8_t>& bytes)
+{
+  const ConnectionPtr connection = find(link);
+  if (!connection)
+    return;
+  const std::size_t buffered = connection->get_buffered_amount();
+  if (buffered + bytes.size() > m_settings.maxBufferedBytes) {
+    endLater(link);
+    return;
+  }
+  connection->send(
+    bytes.data(), bytes.size(), websocketpp::frame::opcode::binary);
+}
+
+void
+WebSocketTransport::drop(LinkId link)
+{
+  const auto found = m_links.find(link);
+  if (found == m_links.end())
+    return;
+  const ConnectionPtr connection = found->second;
+  m_links.erase(found);
+  abort(connection);
+}
+
+void
+WebSocketTransport::close(LinkId link)
+{
+  const auto found = m_links.find(link);
+  if (found == m_links.end())
+    return;
+  const ConnectionPtr connection = found->second;
+  m_links.erase(found);
+  websocketpp::lib::error_code error;
+  connection->close(websocketpp::close::status::going_away, "", error);
+  if (error)
+    abort(connection);
+  else
+    m_closing.emplace(link, connection);
+}
+
+void
+WebSocketTransport::closeAll()
+{
+  m_isClosing = true;
+  websocketpp::lib::error_code error;
+  if (m_server.is_listening())
+    m_server.stop_listening(error);
+  while (!m_links.empty())
+    close(m_links.begin()->first);
+}
+
+void
+WebSocketTransport::setUp(WebSocketClient& client)
+{
+  client.init_asio(&m_context);
+  client.set_open_handshake_timeout(milliseconds(m_settings.handshakeTimeout));
+  client.set_close_handshake_timeout(milliseconds(m_settings.handshakeTimeout));
+  client.set_max_message_size(m_settings.maxMessageBytes);
+}
+
+void
+WebSocketTransport::setUp(WebSocketServer& server)
+{
+  server.init_asio(&m_context);
+  server.set_open_handshake_timeout(milliseconds(m_settings.handshakeTimeout));
+  server.set_close_handshake_timeout(milliseconds(m_settings.handshakeTimeout));
+  server.set_max_message_size(m_settings.maxMessageBytes);
+  server.set_reuse_addr(true);
+  server.set_listen_backlog(listenBacklog);
+  server.set_open_handler([this](const auto& handle) { acceptedOpen(handle); });
+}
+
+void
+WebSocketTransport::setHandlers(LinkId link, const ConnectionPtr& connection)
+{
+  connection->set_message_handler(
+    [this, link](const auto&, const auto& message) {
+      if (m_links.count(link) != 0)
+        m_hooks.received(link, message->get_payload());
+    });
+  connection->set_fail_handler([this, link](const auto&) { ended(link); });
+  connection->set_close_handler([this, link](const auto&) { ended(link); });
+}
+
+void
+WebSocketTransport::acceptedOpen(const websocketpp::connection_hdl& handle)
+{
+  const ConnectionPtr connection = m_server.get_con_from_hdl(handle);
+  if (m_isClosing) {
+    abort(connection);
+    return;
+  }
+  const LinkId link = ++m_lastLink;
+  setHandlers(link, connection);
+  m_links.emplace(link, connection);
+  boost::system::error_code ignored;
+  connection->get_raw_socket().set_option(tcp::no_delay(true), ignored);
+  m_hooks.accepted(link);
+}
+
+void
+WebSocketTransport::dialledOpen(LinkId link)
+{
+  const ConnectionPtr connection = find(link);
+  if (!connection)
+    return;
+  boost::system::error_code ignored;
+  connection->get_raw_socket().set_option(tcp::no_delay(true), ignored);
+  m_hooks.dialled(link);
+}
+
+void
+WebSocketTransport::ended(LinkId link)
+{
+  m_closing.erase(link);
+  const auto found = m_links.find(link);
+  if (found == m_links.end())
+    return;
+  const ConnectionPtr connection = found->second;
+  m_links.erase(found);
+  m_hooks.closed(link, endOf(*connection));
+}
+
+void
+WebSocketTransport::endLater(LinkId link)
+{
+  drop(link);
+  asio::post(m_context, [this, link] { m_hooks.closed(link, LinkEnd::Lost); });
+}
+
+WebSocketTransport::ConnectionPtr
+WebSocketTransport::find(LinkId link) const
+{
+  const auto found = m_links.find(link);
+  return found == m_links.end() ? nullptr : found->second;
+}
+
+/// Closing the socket under websocketpp makes it end the connection.
+void
+WebSocketTransport::abort(const ConnectionPtr& connection)
+{
+  boost::system::error_code ignored;
+  connection->get_raw_socket().close(ignored);
+}
+
+} // namespace cowslippin
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -40,6 +40,17 @@
     ConfigTransfer({ 13, "{}" }),
     SlotLoad({ { EndpointLoad({ EndpointId("e-1"), 14, 15 }),
                  EndpointLoad({ EndpointId("e-2"), 16, 17 }) } }),
+    SubmitCall({ 18,
+                 SubmissionKey("ticket:vm-1.0:19"),
+                 OrganisationName("o"),
+                 TemplateName("t"),
+                 true,
+                 false,
+                 true,
+                 20,
+                 21,
+                 "application/json",
+                 { std::string("\0\xff", 2), "{}" } }),
   };
 }
 
