--- a/src/libconfig/configuration.cpp
+++ b/src/libconfig/configuration.cpp
@@ -229,7 +229,7 @@
 ApplyResult
 Configuration::foldSnapshot(Offset at, const Configuration& snapshot) const
 {
-  const ApplyResult result(movedTo(at), ApplyOutcome::Ignored);
+  ApplyResult result(movedTo(at), ApplyOutcome::Ignored);
   if (snapshot.offset() != m_offset || snapshot == *this) {
     return result;
   }
--- a/tests/config/configjson_test.cpp
+++ b/tests/config/configjson_test.cpp
@@ -163,31 +163,35 @@
 
 TEST(ConfigJsonTest, RefusesBrokenRecords)
 {
-  const std::string snapshot =
-    R"({"recordId":"a","expectedRevision":0,"snapshot":{"offset":2,)";
+  const std::string whole = R"({"name":"t","service":"s"})";
+  const std::string record = R"({"recordId":"a",)";
+  const std::string snapshot = record + R"("snapshot":{"offset":2,)";
+  const std::string noTemplates = snapshot + R"("templates":[],)";
   const std::vector<std::string> texts = {
     "",
     "7",
     R"({"recordId":"a"})",
-    R"({"recordId":"a","template":{}})",
-    R"({"recordId":"a","template":[]})",
-    R"({"recordId":"","template":{"name":"t","service":"s"}})",
-    R"({"template":{"name":"t","service":"s"}})",
-    R"({"recordId":"a","template":{"service":"s"}})",
-    R"({"recordId":"a","expectedRevision":-1,)"
-    R"("template":{"name":"t","service":"s"}})",
-    R"({"recordId":"a","template":{"name":"t","service":"s"},)"
-    R"("organisation":{"name":"o"}})",
+    record + R"("template":{}})",
+    record + R"("template":[]})",
+    record + R"("template":{"service":"s"}})",
+    record + R"("expectedRevision":-1,"template":)" + whole + "}",
+    record + R"("organisation":{"name":"o"},"template":)" + whole + "}",
+    R"({"recordId":"","template":)" + whole + "}",
+    R"({"template":)" + whole + "}",
     snapshot + "}}",
     snapshot + R"("templates":{},"organisations":[],"acceptedRecords":[]}})",
     snapshot + R"("templates":[1],"organisations":[],"acceptedRecords":[]}})",
-    snapshot + R"("templates":[],"organisations":[],"acceptedRecords":[)"
-               R"({"recordId":"x","revision":3}]}})",
-    snapshot + R"("templates":[],"organisations":[{"name":"b","revision":1},)"
-               R"({"name":"a","revision":2}],"acceptedRecords":[]}})",
-    snapshot + R"("templates":[],"organisations":[{"name":"b","revision":3}],)"
-               R"("acceptedRecords":[]}})",
+    noTemplates +
+      R"("organisations":[],"acceptedRecords":[{"recordId":"x","revision":3}]}})",
+    noTemplates +
+      R"("organisations":[{"name":"b","revision":3}],"acceptedRecords":[]}})",
+    noTemplates + R"("acceptedRecords":[],"organisations":)" +
+      R"([{"name":"b","revision":1},{"name":"a","revision":2}]}})",
   };
+  ASSERT_TRUE(parseConfigRecord(record + R"("template":)" + whole + "}"));
+  ASSERT_TRUE(parseConfigRecord(
+    noTemplates + R"("acceptedRecords":[],"organisations":)" +
+    R"([{"name":"a","revision":1},{"name":"b","revision":2}]}})"));
   for (const std::string& text : texts) {
     EXPECT_FALSE(parseConfigRecord(text)) << text;
   }
--- a/tests/config/configuration_test.cpp
+++ b/tests/config/configuration_test.cpp
@@ -103,19 +103,19 @@
   Offset takenAt;
   Offset readAt;
   Offset readerAt;
-  ApplyOutcome outcome;
   Offset offsetAfter;
+  ApplyOutcome outcome;
   bool needsSnapshot;
 };
 
 const SnapshotCase snapshotCases[] = {
-  { "next record, nothing missing", 4, 5, 4, ApplyOutcome::Ignored, 5, false },
-  { "closes a gap", 4, 5, 2, ApplyOutcome::Adopted, 5, false },
-  { "closes a gap at the start", 4, 5, 0, ApplyOutcome::Adopted, 5, false },
-  { "lost a race, gap", 4, 6, 2, ApplyOutcome::Ignored, 2, true },
-  { "lost a race, next record", 3, 5, 4, ApplyOutcome::Ignored, 5, false },
-  { "claims the future", 4, 4, 2, ApplyOutcome::Ignored, 2, true },
-  { "already read", 2, 3, 4, ApplyOutcome::Ignored, 4, false },
+  { "next record, nothing missing", 4, 5, 4, 5, ApplyOutcome::Ignored, false },
+  { "closes a gap", 4, 5, 2, 5, ApplyOutcome::Adopted, false },
+  { "closes a gap at the start", 4, 5, 0, 5, ApplyOutcome::Adopted, false },
+  { "lost a race, gap", 4, 6, 2, 2, ApplyOutcome::Ignored, true },
+  { "lost a race, next record", 3, 5, 4, 5, ApplyOutcome::Ignored, false },
+  { "claims the future", 4, 4, 2, 2, ApplyOutcome::Ignored, true },
+  { "already read", 2, 3, 4, 4, ApplyOutcome::Ignored, false },
 };
 
 /// Folded from records that name themselves after their offsets.
