Daemon: a request and a job served end to end as separate processes

Need: the thin whole path first. Callers reach any daemon by HTTP; it claims or uses a ticket, runs what it owns and asks the owner for what it does not.

A submission under a ticket of another daemon is handed to its issuer, by a new message of the inner protocol.

--- a/src/libclaims/claimtable.cpp
+++ b/src/libclaims/claimtable.cpp
@@ -386,16 +386,12 @@
 ClaimTable::giveUp(const SubmissionKey& key)
 {
   const auto parsed = ClaimKey::parse(key);
-  if (!parsed) {
+  const LocalClaim* local = parsed ? m_local.find(*parsed) : nullptr;
+  if (local == nullptr) {
     return false;
   }
-  const LocalClaim* local = m_local.find(*parsed);
-  if (local != nullptr) {
-    decline(*local);
-    return true;
-  }
-  const WindowEntry* owner = m_window.find(*parsed);
-  return owner != nullptr && owner->standing == ClaimStanding::Declined;
+  decline(*local);
+  return true;
 }
 
 /// Ends a submission that never starts. Its claim is declined; one that has
@@ -410,6 +406,17 @@
   m_local.remove(key);
 }
 
+std::optional<OwnedElsewhere>
+ClaimTable::owner(const SubmissionKey& key) const
+{
+  const auto parsed = ClaimKey::parse(key);
+  const WindowEntry* entry = parsed ? m_window.find(*parsed) : nullptr;
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  return OwnedElsewhere{ m_window.owner(*entry), entry->claim };
+}
+
 AskReply
 ClaimTable::ask(const SubmissionKey& key, Offset claim) const
 {
--- a/src/libclaims/claimtable.h
+++ b/src/libclaims/claimtable.h
@@ -111,13 +111,17 @@
   StartPermit start(const SubmissionKey& key, TimePoint now);
 
   /// Gives up what was submitted here. True if its claims have not started and
-  /// never will, so that the caller can be told "not run". False if the work
-  /// has started, or if the key belongs to another daemon or is not known.
+  /// never will, so that the caller can be told "not run". False if nothing can
+  /// be given up: the work has started, the submission ended before, or the
+  /// key belongs to another daemon.
   bool giveUp(const SubmissionKey& key);
 
   /// What this daemon tells a peer about its own claim of `key` at `claim`.
   AskReply ask(const SubmissionKey& key, Offset claim) const;
 
+  /// Who owns the key, this daemon included, as far as the stream was read.
+  std::optional<OwnedElsewhere> owner(const SubmissionKey& key) const;
+
   /// The owner answered that it declined its claim at `claim`. If that is
   /// still the owner, the key is queued to supersede it. Otherwise the same as
   /// `submit`.
--- /dev/null
+++ b/src/libdaemon/submissionservice.cpp
@@ -0,0 +1,594 @@
+#include "submissionservice.h"
+
+#include "incarnations.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+/// What an ended call may still need to be told to its submission.
+constexpr Duration endingGrace = std::chrono::milliseconds(250);
+constexpr Duration drainRetry = std::chrono::seconds(1);
+constexpr Duration attachRetry = std::chrono::milliseconds(500);
+constexpr Duration ownerPatience = std::chrono::seconds(5);
+
+Problem
+drainingProblem()
+{
+  return Problem(ProblemKind::Draining,
+                 RunState::NotRun,
+                 "This daemon is shutting down; submit to another one")
+    .withRetryAfter(drainRetry);
+}
+
+Problem
+keyReused()
+{
+  return Problem(ProblemKind::KeyReused,
+                 RunState::NotRun,
+                 "Its key was used before for a different submission, which "
+                 "is left as it is");
+}
+
+Problem
+answerExpired()
+{
+  return Problem(ProblemKind::AnswerExpired,
+                 RunState::MayHaveRun,
+                 "It was taken here before; what became of it is no longer "
+                 "kept, and it is not started again");
+}
+
+Problem
+unknownJob(const SubmissionKey& key)
+{
+  return Problem(ProblemKind::UnknownJob,
+                 RunState::NotRun,
+                 "No job " + key.value() + " is known")
+    .withField("job", key.value(), "the id of a job within its window");
+}
+
+bool
+wasRefused(const Submission& submission)
+{
+  const auto problem = submission.problem();
+  return problem && problem->ran() == RunState::NotRun &&
+         problem->kind() != ProblemKind::Cancelled;
+}
+
+} // namespace
+
+SubmissionService::SubmissionService(Settings settings,
+                                     ClaimService& claims,
+                                     TaskRunner& runner,
+                                     RemoteOwner& owners,
+                                     Metrics& metrics)
+  : m_settings(std::move(settings))
+  , m_claims(claims)
+  , m_runner(runner)
+  , m_owners(owners)
+  , m_accepted(metrics.counter("submissionsAccepted"))
+  , m_refused(metrics.counter("submissionsNotRun"))
+  , m_attached(metrics.counter("submissionsAskedOfOwner"))
+  , m_store(m_settings.store)
+  , m_ticketIssuer(m_settings.self)
+  , m_ticketBook(m_ticketIssuer)
+{
+}
+
+HttpReply
+SubmissionService::submit(const SubmissionRequest& request, bool waitForEnd)
+{
+  switch (request.ownership()) {
+    case Ownership::None:
+      return submitUnclaimed(request, waitForEnd);
+    case Ownership::Ticket:
+      return submitTicketed(request, waitForEnd);
+    case Ownership::Claim:
+      break;
+  }
+  return submitClaimed(request, waitForEnd);
+}
+
+HttpReply
+SubmissionService::submitUnclaimed(const SubmissionRequest& request,
+                                   bool waitForEnd)
+{
+  if (m_draining) {
+    return problemReply(drainingProblem());
+  }
+  const SubmissionPtr submission = makeSubmission(request, {});
+  m_store.add(submission);
+  run(submission);
+  return replyFor(submission, waitForEnd, request.deadline());
+}
+
+HttpReply
+SubmissionService::submitTicketed(const SubmissionRequest& request,
+                                  bool waitForEnd)
+{
+  const auto ticket = parseTicket(request.key().value());
+  if (!ticket) {
+    return problemReply(ticket.error());
+  }
+  if (ticket->issuer() != m_settings.self) {
+    m_attached.add();
+    return m_owners.submit(ticket->issuer(), request, waitForEnd);
+  }
+  const auto submission = takeTicketed(request);
+  if (!submission) {
+    return problemReply(submission.error());
+  }
+  return replyFor(*submission, waitForEnd, request.deadline());
+}
+
+Result<SubmissionService::SubmissionPtr>
+SubmissionService::takeTicketed(const SubmissionRequest& request)
+{
+  const SubmissionPtr existing = m_store.find(request.key());
+  if (!existing) {
+    return useTicket(request);
+  }
+  if (existing->request().fingerprint() != request.fingerprint()) {
+    return failure(keyReused());
+  }
+  return rerunIfRefused(request, existing);
+}
+
+Result<SubmissionService::SubmissionPtr>
+SubmissionService::useTicket(const SubmissionRequest& request)
+{
+  const auto ticket = parseTicket(request.key().value());
+  if (!ticket) {
+    return failure(ticket.error());
+  }
+  if (m_draining) {
+    return failure(drainingProblem());
+  }
+  const SubmissionPtr submission = makeSubmission(request, {});
+  const TicketUse use = [&] {
+    const std::lock_guard lock(m_ticketMutex);
+    TicketUse made = m_ticketBook.use(*ticket);
+    if (std::holds_alternative<FirstUse>(made)) {
+      m_store.add(submission);
+    }
+    return made;
+  }();
+  if (std::holds_alternative<FirstUse>(use)) {
+    run(submission);
+    return submission;
+  }
+  if (std::holds_alternative<NotIssued>(use) ||
+      std::holds_alternative<OtherIssuer>(use)) {
+    return failure(Problem::invalidField(
+      "Idempotency-Key", request.key().value(), "a ticket that was issued"));
+  }
+  // Another thread may have used it just now.
+  const SubmissionPtr again = m_store.find(request.key());
+  if (again && std::holds_alternative<UsedBefore>(use)) {
+    return again;
+  }
+  return failure(answerExpired());
+}
+
+HttpReply
+SubmissionService::submitClaimed(const SubmissionRequest& request,
+                                 bool waitForEnd)
+{
+  const SubmissionKey& key = request.key();
+  SubmissionPtr submission = m_store.find(key);
+  if (submission) {
+    if (submission->request().fingerprint() == request.fingerprint()) {
+      submission = rerunIfRefused(request, submission);
+    }
+  } else if (m_draining && !m_claims.owner(key)) {
+    return problemReply(drainingProblem());
+  } else {
+    submission = claim(request, [&] { return m_claims.submit(key); });
+  }
+  return followClaimed(request, submission, waitForEnd);
+}
+
+HttpReply
+SubmissionService::followClaimed(const SubmissionRequest& request,
+                                 SubmissionPtr submission,
+                                 bool waitForEnd)
+{
+  for (;;) {
+    if (submission->request().fingerprint() != request.fingerprint()) {
+      return problemReply(keyReused());
+    }
+    awaitClaim(submission);
+    const auto owner = submission->elsewhere();
+    if (!owner) {
+      return replyFor(submission, waitForEnd, request.deadline());
+    }
+    m_attached.add();
+    const OwnerOperation operation =
+      waitForEnd ? OwnerOperation::Attach : OwnerOperation::Status;
+    const OwnerAnswer answer =
+      m_owners.ask(*owner, request.key(), operation, request.deadline());
+    if (const auto* said = std::get_if<OwnerSays>(&answer)) {
+      return said->reply;
+    }
+    if (m_draining) {
+      return problemReply(drainingProblem());
+    }
+    submission = claim(request, [&] {
+      return m_claims.ownerDeclined(request.key(), owner->owner, owner->claim);
+    });
+  }
+}
+
+SubmissionService::SubmissionPtr
+SubmissionService::claim(const SubmissionRequest& request,
+                         const std::function<ClaimDecision()>& decide)
+{
+  const SubmissionKey key = request.key();
+  const SubmissionPtr submission = makeSubmission(request, [this, key] {
+    return m_claims.startWork(key) == StartPermit::Granted;
+  });
+  const SubmissionPtr stored = m_store.add(submission);
+  if (stored == submission) {
+    settle(submission, decide());
+  }
+  return stored;
+}
+
+void
+SubmissionService::settle(const SubmissionPtr& submission,
+                          const ClaimDecision& decision)
+{
+  if (const auto* elsewhere = std::get_if<OwnedElsewhere>(&decision)) {
+    m_store.remove(submission);
+    submission->moveElsewhere({ elsewhere->owner, elsewhere->claim });
+  } else if (const auto* refused = std::get_if<ClaimRefused>(&decision)) {
+    submission->fail(refused->problem);
+  } else if (std::holds_alternative<OwnedHere>(decision)) {
+    submission->fail(answerExpired());
+  }
+}
+
+void
+SubmissionService::awaitClaim(const SubmissionPtr& submission) const
+{
+  const TimePoint patience = steadyNow() + m_settings.claimPatience;
+  const TimePoint until = std::min(patience, submission->request().deadline());
+  if (submission->waitSettled(until)) {
+    return;
+  }
+  submission->fail(Problem(ProblemKind::PlatformUnavailable,
+                           RunState::NotRun,
+                           "Its key could not be claimed in the log in time")
+                     .withRetryAfter(attachRetry));
+}
+
+SubmissionService::SubmissionPtr
+SubmissionService::rerunIfRefused(const SubmissionRequest& request,
+                                  const SubmissionPtr& existing)
+{
+  if (!wasRefused(*existing) || m_draining) {
+    return existing;
+  }
+  const SubmissionKey key = request.key();
+  Submission::StartPermission permission;
+  if (request.ownership() == Ownership::Claim) {
+    // The claim may count as started, although nothing ran under it.
+    permission = [this, key] {
+      const StartPermit permit = m_claims.startWork(key);
+      return permit == StartPermit::Granted ||
+             permit == StartPermit::AlreadyStarted;
+    };
+  }
+  const SubmissionPtr next = makeSubmission(request, std::move(permission));
+  if (!m_store.replace(existing, next)) {
+    return existing;
+  }
+  run(next);
+  return next;
+}
+
+HttpReply
+SubmissionService::replyFor(const SubmissionPtr& submission,
+                            bool waitForEnd,
+                            TimePoint deadline) const
+{
+  if (waitForEnd) {
+    submission->waitEnded(deadline + endingGrace);
+  }
+  const auto reply = submission->reply();
+  if (reply && (waitForEnd || submission->problem())) {
+    submission->setFetched();
+    return *reply;
+  }
+  if (!waitForEnd) {
+    return submission->statusReply(202);
+  }
+  return problemReply(Problem(ProblemKind::DeadlineExceeded,
+                              RunState::MayHaveRun,
+                              "It has not ended yet; ask again")
+                        .withRetryAfter(attachRetry));
+}
+
+SubmissionService::SubmissionPtr
+SubmissionService::makeSubmission(const SubmissionRequest& request,
+                                  Submission::StartPermission permission)
+{
+  auto submission =
+    std::make_shared<Submission>(request, std::move(permission));
+  const std::weak_ptr<Submission> weak = submission;
+  submission->whenEnded([this, weak](const HttpReply& /*reply*/) {
+    if (const SubmissionPtr ended = weak.lock()) {
+      submissionEnded(ended);
+    }
+  });
+  return submission;
+}
+
+void
+SubmissionService::run(const SubmissionPtr& submission)
+{
+  if (!submission->activate()) {
+    return;
+  }
+  if (const auto problem = m_runner.submit(submission)) {
+    submission->fail(*problem);
+    return;
+  }
+  m_accepted.add();
+}
+
+void
+SubmissionService::submissionEnded(const SubmissionPtr& submission)
+{
+  const SubmissionKey& key = submission->request().key();
+  const bool refused = wasRefused(*submission);
+  if (refused) {
+    m_refused.add();
+  }
+  switch (submission->request().ownership()) {
+    case Ownership::None:
+      m_store.remove(submission);
+      return;
+    case Ownership::Ticket:
+      break;
+    case Ownership::Claim:
+      // Declined, another daemon may take the key over.
+      if (refused && (m_claims.giveUp(key) || !m_claims.isOwner(key))) {
+        m_store.remove(submission);
+        return;
+      }
+      break;
+  }
+  m_store.ended(submission, steadyNow());
+}
+
+void
+SubmissionService::claimsEnded(const std::vector<ClaimEvent>& events)
+{
+  for (const ClaimEvent& event : events) {
+    if (const auto* won = std::get_if<ClaimWon>(&event)) {
+      claimWon(*won);
+    } else if (const auto* lost = std::get_if<ClaimLost>(&event)) {
+      claimLost(*lost);
+    } else {
+      claimDropped(std::get<ClaimDropped>(event));
+    }
+  }
+}
+
+void
+SubmissionService::claimWon(const ClaimWon& won)
+{
+  const SubmissionPtr submission = m_store.find(won.key);
+  if (submission) {
+    run(submission);
+  } else {
+    m_claims.giveUp(won.key);
+  }
+}
+
+void
+SubmissionService::claimLost(const ClaimLost& lost)
+{
+  const SubmissionPtr submission = m_store.find(lost.key);
+  if (submission) {
+    m_store.remove(submission);
+    submission->moveElsewhere({ lost.owner, lost.claim });
+  }
+}
+
+void
+SubmissionService::claimDropped(const ClaimDropped& dropped)
+{
+  if (const SubmissionPtr submission = m_store.find(dropped.key)) {
+    submission->fail(dropped.problem);
+  }
+}
+
+std::vector<Ticket>
+SubmissionService::issueTickets(std::size_t count)
+{
+  const std::lock_guard lock(m_ticketMutex);
+  return m_ticketIssuer.issue(count);
+}
+
+HttpReply
+SubmissionService::status(const SubmissionKey& key)
+{
+  if (const SubmissionPtr submission = m_store.find(key)) {
+    return submission->statusReply(200);
+  }
+  return askOwner(key, OwnerOperation::Status, steadyNow() + ownerPatience);
+}
+
+HttpReply
+SubmissionService::answer(const SubmissionKey& key, Duration wait)
+{
+  if (const SubmissionPtr submission = m_store.find(key)) {
+    submission->waitEnded(steadyNow() + wait);
+    const auto reply = submission->reply();
+    if (!reply) {
+      return submission->statusReply(202);
+    }
+    submission->setFetched();
+    return *reply;
+  }
+  if (wait > Duration::zero()) {
+    const HttpReply reply =
+      askOwner(key, OwnerOperation::Attach, steadyNow() + wait);
+    if (reply.status() != httpStatus(ProblemKind::DeadlineExceeded)) {
+      return reply;
+    }
+  }
+  return askOwner(key, OwnerOperation::Answer, steadyNow() + ownerPatience);
+}
+
+HttpReply
+SubmissionService::cancel(const SubmissionKey& key)
+{
+  if (const SubmissionPtr submission = m_store.find(key)) {
+    return cancelHere(submission);
+  }
+  return askOwner(key, OwnerOperation::Cancel, steadyNow() + ownerPatience);
+}
+
+HttpReply
+SubmissionService::cancelHere(const SubmissionPtr& submission)
+{
+  submission->setFetched();
+  if (submission->cancel()) {
+    m_runner.cancel(submission->request().key());
+  }
+  const auto problem = submission->problem();
+  if (!problem || problem->kind() != ProblemKind::Cancelled) {
+    return submission->statusReply(200);
+  }
+  const nlohmann::json json = {
+    { "job", submission->request().key().value() },
+    { "state", "cancelled" },
+    { "ran", std::string(toString(problem->ran())) },
+  };
+  return HttpReply::json(200, json.dump());
+}
+
+std::optional<OwnerRef>
+SubmissionService::ownerOf(const SubmissionKey& key) const
+{
+  if (looksLikeTicket(key.value())) {
+    const auto ticket = parseTicket(key.value());
+    if (!ticket) {
+      return std::nullopt;
+    }
+    return OwnerRef{ ticket->issuer(), 0 };
+  }
+  const auto owner = m_claims.owner(key);
+  if (!owner) {
+    return std::nullopt;
+  }
+  return OwnerRef{ owner->owner, owner->claim };
+}
+
+HttpReply
+SubmissionService::askOwner(const SubmissionKey& key,
+                            OwnerOperation operation,
+                            TimePoint until) const
+{
+  const auto owner = ownerOf(key);
+  if (!owner || owner->owner == m_settings.self) {
+    return problemReply(unknownJob(key));
+  }
+  const OwnerAnswer answer = m_owners.ask(*owner, key, operation, until);
+  if (const auto* said = std::get_if<OwnerSays>(&answer)) {
+    return said->reply;
+  }
+  return problemReply(unknownJob(key));
+}
+
+OwnerResult
+SubmissionService::standingOf(const OwnerCall& call) const
+{
+  if (looksLikeTicket(call.key().value())) {
+    return m_store.find(call.key()) ? OwnerResult::Found : OwnerResult::Unknown;
+  }
+  switch (m_claims.ask(call.key(), call.claimOffset())) {
+    case AskReply::Held:
+      return OwnerResult::Found;
+    case AskReply::Declined:
+      return OwnerResult::Declined;
+    case AskReply::Unknown:
+      break;
+  }
+  return OwnerResult::Unknown;
+}
+
+void
+SubmissionService::submitCalled(const SubmissionRequest& request,
+                                bool waitForEnd,
+                                std::uint64_t requestId,
+                                std::function<void(const OwnerReply&)> reply)
+{
+  const auto submission = takeTicketed(request);
+  if (!submission) {
+    reply(ownerReplyOf(requestId, problemReply(submission.error())));
+  } else if (waitForEnd) {
+    (*submission)->setFetched();
+    (*submission)
+      ->whenEnded(
+        [requestId, reply = std::move(reply)](const HttpReply& ended) {
+          reply(ownerReplyOf(requestId, ended));
+        });
+  } else {
+    reply(ownerReplyOf(requestId,
+                       replyFor(*submission, false, request.deadline())));
+  }
+}
+
+void
+SubmissionService::ownerCalled(const OwnerCall& call,
+                               std::function<void(const OwnerReply&)> reply)
+{
+  const std::uint64_t id = call.requestId();
+  const OwnerResult standing = standingOf(call);
+  if (standing != OwnerResult::Found) {
+    OwnerReply::Fields fields;
+    fields.requestId = id;
+    fields.result = standing;
+    reply(OwnerReply(std::move(fields)));
+    return;
+  }
+  const SubmissionPtr submission = m_store.find(call.key());
+  if (!submission) {
+    reply(ownerReplyOf(id, problemReply(answerExpired())));
+    return;
+  }
+  switch (call.operation()) {
+    case OwnerOperation::Attach:
+      submission->setFetched();
+      submission->whenEnded(
+        [id, reply = std::move(reply)](const HttpReply& ended) {
+          reply(ownerReplyOf(id, ended));
+        });
+      return;
+    case OwnerOperation::Status:
+      reply(ownerReplyOf(id, submission->statusReply(200)));
+      return;
+    case OwnerOperation::Answer:
+      if (submission->reply()) {
+        submission->setFetched();
+      }
+      reply(ownerReplyOf(
+        id, submission->reply().value_or(submission->statusReply(202))));
+      return;
+    case OwnerOperation::Cancel:
+      reply(ownerReplyOf(id, cancelHere(submission)));
+      return;
+  }
+}
+
+} // namespace cowslippin
