--- a/benchmarks/dispatch/benchmark.cpp
+++ b/benchmarks/dispatch/benchmark.cpp
@@ -83,7 +83,7 @@
   TaskIndex next = 0;
   std::size_t place = 0;
   int queued = 0;
-  for (auto _ : state) {
+  for ([[maybe_unused]] auto _ : state) {
     if (queued-- < 1) {
       state.PauseTiming();
       queued = 100000;
@@ -117,7 +117,7 @@
   std::int64_t now = 0;
   TaskIndex next = 0;
   std::size_t place = 0;
-  for (auto _ : state) {
+  for ([[maybe_unused]] auto _ : state) {
     ++now;
     dispatcher.submit(task("notaries/0123456789abcdef", next++), at(now));
     DispatchActions actions = dispatcher.poll(at(now));
@@ -136,7 +136,7 @@
   settings.organisationQueueShare = 1.0;
   Dispatcher dispatcher(settings);
   dispatcher.setEndpoints(endpoints(1), ZoneName("zone0"), at(0));
-  for (auto _ : state) {
+  for ([[maybe_unused]] auto _ : state) {
     state.PauseTiming();
     for (TaskIndex i = 0; i < tasks; ++i) {
       dispatcher.submit(task("job", i), at(0));
--- /dev/null
+++ b/benchmarks/ruler/figures.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "deployment.h"
+
+#include <iosfwd>
+#include <map>
+
+namespace cowslippin {
+
+/// What became of the tasks of one group.
+struct GroupFigures
+{
+  /// Response over ideal of the answered tasks.
+  std::vector<double> ratios;
+  int submitted = 0;
+  int refused = 0;
+  int failed = 0;
+  int cancelled = 0;
+  int starts = 0;
+  /// Starts in another zone than the daemon's.
+  int crossings = 0;
+};
+
+/// The figures of one case, by group of tasks.
+class Figures
+{
+public:
+  GroupFigures& group(const std::string& name) { return m_groups[name]; }
+
+  /// Prints the names of the columns.
+  static void printHeader(std::ostream& out);
+
+  /// Prints a line for each group.
+  void print(std::ostream& out,
+             const std::string& deployment,
+             const std::string& caseName) const;
+
+private:
+  std::map<std::string, GroupFigures> m_groups;
+};
+
+} // namespace cowslippin
