--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -103,17 +103,28 @@
   }
 }
 
+/// Every type but the member's own has to be refused.
 TEST(Codec, namesAMemberOfAWrongType)
 {
-  const std::vector<json> wrongValues{
-    nullptr, true, -1, 1.5, json::object(),
+  const std::vector<json> oneOfEachType{
+    nullptr,
+    true,
+    -1,
+    1U,
+    1.5,
+    "x",
+    json::binary({ 1 }),
+    json::array({ nullptr }),
+    json::object(),
   };
   for (const Message& message : samples()) {
     const json whole = document(message);
     for (const auto& member : whole.items()) {
-      for (const json& wrong : wrongValues) {
+      for (const json& value : oneOfEachType) {
+        if (value.type() == member.value().type())
+          continue;
         json changed = whole;
-        changed[member.key()] = wrong;
+        changed[member.key()] = value;
         const Result<Message> read = decodeJson(changed);
         ASSERT_FALSE(read) << message.index() << " " << changed;
         EXPECT_EQ(read.error().field(), member.key()) << changed;
