--- a/tests/claims/claimtable_test.cpp
+++ b/tests/claims/claimtable_test.cpp
@@ -182,7 +182,7 @@
   EXPECT_TRUE(read(a).empty());
   EXPECT_EQ(start(a), StartPermit::NotOwned);
   EXPECT_EQ(a.table.ask(key, 1), AskReply::Declined);
-  EXPECT_TRUE(a.table.giveUp(key));
+  EXPECT_FALSE(a.table.giveUp(key)) << "nothing is left to give up";
 
   EXPECT_EQ(submit(a), ClaimDecision(ClaimQueued{}));
   EXPECT_EQ(take(a).entries().front().supersedes, std::optional<Offset>(1));
@@ -344,6 +344,8 @@
   m_now -= seconds(1);
   a.table.expire(m_now);
   EXPECT_EQ(submit(a), ClaimDecision(OwnedElsewhere{ b.name, 10 }));
+  EXPECT_EQ(refusal(a.table.ownerDeclined(key, b.name, 10, m_now)),
+            ProblemKind::OutcomeUnknown);
 }
 
 TEST_F(ClaimTableTest, ALeftOutOffsetIsAGap)
