--- a/src/libdaemon/callerapi.cpp
+++ b/src/libdaemon/callerapi.cpp
@@ -89,7 +89,8 @@
   }
   if (looksLikeTicket(*text)) {
     if (const auto ticket = parseTicket(*text); !ticket) {
-      return failure(ticket.error());
+      return failure(Problem::invalidField(
+        keyHeader, *text, "a ticket as it was issued, or another key"));
     }
   }
   return text;
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -130,6 +130,7 @@
       m_metrics,
       { [this] { return m_peers->status(); }, [this] { return notReady(); } })
 {
+  m_directory.heard(m_settings.vmId(), m_incarnation);
   m_callerApi.addRoutes(m_router);
   m_operatorApi.addRoutes(m_router);
   addDumpSections();
