Deal the endpoints' slots out to the daemons and lend what is free

Change: each daemon works out from the platform's list which slots are its own (the same number for each daemon, own zone first), without a message. Beyond those it borrows, only where the endpoint's last reply said that more than one slot was free, and at a price. An endpoint that said nothing lately is lent one, to learn.

No peer messages are used, so none are added to a task.

--- a/benchmarks/ruler/main.cpp
+++ b/benchmarks/ruler/main.cpp
@@ -14,6 +14,9 @@
   std::uint64_t seed = 1;
   std::string choice;
   int crossingMs = -1;
+  bool open = false;
+  int borrowMs = 1000;
+  int reserve = 1;
 };
 
 bool
@@ -34,11 +37,14 @@
     settings.crossingPenalty =
       options.crossingMs < 0 ? deployment.crossingPenalty
                              : std::chrono::milliseconds(options.crossingMs);
+    settings.borrowingPenalty = std::chrono::milliseconds(options.borrowMs);
+    settings.lendingReserve = options.reserve;
     settings.choice = options.choice == "two" ? EndpointChoice::TwoChoices
                                               : EndpointChoice::LeastInFlight;
     for (const RulerCase& each : rulerCases()) {
       if (isSelected(options.caseName, each.name)) {
-        Simulation simulation(deployment, settings, options.seed);
+        Simulation simulation(
+          deployment, settings, !options.open, options.seed);
         each.arrange(simulation);
         simulation.run().print(std::cout, deployment.name, each.name);
       }
@@ -64,7 +70,14 @@
     "how endpoints are chosen: least or two")(
     "crossing-ms",
     po::value(&options.crossingMs),
-    "the price of crossing a zone; the deployment's when absent");
+    "the price of crossing a zone; the deployment's when absent")(
+    "open", po::bool_switch(&options.open), "every daemon may fill every slot")(
+    "borrow-ms",
+    po::value(&options.borrowMs)->default_value(options.borrowMs),
+    "the price of a borrowed slot")(
+    "reserve",
+    po::value(&options.reserve)->default_value(options.reserve),
+    "free slots that are not lent");
   po::variables_map values;
   po::store(po::parse_command_line(argc, argv, description), values);
   po::notify(values);
--- a/benchmarks/ruler/simulation.cpp
+++ b/benchmarks/ruler/simulation.cpp
@@ -58,8 +58,10 @@
 
 Simulation::Simulation(const Deployment& deployment,
                        const DispatchSettings& settings,
+                       bool sharesSlots,
                        std::uint64_t seed)
   : m_deployment(deployment)
+  , m_sharesSlots(sharesSlots)
   , m_random(seed)
   , m_now(beginning)
   , m_unlistedZones(static_cast<std::size_t>(deployment.zones), false)
@@ -95,9 +97,29 @@
     fields.connections = m_deployment.connections;
     list.emplace_back(fields);
   }
-  for (Daemon& daemon : m_daemons) {
+  const std::vector<VirtualMachine> vms = listVms();
+  for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+    Daemon& daemon = m_daemons[i];
     daemon.dispatcher->setEndpoints(list, zoneName(daemon.zone), m_now);
+    if (m_sharesSlots) {
+      daemon.dispatcher->setDaemons(vms, VmId(std::to_string(i)), m_now);
+    }
+  }
+}
+
+std::vector<VirtualMachine>
+Simulation::listVms() const
+{
+  std::vector<VirtualMachine> list;
+  for (std::size_t i = 0; i < m_daemons.size(); ++i) {
+    if (!m_daemons[i].lost) {
+      VirtualMachine::Fields fields;
+      fields.id = VmId(std::to_string(i));
+      fields.zone = zoneName(m_daemons[i].zone);
+      list.emplace_back(fields);
+    }
   }
+  return list;
 }
 
 void
--- a/benchmarks/ruler/simulation.h
+++ b/benchmarks/ruler/simulation.h
@@ -37,8 +37,11 @@
 class Simulation
 {
 public:
+  /// `sharesSlots` tells the daemons of each other, so that they deal the
+  /// endpoints' slots out.
   Simulation(const Deployment& deployment,
              const DispatchSettings& settings,
+             bool sharesSlots,
              std::uint64_t seed);
 
   void add(const Arrivals& arrivals);
@@ -101,6 +104,7 @@
 
   void schedule(TimePoint time, std::function<void()> action);
   void listEndpoints();
+  std::vector<VirtualMachine> listVms() const;
   Duration drawRunTime(bool isLong);
   void arriveNext(const Arrivals& arrivals, TimePoint time);
   void submit(const Arrivals& arrivals, int tasks);
@@ -120,6 +124,7 @@
   void ended(const TaskId& id, const std::optional<Problem>& problem);
 
   Deployment m_deployment;
+  bool m_sharesSlots;
   std::mt19937_64 m_random;
   TimePoint m_now;
   std::uint64_t m_eventCount = 0;
--- a/src/libdispatch/dispatcher.cpp
+++ b/src/libdispatch/dispatcher.cpp
@@ -37,27 +37,74 @@
                          const ZoneName& self,
                          TimePoint /*now*/)
 {
-  struct Members
-  {
-    std::vector<EndpointRecord*> records;
-    std::vector<std::size_t> zones;
-  };
   m_listKnown = true;
+  m_selfZone = self;
   for (auto& [id, record] : m_endpoints) {
     record->listed = false;
   }
-  const std::size_t ownZone = m_zones.number(self);
-  std::unordered_map<ServiceRecord*, Members> members;
   for (const Endpoint& endpoint : endpoints) {
-    Members& service = members[&serviceRecord(endpoint.service())];
-    service.records.push_back(&endpointRecord(endpoint));
-    service.zones.push_back(m_zones.number(endpoint.zone()));
+    endpointRecord(endpoint);
+    serviceRecord(endpoint.service());
+  }
+  dropUnlistedEndpoints();
+  rebuildPools();
+}
+
+void
+Dispatcher::setDaemons(const std::vector<VirtualMachine>& vms,
+                       const VmId& self,
+                       TimePoint /*now*/)
+{
+  m_vms = vms;
+  m_self = self;
+  rebuildPools();
+}
+
+void
+Dispatcher::rebuildPools()
+{
+  std::unordered_map<ServiceName, std::vector<EndpointRecord*>> members;
+  for (auto& [id, record] : m_endpoints) {
+    if (record->listed) {
+      members[record->endpoint.service()].push_back(record.get());
+    }
   }
+  const std::size_t ownZone = m_zones.number(m_selfZone);
   for (ServiceRecord* service : m_serviceOrder) {
-    const Members& listed = members[service];
-    service->pool.rebuild(listed.records, listed.zones, ownZone);
+    std::vector<EndpointRecord*>& records = members[service->name];
+    // The same order everywhere and always, whatever the hash table's.
+    std::sort(records.begin(), records.end(), [](auto* a, auto* b) {
+      return a->endpoint.id() < b->endpoint.id();
+    });
+    dealSlots(records);
+    std::vector<std::size_t> zones;
+    zones.reserve(records.size());
+    for (const EndpointRecord* record : records) {
+      zones.push_back(m_zones.number(record->endpoint.zone()));
+    }
+    service->pool.rebuild(records, zones, ownZone);
+  }
+}
+
+void
+Dispatcher::dealSlots(const std::vector<EndpointRecord*>& records) const
+{
+  if (m_self.isEmpty()) {
+    for (EndpointRecord* record : records) {
+      record->dealt = record->endpoint.slots();
+    }
+    return;
+  }
+  std::vector<const Endpoint*> endpoints;
+  endpoints.reserve(records.size());
+  for (const EndpointRecord* record : records) {
+    endpoints.push_back(&record->endpoint);
+  }
+  const SlotDealer dealer(m_vms, m_self, m_selfZone);
+  const std::vector<int> dealt = dealer.deal(endpoints);
+  for (std::size_t i = 0; i < records.size(); ++i) {
+    records[i]->dealt = dealt[i];
   }
-  dropUnlistedEndpoints();
 }
 
 EndpointRecord&
--- a/src/libdispatch/dispatcher.h
+++ b/src/libdispatch/dispatcher.h
@@ -9,6 +9,7 @@
 #include "organisationrecord.h"
 #include "retrybudget.h"
 #include "servicerecord.h"
+#include "slotdealer.h"
 #include "taskrecord.h"
 #include "zonenumbers.h"
 
@@ -38,6 +39,13 @@
                     const ZoneName& self,
                     TimePoint now);
 
+  /// Takes the platform's list of VMs. From then on the endpoints' slots are
+  /// dealt out to the daemons, and those of others are only borrowed when an
+  /// endpoint said that it has some free. `self` is this daemon's VM.
+  void setDaemons(const std::vector<VirtualMachine>& vms,
+                  const VmId& self,
+                  TimePoint now);
+
   /// Sets what an organisation is entitled to. One never set has the default.
   void setOrganisation(const OrganisationName& name,
                        const OrganisationShare& share,
@@ -88,6 +96,8 @@
   TemplateRecord& templateRecord(const TaskSpec& task);
   EndpointRecord& endpointRecord(const Endpoint& endpoint);
   void dropUnlistedEndpoints();
+  void rebuildPools();
+  void dealSlots(const std::vector<EndpointRecord*>& records) const;
 
   void enqueue(TaskRecord& task);
   void enqueueAgain(TaskRecord& task);
@@ -123,6 +133,9 @@
   RetryBudget m_retryBudget;
   ZoneNumbers m_zones;
   bool m_listKnown = false;
+  ZoneName m_selfZone;
+  VmId m_self;
+  std::vector<VirtualMachine> m_vms;
   std::optional<TimePoint> m_polledAt;
   std::uint64_t m_lastSerial = 0;
   DispatchStats m_counts;
--- a/src/libdispatch/dispatchsettings.h
+++ b/src/libdispatch/dispatchsettings.h
@@ -45,6 +45,11 @@
   Duration crossingPenalty = std::chrono::milliseconds(300);
   /// The part of each endpoint's slots that this daemon may fill, at least 1.
   double slotShare = 1.0;
+  /// What using a slot that was dealt to another daemon costs against waiting
+  /// or loading more elsewhere.
+  Duration borrowingPenalty = std::chrono::milliseconds(1000);
+  /// How many free slots of an endpoint are left to the others.
+  int lendingReserve = 1;
   /// How many tasks may wait in all.
   std::size_t maxQueued = 20000;
   /// The largest part of the queue that one organisation may fill.
--- a/src/libdispatch/endpointpool.cpp
+++ b/src/libdispatch/endpointpool.cpp
@@ -118,6 +118,10 @@
   for (const Group& group : m_groups) {
     for (EndpointRecord* record : group.members) {
       record->health.forget();
+      if (!record->reportedSinceRefresh) {
+        record->borrowable = 1;
+      }
+      record->reportedSinceRefresh = false;
       m_scratch.push_back(record->health.slowness());
     }
   }
@@ -152,13 +156,19 @@
   if (!record.isHealthy() || record.inFlight >= record.limit) {
     return unusable;
   }
+  const bool isBorrowed = record.inFlight >= record.dealt;
+  if (isBorrowed && record.borrowable <= 0) {
+    return unusable;
+  }
   double used = record.inFlight;
   if (m_settings.choice == EndpointChoice::TwoChoices) {
     used += record.othersInUse;
   }
   const double load = used / record.endpoint.slots();
   const double runTime = static_cast<double>(m_typicalRunTime.count());
-  return toCost(runTime * relativeSlowness(record) * (1.0 + load));
+  const double borrowing =
+    isBorrowed ? static_cast<double>(m_settings.borrowingPenalty.count()) : 0.0;
+  return toCost(borrowing + runTime * relativeSlowness(record) * (1.0 + load));
 }
 
 void
@@ -259,7 +269,10 @@
 {
   constexpr int mostDraws = 6;
   const Group* chosen = nullptr;
-  for (const Group& group : m_groups) {
+  // Among zones equally near a random one.
+  const std::size_t from = m_groups.empty() ? 0 : m_random() % m_groups.size();
+  for (std::size_t i = 0; i < m_groups.size(); ++i) {
+    const Group& group = m_groups[(from + i) % m_groups.size()];
     const bool isNearer =
       chosen == nullptr || group.crossing < chosen->crossing;
     if (group.withRoom > 0 && zones.test(group.zone) && isNearer) {
@@ -321,6 +334,9 @@
 void
 EndpointPool::started(EndpointRecord& record, bool probe)
 {
+  if (record.inFlight >= record.dealt) {
+    --record.borrowable;
+  }
   ++record.inFlight;
   if (probe) {
     record.health.probeStarted();
@@ -338,10 +354,7 @@
 {
   --record.inFlight;
   m_recentEnds.record(record.serial, !answered);
-  if (slotsFree) {
-    const int inUse = record.endpoint.slots() - *slotsFree;
-    record.othersInUse = std::max(0, inUse - record.inFlight);
-  }
+  recordReport(record, answered, slotsFree);
   if (answered) {
     record.health.answered(relativeTime);
   } else {
@@ -364,6 +377,21 @@
   }
 }
 
+void
+EndpointPool::recordReport(EndpointRecord& record,
+                           bool answered,
+                           std::optional<int> slotsFree)
+{
+  record.reportedSinceRefresh = true;
+  record.borrowable = answered ? 1 : 0;
+  if (slotsFree) {
+    const int inUse = record.endpoint.slots() - *slotsFree;
+    record.othersInUse = std::max(0, inUse - record.inFlight);
+    record.borrowable =
+      answered ? std::max(0, *slotsFree - m_settings.lendingReserve) : 0;
+  }
+}
+
 bool
 EndpointPool::isWorseThanOthers(const EndpointRecord& record) const
 {
--- a/src/libdispatch/endpointpool.h
+++ b/src/libdispatch/endpointpool.h
@@ -80,6 +80,9 @@
   void refresh();
   void updateCost(EndpointRecord& record);
   std::int32_t cost(const EndpointRecord& record) const;
+  void recordReport(EndpointRecord& record,
+                    bool answered,
+                    std::optional<int> slotsFree);
   double relativeSlowness(const EndpointRecord& record) const;
   int limitOf(const EndpointRecord& record) const;
   EndpointRecord* dueProbe(const Request& request, TimePoint now) const;
--- a/src/libdispatch/endpointrecord.h
+++ b/src/libdispatch/endpointrecord.h
@@ -25,6 +25,12 @@
   int inFlight = 0;
   /// How many attempts this daemon may have there at once.
   int limit = 1;
+  /// How many of its slots are this daemon's own; the others are borrowed.
+  int dealt = 0;
+  /// How many more attempts may be started on borrowed slots, by what it last
+  /// said of its free slots.
+  int borrowable = 1;
+  bool reportedSinceRefresh = false;
   /// How many slots the others were using when it last said so.
   int othersInUse = 0;
   /// Its place in its service's pool.
--- /dev/null
+++ b/tests/dispatch/slotdealertest.cpp
@@ -0,0 +1,142 @@
+#include "dispatchfixture.h"
+
+#include <numeric>
+
+namespace cowslippin {
+namespace {
+
+VirtualMachine
+entryVm(const std::string& id,
+        const std::string& zone,
+        Availability availability = Availability::Live)
+{
+  VirtualMachine::Fields fields;
+  fields.id = VmId(id);
+  fields.zone = ZoneName(zone);
+  fields.availability = availability;
+  return VirtualMachine(fields);
+}
+
+struct DealCase
+{
+  std::string name;
+  /// Each letter is a daemon in the zone of that name.
+  std::string daemons;
+  std::string endpoints;
+  int slots;
+  /// The slots of each daemon in all, and in its own zone.
+  std::vector<int> expected;
+  std::vector<int> expectedOwnZone;
+};
+
+class DealTest : public testing::TestWithParam<DealCase>
+{};
+
+TEST_P(DealTest, EverySlotHasOneDaemon)
+{
+  const DealCase& row = GetParam();
+  std::vector<VirtualMachine> vms;
+  for (const char zone : row.daemons) {
+    vms.push_back(
+      entryVm("vm" + std::to_string(vms.size()), std::string(1, zone)));
+  }
+  std::vector<Endpoint> endpoints;
+  for (const char zone : row.endpoints) {
+    endpoints.push_back(DispatchFixture::endpoint(
+      "e" + std::to_string(endpoints.size()), std::string(1, zone), row.slots));
+  }
+  std::vector<const Endpoint*> pointers;
+  pointers.reserve(endpoints.size());
+  for (const Endpoint& endpoint : endpoints) {
+    pointers.push_back(&endpoint);
+  }
+  std::vector<int> dealt(endpoints.size(), 0);
+  std::vector<int> totals;
+  std::vector<int> ownZone;
+  for (const VirtualMachine& vm : vms) {
+    const SlotDealer dealer(vms, vm.id(), vm.zone());
+    const std::vector<int> own = dealer.deal(pointers);
+    int inZone = 0;
+    for (std::size_t i = 0; i < own.size(); ++i) {
+      dealt[i] += own[i];
+      inZone += endpoints[i].zone() == vm.zone() ? own[i] : 0;
+    }
+    totals.push_back(std::accumulate(own.begin(), own.end(), 0));
+    ownZone.push_back(inZone);
+  }
+  EXPECT_EQ(totals, row.expected);
+  EXPECT_EQ(ownZone, row.expectedOwnZone);
+  EXPECT_EQ(dealt, std::vector<int>(endpoints.size(), row.slots));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Table,
+  DealTest,
+  testing::Values(
+    DealCase{ "One", "a", "ab", 8, { 16 }, { 8 } },
+    DealCase{ "Even", "ab", "aabb", 4, { 8, 8 }, { 8, 8 } },
+    DealCase{ "Remainder", "aaa", "aa", 4, { 3, 3, 2 }, { 3, 3, 2 } },
+    DealCase{ "ZoneWithFewDaemons",
+              "aab",
+              "aabb",
+              6,
+              { 8, 8, 8 },
+              { 6, 6, 8 } },
+    DealCase{ "ZoneWithoutDaemon", "aa", "ab", 4, { 4, 4 }, { 2, 2 } },
+    DealCase{ "MoreDaemonsThanSlots",
+              "aaaa",
+              "a",
+              2,
+              { 1, 1, 0, 0 },
+              { 1, 1, 0, 0 } }),
+  [](const auto& info) { return info.param.name; });
+
+TEST(Lending, SlotsOfOthersAreUsedOnlyOnTheEndpointsWord)
+{
+  DispatchSettings settings;
+  settings.lendingReserve = 1;
+  DispatchFixture fixture(settings);
+  fixture.list(DispatchFixture::endpoints(1, 8));
+  fixture.dispatcher.setDaemons(
+    { entryVm("vm0", "a"), entryVm("vm1", "a") }, VmId("vm0"), fixture.now);
+  fixture.submitMany(DispatchFixture::task("job"), 40);
+  // Four are its own, and one is borrowed to learn of the others.
+  std::vector<Start> running = fixture.pollStarts();
+  ASSERT_EQ(running.size(), 5U);
+  const auto finishOne = [&](int slotsFree) {
+    AttemptReport report;
+    report.endpoint = running.back().endpoint();
+    report.end = AttemptEnd::Answered;
+    report.runTime = milliseconds(100);
+    report.slotsFree = slotsFree;
+    fixture.dispatcher.finished(running.back().task(), report, fixture.now);
+    running.pop_back();
+    const std::vector<Start> starts = fixture.pollStarts();
+    running.insert(running.end(), starts.begin(), starts.end());
+  };
+  finishOne(4);
+  EXPECT_EQ(running.size(), 7U);
+  finishOne(2);
+  EXPECT_EQ(running.size(), 7U);
+  for (int i = 0; i < 5; ++i) {
+    finishOne(0);
+  }
+  EXPECT_EQ(running.size(), 4U);
+}
+
+TEST(Lending, DaemonWithoutSlotsOfItsOwnBorrowsOne)
+{
+  DispatchFixture fixture;
+  fixture.list({ DispatchFixture::endpoint("e0", "b", 8) });
+  fixture.dispatcher.setDaemons(
+    { entryVm("vm1", "b"),
+      entryVm("vm2", "b"),
+      entryVm("worse", "a", Availability::Leaving) },
+    VmId("vm0"),
+    fixture.now);
+  fixture.submitMany(DispatchFixture::task("job"), 9);
+  EXPECT_EQ(fixture.pollStarts().size(), 4U);
+}
+
+} // namespace
+} // namespace cowslippin
