Count the others' load, as replies tell it, in the choice of an endpoint

Cause: a daemon with a slot of its own at an endpoint sent a task there even when the last reply had said that all slots were busy with borrowed attempts.

Change: the cost counts the slots that others were using at the last reply.

--- a/src/libdispatch/endpointpool.cpp
+++ b/src/libdispatch/endpointpool.cpp
@@ -160,10 +160,7 @@
   if (isBorrowed && record.borrowable <= 0) {
     return unusable;
   }
-  double used = record.inFlight;
-  if (m_settings.choice == EndpointChoice::TwoChoices) {
-    used += record.othersInUse;
-  }
+  const double used = record.inFlight + record.othersInUse;
   const double load = used / record.endpoint.slots();
   const double runTime = static_cast<double>(m_typicalRunTime.count());
   const double borrowing =
