Make the command line clean under the linter

The linter objected to mixed signedness in iterator arithmetic, to vectors that grow in loops and to a padded test struct. No behaviour changes.

--- a/src/libcli/commandline.cpp
+++ b/src/libcli/commandline.cpp
@@ -14,7 +14,8 @@
 constexpr char defaultDaemon[] = "127.0.0.1:7400";
 constexpr char daemonVariable[] = "COWSLIPPIN_DAEMON";
 constexpr char timeoutVariable[] = "COWSLIPPIN_TIMEOUT_MS";
-constexpr std::int64_t maxWaitMs = 24 * 3600 * 1000;
+constexpr std::int64_t maxWaitMs =
+  std::chrono::milliseconds(std::chrono::hours(24)).count();
 constexpr std::int64_t maxRevision = std::numeric_limits<std::int64_t>::max();
 constexpr std::size_t maxKeyLength = 200;
 
@@ -49,13 +50,20 @@
   return std::min(index, arguments.size());
 }
 
+/// The iterator to the argument at `index`.
+std::vector<std::string>::const_iterator
+argumentAt(const std::vector<std::string>& arguments, std::size_t index)
+{
+  return arguments.begin() + static_cast<std::ptrdiff_t>(index);
+}
+
 bool
 startsWith(const std::vector<std::string>& arguments,
            std::size_t index,
            const std::vector<std::string>& words)
 {
   return arguments.size() - index >= words.size() &&
-         std::equal(words.begin(), words.end(), arguments.begin() + index);
+         std::equal(words.begin(), words.end(), argumentAt(arguments, index));
 }
 
 CommandPosition
@@ -83,8 +91,9 @@
 withoutWords(std::vector<std::string> arguments,
              const CommandPosition& position)
 {
-  const auto first = arguments.begin() + position.index;
-  arguments.erase(first, first + position.spec->words.size());
+  const std::size_t end = position.index + position.spec->words.size();
+  arguments.erase(argumentAt(arguments, position.index),
+                  argumentAt(arguments, end));
   for (std::size_t i = 0; i + 1 < arguments.size(); ++i) {
     const bool isObject = arguments[i + 1].substr(0, 1) == "{";
     if (isPut(position.spec->kind) && arguments[i] == "--json" && isObject) {
--- a/src/libcli/renderer.cpp
+++ b/src/libcli/renderer.cpp
@@ -59,12 +59,14 @@
 renderTable(const nlohmann::json& list, const std::vector<Column>& columns)
 {
   std::vector<std::string> headings;
+  headings.reserve(columns.size());
   for (const Column& column : columns) {
     headings.emplace_back(column.heading);
   }
   TextTable table(std::move(headings));
   for (const nlohmann::json& row : list) {
     std::vector<std::string> cells;
+    cells.reserve(columns.size());
     for (const Column& column : columns) {
       cells.push_back(cellText(row, column));
     }
--- a/tests/cowslippin/commandrunner_test.cpp
+++ b/tests/cowslippin/commandrunner_test.cpp
@@ -64,45 +64,45 @@
 struct ExitCase
 {
   CommandKind kind;
-  CallEnd end;
   ExitCode exitCode;
+  CallEnd end;
 };
 
 const Problem overQuota(ProblemKind::OverQuota, RunState::NotRun, "too much");
 
 const ExitCase exitCases[] = {
-  { CommandKind::SendRequest, CallReply(200, "", "x"), ExitCode::Ok },
-  { CommandKind::SubmitJob, CallReply(202, "", "{}"), ExitCode::Ok },
-  { CommandKind::ShowAnswer, CallReply(200, "", "{}"), ExitCode::Ok },
-  { CommandKind::ShowAnswer, CallReply(202, "", "{}"), ExitCode::Unfinished },
-  { CommandKind::SendRequest, problemReply(overQuota), ExitCode::Refused },
+  { CommandKind::SendRequest, ExitCode::Ok, CallReply(200, "", "x") },
+  { CommandKind::SubmitJob, ExitCode::Ok, CallReply(202, "", "{}") },
+  { CommandKind::ShowAnswer, ExitCode::Ok, CallReply(200, "", "{}") },
+  { CommandKind::ShowAnswer, ExitCode::Unfinished, CallReply(202, "", "{}") },
+  { CommandKind::SendRequest, ExitCode::Refused, problemReply(overQuota) },
   { CommandKind::SendRequest,
-    problemReply(overQuota.withRan(RunState::MayHaveRun)),
-    ExitCode::Failed },
+    ExitCode::Failed,
+    problemReply(overQuota.withRan(RunState::MayHaveRun)) },
   { CommandKind::ShowAnswer,
+    ExitCode::Failed,
     problemReply(
-      Problem(ProblemKind::EndpointFailed, RunState::Failed, "broken")),
-    ExitCode::Failed },
+      Problem(ProblemKind::EndpointFailed, RunState::Failed, "broken")) },
   { CommandKind::PutTemplate,
+    ExitCode::Conflict,
     problemReply(
-      Problem(ProblemKind::RevisionConflict, RunState::NotRun, "late")),
-    ExitCode::Conflict },
+      Problem(ProblemKind::RevisionConflict, RunState::NotRun, "late")) },
   { CommandKind::ShowAnswer,
-    problemReply(Problem(ProblemKind::Cancelled, RunState::NotRun, "gone")),
-    ExitCode::Refused },
-  { CommandKind::SendRequest, CallReply(500, "", "oops"), ExitCode::Failed },
+    ExitCode::Refused,
+    problemReply(Problem(ProblemKind::Cancelled, RunState::NotRun, "gone")) },
+  { CommandKind::SendRequest, ExitCode::Failed, CallReply(500, "", "oops") },
   { CommandKind::SendRequest,
-    failureOf(CallFailure::Kind::Unreachable),
-    ExitCode::Unreachable },
+    ExitCode::Unreachable,
+    failureOf(CallFailure::Kind::Unreachable) },
   { CommandKind::SendRequest,
-    failureOf(CallFailure::Kind::NoReply),
-    ExitCode::Failed },
+    ExitCode::Failed,
+    failureOf(CallFailure::Kind::NoReply) },
   { CommandKind::PutOrganisation,
-    failureOf(CallFailure::Kind::NoReply),
-    ExitCode::Failed },
+    ExitCode::Failed,
+    failureOf(CallFailure::Kind::NoReply) },
   { CommandKind::ShowVms,
-    failureOf(CallFailure::Kind::NoReply),
-    ExitCode::Unreachable },
+    ExitCode::Unreachable,
+    failureOf(CallFailure::Kind::NoReply) },
 };
 
 TEST(CommandRunnerTest, ExitCodesTellHowItEnded)
