Lend a silent endpoint's slot only when no reply from it is due

Endpoints without a reply since the last refresh were lent one slot again, also where attempts of this daemon were still running, so a busy endpoint got more and more.

Change: one slot is lent blindly only where nothing of this daemon is running.

--- a/benchmarks/ruler/figures.cpp
+++ b/benchmarks/ruler/figures.cpp
@@ -21,9 +21,9 @@
 }
 
 double
-each(int count, int of)
+each(double count, int of)
 {
-  return of == 0 ? 0.0 : static_cast<double>(count) / of;
+  return of == 0 ? 0.0 : count / of;
 }
 
 } // namespace
@@ -36,7 +36,8 @@
       << std::setw(8) << "p50" << std::setw(8) << "p99" << std::setw(9)
       << "worst" << std::setw(8) << "attempt" << std::setw(8) << "wasted"
       << std::setw(9) << "crossing" << std::setw(9) << "refused%"
-      << std::setw(9) << "failed%" << std::setw(8) << "starts" << '\n';
+      << std::setw(9) << "failed%" << std::setw(8) << "starts" << std::setw(9)
+      << "daemon" << std::setw(9) << "endpoint" << '\n';
 }
 
 void
@@ -60,7 +61,10 @@
         << std::setw(9) << 100.0 * each(group.refused, group.submitted)
         << std::setw(9) << 100.0 * each(group.failed, group.submitted)
         << std::setprecision(3) << std::setw(8)
-        << each(group.starts, group.submitted) << '\n';
+        << each(group.starts, group.submitted) << std::setprecision(1)
+        << std::setw(9) << 1000 * each(group.waitedAtDaemon, group.starts)
+        << std::setw(9) << 1000 * each(group.waitedAtEndpoint, group.starts)
+        << '\n';
   }
 }
 
--- a/benchmarks/ruler/figures.h
+++ b/benchmarks/ruler/figures.h
@@ -17,6 +17,9 @@
   int failed = 0;
   int cancelled = 0;
   int starts = 0;
+  /// Time that started attempts spent waiting, in seconds.
+  double waitedAtDaemon = 0.0;
+  double waitedAtEndpoint = 0.0;
   /// Starts in another zone than the daemon's.
   int crossings = 0;
 };
@@ -30,7 +33,8 @@
   /// Prints the names of the columns.
   static void printHeader(std::ostream& out);
 
-  /// Prints a line for each group.
+  /// Prints a line for each group. `daemon` and `endpoint` are the mean waits
+  /// there, in milliseconds; messages are for each task.
   void print(std::ostream& out,
              const std::string& deployment,
              const std::string& caseName) const;
--- a/benchmarks/ruler/simulation.cpp
+++ b/benchmarks/ruler/simulation.cpp
@@ -48,6 +48,12 @@
   return Duration(std::llround(value * 1e6));
 }
 
+double
+toSeconds(Duration duration)
+{
+  return static_cast<double>(duration.count()) / 1e6;
+}
+
 ZoneName
 zoneName(int zone)
 {
@@ -215,6 +221,7 @@
     Task task;
     task.group = arrivals.group;
     task.submitted = m_now;
+    task.waitsSince = m_now + m_deployment.fromClient;
     task.runTime = drawRunTime(isLong);
     task.daemon = daemon;
     task.measured = m_now >= beginning + warmUp;
@@ -275,20 +282,22 @@
   if (task.measured) {
     GroupFigures& figures = m_figures.group(task.group);
     ++figures.starts;
+    figures.waitedAtDaemon += toSeconds(m_now - task.waitsSince);
     figures.crossings += delay(daemon, endpoint) == withinZone ? 0 : 1;
   }
-  const Attempt attempt{ start, daemon, m_now, task.runTime };
+  const Attempt attempt{ start, daemon, m_now, m_now, task.runTime };
   if (endpoint.lost) {
     schedule(m_now + connectTimeout,
-             [=] { deliver(number, attempt, AttemptEnd::NotStarted, {}); });
+             [=] { deliver(attempt, AttemptEnd::NotStarted, {}); });
     return;
   }
   schedule(m_now + delay(daemon, endpoint), [=] { arrived(number, attempt); });
 }
 
 void
-Simulation::arrived(int number, const Attempt& attempt)
+Simulation::arrived(int number, Attempt attempt)
 {
+  attempt.arrived = m_now;
   ModelEndpoint& endpoint = m_endpoints[static_cast<std::size_t>(number)];
   const int connected =
     endpoint.busy + static_cast<int>(endpoint.waiting.size());
@@ -308,6 +317,11 @@
 {
   ModelEndpoint& endpoint = m_endpoints[static_cast<std::size_t>(number)];
   ++endpoint.busy;
+  const auto task = m_tasks.find(attempt.start.task());
+  if (task != m_tasks.end() && task->second.measured) {
+    m_figures.group(task->second.group).waitedAtEndpoint +=
+      toSeconds(m_now - attempt.arrived);
+  }
   const double runTime =
     endpoint.slowness * static_cast<double>(attempt.runTime.count());
   schedule(m_now + Duration(std::llround(runTime)),
@@ -333,17 +347,16 @@
   const ModelEndpoint& endpoint = m_endpoints[static_cast<std::size_t>(number)];
   if (endpoint.lost) {
     schedule(std::max(m_now, attempt.sent + attemptTimeout),
-             [=] { deliver(number, attempt, AttemptEnd::Unknown, {}); });
+             [=] { deliver(attempt, AttemptEnd::Unknown, {}); });
     return;
   }
   const int slotsFree = m_deployment.slots - endpoint.busy;
   schedule(m_now + delay(attempt.daemon, endpoint),
-           [=] { deliver(number, attempt, end, slotsFree); });
+           [=] { deliver(attempt, end, slotsFree); });
 }
 
 void
-Simulation::deliver(int /*number*/,
-                    const Attempt& attempt,
+Simulation::deliver(const Attempt& attempt,
                     AttemptEnd end,
                     std::optional<int> slotsFree)
 {
@@ -361,6 +374,8 @@
     daemon.dispatcher->finished(attempt.start.task(), report, m_now);
   if (result.kind() == FinishKind::TaskEnds) {
     ended(attempt.start.task(), result.problem());
+  } else if (result.kind() == FinishKind::TriedAgain) {
+    m_tasks.at(attempt.start.task()).waitsSince = m_now;
   }
   poll(attempt.daemon);
 }
--- a/benchmarks/ruler/simulation.h
+++ b/benchmarks/ruler/simulation.h
@@ -63,10 +63,11 @@
   {
     std::string group;
     TimePoint submitted;
+    /// Since when it waits at its daemon.
+    TimePoint waitsSince;
     Duration runTime;
     int daemon;
     bool measured;
-    bool cancelled = false;
   };
   struct Daemon
   {
@@ -80,6 +81,7 @@
     Start start;
     int daemon;
     TimePoint sent;
+    TimePoint arrived;
     Duration runTime;
   };
   struct ModelEndpoint
@@ -113,12 +115,11 @@
   void poll(int daemon);
   void send(int daemon, const Start& start);
   Duration delay(int daemon, const ModelEndpoint& endpoint) const;
-  void arrived(int endpoint, const Attempt& attempt);
+  void arrived(int endpoint, Attempt attempt);
   void begin(int endpoint, const Attempt& attempt);
   void ran(int endpoint, const Attempt& attempt);
   void report(int endpoint, const Attempt& attempt, AttemptEnd end);
-  void deliver(int endpoint,
-               const Attempt& attempt,
+  void deliver(const Attempt& attempt,
                AttemptEnd end,
                std::optional<int> slotsFree);
   void ended(const TaskId& id, const std::optional<Problem>& problem);
--- a/src/libdispatch/endpointpool.cpp
+++ b/src/libdispatch/endpointpool.cpp
@@ -119,7 +119,8 @@
     for (EndpointRecord* record : group.members) {
       record->health.forget();
       if (!record->reportedSinceRefresh) {
-        record->borrowable = 1;
+        // With an attempt there its reply will tell; else one has to ask.
+        record->borrowable = record->inFlight == 0 ? 1 : 0;
       }
       record->reportedSinceRefresh = false;
       m_scratch.push_back(record->health.slowness());
--- a/tests/dispatch/slotdealertest.cpp
+++ b/tests/dispatch/slotdealertest.cpp
@@ -138,5 +138,43 @@
   EXPECT_EQ(fixture.pollStarts().size(), 4U);
 }
 
+TEST(Lending, SilentEndpointIsLentOneOnlyWhenNoReplyIsDue)
+{
+  for (const bool isBusy : { true, false }) {
+    DispatchFixture fixture;
+    fixture.list({ DispatchFixture::endpoint("e0", "b", 8),
+                   DispatchFixture::endpoint("e1", "a", 1) });
+    // The only slot of vm0 is that of e1.
+    fixture.dispatcher.setDaemons({ entryVm("vm1", "b"),
+                                    entryVm("vm2", "b"),
+                                    entryVm("vm3", "b"),
+                                    entryVm("vm4", "b"),
+                                    entryVm("vm5", "b"),
+                                    entryVm("vm6", "b"),
+                                    entryVm("vm7", "b"),
+                                    entryVm("vm8", "b") },
+                                  VmId("vm0"),
+                                  fixture.now);
+    fixture.submitMany(DispatchFixture::task("job"), 100);
+    Start atOwn = fixture.pollStarts().at(0);
+    ASSERT_EQ(atOwn.endpoint().value(), "e1");
+    ASSERT_EQ(fixture.statsOf("e0").inFlight, 1);
+    if (!isBusy) {
+      const Start borrowed(
+        TaskId(SubmissionKey("job"), 1), EndpointId("e0"), 1);
+      fixture.finish(borrowed, AttemptEnd::NotStarted);
+      fixture.pollStarts();
+      ASSERT_EQ(fixture.statsOf("e0").inFlight, 0);
+    }
+    for (int i = 0; i < 40; ++i) {
+      fixture.finish(atOwn, AttemptEnd::Answered);
+      for (const Start& start : fixture.pollStarts()) {
+        atOwn = start.endpoint().value() == "e1" ? start : atOwn;
+      }
+    }
+    EXPECT_EQ(fixture.statsOf("e0").inFlight, 1);
+  }
+}
+
 } // namespace
 } // namespace cowslippin
