--- a/tests/system/region.cpp
+++ b/tests/system/region.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int connectionsPerSlot = 8;
 constexpr Duration pollPause = std::chrono::milliseconds(10);
 
 void
@@ -128,6 +129,10 @@
     "127.0.0.1:0",
     "--run-time-ms",
     std::to_string(m_spec.runTimeMs),
+    "--slots",
+    std::to_string(m_spec.slots),
+    "--connections",
+    std::to_string(m_spec.slots * connectionsPerSlot),
   });
   endpoint->address = endpoint->process->waitForAddress();
   m_endpoints.push_back(std::move(endpoint));
@@ -162,8 +167,8 @@
                           { "service", "booking" },
                           { "zone", endpoint->zone },
                           { "address", endpoint->address.toString() },
-                          { "slots", 8 },
-                          { "connections", 64 },
+                          { "slots", m_spec.slots },
+                          { "connections", m_spec.slots * connectionsPerSlot },
                           { "state", "live" } });
   }
   const nlohmann::json list = { { "version", ++m_listVersion },
--- a/tests/system/region.h
+++ b/tests/system/region.h
@@ -38,6 +38,8 @@
   int daemonsPerZone = 1;
   int endpointsPerZone = 1;
   int runTimeMs = 20;
+  /// Of each endpoint; it accepts eight times as many connections.
+  int slots = 8;
   std::vector<std::string> daemonFlags;
 };
 
