--- a/benchmarks/ruler/deployment.cpp
+++ b/benchmarks/ruler/deployment.cpp
@@ -10,7 +10,7 @@
   escribania.zones = 3;
   escribania.betweenZones = Duration(500);
   escribania.fromClient = Duration(3000);
-  escribania.crossingPenalty = std::chrono::milliseconds(300);
+  escribania.crossingPenalty = std::chrono::milliseconds(100);
   Deployment baumwollspur;
   baumwollspur.name = "baumwollspur";
   baumwollspur.zones = 4;
--- a/src/libdispatch/dispatchsettings.h
+++ b/src/libdispatch/dispatchsettings.h
@@ -42,7 +42,7 @@
 {
   EndpointChoice choice = EndpointChoice::LeastInFlight;
   /// What going to another zone costs against waiting or loading more here.
-  Duration crossingPenalty = std::chrono::milliseconds(300);
+  Duration crossingPenalty = std::chrono::milliseconds(100);
   /// The part of each endpoint's slots that this daemon may fill, at least 1.
   double slotShare = 1.0;
   /// What using a slot that was dealt to another daemon costs against waiting
