--- a/src/libprotocol/peernetworkthread.cpp
+++ b/src/libprotocol/peernetworkthread.cpp
@@ -147,7 +147,6 @@
 PeerNetworkThread::transportHooks()
 {
   WebSocketTransport::Hooks hooks;
-  hooks.dialled = [this](LinkId link) { m_table.dialled(link, steadyNow()); };
   hooks.accepted = [this](LinkId link) { m_table.accepted(link, steadyNow()); };
   hooks.received = [this](LinkId link, const std::string& bytes) {
     received(link, bytes);
--- a/src/libprotocol/peertable.cpp
+++ b/src/libprotocol/peertable.cpp
@@ -47,14 +47,6 @@
   }
 }
 
-void
-PeerTable::dialled(LinkId link, TimePoint now)
-{
-  const auto found = m_links.find(link);
-  if (found != m_links.end())
-    found->second.lastHeard = now;
-}
-
 void
 PeerTable::accepted(LinkId link, TimePoint now)
 {
--- a/src/libprotocol/peertable.h
+++ b/src/libprotocol/peertable.h
@@ -23,7 +23,8 @@
   /// table.
   struct Actions
   {
-    /// Starts to connect. `opened` or `closed` follows, but not from within.
+    /// Starts to connect. The peer's Hello or `closed` follows, but not from
+    /// within.
     std::function<LinkId(const Address&)> dial;
     std::function<void(LinkId, const Message&)> send;
     /// Drops a connection at once. No event follows for it.
@@ -47,9 +48,6 @@
   /// Replaces the list of VMs to be connected with.
   void setPeers(const std::vector<VirtualMachine>& vms, TimePoint now);
 
-  /// A connection that this VM dialled has opened.
-  void dialled(LinkId link, TimePoint now);
-
   /// A connection of some peer has opened.
   void accepted(LinkId link, TimePoint now);
 
--- a/src/libprotocol/websockettransport.cpp
+++ b/src/libprotocol/websockettransport.cpp
@@ -206,7 +206,6 @@
     return;
   boost::system::error_code ignored;
   connection->get_raw_socket().set_option(tcp::no_delay(true), ignored);
-  m_hooks.dialled(link);
 }
 
 void
--- a/src/libprotocol/websockettransport.h
+++ b/src/libprotocol/websockettransport.h
@@ -34,7 +34,6 @@
   /// `drop` or `close`.
   struct Hooks
   {
-    std::function<void(LinkId)> dialled;
     std::function<void(LinkId)> accepted;
     std::function<void(LinkId, const std::string& bytes)> received;
     std::function<void(LinkId, LinkEnd)> closed;
@@ -51,7 +50,7 @@
   /// Starts to accept connections. Returns the address with its real port.
   Result<Address> listen(const Address& address);
 
-  /// Starts to connect; `dialled` or `closed` follows.
+  /// Starts to connect. If that fails, `closed` follows.
   LinkId dial(const Address& address);
 
   /// Queues a message for an open connection; does nothing for another.
--- a/tests/protocol/peertable_test.cpp
+++ b/tests/protocol/peertable_test.cpp
@@ -94,7 +94,6 @@
   {
     m_table.setPeers({ vm("vm-c", 3) }, m_now);
     const LinkId link = m_lastLink;
-    m_table.dialled(link, m_now);
     m_table.received(link, Message(hello("vm-c", "1")), m_now);
     pass(100ms);
     m_table.received(link, Message(HeartbeatReply({ 1, 0, 0 })), m_now);
@@ -217,8 +216,12 @@
   m_table.received(7, Message(ConfigRequest()), m_now);
   EXPECT_EQ(log(), (Log{ "refused  another message", "drop 7" }));
   m_table.accepted(8, m_now);
+  m_table.received(
+    8, failure(Problem::invalidField("version", "2", "1")), m_now);
+  EXPECT_EQ(log(), (Log{ "refused  2", "drop 8" }));
+  m_table.accepted(9, m_now);
   pass(2s);
-  EXPECT_EQ(log(), Log{ "drop 8" });
+  EXPECT_EQ(log(), Log{ "drop 9" });
 }
 
 TEST_F(PeerTableTest, badBytesFromALivePeerAreRefusedAndTheConnectionKept)
