Lend an endpoint's last free slot against a backlog

Change: what is held back is lent when more tasks wait than the daemon has slots of its own; so it still cushions the chance peaks of a steady load.

--- a/src/libdispatch/dispatcher.cpp
+++ b/src/libdispatch/dispatcher.cpp
@@ -360,13 +360,15 @@
   m_parked.clear();
   while (Lane* lane = nextLane(service)) {
     TaskRecord& task = lane->head();
-    const EndpointPool::Request request{ lane->zones(),
-                                         task.spec.isRepeatable(),
-                                         task.tried };
+    const bool hasBacklog = static_cast<int>(service.queue.size()) >
+                            service.pool.dealtIn(lane->zones());
+    const EndpointPool::Request request{
+      lane->zones(), task.spec.isRepeatable(), task.tried, hasBacklog
+    };
     EndpointRecord* endpoint = service.pool.choose(request, now);
     if (endpoint != nullptr) {
       start(task, *endpoint, now, actions);
-    } else if (service.pool.hasRoom(lane->zones())) {
+    } else if (!task.tried.empty() && service.pool.hasRoom(lane->zones())) {
       // Only this task has to wait: it was at the free ones before.
       service.queue.park(*lane);
       m_parked.push_back(lane);
--- a/src/libdispatch/dispatchsettings.h
+++ b/src/libdispatch/dispatchsettings.h
@@ -48,7 +48,8 @@
   /// What using a slot that was dealt to another daemon costs against waiting
   /// or loading more elsewhere.
   Duration borrowingPenalty = std::chrono::milliseconds(1000);
-  /// How many free slots of an endpoint are left to the others.
+  /// How many free slots of an endpoint are left to the others, unless more
+  /// tasks wait than this daemon has slots of its own.
   int lendingReserve = 1;
   /// How many tasks may wait in all.
   std::size_t maxQueued = 20000;
--- a/src/libdispatch/endpointpool.cpp
+++ b/src/libdispatch/endpointpool.cpp
@@ -9,7 +9,10 @@
 namespace {
 
 constexpr std::int32_t unusable = std::numeric_limits<std::int32_t>::max();
-constexpr std::int32_t dearest = unusable / 2;
+/// Added to the cost of an endpoint's last free slots, which are lent only
+/// against a backlog.
+constexpr std::int32_t reserved = 1 << 29;
+constexpr std::int32_t dearest = reserved - 1;
 constexpr std::size_t fewestEndsToRefresh = 16;
 /// Below this, differences of run time are taken for chance.
 constexpr double slownessNoticed = 2.0;
@@ -98,6 +101,7 @@
   group.withRoom = 0;
   group.live = 0;
   group.healthy = 0;
+  group.dealt = 0;
   group.slots = 0;
   for (EndpointRecord* record : group.members) {
     record->limit = limitOf(*record);
@@ -106,6 +110,7 @@
     group.withRoom += newCost != unusable ? 1 : 0;
     group.live += record->isLive() ? 1 : 0;
     group.healthy += record->isHealthy() ? 1 : 0;
+    group.dealt += record->isHealthy() ? record->dealt : 0;
     group.slots += record->isHealthy() ? record->limit : 0;
   }
 }
@@ -121,6 +126,7 @@
       if (!record->reportedSinceRefresh) {
         // With an attempt there its reply will tell; else one has to ask.
         record->borrowable = record->inFlight == 0 ? 1 : 0;
+        record->reserved = 0;
       }
       record->reportedSinceRefresh = false;
       m_scratch.push_back(record->health.slowness());
@@ -164,9 +170,14 @@
   const double used = record.inFlight + record.othersInUse;
   const double load = used / record.endpoint.slots();
   const double runTime = static_cast<double>(m_typicalRunTime.count());
-  const double borrowing =
-    isBorrowed ? static_cast<double>(m_settings.borrowingPenalty.count()) : 0.0;
-  return toCost(borrowing + runTime * relativeSlowness(record) * (1.0 + load));
+  const double ownCost = runTime * relativeSlowness(record) * (1.0 + load);
+  if (!isBorrowed) {
+    return toCost(ownCost);
+  }
+  const std::int32_t borrowedCost =
+    toCost(static_cast<double>(m_settings.borrowingPenalty.count()) + ownCost);
+  const bool isReserved = record.borrowable <= record.reserved;
+  return isReserved ? reserved + borrowedCost : borrowedCost;
 }
 
 void
@@ -200,12 +211,12 @@
     return chooseUntried(request);
   }
   if (m_settings.choice == EndpointChoice::TwoChoices) {
-    EndpointRecord* chosen = chooseOfTwo(request.zones);
+    EndpointRecord* chosen = chooseOfTwo(request);
     if (chosen != nullptr) {
       return chosen;
     }
   }
-  return chooseCheapest(request.zones);
+  return chooseCheapest(request);
 }
 
 EndpointRecord*
@@ -229,20 +240,21 @@
 }
 
 EndpointRecord*
-EndpointPool::chooseCheapest(const ZoneSet& zones)
+EndpointPool::chooseCheapest(const Request& request)
 {
   const Group* bestGroup = nullptr;
   std::int32_t best = unusable;
   std::int32_t bestInGroup = unusable;
   for (const Group& group : m_groups) {
-    if (group.withRoom == 0 || !zones.test(group.zone)) {
+    if (group.withRoom == 0 || !request.zones.test(group.zone)) {
       continue;
     }
     std::int32_t lowest = unusable;
     for (const std::int32_t value : group.costs) {
       lowest = std::min(lowest, value);
     }
-    if (lowest != unusable && lowest + group.crossing < best) {
+    const bool isAllowed = lowest < reserved || request.hasBacklog;
+    if (lowest != unusable && isAllowed && lowest + group.crossing < best) {
       best = lowest + group.crossing;
       bestInGroup = lowest;
       bestGroup = &group;
@@ -263,7 +275,7 @@
 }
 
 EndpointRecord*
-EndpointPool::chooseOfTwo(const ZoneSet& zones)
+EndpointPool::chooseOfTwo(const Request& request)
 {
   constexpr int mostDraws = 6;
   const Group* chosen = nullptr;
@@ -273,7 +285,7 @@
     const Group& group = m_groups[(from + i) % m_groups.size()];
     const bool isNearer =
       chosen == nullptr || group.crossing < chosen->crossing;
-    if (group.withRoom > 0 && zones.test(group.zone) && isNearer) {
+    if (group.withRoom > 0 && request.zones.test(group.zone) && isNearer) {
       chosen = &group;
     }
   }
@@ -285,7 +297,7 @@
   for (int draw = 0; draw < mostDraws && drawn < 2; ++draw) {
     const std::size_t candidate = m_random() % chosen->costs.size();
     const std::int32_t value = chosen->costs[candidate];
-    if (value == unusable) {
+    if (value == unusable || (value >= reserved && !request.hasBacklog)) {
       continue;
     }
     ++drawn;
@@ -382,11 +394,12 @@
 {
   record.reportedSinceRefresh = true;
   record.borrowable = answered ? 1 : 0;
+  record.reserved = 0;
   if (slotsFree) {
     const int inUse = record.endpoint.slots() - *slotsFree;
     record.othersInUse = std::max(0, inUse - record.inFlight);
-    record.borrowable =
-      answered ? std::max(0, *slotsFree - m_settings.lendingReserve) : 0;
+    record.borrowable = answered ? std::max(0, *slotsFree) : 0;
+    record.reserved = m_settings.lendingReserve;
   }
 }
 
@@ -460,6 +473,18 @@
   return false;
 }
 
+int
+EndpointPool::dealtIn(const ZoneSet& zones) const
+{
+  int count = 0;
+  for (const Group& group : m_groups) {
+    if (zones.test(group.zone)) {
+      count += group.dealt;
+    }
+  }
+  return count;
+}
+
 int
 EndpointPool::slotsIn(const ZoneSet& zones) const
 {
--- a/src/libdispatch/endpointpool.h
+++ b/src/libdispatch/endpointpool.h
@@ -19,6 +19,8 @@
     bool repeatable;
     /// The serials of the endpoints that already had it.
     const std::vector<std::uint64_t>& tried;
+    /// Whether more tasks wait than this daemon has slots of its own.
+    bool hasBacklog;
   };
 
   EndpointPool(const DispatchSettings& settings, std::mt19937_64& random);
@@ -52,8 +54,11 @@
   int liveIn(const ZoneSet& zones) const;
   /// How many may be given work now.
   int healthyIn(const ZoneSet& zones) const;
-  /// Whether a healthy one has a free slot.
+  /// Whether a healthy one has a free slot, be it one that is lent only
+  /// against a backlog.
   bool hasRoom(const ZoneSet& zones) const;
+  /// The slots that are this daemon's own at the healthy ones.
+  int dealtIn(const ZoneSet& zones) const;
   /// The slots that this daemon may fill at the healthy ones.
   int slotsIn(const ZoneSet& zones) const;
   /// When the next ejected endpoint in these zones is due for its probe.
@@ -72,6 +77,7 @@
     int live = 0;
     int healthy = 0;
     int slots = 0;
+    int dealt = 0;
   };
 
   void addMember(EndpointRecord& record, std::size_t zone, std::size_t ownZone);
@@ -86,8 +92,8 @@
   double relativeSlowness(const EndpointRecord& record) const;
   int limitOf(const EndpointRecord& record) const;
   EndpointRecord* dueProbe(const Request& request, TimePoint now) const;
-  EndpointRecord* chooseCheapest(const ZoneSet& zones);
-  EndpointRecord* chooseOfTwo(const ZoneSet& zones);
+  EndpointRecord* chooseCheapest(const Request& request);
+  EndpointRecord* chooseOfTwo(const Request& request);
   EndpointRecord* chooseUntried(const Request& request) const;
   bool isWorseThanOthers(const EndpointRecord& record) const;
   bool mayEjectOneMore() const;
--- a/src/libdispatch/endpointrecord.h
+++ b/src/libdispatch/endpointrecord.h
@@ -30,6 +30,8 @@
   /// How many more attempts may be started on borrowed slots, by what it last
   /// said of its free slots.
   int borrowable = 1;
+  /// How many of those are lent only against a backlog.
+  int reserved = 0;
   bool reportedSinceRefresh = false;
   /// How many slots the others were using when it last said so.
   int othersInUse = 0;
