Ruler: show late answers and the useful part of the slots; harder overload

The overload lasts the whole run now, and deadlines are 2 s plus twice the mean run time. With the former deadline of 8 s next to nothing had to be refused, so the case could not tell a good refusal from a bad one.

--- a/benchmarks/ruler/figures.cpp
+++ b/benchmarks/ruler/figures.cpp
@@ -31,13 +31,9 @@
 void
 Figures::printHeader(std::ostream& out)
 {
-  out << std::left << std::setw(13) << "deployment" << std::setw(17) << "case"
-      << std::setw(9) << "group" << std::right << std::setw(7) << "tasks"
-      << std::setw(8) << "p50" << std::setw(8) << "p99" << std::setw(9)
-      << "worst" << std::setw(8) << "attempt" << std::setw(8) << "wasted"
-      << std::setw(9) << "crossing" << std::setw(9) << "refused%"
-      << std::setw(9) << "failed%" << std::setw(8) << "starts" << std::setw(9)
-      << "daemon" << std::setw(9) << "endpoint" << '\n';
+  out << "deployment   case             group      tasks     p50     p99"
+         "    worst attempt  wasted crossing refused% failed%  late% useful%"
+         "  starts  daemon endpoint\n";
 }
 
 void
@@ -49,22 +45,27 @@
     std::vector<double> ratios = group.ratios;
     std::sort(ratios.begin(), ratios.end());
     const int answered = static_cast<int>(ratios.size());
-    // An attempt is a request and a reply.
+    const auto write = [&out](int width, int digits, double value) {
+      out << std::setw(width) << std::setprecision(digits) << value;
+    };
     out << std::left << std::setw(13) << deployment << std::setw(17) << caseName
-        << std::setw(9) << name << std::right << std::setw(7) << group.submitted
-        << std::fixed << std::setprecision(3) << std::setw(8)
-        << quantile(ratios, 0.50) << std::setw(8) << quantile(ratios, 0.99)
-        << std::setw(9) << quantile(ratios, 1.0) << std::setw(8)
-        << each(2 * group.starts, group.submitted) << std::setw(8)
-        << each(2 * (group.starts - answered), group.submitted) << std::setw(9)
-        << each(2 * group.crossings, group.submitted) << std::setprecision(2)
-        << std::setw(9) << 100.0 * each(group.refused, group.submitted)
-        << std::setw(9) << 100.0 * each(group.failed, group.submitted)
-        << std::setprecision(3) << std::setw(8)
-        << each(group.starts, group.submitted) << std::setprecision(1)
-        << std::setw(9) << 1000 * each(group.waitedAtDaemon, group.starts)
-        << std::setw(9) << 1000 * each(group.waitedAtEndpoint, group.starts)
-        << '\n';
+        << std::setw(9) << name << std::right << std::fixed << std::setw(7)
+        << group.submitted;
+    write(8, 3, quantile(ratios, 0.50));
+    write(8, 3, quantile(ratios, 0.99));
+    write(9, 3, quantile(ratios, 1.0));
+    // An attempt is a request and a reply.
+    write(8, 3, each(2 * group.starts, group.submitted));
+    write(8, 3, each(2 * (group.starts - answered), group.submitted));
+    write(9, 3, each(2 * group.crossings, group.submitted));
+    write(9, 2, 100 * each(group.refused, group.submitted));
+    write(8, 2, 100 * each(group.failed, group.submitted));
+    write(7, 2, 100 * each(group.late, group.submitted));
+    write(8, 2, 100 * group.useful);
+    write(8, 3, each(group.starts, group.submitted));
+    write(8, 1, 1000 * each(group.waitedAtDaemon, group.starts));
+    write(9, 1, 1000 * each(group.waitedAtEndpoint, group.starts));
+    out << '\n';
   }
 }
 
--- a/benchmarks/ruler/figures.h
+++ b/benchmarks/ruler/figures.h
@@ -16,6 +16,10 @@
   int refused = 0;
   int failed = 0;
   int cancelled = 0;
+  /// Answered after the deadline.
+  int late = 0;
+  /// Slot time of the answers in time, as a part of all slots.
+  double useful = 0.0;
   int starts = 0;
   /// Time that started attempts spent waiting, in seconds.
   double waitedAtDaemon = 0.0;
@@ -34,7 +38,8 @@
   static void printHeader(std::ostream& out);
 
   /// Prints a line for each group. `daemon` and `endpoint` are the mean waits
-  /// there, in milliseconds; messages are for each task.
+  /// there, in milliseconds; `useful%` is the part of all slots that worked on
+  /// answers given in time. Messages are for each task.
   void print(std::ostream& out,
              const std::string& deployment,
              const std::string& caseName) const;
--- a/benchmarks/ruler/rulercase.cpp
+++ b/benchmarks/ruler/rulercase.cpp
@@ -39,12 +39,8 @@
 void
 overload(Simulation& simulation)
 {
-  Arrivals arrivals = steady(0.8);
-  arrivals.deadline = seconds(8);
-  simulation.add(arrivals);
-  arrivals.load = 0.4;
-  arrivals.from = seconds(15);
-  arrivals.to = seconds(35);
+  Arrivals arrivals = steady(1.2);
+  arrivals.deadline = seconds(2);
   simulation.add(arrivals);
 }
 
--- a/benchmarks/ruler/simulation.cpp
+++ b/benchmarks/ruler/simulation.cpp
@@ -13,6 +13,9 @@
 constexpr TimePoint beginning{ seconds(1000) };
 /// Tasks that arrive earlier only warm the daemons up.
 constexpr Duration warmUp = seconds(10);
+/// When the useful work is counted.
+constexpr Duration usefulFrom = seconds(20);
+constexpr Duration usefulTo = seconds(40);
 constexpr Duration withinZone = Duration(100);
 constexpr Duration connectTimeout = seconds(1);
 constexpr Duration attemptTimeout = seconds(10);
@@ -215,14 +218,16 @@
     fields.declaredRunTime = fromSeconds(mean * arrivals.declaredFactor);
     fields.urgency = arrivals.urgency;
     if (arrivals.deadline) {
-      fields.deadline = m_now + *arrivals.deadline;
+      fields.deadline = m_now + *arrivals.deadline + fromSeconds(2 * mean);
     }
+    const std::optional<TimePoint> deadline = fields.deadline;
     specs.emplace_back(fields);
     Task task;
     task.group = arrivals.group;
     task.submitted = m_now;
     task.waitsSince = m_now + m_deployment.fromClient;
     task.runTime = drawRunTime(isLong);
+    task.deadline = deadline;
     task.daemon = daemon;
     task.measured = m_now >= beginning + warmUp;
     m_figures.group(task.group).submitted += task.measured ? 1 : 0;
@@ -386,16 +391,11 @@
   const auto entry = m_tasks.find(id);
   const Task task = entry->second;
   m_tasks.erase(entry);
-  if (!task.measured) {
-    return;
-  }
   GroupFigures& figures = m_figures.group(task.group);
   if (!problem) {
-    const Duration ideal =
-      2 * m_deployment.fromClient + 2 * withinZone + task.runTime;
-    const Duration response = m_now + m_deployment.fromClient - task.submitted;
-    figures.ratios.push_back(static_cast<double>(response.count()) /
-                             static_cast<double>(ideal.count()));
+    answered(task);
+  } else if (!task.measured) {
+    return;
   } else if (problem->kind() == ProblemKind::Cancelled) {
     ++figures.cancelled;
   } else if (problem->ran() == RunState::NotRun) {
@@ -405,6 +405,28 @@
   }
 }
 
+void
+Simulation::answered(const Task& task)
+{
+  GroupFigures& figures = m_figures.group(task.group);
+  const bool isLate = task.deadline && m_now > *task.deadline;
+  const bool isCounted =
+    m_now >= beginning + usefulFrom && m_now < beginning + usefulTo;
+  if (!isLate && isCounted) {
+    figures.useful +=
+      toSeconds(task.runTime) /
+      (toSeconds(usefulTo - usefulFrom) * m_deployment.allSlots());
+  }
+  if (!task.measured) {
+    return;
+  }
+  figures.late += isLate ? 1 : 0;
+  const Duration ideal =
+    2 * m_deployment.fromClient + 2 * withinZone + task.runTime;
+  const Duration response = m_now + m_deployment.fromClient - task.submitted;
+  figures.ratios.push_back(toSeconds(response) / toSeconds(ideal));
+}
+
 void
 Simulation::slowDown(int endpoint, double factor)
 {
--- a/benchmarks/ruler/simulation.h
+++ b/benchmarks/ruler/simulation.h
@@ -25,6 +25,7 @@
   /// Where all go; any daemon when negative.
   int daemon = -1;
   int urgency = 0;
+  /// Added to twice the true mean run time.
   std::optional<Duration> deadline;
   std::vector<ZoneName> allowedZones;
   /// Declared run time over the true mean.
@@ -66,6 +67,7 @@
     /// Since when it waits at its daemon.
     TimePoint waitsSince;
     Duration runTime;
+    std::optional<TimePoint> deadline;
     int daemon;
     bool measured;
   };
@@ -123,6 +125,7 @@
                AttemptEnd end,
                std::optional<int> slotsFree);
   void ended(const TaskId& id, const std::optional<Problem>& problem);
+  void answered(const Task& task);
 
   Deployment m_deployment;
   bool m_sharesSlots;
