Refuse behind a queue what would probably be answered too late

Cause: under overload the queue sits at the edge of the deadlines. Admission added the mean run time to the wait, so tasks started with just that left and half of them ended late: slots worked for nobody.

Change: behind a queue, admission adds the learned mean and 2.5 mean deviations; with nothing in front, the mean as before.

--- a/src/libdispatch/admission.cpp
+++ b/src/libdispatch/admission.cpp
@@ -98,8 +98,12 @@
   const bool isRunTimeKnown =
     templateRecord.runTime.isLearned() && templateRecord.inFlight > 0;
   const Duration wait = expectedWait(task, service, lane);
-  const Duration runTime =
-    isRunTimeKnown ? templateRecord.runTime.mean() : Duration::zero();
+  Duration runTime = Duration::zero();
+  if (isRunTimeKnown) {
+    // With others in front of it, time is better spent on one that will do.
+    runTime = wait > Duration::zero() ? templateRecord.runTime.cautious()
+                                      : templateRecord.runTime.mean();
+  }
   if (now < *deadline && now + wait + runTime <= *deadline) {
     return std::nullopt;
   }
--- a/src/libdispatch/runtimeestimate.cpp
+++ b/src/libdispatch/runtimeestimate.cpp
@@ -1,6 +1,7 @@
 #include "runtimeestimate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cowslippin {
 
@@ -10,7 +11,16 @@
   m_samples = std::min(m_samples + 1, longestMemory);
   // The declared time weighs as much as one run.
   const double part = 1.0 / (m_samples + 1);
-  m_mean += part * (static_cast<double>(runTime.count()) - m_mean);
+  const double difference = static_cast<double>(runTime.count()) - m_mean;
+  m_deviation += part * (std::abs(difference) - m_deviation);
+  m_mean += part * difference;
+}
+
+Duration
+RunTimeEstimate::cautious() const
+{
+  return Duration(
+    static_cast<long long>(m_mean + deviationsAbove * m_deviation));
 }
 
 } // namespace cowslippin
--- a/src/libdispatch/runtimeestimate.h
+++ b/src/libdispatch/runtimeestimate.h
@@ -18,6 +18,9 @@
 
   Duration mean() const { return Duration(static_cast<long long>(m_mean)); }
 
+  /// A time that most runs stay below.
+  Duration cautious() const;
+
   /// Whether enough runs were seen to trust it against a deadline.
   bool isLearned() const { return m_samples >= samplesToLearn; }
 
@@ -25,7 +28,11 @@
   static constexpr int samplesToLearn = 5;
   static constexpr int longestMemory = 32;
 
+  static constexpr double deviationsAbove = 2.5;
+
   double m_mean;
+  /// The mean distance of a run from the mean.
+  double m_deviation = 0.0;
   int m_samples = 0;
 };
 
--- a/tests/dispatch/refusaltest.cpp
+++ b/tests/dispatch/refusaltest.cpp
@@ -37,16 +37,23 @@
 }
 
 void
-learnRunTime(DispatchFixture& fixture, Duration runTime)
+learnRunTimes(DispatchFixture& fixture, Duration shorter, Duration longer)
 {
   for (int i = 0; i < 40; ++i) {
     fixture.submitMany(DispatchFixture::task("learn"), 1);
     for (const Start& start : fixture.pollStarts()) {
-      fixture.finish(start, AttemptEnd::Answered, runTime);
+      fixture.finish(
+        start, AttemptEnd::Answered, i % 2 == 0 ? shorter : longer);
     }
   }
 }
 
+void
+learnRunTime(DispatchFixture& fixture, Duration runTime)
+{
+  learnRunTimes(fixture, runTime, runTime);
+}
+
 std::vector<RefusalCase>
 refusalCases()
 {
@@ -131,6 +138,25 @@
         t.deadline = f.now + milliseconds(500);
       },
       std::nullopt },
+    { "UnsureRunTimeBehindAQueue",
+      [](auto& f, auto& t) {
+        f.list(DispatchFixture::endpoints(1, 1));
+        learnRunTimes(f, milliseconds(20), milliseconds(980));
+        occupyOneSlot(f);
+        fill(f, "notaries", 1);
+        t.deadline = f.now + milliseconds(1500);
+      },
+      ProblemKind::DeadlineTooShort,
+      true },
+    { "UnsureRunTimeWithoutAQueue",
+      [](auto& f, auto& t) {
+        f.list(DispatchFixture::endpoints(2, 2));
+        learnRunTimes(f, milliseconds(20), milliseconds(980));
+        f.submitMany(DispatchFixture::task("busy"), 1);
+        f.pollStarts();
+        t.deadline = f.now + milliseconds(800);
+      },
+      std::nullopt },
     { "MaxInFlightInFront",
       [](auto& f, auto& t) {
         f.list(DispatchFixture::endpoints(2, 8));
