Keep 300 server threads and read answers without Beast's read_op

A burst is one of the faults to be ready for.

The client now reads with async_read_some and starts a call without a queue hop when it is made on an I/O thread. clang-analyzer reported a leak inside asio's strand for Beast's composed reads on a socket with a concrete strand type; the socket now has asio's usual executor type, and the linter is clean with no check eased.

--- a/src/libhttp/connection.h
+++ b/src/libhttp/connection.h
@@ -22,7 +22,7 @@
   };
 
   using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
-  using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand>;
+  using Socket = boost::asio::ip::tcp::socket;
 
   Connection(boost::asio::io_context& context, Address address);
 
--- a/src/libhttp/endpointclient.h
+++ b/src/libhttp/endpointclient.h
@@ -22,7 +22,7 @@
   {
     unsigned ioThreads = 2;
     /// A longer answer is an invalid one.
-    std::size_t maxAnswerBytes = 16 * 1024 * 1024;
+    std::size_t maxAnswerBytes = std::size_t{ 16 } * 1024 * 1024;
     Duration connectTimeout = std::chrono::seconds(1);
     /// A connection idle for longer is closed and not used again, since
     /// something on the path may have forgotten it.
--- a/src/libhttp/endpointexchange.cpp
+++ b/src/libhttp/endpointexchange.cpp
@@ -92,8 +92,8 @@
 EndpointExchange::start(TimePoint startedAt)
 {
   m_startedAt = startedAt;
-  boost::asio::post(m_connection->strand(),
-                    [self = shared_from_this()] { self->begin(); });
+  boost::asio::dispatch(m_connection->strand(),
+                        [self = shared_from_this()] { self->begin(); });
 }
 
 void
@@ -167,7 +167,7 @@
   }
   if (!error) {
     m_phase = Phase::Waiting;
-    receiveHeader();
+    receive();
     return;
   }
   if (bytes == 0) {
@@ -177,21 +177,22 @@
   endWithoutAnswer(CallOutcome::SentNoAnswer, error.message());
 }
 
-// The header is read apart from the body since Beast 1.74 misses that a body is
-// over its limit when the first bytes of it come with the header.
 void
-EndpointExchange::receiveHeader()
+EndpointExchange::receive()
 {
+  // Beast 1.74 misses that a body is over its limit when it parses the first
+  // bytes of it along with the header.
+  m_answer.eager(m_answer.is_header_done());
   const auto handler = [self = shared_from_this()](error_code error,
                                                    std::size_t) {
-    self->receivedHeader(error);
+    self->received(error);
   };
-  http::async_read_header(
+  http::async_read_some(
     m_connection->socket(), m_connection->buffer(), m_answer, handler);
 }
 
 void
-EndpointExchange::receivedHeader(error_code error)
+EndpointExchange::received(error_code error)
 {
   if (m_phase != Phase::Waiting) {
     return;
@@ -204,31 +205,7 @@
     // Without a length the end of such an answer cannot be told from a cut.
     endWithoutAnswer(CallOutcome::InvalidAnswer, "the answer has no length");
   } else {
-    receiveBody();
-  }
-}
-
-void
-EndpointExchange::receiveBody()
-{
-  const auto handler = [self = shared_from_this()](error_code error,
-                                                   std::size_t) {
-    self->receivedBody(error);
-  };
-  http::async_read(
-    m_connection->socket(), m_connection->buffer(), m_answer, handler);
-}
-
-void
-EndpointExchange::receivedBody(error_code error)
-{
-  if (m_phase != Phase::Waiting) {
-    return;
-  }
-  if (error) {
-    receiveFailed(error);
-  } else {
-    endWithAnswer();
+    receive();
   }
 }
 
--- a/src/libhttp/endpointexchange.h
+++ b/src/libhttp/endpointexchange.h
@@ -62,10 +62,8 @@
   void connected(boost::system::error_code error);
   void send();
   void sent(boost::system::error_code error, std::size_t bytes);
-  void receiveHeader();
-  void receivedHeader(boost::system::error_code error);
-  void receiveBody();
-  void receivedBody(boost::system::error_code error);
+  void receive();
+  void received(boost::system::error_code error);
   void receiveFailed(boost::system::error_code error);
 
   void armTimer();
--- a/src/libhttp/endpointprobe.cpp
+++ b/src/libhttp/endpointprobe.cpp
@@ -65,9 +65,15 @@
 EndpointProbe::readAnswer()
 {
   const auto read = [self = shared_from_this()](error_code error, std::size_t) {
-    self->end(error ? self->m_resultSoFar : ProbeResult::Answered);
+    if (error) {
+      self->end(self->m_resultSoFar);
+    } else if (self->m_answer.is_header_done()) {
+      self->end(ProbeResult::Answered);
+    } else {
+      self->readAnswer();
+    }
   };
-  http::async_read_header(
+  http::async_read_some(
     m_connection->socket(), m_connection->buffer(), m_answer, read);
 }
 
--- a/src/libhttp/httpresponder.cpp
+++ b/src/libhttp/httpresponder.cpp
@@ -20,7 +20,7 @@
 
 /// How much more than is allowed is read and dropped, so that the client sees
 /// the reply rather than a reset connection.
-constexpr std::size_t maxDroppedBytes = 64 * 1024 * 1024;
+constexpr std::size_t maxDroppedBytes = std::size_t{ 64 } * 1024 * 1024;
 
 constexpr int maxLengthDigits = std::numeric_limits<std::size_t>::digits10;
 
--- a/src/libhttp/httpserver.h
+++ b/src/libhttp/httpserver.h
@@ -21,12 +21,13 @@
   {
     /// Port 0 stands for one that the kernel chooses.
     Address listen = Address("127.0.0.1", 0);
-    /// Threads kept when there is nothing to do.
-    unsigned minThreads = 8;
+    /// Threads kept when there is nothing to do. cxxtools starts further ones
+    /// slowly, so that a burst of more requests than this waits for them.
+    unsigned minThreads = 300;
     /// Threads, and so requests, at once; further requests wait.
     unsigned maxThreads = 700;
     /// A longer body is answered with a `body-too-large` problem and not kept.
-    std::size_t maxBodyBytes = 16 * 1024 * 1024;
+    std::size_t maxBodyBytes = std::size_t{ 16 } * 1024 * 1024;
     /// Connections that the kernel completes before they are accepted. The
     /// kernel caps this at net.core.somaxconn.
     int backlog = 4096;
--- a/tests/http/endpointclienttest.cpp
+++ b/tests/http/endpointclienttest.cpp
@@ -74,7 +74,7 @@
 
 /// Answers every request with `bytes` and closes.
 RawServer::Script
-answerAndClose(std::string bytes)
+answerAndClose(const std::string& bytes)
 {
   return [bytes](RawConnection& connection, const std::string&, int) {
     connection.write(bytes);
@@ -135,6 +135,13 @@
     longTimeout,
     CallOutcome::InvalidAnswer,
     0 },
+  { "TooLongInChunks",
+    answerAndClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "3e9\r\n" +
+                   std::string(maxAnswerBytes + 1, 'x') + "\r\n0\r\n\r\n"),
+    longTimeout,
+    CallOutcome::InvalidAnswer,
+    0 },
   { "LongestAllowed",
     answerAndClose(okAnswer(std::string(maxAnswerBytes, 'x'))),
     longTimeout,
