Ask an endpoint that had nothing to lend less and less often

Each refresh (some 0.4 s) lent a slot blindly at every endpoint of the other zones, for each of eight daemons, though all slots were in use.

Change: a reply that tells of no free slot doubles the refreshes until the next blind one, up to 8; one that tells of a free slot ends that.

--- a/src/libdispatch/endpointpool.cpp
+++ b/src/libdispatch/endpointpool.cpp
@@ -14,6 +14,7 @@
 constexpr std::int32_t reserved = 1 << 29;
 constexpr std::int32_t dearest = reserved - 1;
 constexpr std::size_t fewestEndsToRefresh = 16;
+constexpr int mostRefreshesToBorrow = 8;
 /// Below this, differences of run time are taken for chance.
 constexpr double slownessNoticed = 2.0;
 
@@ -123,12 +124,7 @@
   for (const Group& group : m_groups) {
     for (EndpointRecord* record : group.members) {
       record->health.forget();
-      if (!record->reportedSinceRefresh) {
-        // With an attempt there its reply will tell; else one has to ask.
-        record->borrowable = record->inFlight == 0 ? 1 : 0;
-        record->reserved = 0;
-      }
-      record->reportedSinceRefresh = false;
+      refreshLending(*record);
       m_scratch.push_back(record->health.slowness());
     }
   }
@@ -140,6 +136,22 @@
   }
 }
 
+void
+EndpointPool::refreshLending(EndpointRecord& record)
+{
+  if (record.reportedSinceRefresh) {
+    record.reportedSinceRefresh = false;
+    record.refreshesWithoutReport = 0;
+    return;
+  }
+  ++record.refreshesWithoutReport;
+  record.reserved = 0;
+  // With an attempt there its reply will tell; else one has to ask.
+  const bool mayAsk = record.inFlight == 0 &&
+                      record.refreshesWithoutReport >= record.refreshesToBorrow;
+  record.borrowable = mayAsk ? 1 : 0;
+}
+
 double
 EndpointPool::relativeSlowness(const EndpointRecord& record) const
 {
@@ -400,6 +412,10 @@
     record.othersInUse = std::max(0, inUse - record.inFlight);
     record.borrowable = answered ? std::max(0, *slotsFree) : 0;
     record.reserved = m_settings.lendingReserve;
+    record.refreshesToBorrow =
+      record.borrowable > 0
+        ? 1
+        : std::min(2 * record.refreshesToBorrow, mostRefreshesToBorrow);
   }
 }
 
--- a/src/libdispatch/endpointpool.h
+++ b/src/libdispatch/endpointpool.h
@@ -84,6 +84,7 @@
   Group& groupOfZone(std::size_t zone, std::size_t ownZone);
   void recount(Group& group);
   void refresh();
+  static void refreshLending(EndpointRecord& record);
   void updateCost(EndpointRecord& record);
   std::int32_t cost(const EndpointRecord& record) const;
   void recordReport(EndpointRecord& record,
--- a/src/libdispatch/endpointrecord.h
+++ b/src/libdispatch/endpointrecord.h
@@ -33,6 +33,10 @@
   /// How many of those are lent only against a backlog.
   int reserved = 0;
   bool reportedSinceRefresh = false;
+  /// How many refreshes must pass without a report before one is borrowed
+  /// blindly; it grows while none turns out to be free.
+  int refreshesToBorrow = 1;
+  int refreshesWithoutReport = 0;
   /// How many slots the others were using when it last said so.
   int othersInUse = 0;
   /// Its place in its service's pool.
--- a/tests/dispatch/slotdealertest.cpp
+++ b/tests/dispatch/slotdealertest.cpp
@@ -186,5 +186,31 @@
   }
 }
 
+TEST(Lending, FullEndpointIsAskedLessAndLess)
+{
+  DispatchFixture fixture;
+  fixture.list({ DispatchFixture::endpoint("e0", "b", 1),
+                 DispatchFixture::endpoint("e1", "a", 1) });
+  fixture.dispatcher.setDaemons(
+    { entryVm("vm1", "b") }, VmId("vm0"), fixture.now);
+  int asked = 0;
+  for (int i = 0; i < 640; ++i) {
+    fixture.submitMany(DispatchFixture::task("t" + std::to_string(i)), 2);
+    for (const Start& start : fixture.pollStarts()) {
+      asked += start.endpoint().value() == "e0" ? 1 : 0;
+      AttemptReport report;
+      report.endpoint = start.endpoint();
+      report.end = AttemptEnd::Answered;
+      report.runTime = milliseconds(100);
+      report.slotsFree = 0;
+      fixture.dispatcher.finished(start.task(), report, fixture.now);
+    }
+    fixture.dispatcher.cancel(SubmissionKey("t" + std::to_string(i)),
+                              fixture.now);
+  }
+  EXPECT_GE(asked, 4);
+  EXPECT_LE(asked, 10);
+}
+
 } // namespace
 } // namespace cowslippin
