--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -41,6 +41,7 @@
 toArgv(const std::vector<std::string>& arguments)
 {
   std::vector<char*> argv;
+  argv.reserve(arguments.size() + 1);
   for (const std::string& argument : arguments) {
     argv.push_back(const_cast<char*>(argument.c_str()));
   }
