Claims: a very late claim of a forgotten key is uncertain

A claim whose daemon had not read up to some claim that is forgotten by now may have lost to a forgotten owner. It now becomes an uncertain owner, which this daemon neither starts nor supersedes until it is forgotten in turn. Records skipped at the start count as forgotten.

Ruled out: remembering keys longer than the window (moves the hole), and ignoring such a claim (another daemon may rightly take it for the owner).

--- a/src/libclaims/claimtable.cpp
+++ b/src/libclaims/claimtable.cpp
@@ -1,5 +1,7 @@
 #include "claimtable.h"
 
+#include <sstream>
+
 #include <algorithm>
 
 namespace cowslippin {
@@ -185,11 +187,8 @@
 ClaimTable::recordRead(Offset offset, const ClaimBatch& batch, TimePoint now)
 {
   Events events;
-  if (!beginRecord(offset, now, events)) {
-    return events;
-  }
-  for (const ClaimEntry& entry : batch.entries()) {
-    applyEntry(offset, batch, entry.key, now, events);
+  if (beginRecord(offset, now, events)) {
+    applyBatch(offset, batch, now, events);
   }
   return events;
 }
@@ -197,17 +196,37 @@
 std::vector<ClaimEvent>
 ClaimTable::recordRead(Offset offset, const std::string& text, TimePoint now)
 {
-  const auto batch = parseClaimBatch(text);
-  if (batch) {
-    return recordRead(offset, *batch, now);
-  }
   Events events;
-  if (beginRecord(offset, now, events)) {
-    ++m_unreadable;
+  if (!beginRecord(offset, now, events)) {
+    return events;
+  }
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    const auto batch = parseClaimBatch(line);
+    if (batch) {
+      applyBatch(offset, *batch, now, events);
+    } else {
+      ++m_unreadable;
+    }
   }
   return events;
 }
 
+void
+ClaimTable::applyBatch(Offset offset,
+                       const ClaimBatch& batch,
+                       TimePoint now,
+                       Events& events)
+{
+  for (const ClaimEntry& entry : batch.entries()) {
+    applyEntry(offset, batch, entry.key, now, events);
+  }
+  const bool isOwn = batch.owner() == m_self;
+  if (isOwn && m_inFlight && m_inFlight->batchNumber == batch.batchNumber()) {
+    m_inFlight.reset();
+  }
+}
+
 bool
 ClaimTable::beginRecord(Offset offset, TimePoint now, Events& events)
 {
@@ -236,6 +255,7 @@
   const bool atStart = m_readUpTo == 0 && !m_caughtUp;
   m_lastGap = { m_readUpTo + 1, first };
   m_readUpTo = first - 1;
+  m_window.skipUpTo(m_readUpTo);
   if (atStart && m_limits.retention >= m_limits.window) {
     return;
   }
@@ -298,7 +318,9 @@
                                    ? ClaimStanding::Declined
                                    : ClaimStanding::Elsewhere;
   const bool isUncertain =
-    isInDoubt(now) || (current != nullptr && isEntryInDoubt(*current));
+    isInDoubt(now) ||
+    (current == nullptr ? batch.readUpTo() < m_window.forgottenUpTo()
+                        : isEntryInDoubt(*current));
   m_window.put(key, batch.owner(), offset, standing, isUncertain, now);
   return true;
 }
@@ -311,8 +333,12 @@
                       Events& events)
 {
   const LocalClaim* local = m_local.find(key);
-  const bool isUncertain = isEntryInDoubt(*m_window.find(key));
-  if (local == nullptr || isUncertain || !isStartable(*local, now)) {
+  if (local == nullptr || !isStartable(*local, now)) {
+    return;
+  }
+  if (isEntryInDoubt(*m_window.find(key))) {
+    m_local.remove(key);
+    events.emplace_back(droppedInDoubt(key, m_limits.window));
     return;
   }
   if (batch.batchNumber() < local->firstBatch) {
--- a/src/libclaims/claimtable.h
+++ b/src/libclaims/claimtable.h
@@ -57,6 +57,10 @@
 /// What it holds or has started remains
 /// its own, since no other daemon may replace what was not declined.
 ///
+/// A claim that lands so late that its daemon had not read some claim which is
+/// forgotten by now may have lost to a forgotten owner of its key. If the key
+/// has no owner here, it becomes the owner, uncertain in the same way.
+///
 /// Room: at `maxEntries` new submissions are refused; a quarter more is kept
 /// for the claims of others. Nothing is forgotten early.
 ///
@@ -76,7 +80,11 @@
   /// The caller appends it and then calls `appendEnded`.
   std::optional<ClaimBatch> takeBatch(TimePoint now);
 
-  /// The append of this batch ended. Unless it was acknowledged, its unsettled
+  /// Whether a batch was handed out that is neither ended nor read back.
+  bool isInFlight() const { return m_inFlight.has_value(); }
+
+  /// The append of this batch ended; if the batch was read back before, this
+  /// changes nothing. Unless it was acknowledged, its unsettled
   /// claims are queued again.
   void appendEnded(std::uint64_t batchNumber, AppendEnd end, TimePoint now);
 
@@ -86,8 +94,9 @@
                                      const ClaimBatch& batch,
                                      TimePoint now);
 
-  /// The same from the record's text. A text that does not parse is counted
-  /// and claims nothing, in every daemon alike.
+  /// The same from the record's text, which holds a batch a line, of any
+  /// daemons. A line that does not parse is counted and claims nothing, in
+  /// every daemon alike. Of claims in one record the first line's come first.
   std::vector<ClaimEvent> recordRead(Offset offset,
                                      const std::string& text,
                                      TimePoint now);
@@ -163,6 +172,10 @@
   void enterDoubt(TimePoint now, Events& events);
   void skipTo(Offset first, TimePoint now, Events& events);
   bool beginRecord(Offset offset, TimePoint now, Events& events);
+  void applyBatch(Offset offset,
+                  const ClaimBatch& batch,
+                  TimePoint now,
+                  Events& events);
   void applyEntry(Offset offset,
                   const ClaimBatch& batch,
                   const ClaimKey& key,
--- a/src/libclaims/claimwindow.cpp
+++ b/src/libclaims/claimwindow.cpp
@@ -1,5 +1,7 @@
 #include "claimwindow.h"
 
+#include <algorithm>
+
 namespace cowslippin {
 
 const WindowEntry*
@@ -63,10 +65,18 @@
 void
 ClaimWindow::removeOldest()
 {
-  m_owners.release(m_entries.front().owner);
+  const WindowEntry& oldest = m_entries.front();
+  skipUpTo(oldest.claim);
+  m_owners.release(oldest.owner);
   m_entries.pop_front();
 }
 
+void
+ClaimWindow::skipUpTo(Offset offset)
+{
+  m_forgottenUpTo = std::max(m_forgottenUpTo, offset);
+}
+
 template<class Change>
 void
 ClaimWindow::modify(const ClaimKey& key, Change change)
--- a/src/libclaims/claimwindow.h
+++ b/src/libclaims/claimwindow.h
@@ -31,7 +31,7 @@
   TimePoint readAt;
   ClaimOwners::Index owner = 0;
   ClaimStanding standing = ClaimStanding::Elsewhere;
-  /// Whether a gap may have hidden the key's true owner.
+  /// Whether the key's true owner may be another, hidden by a gap or forgotten.
   bool isUncertain = false;
 };
 
@@ -68,6 +68,12 @@
   /// Forgets the oldest entry; there must be one.
   void removeOldest();
 
+  /// Counts all claims up to this offset as forgotten, read or not.
+  void skipUpTo(Offset offset);
+
+  /// The highest offset of a claim that was forgotten; 0 for none.
+  Offset forgottenUpTo() const { return m_forgottenUpTo; }
+
 private:
   template<class Change>
   void modify(const ClaimKey& key, Change change);
@@ -83,6 +89,7 @@
 
   Entries m_entries;
   ClaimOwners m_owners;
+  Offset m_forgottenUpTo = 0;
 };
 
 } // namespace cowslippin
--- a/tests/claims/claimtable_test.cpp
+++ b/tests/claims/claimtable_test.cpp
@@ -268,6 +268,32 @@
   EXPECT_EQ(refusal(submit(a, SubmissionKey("k"))), ProblemKind::InvalidField);
 }
 
+TEST_F(ClaimTableTest, OfTwoBatchesInOneRecordTheFirstLineWins)
+{
+  Daemon a("a");
+  Daemon b("b");
+  submit(a);
+  submit(b);
+  submit(b, otherKey);
+  m_log.push_back(encode(take(b)) + "\nnot a batch\n" + encode(take(a)) + "\n");
+  EXPECT_EQ(read(a),
+            (std::vector<ClaimEvent>{ ClaimLost{ key, Incarnation("b"), 1 } }));
+  EXPECT_EQ(
+    read(b),
+    (std::vector<ClaimEvent>{ ClaimWon{ key, 1 }, ClaimWon{ otherKey, 1 } }));
+  EXPECT_EQ(a.table.stats(m_now).unreadable, 1U);
+}
+
+TEST_F(ClaimTableTest, ReadingABatchBackEndsItsFlight)
+{
+  Daemon a("a");
+  submit(a);
+  land(take(a));
+  EXPECT_TRUE(a.table.isInFlight());
+  read(a);
+  EXPECT_FALSE(a.table.isInFlight());
+}
+
 TEST_F(ClaimTableTest, AnUnreadableRecordClaimsNothing)
 {
   m_log.emplace_back("rubbish");
@@ -399,6 +425,37 @@
   EXPECT_EQ(read(c), std::vector<ClaimEvent>{ (ClaimLost{ key, b.name, 2 }) });
 }
 
+TEST_F(ClaimTableTest, AClaimOlderThanAForgottenOneIsUncertain)
+{
+  const ClaimLimits limits;
+  submit(a);
+  const ClaimBatch first = take(a);
+  a.table.appendEnded(first.batchNumber(), AppendEnd::Unknown, m_now);
+  const ClaimBatch second = take(a);
+  a.table.appendEnded(second.batchNumber(), AppendEnd::Unknown, m_now);
+  land(first);
+  read(a);
+  EXPECT_TRUE(a.table.giveUp(key));
+  m_now += seconds(5);
+  read(b);
+
+  m_now += limits.window - seconds(5);
+  submit(a);
+  a.table.expire(m_now);
+  land(second);
+  const auto events = read(a);
+  ASSERT_EQ(events.size(), 1U);
+  EXPECT_EQ(std::get<ClaimDropped>(events[0]).problem.ran(),
+            RunState::MayHaveRun);
+  EXPECT_EQ(refusal(submit(a)), ProblemKind::OutcomeUnknown);
+  EXPECT_FALSE(a.table.takeBatch(m_now));
+
+  EXPECT_EQ(b.table.ownerDeclined(key, a.name, 1, m_now),
+            ClaimDecision(ClaimQueued{}));
+  append(b);
+  EXPECT_EQ(read(b), std::vector<ClaimEvent>{ (ClaimWon{ key, 3 }) });
+}
+
 TEST_F(ClaimTableTest, NothingStartsAWindowAfterItsSubmission)
 {
   const ClaimLimits limits;
