Leave more room behind a long queue for runs that take longer

Change: the margin over the mean run time is 3.5 mean deviations rather than 2.5, but never more than the wait itself. So behind a short queue a task is not refused for a margin that the queue does not justify.

The test row of the unsure run time has a deadline of 1.4 s in place of 1.5 s: the need behind that queue is 1.5 s now, and was 1.7 s.

--- a/src/libdispatch/admission.cpp
+++ b/src/libdispatch/admission.cpp
@@ -100,9 +100,9 @@
   const Duration wait = expectedWait(task, service, lane);
   Duration runTime = Duration::zero();
   if (isRunTimeKnown) {
-    // With others in front of it, time is better spent on one that will do.
-    runTime = wait > Duration::zero() ? templateRecord.runTime.cautious()
-                                      : templateRecord.runTime.mean();
+    // The longer the queue, the better a slot is spent on one that will do.
+    runTime = templateRecord.runTime.mean() +
+              std::min(wait, templateRecord.runTime.margin());
   }
   if (now < *deadline && now + wait + runTime <= *deadline) {
     return std::nullopt;
--- a/src/libdispatch/runtimeestimate.cpp
+++ b/src/libdispatch/runtimeestimate.cpp
@@ -17,10 +17,9 @@
 }
 
 Duration
-RunTimeEstimate::cautious() const
+RunTimeEstimate::margin() const
 {
-  return Duration(
-    static_cast<long long>(m_mean + deviationsAbove * m_deviation));
+  return Duration(static_cast<long long>(deviationsAbove * m_deviation));
 }
 
 } // namespace cowslippin
--- a/src/libdispatch/runtimeestimate.h
+++ b/src/libdispatch/runtimeestimate.h
@@ -18,8 +18,8 @@
 
   Duration mean() const { return Duration(static_cast<long long>(m_mean)); }
 
-  /// A time that most runs stay below.
-  Duration cautious() const;
+  /// By how much hardly any run exceeds the mean.
+  Duration margin() const;
 
   /// Whether enough runs were seen to trust it against a deadline.
   bool isLearned() const { return m_samples >= samplesToLearn; }
@@ -28,7 +28,7 @@
   static constexpr int samplesToLearn = 5;
   static constexpr int longestMemory = 32;
 
-  static constexpr double deviationsAbove = 2.5;
+  static constexpr double deviationsAbove = 3.5;
 
   double m_mean;
   /// The mean distance of a run from the mean.
--- a/tests/dispatch/refusaltest.cpp
+++ b/tests/dispatch/refusaltest.cpp
@@ -144,7 +144,7 @@
         learnRunTimes(f, milliseconds(20), milliseconds(980));
         occupyOneSlot(f);
         fill(f, "notaries", 1);
-        t.deadline = f.now + milliseconds(1500);
+        t.deadline = f.now + milliseconds(1400);
       },
       ProblemKind::DeadlineTooShort,
       true },
