Dispatcher: an unchanged list changes nothing; drain rate of this backlog only

Setting the same list of endpoints or VMs again does nothing, so a daemon may pass on every reading. Rebuilding the pools no longer counts as a refresh, which would have let silent endpoints be borrowed from at each change of the list.

The measured drain rate belongs to one backlog. It used to outlive it, so a burst after a slow backlog could be refused by a rate that no longer held.

--- a/src/libdispatch/dispatcher.cpp
+++ b/src/libdispatch/dispatcher.cpp
@@ -37,7 +37,11 @@
                          const ZoneName& self,
                          TimePoint /*now*/)
 {
+  if (m_listKnown && m_list == endpoints && m_selfZone == self) {
+    return;
+  }
   m_listKnown = true;
+  m_list = endpoints;
   m_selfZone = self;
   for (auto& [id, record] : m_endpoints) {
     record->listed = false;
@@ -55,6 +59,9 @@
                        const VmId& self,
                        TimePoint /*now*/)
 {
+  if (m_vms == vms && m_self == self) {
+    return;
+  }
   m_vms = vms;
   m_self = self;
   rebuildPools();
--- a/src/libdispatch/dispatcher.h
+++ b/src/libdispatch/dispatcher.h
@@ -133,6 +133,7 @@
   RetryBudget m_retryBudget;
   ZoneNumbers m_zones;
   bool m_listKnown = false;
+  std::vector<Endpoint> m_list;
   ZoneName m_selfZone;
   VmId m_self;
   std::vector<VirtualMachine> m_vms;
--- a/src/libdispatch/drainrate.cpp
+++ b/src/libdispatch/drainrate.cpp
@@ -13,7 +13,12 @@
     const double part = std::max(smoothing, 1.0 / m_samples);
     m_meanGap += part * (gap - m_meanGap);
   }
-  m_last = backlog ? std::optional<TimePoint>(now) : std::nullopt;
+  m_last = now;
+  if (!backlog) {
+    // What is measured belongs to one backlog; the next may drain otherwise.
+    m_last.reset();
+    m_samples = 0;
+  }
 }
 
 std::optional<double>
--- a/src/libdispatch/endpointpool.cpp
+++ b/src/libdispatch/endpointpool.cpp
@@ -60,7 +60,7 @@
   for (std::size_t i = 0; i < records.size(); ++i) {
     addMember(*records[i], zones[i], ownZone);
   }
-  refresh();
+  recountAll();
 }
 
 void
@@ -131,6 +131,12 @@
   if (!m_scratch.empty()) {
     m_medianSlowness = std::max(median(m_scratch), 0.01);
   }
+  recountAll();
+}
+
+void
+EndpointPool::recountAll()
+{
   for (Group& group : m_groups) {
     recount(group);
   }
@@ -387,7 +393,7 @@
     if (!record.health.isEjected()) {
       m_ejected.erase(std::remove(m_ejected.begin(), m_ejected.end(), &record),
                       m_ejected.end());
-      refresh();
+      recountAll();
     }
   } else if (!answered && record.isHealthy() && mayEjectOneMore() &&
              isWorseThanOthers(record)) {
@@ -439,7 +445,7 @@
 {
   record.health.eject(m_settings.ejection, now);
   m_ejected.push_back(&record);
-  refresh();
+  recountAll();
 }
 
 int
--- a/src/libdispatch/endpointpool.h
+++ b/src/libdispatch/endpointpool.h
@@ -83,6 +83,8 @@
   void addMember(EndpointRecord& record, std::size_t zone, std::size_t ownZone);
   Group& groupOfZone(std::size_t zone, std::size_t ownZone);
   void recount(Group& group);
+  void recountAll();
+  /// Takes stock after every so many ends: medians, and who is silent.
   void refresh();
   static void refreshLending(EndpointRecord& record);
   void updateCost(EndpointRecord& record);
