Claims: one daemon appends for its region

Cause: each daemon appended its own claims within a thirtieth of a second's share of the append budget.

Weighed: a larger share for each (nine daemons then exceed the budget); sharing by what the stream shows of the others (still a ninth each when all are busy); handing batches to one daemon, which commits all of them as one record. Safety does not rest on who appends, since only reading settles.

A record holds a batch a line.

--- a/src/libcore/problemjson.cpp
+++ b/src/libcore/problemjson.cpp
@@ -51,9 +51,9 @@
   setIfPresent(json, "value", problem.value());
   setIfPresent(json, "allowed", problem.allowed());
   if (problem.retryAfter()) {
+    // Rounded up: a caller must not come back too early.
     json["retryAfterMs"] =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-        *problem.retryAfter())
+      std::chrono::ceil<std::chrono::milliseconds>(*problem.retryAfter())
         .count();
   }
   return json;
--- a/src/libdaemon/claimservice.cpp
+++ b/src/libdaemon/claimservice.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr unsigned appendBurst = 4;
+constexpr std::size_t mostForeignBytes = 1024 * 1024;
 constexpr Duration idleWake = std::chrono::seconds(1);
 constexpr Duration pauseAfterFailure = std::chrono::milliseconds(100);
 constexpr Duration outageRetry = std::chrono::seconds(1);
@@ -36,14 +37,20 @@
 
 } // namespace
 
-ClaimService::ClaimService(Settings settings, Events events, Metrics& metrics)
+ClaimService::ClaimService(Settings settings,
+                           Events events,
+                           HandOver handOver,
+                           Metrics& metrics)
   : m_settings(std::move(settings))
   , m_events(std::move(events))
+  , m_handOver(std::move(handOver))
   , m_appends(metrics.counter("claimAppends"))
   , m_claimed(metrics.counter("claimsAppended"))
+  , m_handedOver(metrics.counter("claimBatchesHandedOver"))
   , m_appendTime(metrics.latency("claimAppend"))
   , m_table(m_settings.self, m_settings.limits)
-  , m_budget(m_settings.appendsPerSecond, appendBurst, steadyNow())
+  , m_ownBudget(m_settings.appendsPerSecond, appendBurst, steadyNow())
+  , m_regionBudget(m_settings.regionAppendsPerSecond, appendBurst, steadyNow())
   , m_client(m_settings.platform, m_settings.identity)
   , m_follower(
       [this] {
@@ -197,6 +204,7 @@
       auto some = m_table.recordRead(record.offset(), record.body(), now);
       std::move(some.begin(), some.end(), std::back_inserter(events));
     }
+    m_wake.notify_all();
   }
   tell(events);
 }
@@ -206,18 +214,21 @@
 {
   std::unique_lock lock(m_mutex);
   while (!m_stopping) {
-    const auto batch = nextBatch(lock);
-    if (!batch) {
+    if (!waitForWork(lock)) {
       continue;
     }
-    lock.unlock();
-    append(*batch);
-    lock.lock();
+    if (mayHandOver(steadyNow())) {
+      handOverGroup(lock);
+    } else if (budget().take(steadyNow())) {
+      commitGroup(lock);
+    } else {
+      m_wake.wait_for(lock, budget().wait(steadyNow()));
+    }
   }
 }
 
-std::optional<ClaimBatch>
-ClaimService::nextBatch(std::unique_lock<std::mutex>& lock)
+bool
+ClaimService::waitForWork(std::unique_lock<std::mutex>& lock)
 {
   const TimePoint now = steadyNow();
   const std::vector<ClaimEvent> expired = m_table.expire(now);
@@ -225,45 +236,129 @@
     lock.unlock();
     tell(expired);
     lock.lock();
-    return std::nullopt;
-  }
-  const bool hasWork = m_table.stats(now).queued != 0;
-  if (!hasWork) {
-    m_wake.wait_for(lock, idleWake);
-    return std::nullopt;
+    return false;
   }
-  if (!m_budget.take(now)) {
-    m_wake.wait_for(lock, m_budget.wait(now));
-    return std::nullopt;
+  const ClaimTableStats stats = m_table.stats(now);
+  const bool hasOwn = stats.queued != 0 && !stats.inDoubt;
+  if (hasOwn || !m_foreign.empty()) {
+    return true;
   }
-  auto batch = m_table.takeBatch(now);
+  m_wake.wait_for(lock, idleWake);
+  return false;
+}
+
+bool
+ClaimService::mayHandOver(TimePoint now) const
+{
+  return !m_hasRegionDuty && m_foreign.empty() && now >= m_handOverFrom;
+}
+
+void
+ClaimService::handOverGroup(std::unique_lock<std::mutex>& lock)
+{
+  const auto batch = m_table.takeBatch(steadyNow());
   if (!batch) {
-    m_wake.wait_for(lock, pauseAfterFailure);
+    return;
+  }
+  lock.unlock();
+  const bool isSent = m_handOver(encode(*batch));
+  lock.lock();
+  if (isSent) {
+    m_handedOver.add();
+    awaitReadBack(*batch, lock);
+  } else {
+    m_table.appendEnded(
+      batch->batchNumber(), AppendEnd::NotAppended, steadyNow());
+    m_handOverFrom = steadyNow() + m_settings.handOverPause;
   }
-  return batch;
 }
 
 void
-ClaimService::append(const ClaimBatch& batch)
+ClaimService::awaitReadBack(const ClaimBatch& batch,
+                            std::unique_lock<std::mutex>& lock)
 {
+  const TimePoint until = steadyNow() + m_settings.handOverPatience;
+  const bool isBack = m_wake.wait_until(
+    lock, until, [this] { return m_stopping || !m_table.isInFlight(); });
+  if (isBack) {
+    return;
+  }
+  m_table.appendEnded(batch.batchNumber(), AppendEnd::Unknown, steadyNow());
+  m_handOverFrom = steadyNow() + m_settings.handOverPause;
+  logEvent(LogLevel::Warning,
+           "claim-hand-over-failed",
+           { { "batch", batch.batchNumber() } });
+}
+
+void
+ClaimService::commitGroup(std::unique_lock<std::mutex>& lock)
+{
+  const auto own = m_table.takeBatch(steadyNow());
+  std::string record = takeRecord(own);
+  if (record.empty()) {
+    return;
+  }
+  lock.unlock();
   const TimePoint begin = steadyNow();
-  const AppendResult result =
-    m_client.append(m_settings.stream, encode(batch), m_settings.appendTimeout);
-  const AppendEnd end = endOf(result);
+  const AppendEnd end =
+    endOf(m_client.append(m_settings.stream, record, m_settings.appendTimeout));
   m_appendTime.record(steadyNow() - begin);
   m_appends.add();
-  m_claimed.add(batch.entries().size());
-  std::unique_lock lock(m_mutex);
-  m_table.appendEnded(batch.batchNumber(), end, steadyNow());
+  lock.lock();
+  if (own) {
+    m_claimed.add(own->entries().size());
+    m_table.appendEnded(own->batchNumber(), end, steadyNow());
+  }
   if (end != AppendEnd::Appended) {
     logEvent(LogLevel::Warning,
              "claim-append-not-acknowledged",
-             { { "batch", batch.batchNumber() },
+             { { "bytes", record.size() },
                { "surelyNotAppended", end == AppendEnd::NotAppended } });
     m_wake.wait_for(lock, pauseAfterFailure);
   }
 }
 
+std::string
+ClaimService::takeRecord(const std::optional<ClaimBatch>& own)
+{
+  std::string record;
+  if (own) {
+    record += encode(*own) + '\n';
+  }
+  for (const std::string& batch : m_foreign) {
+    record += batch + '\n';
+  }
+  m_foreign.clear();
+  m_foreignBytes = 0;
+  return record;
+}
+
+AppendBudget&
+ClaimService::budget()
+{
+  return m_hasRegionDuty ? m_regionBudget : m_ownBudget;
+}
+
+void
+ClaimService::appendFor(const std::string& batch)
+{
+  const std::lock_guard lock(m_mutex);
+  // A batch that finds no room is appended by its sender after a while.
+  if (m_foreignBytes + batch.size() > mostForeignBytes) {
+    return;
+  }
+  m_foreignBytes += batch.size();
+  m_foreign.push_back(batch);
+  m_wake.notify_all();
+}
+
+void
+ClaimService::setRegionDuty(bool hasDuty)
+{
+  const std::lock_guard lock(m_mutex);
+  m_hasRegionDuty = hasDuty;
+}
+
 void
 ClaimService::tell(const std::vector<ClaimEvent>& events)
 {
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -61,6 +61,7 @@
   claims.limits.window = settings.claimWindow();
   claims.limits.maxEntries = settings.maxLiveClaims();
   claims.appendsPerSecond = settings.appendsPerSecond();
+  claims.regionAppendsPerSecond = settings.regionAppendsPerSecond();
   return claims;
 }
 
@@ -88,6 +89,7 @@
 Daemon::Daemon(DaemonSettings settings)
   : m_settings(std::move(settings))
   , m_incarnation(makeIncarnation(m_settings.vmId()))
+  , m_regionAppender(m_settings.vmId())
   , m_endpointClient(endpointClientSettings(m_settings))
   , m_runner(dispatchSettings(m_settings),
              m_settings.zone(),
@@ -114,6 +116,7 @@
       [this](const std::vector<ClaimEvent>& events) {
         m_submissions.claimsEnded(events);
       },
+      [this](const std::string& batch) { return handOverClaims(batch); },
       m_metrics)
   , m_submissions(submissionSettings(m_settings, m_incarnation),
                   m_claims,
@@ -259,10 +262,12 @@
   if (!m_config.isLoaded()) {
     return "no configuration has been read yet";
   }
-  if (!m_membership.isLoaded()) {
-    return "the VM list has not been read yet";
+  const auto list = m_membership.current();
+  const VirtualMachine* self = list->find(m_settings.vmId());
+  if (self == nullptr) {
+    return "this VM is not on the VM list";
   }
-  return "";
+  return self->isLeaving() ? "this VM is leaving" : "";
 }
 
 void
@@ -282,19 +287,36 @@
 {
   m_submissions.expire();
   m_peers->setLoad(static_cast<std::uint32_t>(m_runner.load()));
-  updateSnapshotDuty();
+  updateRegionDuty();
   reportSuppressedEvents();
 }
 
 void
-Daemon::updateSnapshotDuty()
+Daemon::updateRegionDuty()
 {
-  const std::vector<PeerStatus> peers = m_peers->status();
-  const bool isLowest =
-    std::none_of(peers.begin(), peers.end(), [this](const PeerStatus& peer) {
-      return peer.connected() && peer.vm() < m_settings.vmId();
-    });
-  m_config.setSnapshotDuty(isLowest);
+  VmId lowest = m_settings.vmId();
+  for (const PeerStatus& peer : m_peers->status()) {
+    if (peer.connected() && peer.vm() < lowest) {
+      lowest = peer.vm();
+    }
+  }
+  const bool hasDuty = lowest == m_settings.vmId();
+  m_config.setSnapshotDuty(hasDuty);
+  m_claims.setRegionDuty(hasDuty);
+  const std::lock_guard lock(m_dutyMutex);
+  m_regionAppender = lowest;
+}
+
+bool
+Daemon::handOverClaims(const std::string& batch)
+{
+  VmId appender;
+  {
+    const std::lock_guard lock(m_dutyMutex);
+    appender = m_regionAppender;
+  }
+  return appender != m_settings.vmId() &&
+         send(appender, ClaimAppend({ batch }));
 }
 
 void
@@ -317,8 +339,12 @@
 Daemon::listChanged(const VmList& list)
 {
   m_directory.listed(list);
-  m_runner.setEndpoints(list.endpoints());
   m_peers->setPeers(list.vms());
+  // A list from before this VM came may lack endpoints as well.
+  m_wasListed = m_wasListed || list.find(m_settings.vmId()) != nullptr;
+  if (m_wasListed) {
+    m_runner.setVms(list, m_settings.vmId());
+  }
   logEvent(LogLevel::Info,
            "vm-list-changed",
            { { "version", list.version() },
@@ -331,6 +357,7 @@
 {
   m_directory.heard(vm, hello.incarnation());
   m_configExchange.peerHas(vm, hello.configOffset());
+  updateRegionDuty();
   logEvent(LogLevel::Info,
            "peer-up",
            { { "peer", vm }, { "incarnation", hello.incarnation() } });
@@ -343,6 +370,8 @@
     m_configExchange.peerHas(vm, *offset);
   } else if (const auto* call = std::get_if<OwnerCall>(&message)) {
     ownerCalled(vm, *call);
+  } else if (const auto* append = std::get_if<ClaimAppend>(&message)) {
+    m_claims.appendFor(append->batch());
   } else if (const auto* submit = std::get_if<SubmitCall>(&message)) {
     submitCalled(vm, *submit);
   } else if (const auto* reply = std::get_if<OwnerReply>(&message)) {
@@ -391,6 +420,7 @@
   };
   hooks.peerDown = [this](const VmId& vm) {
     m_ownerCalls.connectionLost(vm);
+    updateRegionDuty();
     logEvent(LogLevel::Warning, "peer-down", { { "peer", vm } });
   };
   hooks.reconnected = [this](const VmId& vm) {
--- a/src/libdaemon/daemon.h
+++ b/src/libdaemon/daemon.h
@@ -42,7 +42,10 @@
   std::string notReady() const;
   void runTicks();
   void tick();
-  void updateSnapshotDuty();
+  /// The connected daemon with the lowest VM id appends claims and snapshots
+  /// for the region. Two that both think so do no harm.
+  void updateRegionDuty();
+  bool handOverClaims(const std::string& batch);
   void configChanged(const Configuration& configuration);
   void listChanged(const VmList& list);
   void peerUp(const VmId& vm, const Hello& hello);
@@ -56,6 +59,8 @@
 
   const DaemonSettings m_settings;
   const Incarnation m_incarnation;
+  std::mutex m_dutyMutex;
+  VmId m_regionAppender;
   Metrics m_metrics;
   StateDump m_dump;
   PeerDirectory m_directory;
@@ -77,6 +82,8 @@
   /// The highest revision told to the dispatcher; only the config service's
   /// hook uses it.
   Offset m_toldRevision = 0;
+  /// Whether a VM list has named this VM; only the list's hook uses it.
+  bool m_wasListed = false;
   std::mutex m_tickMutex;
   std::condition_variable m_stopTicks;
   bool m_stopping = false;
--- a/src/libdaemon/taskrunner.cpp
+++ b/src/libdaemon/taskrunner.cpp
@@ -93,17 +93,18 @@
 }
 
 void
-TaskRunner::setEndpoints(const std::vector<Endpoint>& endpoints)
+TaskRunner::setVms(const VmList& list, const VmId& self)
 {
   Work work;
   {
     const std::lock_guard lock(m_mutex);
     const TimePoint now = steadyNow();
     m_endpoints.clear();
-    for (const Endpoint& endpoint : endpoints) {
+    for (const Endpoint& endpoint : list.endpoints()) {
       m_endpoints.emplace(endpoint.id(), endpoint);
     }
-    m_dispatcher.setEndpoints(endpoints, m_zone, now);
+    m_dispatcher.setEndpoints(list.endpoints(), m_zone, now);
+    m_dispatcher.setDaemons(list.vms(), self, now);
     collectDue(work, now);
   }
   perform(std::move(work));
--- a/src/libdaemon/taskrunner.h
+++ b/src/libdaemon/taskrunner.h
@@ -29,8 +29,9 @@
   TaskRunner(const TaskRunner&) = delete;
   TaskRunner& operator=(const TaskRunner&) = delete;
 
-  /// Replaces the endpoints that work may go to.
-  void setEndpoints(const std::vector<Endpoint>& endpoints);
+  /// Replaces the endpoints that work may go to, and the VMs whose daemons
+  /// share their slots. `self` is this daemon's VM.
+  void setVms(const VmList& list, const VmId& self);
 
   /// Sets what an organisation is entitled to.
   void setOrganisation(const OrganisationParameters& parameters);
--- a/src/libprotocol/codec.cpp
+++ b/src/libprotocol/codec.cpp
@@ -121,6 +121,12 @@
            { "payloads", std::move(payloads) } };
 }
 
+json
+toJson(const ClaimAppend& append)
+{
+  return { { "batch", binary(append.batch()) } };
+}
+
 Message
 readHello(MemberReader& reader)
 {
@@ -242,13 +248,21 @@
   return SubmitCall(std::move(fields));
 }
 
+Message
+readClaimAppend(MemberReader& reader)
+{
+  ClaimAppend::Fields fields;
+  fields.batch = reader.bytes("batch");
+  return ClaimAppend(std::move(fields));
+}
+
 using ReadMessage = Message (*)(MemberReader&);
 
 /// In the order of the types in `Message`.
 constexpr std::array<ReadMessage, std::variant_size_v<Message>> readers{
-  readHello,          readHeartbeat,  readHeartbeatReply,
-  readOwnerCall,      readOwnerReply, readConfigRequest,
-  readConfigTransfer, readSlotLoad,   readSubmitCall,
+  readHello,      readHeartbeat,     readHeartbeatReply, readOwnerCall,
+  readOwnerReply, readConfigRequest, readConfigTransfer, readSlotLoad,
+  readSubmitCall, readClaimAppend,
 };
 
 Problem
--- a/src/libprotocol/message.h
+++ b/src/libprotocol/message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claimappend.h"
 #include "configrequest.h"
 #include "configtransfer.h"
 #include "heartbeat.h"
@@ -25,7 +26,8 @@
                              ConfigRequest,
                              ConfigTransfer,
                              SlotLoad,
-                             SubmitCall>;
+                             SubmitCall,
+                             ClaimAppend>;
 
 /// The sender's configuration offset, if the message tells it: Hello,
 /// Heartbeat and HeartbeatReply do.
--- a/src/libsettings/daemonsettings.cpp
+++ b/src/libsettings/daemonsettings.cpp
@@ -23,6 +23,7 @@
                          settings.claimWindow(),
                          settings.maxLiveClaims(),
                          settings.appendsPerSecond(),
+                         settings.regionAppendsPerSecond(),
                          settings.heartbeatInterval(),
                          settings.peerSilence(),
                          settings.endpointConnectTimeout(),
--- a/src/libsettings/daemonsettings.h
+++ b/src/libsettings/daemonsettings.h
@@ -37,8 +37,10 @@
     /// How long a resubmission of a key is recognised.
     Duration claimWindow{ 0 };
     std::size_t maxLiveClaims = 0;
-    /// This daemon's share of the platform's append budget.
+    /// The most appends to the claim stream while it appends for itself.
     double appendsPerSecond = 0;
+    /// The most while it appends for all daemons of its region.
+    double regionAppendsPerSecond = 0;
     Duration heartbeatInterval{ 0 };
     /// How long a peer's connection may be silent.
     Duration peerSilence{ 0 };
@@ -76,6 +78,10 @@
   Duration claimWindow() const { return m_fields.claimWindow; }
   std::size_t maxLiveClaims() const { return m_fields.maxLiveClaims; }
   double appendsPerSecond() const { return m_fields.appendsPerSecond; }
+  double regionAppendsPerSecond() const
+  {
+    return m_fields.regionAppendsPerSecond;
+  }
   Duration heartbeatInterval() const { return m_fields.heartbeatInterval; }
   Duration peerSilence() const { return m_fields.peerSilence; }
   Duration endpointConnectTimeout() const
--- a/src/libsettings/settingspec.cpp
+++ b/src/libsettings/settingspec.cpp
@@ -140,19 +140,21 @@
   return storeDuration<std::chrono::milliseconds>(member, least, most);
 }
 
-std::string
-storeAppendsPerSecond(const std::string& text, Fields& fields)
+Store
+storeRate(double Fields::*member)
 {
-  constexpr double least = 0.1;
-  constexpr double most = 1000;
-  const auto number = parseNumber<double>(text);
-  // Written so that a value that is not a number is refused.
-  const bool isAllowed = number && *number >= least && *number <= most;
-  if (!isAllowed) {
-    return "a number from 0.1 to 1000";
-  }
-  fields.appendsPerSecond = *number;
-  return "";
+  return [member](const std::string& text, Fields& fields) -> std::string {
+    constexpr double least = 0.1;
+    constexpr double most = 1000;
+    const auto number = parseNumber<double>(text);
+    // Written so that a value that is not a number is refused.
+    const bool isAllowed = number && *number >= least && *number <= most;
+    if (!isAllowed) {
+      return "a number from 0.1 to 1000";
+    }
+    fields.*member = *number;
+    return "";
+  };
 }
 
 SettingSpec
@@ -235,8 +237,14 @@
              storeInteger(&Fields::maxQueuedTasks, 2000, 10'000'000)),
     optional("appends-per-second",
              "30",
-             "this daemon's share of the platform's append budget",
-             storeAppendsPerSecond),
+             "most appends to the claim stream while the daemon appends for "
+             "itself alone",
+             storeRate(&Fields::appendsPerSecond)),
+    optional("region-appends-per-second",
+             "120",
+             "most appends to the claim stream while the daemon appends for "
+             "its region",
+             storeRate(&Fields::regionAppendsPerSecond)),
   };
 }
 
@@ -262,7 +270,7 @@
              "time to wait for a connection to an endpoint",
              storeMilliseconds(&Fields::endpointConnectTimeout, 1, 60'000)),
     optional("crossing-penalty-ms",
-             "20",
+             "100",
              "queueing time that running in another zone must save",
              storeMilliseconds(&Fields::crossingPenalty, 0, 60'000)),
     optional("drain-grace-ms",
--- a/tests/core/problemtest.cpp
+++ b/tests/core/problemtest.cpp
@@ -111,6 +111,14 @@
   EXPECT_EQ(problemToJson(problem), expected);
 }
 
+TEST(ProblemJson, NeverTellsACallerToComeBackTooEarly)
+{
+  const Problem problem =
+    Problem(ProblemKind::Overloaded, RunState::NotRun, "full")
+      .withRetryAfter(Duration(500));
+  EXPECT_EQ(problemToJson(problem)["retryAfterMs"], 1);
+}
+
 TEST(ProblemJson, OtherJsonIsNoProblem)
 {
   const char* const others[] = {
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -51,6 +51,7 @@
                  21,
                  "application/json",
                  { std::string("\0\xff", 2), "{}" } }),
+    ClaimAppend({ "{}" }),
   };
 }
 
--- a/tests/settings/settingsreadertest.cpp
+++ b/tests/settings/settingsreadertest.cpp
@@ -76,6 +76,7 @@
                             "--claim-window=13",
                             "--max-live-claims=1400",
                             "--appends-per-second=1.5",
+                            "--region-appends-per-second=2.5",
                             "--heartbeat-interval-ms=16",
                             "--peer-silence-ms=170",
                             "--endpoint-connect-timeout-ms=18",
@@ -98,6 +99,7 @@
   expected.claimWindow = std::chrono::seconds(13);
   expected.maxLiveClaims = 1400;
   expected.appendsPerSecond = 1.5;
+  expected.regionAppendsPerSecond = 2.5;
   expected.heartbeatInterval = std::chrono::milliseconds(16);
   expected.peerSilence = std::chrono::milliseconds(170);
   expected.endpointConnectTimeout = std::chrono::milliseconds(18);
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -99,6 +99,23 @@
   EXPECT_EQ(region.mostStartsOfOneTask(), 1);
 }
 
+TEST(Failure, claimsDoNotWaitForAFrozenAppender)
+{
+  RegionSpec spec;
+  spec.zones = { "zone-a", "zone-b", "zone-c" };
+  Region region(spec);
+  // The lowest VM appends for the region; it freezes, and nobody knows yet.
+  region.daemon(0).process->signal(SIGSTOP);
+  const HttpAnswer answer =
+    region.submitJob(2, 5, { key("handed-over"), waitForAnswer });
+  EXPECT_EQ(answer.status, 200) << answer.body;
+  region.daemon(0).process->signal(SIGCONT);
+  const HttpAnswer again =
+    region.submitJob(0, 5, { key("handed-over"), waitForAnswer });
+  EXPECT_EQ(again.body, answer.body);
+  EXPECT_EQ(region.totalStarts(), 5);
+}
+
 TEST(Failure, lostAcknowledgementsAreSettledByReading)
 {
   Region region;
