Count an endpoint that was full at its last reply as dearer

Cause: a slot of one's own at an endpoint that was full at its last reply was preferred to a free slot in another zone, as its price grew only by an eighth with each attempt there.

Change: a penalty of 300 ms where the last reply leaves no slot free.

--- a/src/libdispatch/dispatchsettings.h
+++ b/src/libdispatch/dispatchsettings.h
@@ -45,6 +45,8 @@
   Duration crossingPenalty = std::chrono::milliseconds(100);
   /// The part of each endpoint's slots that this daemon may fill, at least 1.
   double slotShare = 1.0;
+  /// What using an endpoint costs that was full when it last replied.
+  Duration fullPenalty = std::chrono::milliseconds(300);
   /// What using a slot that was dealt to another daemon costs against waiting
   /// or loading more elsewhere.
   Duration borrowingPenalty = std::chrono::milliseconds(1000);
--- a/src/libdispatch/endpointpool.cpp
+++ b/src/libdispatch/endpointpool.cpp
@@ -188,7 +188,12 @@
   const double used = record.inFlight + record.othersInUse;
   const double load = used / record.endpoint.slots();
   const double runTime = static_cast<double>(m_typicalRunTime.count());
-  const double ownCost = runTime * relativeSlowness(record) * (1.0 + load);
+  const double queueing =
+    used >= record.endpoint.slots()
+      ? static_cast<double>(m_settings.fullPenalty.count())
+      : 0.0;
+  const double ownCost =
+    queueing + runTime * relativeSlowness(record) * (1.0 + load);
   if (!isBorrowed) {
     return toCost(ownCost);
   }
--- a/tests/dispatch/choicetest.cpp
+++ b/tests/dispatch/choicetest.cpp
@@ -162,6 +162,29 @@
   EXPECT_EQ(fixture.givenUp[0].problem().ran(), RunState::NotRun);
 }
 
+TEST(Choice, OtherZoneWhenTheOwnWasFullAtTheLastReply)
+{
+  for (const int slotsFree : { 0, 1 }) {
+    DispatchSettings settings;
+    settings.crossingPenalty = milliseconds(250);
+    settings.fullPenalty = milliseconds(300);
+    DispatchFixture fixture(settings);
+    fixture.list({ DispatchFixture::endpoint("e0", "a", 8),
+                   DispatchFixture::endpoint("e1", "b", 8) });
+    fixture.submitMany(DispatchFixture::task("first"), 1);
+    const Start first = fixture.pollStarts().at(0);
+    AttemptReport report;
+    report.endpoint = first.endpoint();
+    report.end = AttemptEnd::Answered;
+    report.runTime = milliseconds(100);
+    report.slotsFree = slotsFree;
+    fixture.dispatcher.finished(first.task(), report, fixture.now);
+    fixture.submitMany(DispatchFixture::task("second"), 1);
+    EXPECT_EQ(fixture.pollStarts().at(0).endpoint().value(),
+              slotsFree == 0 ? "e1" : "e0");
+  }
+}
+
 TEST(Choice, OneOfTwoPrefersTheEndpointThatSaysItHasRoom)
 {
   DispatchSettings settings;
