Dispatcher: never forget a task whose endpoints have nothing to lend

Cause: blind lending was counted in attempt ends. A daemon without a slot of its own in a task's allowed zones, told once that no slot is free, saw no further end and so never asked again: the task waited until its deadline, or for ever.

An endpoint listed with no slots is never used.

The random runs of the property now deal slots as well.

--- a/src/libdispatch/dispatcher.cpp
+++ b/src/libdispatch/dispatcher.cpp
@@ -307,6 +307,7 @@
   for (ServiceRecord* service : m_serviceOrder) {
     if (service->queue.size() > 0) {
       giveUpUnusable(*service, now, actions);
+      service->pool.lendSilent(now);
       startTasks(*service, now, actions);
     }
   }
@@ -611,6 +612,7 @@
       continue;
     }
     consider(service->pool.nextProbe(allZones()));
+    consider(service->pool.nextLending());
     for (const std::optional<TimePoint>& since : service->unusableSince) {
       if (since) {
         consider(*since + m_settings.noEndpointPatience);
--- a/src/libdispatch/dispatchsettings.h
+++ b/src/libdispatch/dispatchsettings.h
@@ -53,6 +53,9 @@
   /// How many free slots of an endpoint are left to the others, unless more
   /// tasks wait than this daemon has slots of its own.
   int lendingReserve = 1;
+  /// How long an endpoint must be silent before one of its slots is borrowed
+  /// to learn whether some are free.
+  Duration lendingInterval = std::chrono::milliseconds(400);
   /// How many tasks may wait in all.
   std::size_t maxQueued = 20000;
   /// The largest part of the queue that one organisation may fill.
--- a/src/libdispatch/endpointpool.cpp
+++ b/src/libdispatch/endpointpool.cpp
@@ -14,7 +14,7 @@
 constexpr std::int32_t reserved = 1 << 29;
 constexpr std::int32_t dearest = reserved - 1;
 constexpr std::size_t fewestEndsToRefresh = 16;
-constexpr int mostRefreshesToBorrow = 8;
+constexpr int mostIntervalsToLending = 8;
 /// Below this, differences of run time are taken for chance.
 constexpr double slownessNoticed = 2.0;
 
@@ -57,6 +57,10 @@
   m_groups.clear();
   m_ejected.clear();
   m_size = records.size();
+  m_lends = std::any_of(
+    records.begin(), records.end(), [](const EndpointRecord* record) {
+      return record->isLive() && record->dealt < record->endpoint.slots();
+    });
   for (std::size_t i = 0; i < records.size(); ++i) {
     addMember(*records[i], zones[i], ownZone);
   }
@@ -124,7 +128,6 @@
   for (const Group& group : m_groups) {
     for (EndpointRecord* record : group.members) {
       record->health.forget();
-      refreshLending(*record);
       m_scratch.push_back(record->health.slowness());
     }
   }
@@ -143,21 +146,42 @@
 }
 
 void
-EndpointPool::refreshLending(EndpointRecord& record)
+EndpointPool::lendSilent(TimePoint now)
 {
-  if (record.reportedSinceRefresh) {
-    record.reportedSinceRefresh = false;
-    record.refreshesWithoutReport = 0;
+  if (!m_lends || now < m_nextLending) {
     return;
   }
-  ++record.refreshesWithoutReport;
+  m_nextLending = now + m_settings.lendingInterval;
+  for (const Group& group : m_groups) {
+    for (EndpointRecord* record : group.members) {
+      lendIfSilent(*record);
+      updateCost(*record);
+    }
+  }
+}
+
+void
+EndpointPool::lendIfSilent(EndpointRecord& record)
+{
+  if (record.reportedInInterval) {
+    record.reportedInInterval = false;
+    record.silentIntervals = 0;
+    return;
+  }
+  ++record.silentIntervals;
   record.reserved = 0;
   // With an attempt there its reply will tell; else one has to ask.
-  const bool mayAsk = record.inFlight == 0 &&
-                      record.refreshesWithoutReport >= record.refreshesToBorrow;
+  const bool mayAsk =
+    record.inFlight == 0 && record.silentIntervals >= record.intervalsToLending;
   record.borrowable = mayAsk ? 1 : 0;
 }
 
+std::optional<TimePoint>
+EndpointPool::nextLending() const
+{
+  return m_lends ? std::optional<TimePoint>(m_nextLending) : std::nullopt;
+}
+
 double
 EndpointPool::relativeSlowness(const EndpointRecord& record) const
 {
@@ -172,7 +196,9 @@
   const double slowness = relativeSlowness(record);
   const double allowed =
     slowness > m_settings.slowFactor ? share / slowness : share;
-  return std::max(1, static_cast<int>(std::floor(allowed)));
+  const int slots = std::max(0, record.endpoint.slots());
+  return std::clamp(
+    static_cast<int>(std::floor(allowed)), std::min(1, slots), slots);
 }
 
 std::int32_t
@@ -415,7 +441,7 @@
                            bool answered,
                            std::optional<int> slotsFree)
 {
-  record.reportedSinceRefresh = true;
+  record.reportedInInterval = true;
   record.borrowable = answered ? 1 : 0;
   record.reserved = 0;
   if (slotsFree) {
@@ -423,10 +449,10 @@
     record.othersInUse = std::max(0, inUse - record.inFlight);
     record.borrowable = answered ? std::max(0, *slotsFree) : 0;
     record.reserved = m_settings.lendingReserve;
-    record.refreshesToBorrow =
+    record.intervalsToLending =
       record.borrowable > 0
         ? 1
-        : std::min(2 * record.refreshesToBorrow, mostRefreshesToBorrow);
+        : std::min(2 * record.intervalsToLending, mostIntervalsToLending);
   }
 }
 
--- a/src/libdispatch/endpointpool.h
+++ b/src/libdispatch/endpointpool.h
@@ -34,6 +34,12 @@
   /// The endpoint to use now, or null when the task has to wait.
   EndpointRecord* choose(const Request& request, TimePoint now);
 
+  /// Lets one slot be borrowed of each endpoint that was silent for an
+  /// interval, to learn whether it has some free. Does nothing in between.
+  void lendSilent(TimePoint now);
+  /// When `lendSilent` has something to do, if ever.
+  std::optional<TimePoint> nextLending() const;
+
   void started(EndpointRecord& record, bool probe);
 
   /// Takes in an attempt's end. `relativeTime` is its run time over the
@@ -84,9 +90,9 @@
   Group& groupOfZone(std::size_t zone, std::size_t ownZone);
   void recount(Group& group);
   void recountAll();
-  /// Takes stock after every so many ends: medians, and who is silent.
+  /// Takes stock after every so many ends.
   void refresh();
-  static void refreshLending(EndpointRecord& record);
+  static void lendIfSilent(EndpointRecord& record);
   void updateCost(EndpointRecord& record);
   std::int32_t cost(const EndpointRecord& record) const;
   void recordReport(EndpointRecord& record,
@@ -108,6 +114,9 @@
   std::vector<EndpointRecord*> m_ejected;
   std::vector<double> m_scratch;
   Duration m_typicalRunTime = std::chrono::milliseconds(100);
+  /// Whether some slots are dealt to other daemons.
+  bool m_lends = false;
+  TimePoint m_nextLending;
   std::size_t m_size = 0;
   std::size_t m_endsSinceRefresh = 0;
   double m_medianSlowness = 1.0;
--- a/src/libdispatch/endpointrecord.h
+++ b/src/libdispatch/endpointrecord.h
@@ -32,11 +32,11 @@
   int borrowable = 1;
   /// How many of those are lent only against a backlog.
   int reserved = 0;
-  bool reportedSinceRefresh = false;
-  /// How many refreshes must pass without a report before one is borrowed
-  /// blindly; it grows while none turns out to be free.
-  int refreshesToBorrow = 1;
-  int refreshesWithoutReport = 0;
+  bool reportedInInterval = false;
+  int silentIntervals = 0;
+  /// How many intervals must pass in silence before one is lent blindly; it
+  /// grows while none turns out to be free.
+  int intervalsToLending = 1;
   /// How many slots the others were using when it last said so.
   int othersInUse = 0;
   /// Its place in its service's pool.
--- a/src/libdispatch/slotdealer.cpp
+++ b/src/libdispatch/slotdealer.cpp
@@ -121,7 +121,34 @@
   std::vector<std::size_t> all(m_daemons.size());
   std::iota(all.begin(), all.end(), 0);
   dealInTurn(deal, order, all, m_self);
+  giveAtLeastOne(deal.own, endpoints, order);
   return deal.own;
 }
 
+void
+SlotDealer::giveAtLeastOne(std::vector<int>& own,
+                           const std::vector<const Endpoint*>& endpoints,
+                           const std::vector<std::size_t>& order) const
+{
+  if (std::any_of(
+        own.begin(), own.end(), [](int slots) { return slots > 0; })) {
+    return;
+  }
+  std::vector<std::size_t> near;
+  std::vector<std::size_t> live;
+  for (const std::size_t place : order) {
+    const Endpoint& endpoint = *endpoints[place];
+    if (!endpoint.isLeaving() && endpoint.slots() > 0) {
+      live.push_back(place);
+      if (endpoint.zone() == m_daemons[m_self].zone) {
+        near.push_back(place);
+      }
+    }
+  }
+  const std::vector<std::size_t>& candidates = near.empty() ? live : near;
+  if (!candidates.empty()) {
+    own[candidates[m_self % candidates.size()]] = 1;
+  }
+}
+
 } // namespace cowslippin
--- a/src/libdispatch/slotdealer.h
+++ b/src/libdispatch/slotdealer.h
@@ -9,7 +9,8 @@
 /// Deals the slots of a service's endpoints out to the daemons. Every daemon
 /// works the whole deal out by itself from the platform's list and so needs no
 /// message. Each has the same number of slots: in its own zone first, spread
-/// over the endpoints there, then what other zones have left over.
+/// over the endpoints there, then what other zones have left over. With fewer
+/// slots than daemons, those left without one share one with another.
 ///
 /// Lists that differ for a while make deals that overlap; then an endpoint
 /// queues some of its attempts.
@@ -33,6 +34,9 @@
   };
 
   std::vector<int> quotas(int slots) const;
+  void giveAtLeastOne(std::vector<int>& own,
+                      const std::vector<const Endpoint*>& endpoints,
+                      const std::vector<std::size_t>& order) const;
 
   std::vector<Daemon> m_daemons;
   std::size_t m_self = 0;
--- a/tests/dispatch/propertytest.cpp
+++ b/tests/dispatch/propertytest.cpp
@@ -14,6 +14,7 @@
 public:
   RandomRun()
     : m_fixture(settings())
+    , m_dealsSlots(*rc::gen::arbitrary<bool>())
   {
     relist();
   }
@@ -93,6 +94,22 @@
         DispatchFixture::endpoint(id, i % 2 == 0 ? "a" : "b", slots, state));
     }
     m_fixture.list(endpoints);
+    if (m_dealsSlots) {
+      relistDaemons();
+    }
+  }
+
+  void relistDaemons()
+  {
+    std::vector<VirtualMachine> vms;
+    const int count = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < count; ++i) {
+      VirtualMachine::Fields fields;
+      fields.id = VmId("vm" + std::to_string(i));
+      fields.zone = ZoneName(i % 2 == 0 ? "b" : "a");
+      vms.emplace_back(fields);
+    }
+    m_fixture.dispatcher.setDaemons(vms, VmId("vm3"), m_fixture.now);
   }
 
   void submit()
@@ -186,6 +203,7 @@
   std::vector<Start> m_running;
   std::map<std::string, int> m_inFlight;
   std::map<std::string, int> m_slots;
+  bool m_dealsSlots;
   TaskIndex m_lastIndex = 0;
 };
 
