Refuse at once what is larger than every allowed worker

Need: some jobs can never run; a caller should hear it at the submission, not at its deadline.

Change: the VM list may tell a worker's cores and memory; a submission whose template declares more than any worker has in the organisation's zones is refused as can-never-run. The linter's findings in libdaemon are mended.

Not measured.

--- a/src/libcore/virtualmachine.h
+++ b/src/libcore/virtualmachine.h
@@ -27,6 +27,9 @@
     /// Where an entry VM's daemon answers callers; unset on a worker.
     Address httpAddress;
     Availability availability = Availability::Live;
+    /// What a worker has; 0 when the list does not tell.
+    int cores = 0;
+    int memoryMb = 0;
   };
 
   explicit VirtualMachine(Fields fields)
@@ -44,6 +47,9 @@
     return m_fields.availability == Availability::Leaving;
   }
 
+  int cores() const { return m_fields.cores; }
+  int memoryMb() const { return m_fields.memoryMb; }
+
   friend bool operator==(const VirtualMachine& a, const VirtualMachine& b);
   friend bool operator!=(const VirtualMachine& a, const VirtualMachine& b)
   {
--- a/src/libdaemon/callerapi.cpp
+++ b/src/libdaemon/callerapi.cpp
@@ -210,9 +210,12 @@
 
 } // namespace
 
-CallerApi::CallerApi(ConfigService& config, SubmissionService& submissions)
+CallerApi::CallerApi(ConfigService& config,
+                     SubmissionService& submissions,
+                     const Published<WorkerSizes>& workers)
   : m_config(config)
   , m_submissions(submissions)
+  , m_workers(workers)
 {
 }
 
@@ -348,6 +351,10 @@
                                 jobTemplate,
                                 "the name of a published template"));
   }
+  if (const auto problem =
+        m_workers.get()->check(*target.jobTemplate, *target.organisation)) {
+    return failure(*problem);
+  }
   return target;
 }
 
--- a/src/libdaemon/callerapi.h
+++ b/src/libdaemon/callerapi.h
@@ -3,6 +3,7 @@
 #include "configservice.h"
 #include "libhttp/http.h"
 #include "submissionservice.h"
+#include "workersizes.h"
 
 namespace cowslippin {
 
@@ -11,7 +12,9 @@
 class CallerApi
 {
 public:
-  CallerApi(ConfigService& config, SubmissionService& submissions);
+  CallerApi(ConfigService& config,
+            SubmissionService& submissions,
+            const Published<WorkerSizes>& workers);
 
   void addRoutes(Router& router);
 
@@ -42,6 +45,7 @@
 
   ConfigService& m_config;
   SubmissionService& m_submissions;
+  const Published<WorkerSizes>& m_workers;
 };
 
 } // namespace cowslippin
--- a/src/libdaemon/claimservice.cpp
+++ b/src/libdaemon/claimservice.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr unsigned appendBurst = 4;
-constexpr std::size_t mostForeignBytes = 1024 * 1024;
+constexpr std::size_t mostForeignBytes = std::size_t{ 1 } << 20;
 constexpr Duration idleWake = std::chrono::seconds(1);
 constexpr Duration pauseAfterFailure = std::chrono::milliseconds(100);
 constexpr Duration outageRetry = std::chrono::seconds(1);
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -15,7 +15,7 @@
 
 constexpr Duration tickInterval = std::chrono::milliseconds(500);
 constexpr Duration drainPoll = std::chrono::milliseconds(10);
-constexpr std::size_t largestConfigTransfer = 16 * 1024 * 1024;
+constexpr std::size_t largestMessage = std::size_t{ 16 } << 20;
 
 ClientIdentity
 identityOf(const DaemonSettings& settings)
@@ -47,6 +47,7 @@
   config.platform = settings.platform();
   config.identity = identityOf(settings);
   config.stream = StreamName("config");
+  config.snapshotInterval = settings.configSnapshotInterval();
   return config;
 }
 
@@ -125,7 +126,8 @@
                   m_metrics)
   , m_membership(membershipSettings(m_settings),
                  [this](const VmList& list) { listChanged(list); })
-  , m_callerApi(m_config, m_submissions)
+  , m_workers(std::make_shared<const WorkerSizes>())
+  , m_callerApi(m_config, m_submissions, m_workers)
   , m_operatorApi(
       m_config,
       m_membership,
@@ -157,7 +159,7 @@
   network.self = Hello(self);
   network.heartbeatInterval = m_settings.heartbeatInterval();
   network.silenceLimit = m_settings.peerSilence();
-  network.maxMessageBytes = largestConfigTransfer;
+  network.maxMessageBytes = largestMessage;
   network.seed = std::random_device()();
   m_peers = std::make_unique<PeerNetwork>(network, peerHooks());
   const auto peerAddress = m_peers->start();
@@ -340,6 +342,7 @@
 {
   m_directory.listed(list);
   m_peers->setPeers(list.vms());
+  m_workers.set(std::make_shared<const WorkerSizes>(list));
   // A list from before this VM came may lack endpoints as well.
   m_wasListed = m_wasListed || list.find(m_settings.vmId()) != nullptr;
   if (m_wasListed) {
--- a/src/libdaemon/daemon.h
+++ b/src/libdaemon/daemon.h
@@ -74,6 +74,7 @@
   ClaimService m_claims;
   SubmissionService m_submissions;
   Membership m_membership;
+  Published<WorkerSizes> m_workers;
   CallerApi m_callerApi;
   OperatorApi m_operatorApi;
   Router m_router;
--- a/src/libdaemon/submission.cpp
+++ b/src/libdaemon/submission.cpp
@@ -39,7 +39,8 @@
 
 } // namespace
 
-Submission::Submission(SubmissionRequest request, StartPermission permission)
+Submission::Submission(const SubmissionRequest& request,
+                       StartPermission permission)
   : m_request(request.withoutPayloads())
   , m_permission(std::move(permission))
   , m_payloads(request.payloads())
@@ -214,7 +215,7 @@
 }
 
 void
-Submission::whenEnded(std::function<void(const HttpReply&)> hook)
+Submission::whenEnded(const EndHook& hook)
 {
   std::optional<HttpReply> ended;
   {
--- a/src/libdaemon/submission.h
+++ b/src/libdaemon/submission.h
@@ -63,7 +63,10 @@
   /// the submission's work. Empty stands for yes.
   using StartPermission = std::function<bool()>;
 
-  Submission(SubmissionRequest request, StartPermission permission);
+  /// Told the final reply.
+  using EndHook = std::function<void(const HttpReply&)>;
+
+  Submission(const SubmissionRequest& request, StartPermission permission);
 
   /// What was submitted, without the payloads, which are dropped at the end.
   const SubmissionRequest& request() const { return m_request; }
@@ -113,7 +116,7 @@
   bool waitEnded(TimePoint until) const;
 
   /// Calls `hook` once it has ended, at once if it has; on the ending thread.
-  void whenEnded(std::function<void(const HttpReply&)> hook);
+  void whenEnded(const EndHook& hook);
 
   /// Notes that a caller was given the final reply.
   void setFetched() { m_fetched = true; }
@@ -134,7 +137,7 @@
   struct Ending
   {
     HttpReply reply;
-    std::vector<std::function<void(const HttpReply&)>> hooks;
+    std::vector<EndHook> hooks;
   };
 
   std::optional<Ending> endWith(HttpReply reply,
@@ -156,7 +159,7 @@
   std::optional<HttpReply> m_reply;
   std::optional<Problem> m_problem;
   std::optional<OwnerRef> m_elsewhere;
-  std::vector<std::function<void(const HttpReply&)>> m_hooks;
+  std::vector<EndHook> m_hooks;
 };
 
 /// The words of the status document for a submission's progress.
--- a/src/libdaemon/submissionservice.cpp
+++ b/src/libdaemon/submissionservice.cpp
@@ -229,11 +229,11 @@
 SubmissionService::claim(const SubmissionRequest& request,
                          const std::function<ClaimDecision()>& decide)
 {
-  const SubmissionKey key = request.key();
+  const SubmissionKey& key = request.key();
   const SubmissionPtr submission = makeSubmission(request, [this, key] {
     return m_claims.startWork(key) == StartPermit::Granted;
   });
-  const SubmissionPtr stored = m_store.add(submission);
+  SubmissionPtr stored = m_store.add(submission);
   if (stored == submission) {
     settle(submission, decide());
   }
@@ -275,7 +275,7 @@
   if (!wasRefused(*existing) || m_draining) {
     return existing;
   }
-  const SubmissionKey key = request.key();
+  const SubmissionKey& key = request.key();
   Submission::StartPermission permission;
   if (request.ownership() == Ownership::Claim) {
     // The claim may count as started, although nothing ran under it.
@@ -285,7 +285,7 @@
              permit == StartPermit::AlreadyStarted;
     };
   }
-  const SubmissionPtr next = makeSubmission(request, std::move(permission));
+  SubmissionPtr next = makeSubmission(request, std::move(permission));
   if (!m_store.replace(existing, next)) {
     return existing;
   }
@@ -440,8 +440,7 @@
     return *reply;
   }
   if (wait > Duration::zero()) {
-    const HttpReply reply =
-      askOwner(key, OwnerOperation::Attach, steadyNow() + wait);
+    HttpReply reply = askOwner(key, OwnerOperation::Attach, steadyNow() + wait);
     if (reply.status() != httpStatus(ProblemKind::DeadlineExceeded)) {
       return reply;
     }
--- a/src/libdaemon/submissionstore.h
+++ b/src/libdaemon/submissionstore.h
@@ -19,7 +19,7 @@
     /// How long an ended submission is kept.
     Duration window = std::chrono::minutes(10);
     /// Bytes of answers kept; beyond it the oldest are forgotten.
-    std::size_t maxAnswerBytes = 256 * 1024 * 1024;
+    std::size_t maxAnswerBytes = std::size_t{ 256 } << 20;
   };
 
   explicit SubmissionStore(Limits limits);
--- a/src/libplatform/vmlistclient.cpp
+++ b/src/libplatform/vmlistclient.cpp
@@ -55,6 +55,12 @@
     return value.get<int>();
   }
 
+  /// 0 when the member is not there.
+  int positiveOrAbsent(const char* name) const
+  {
+    return m_json.contains(name) ? positive(name) : 0;
+  }
+
   Address address(const char* name) const
   {
     Result<Address> parsed = Address::parse(text(name), path(name));
@@ -108,6 +114,8 @@
     fields.peerAddress = reader.address("peerAddress");
     fields.httpAddress = reader.address("httpAddress");
   }
+  fields.cores = reader.positiveOrAbsent("cores");
+  fields.memoryMb = reader.positiveOrAbsent("memoryMb");
   return VirtualMachine(std::move(fields));
 }
 
