Answers owned elsewhere are the same as those of the owner

Change: unknown-job says 'may have run' for anything that has a job id's form; a deadline is at most half the claim window; the owner's reply carries Cowslippin-Ran and Location; a resubmission that does not wait has an operation of its own. A daemon in doubt after a gap of the claim stream is not ready; refused peer messages and handlers that throw are logged.

--- a/src/libdaemon/callerapi.cpp
+++ b/src/libdaemon/callerapi.cpp
@@ -14,7 +14,6 @@
 constexpr char keyHeader[] = "Idempotency-Key";
 constexpr std::size_t longestKey = 200;
 constexpr std::int64_t defaultDeadlineMs = 30'000;
-constexpr std::int64_t longestDeadlineMs = 600'000;
 constexpr std::int64_t longestWaitMs = 60'000;
 constexpr std::int64_t mostTickets = 1000;
 constexpr std::size_t jobKeyDigits = 32;
@@ -212,10 +211,13 @@
 
 CallerApi::CallerApi(ConfigService& config,
                      SubmissionService& submissions,
-                     const Published<WorkerSizes>& workers)
+                     const Published<WorkerSizes>& workers,
+                     Duration longestDeadline)
   : m_config(config)
   , m_submissions(submissions)
   , m_workers(workers)
+  , m_longestDeadlineMs(
+      std::chrono::floor<std::chrono::milliseconds>(longestDeadline).count())
 {
 }
 
@@ -363,8 +365,12 @@
                         const Target& target,
                         SubmissionKind kind) const
 {
-  const auto deadlineMs = numberHeader(
-    request, "Deadline-Ms", defaultDeadlineMs, 1, longestDeadlineMs);
+  const auto deadlineMs =
+    numberHeader(request,
+                 "Deadline-Ms",
+                 std::min(defaultDeadlineMs, m_longestDeadlineMs),
+                 1,
+                 m_longestDeadlineMs);
   if (!deadlineMs) {
     return failure(deadlineMs.error());
   }
--- a/src/libdaemon/callerapi.h
+++ b/src/libdaemon/callerapi.h
@@ -12,9 +12,12 @@
 class CallerApi
 {
 public:
+  /// No deadline may be later than `longestDeadline` from now: work must have
+  /// ended while its key is still recognised.
   CallerApi(ConfigService& config,
             SubmissionService& submissions,
-            const Published<WorkerSizes>& workers);
+            const Published<WorkerSizes>& workers,
+            Duration longestDeadline);
 
   void addRoutes(Router& router);
 
@@ -46,6 +49,7 @@
   ConfigService& m_config;
   SubmissionService& m_submissions;
   const Published<WorkerSizes>& m_workers;
+  const std::int64_t m_longestDeadlineMs;
 };
 
 } // namespace cowslippin
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(500);
+constexpr Duration longestDeadline = std::chrono::minutes(10);
 constexpr Duration drainPoll = std::chrono::milliseconds(10);
 constexpr std::size_t largestMessage = std::size_t{ 16 } << 20;
 
@@ -127,7 +128,10 @@
   , m_membership(membershipSettings(m_settings),
                  [this](const VmList& list) { listChanged(list); })
   , m_workers(std::make_shared<const WorkerSizes>())
-  , m_callerApi(m_config, m_submissions, m_workers)
+  , m_callerApi(m_config,
+                m_submissions,
+                m_workers,
+                std::min(longestDeadline, m_settings.claimWindow() / 2))
   , m_operatorApi(
       m_config,
       m_membership,
@@ -175,6 +179,9 @@
   server.maxThreads = m_settings.maxHttpThreads();
   server.maxBodyBytes = m_settings.maxBodyBytes();
   server.stopGrace = m_settings.drainGrace();
+  server.handlerThrew = [](const std::string& what) {
+    logEvent(LogLevel::Error, "handler-threw", { { "detail", what } });
+  };
   try {
     m_server =
       std::make_unique<HttpServer>(server, [this](const HttpRequest& request) {
@@ -264,6 +271,9 @@
   if (!m_config.isLoaded()) {
     return "no configuration has been read yet";
   }
+  if (m_claims.stats().inDoubt) {
+    return "records of the claim stream were lost unread";
+  }
   const auto list = m_membership.current();
   const VirtualMachine* self = list->find(m_settings.vmId());
   if (self == nullptr) {
@@ -429,6 +439,11 @@
   hooks.reconnected = [this](const VmId& vm) {
     m_ownerCalls.connectionLost(vm);
   };
+  hooks.refused = [](const VmId& vm, const Problem& problem) {
+    logEvent(LogLevel::Warning,
+             "peer-message-refused",
+             { { "peer", vm }, { "detail", problem.detail() } });
+  };
   hooks.received = [this](const VmId& vm, const Message& message) {
     messageReceived(vm, message);
   };
--- a/src/libdaemon/remoteowner.cpp
+++ b/src/libdaemon/remoteowner.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+constexpr char ranHeader[] = "Cowslippin-Ran";
+constexpr char locationHeader[] = "Location";
+constexpr char retryHeader[] = "Retry-After";
 constexpr Duration unreachableRetry = std::chrono::seconds(1);
 constexpr Duration unknownClaimPause = std::chrono::milliseconds(20);
 constexpr Duration silentRetry = std::chrono::milliseconds(500);
@@ -42,7 +45,7 @@
 std::uint32_t
 retryAfterMsOf(const HttpReply& reply)
 {
-  const auto text = reply.header("Retry-After");
+  const auto text = reply.header(retryHeader);
   if (!text) {
     return 0;
   }
@@ -156,11 +159,18 @@
   fields.contentType = reply.contentType();
   fields.body = reply.body();
   HttpReply made(std::move(fields));
-  if (reply.retryAfterMs() == 0) {
-    return made;
+  if (!reply.ran().empty()) {
+    made = made.withHeader(ranHeader, reply.ran());
   }
-  return made.withHeader("Retry-After",
-                         std::to_string((reply.retryAfterMs() + 999) / 1000));
+  if (!reply.location().empty()) {
+    made = made.withHeader(locationHeader, reply.location());
+  }
+  if (reply.retryAfterMs() != 0) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(
+      std::chrono::milliseconds(reply.retryAfterMs()));
+    made = made.withHeader(retryHeader, std::to_string(seconds.count()));
+  }
+  return made;
 }
 
 OwnerReply
@@ -173,6 +183,8 @@
   fields.contentType = reply.contentType();
   fields.body = reply.body();
   fields.retryAfterMs = retryAfterMsOf(reply);
+  fields.ran = reply.header(ranHeader).value_or("");
+  fields.location = reply.header(locationHeader).value_or("");
   return OwnerReply(std::move(fields));
 }
 
--- a/src/libdaemon/submissionservice.cpp
+++ b/src/libdaemon/submissionservice.cpp
@@ -48,8 +48,9 @@
 unknownJob(const SubmissionKey& key)
 {
   return Problem(ProblemKind::UnknownJob,
-                 RunState::NotRun,
-                 "No job " + key.value() + " is known")
+                 RunState::MayHaveRun,
+                 "No job " + key.value() +
+                   " is known; it may have run and been forgotten since")
     .withField("job", key.value(), "the id of a job within its window");
 }
 
@@ -210,7 +211,7 @@
     }
     m_attached.add();
     const OwnerOperation operation =
-      waitForEnd ? OwnerOperation::Attach : OwnerOperation::Status;
+      waitForEnd ? OwnerOperation::Attach : OwnerOperation::Resubmit;
     const OwnerAnswer answer =
       m_owners.ask(*owner, request.key(), operation, request.deadline());
     if (const auto* said = std::get_if<OwnerSays>(&answer)) {
@@ -574,6 +575,9 @@
           reply(ownerReplyOf(id, ended));
         });
       return;
+    case OwnerOperation::Resubmit:
+      reply(ownerReplyOf(id, replyFor(submission, false, steadyNow())));
+      return;
     case OwnerOperation::Status:
       reply(ownerReplyOf(id, submission->statusReply(200)));
       return;
--- a/src/libprotocol/codec.cpp
+++ b/src/libprotocol/codec.cpp
@@ -69,7 +69,9 @@
            { "status", reply.status() },
            { "contentType", reply.contentType() },
            { "body", binary(reply.body()) },
-           { "retryAfterMs", reply.retryAfterMs() } };
+           { "retryAfterMs", reply.retryAfterMs() },
+           { "ran", reply.ran() },
+           { "location", reply.location() } };
 }
 
 json
@@ -167,7 +169,7 @@
 {
   OwnerCall::Fields fields;
   fields.requestId = reader.number<std::uint64_t>("requestId");
-  fields.operation = reader.enumerator("operation", OwnerOperation::Cancel);
+  fields.operation = reader.enumerator("operation", OwnerOperation::Resubmit);
   fields.key = reader.nonEmptyName<SubmissionKey>("key");
   fields.claimOffset = reader.number<Offset>("claimOffset");
   fields.waitMs = reader.number<std::uint32_t>("waitMs");
@@ -184,6 +186,8 @@
   fields.contentType = reader.text("contentType");
   fields.body = reader.bytes("body");
   fields.retryAfterMs = reader.number<std::uint32_t>("retryAfterMs");
+  fields.ran = reader.text("ran");
+  fields.location = reader.text("location");
   return OwnerReply(std::move(fields));
 }
 
--- a/src/libprotocol/ownercall.h
+++ b/src/libprotocol/ownercall.h
@@ -18,6 +18,8 @@
   Answer,
   /// Cancel the submission.
   Cancel,
+  /// Reply as to a caller who submits it again and does not wait.
+  Resubmit,
 };
 
 /// Asks the owner of a submission about it.
--- a/src/libprotocol/ownerreply.h
+++ b/src/libprotocol/ownerreply.h
@@ -35,6 +35,9 @@
     std::string body;
     /// When to come back, in milliseconds; 0 when there is no need to.
     std::uint32_t retryAfterMs = 0;
+    /// The headers `Cowslippin-Ran` and `Location`; empty for none.
+    std::string ran;
+    std::string location;
   };
 
   OwnerReply() = default;
@@ -49,6 +52,8 @@
   const std::string& contentType() const { return m_fields.contentType; }
   const std::string& body() const { return m_fields.body; }
   std::uint32_t retryAfterMs() const { return m_fields.retryAfterMs; }
+  const std::string& ran() const { return m_fields.ran; }
+  const std::string& location() const { return m_fields.location; }
 
   friend bool operator==(const OwnerReply& a, const OwnerReply& b)
   {
@@ -57,7 +62,9 @@
            a.m_fields.status == b.m_fields.status &&
            a.m_fields.contentType == b.m_fields.contentType &&
            a.m_fields.body == b.m_fields.body &&
-           a.m_fields.retryAfterMs == b.m_fields.retryAfterMs;
+           a.m_fields.retryAfterMs == b.m_fields.retryAfterMs &&
+           a.m_fields.ran == b.m_fields.ran &&
+           a.m_fields.location == b.m_fields.location;
   }
   friend bool operator!=(const OwnerReply& a, const OwnerReply& b)
   {
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -99,6 +99,20 @@
   EXPECT_EQ(region.mostStartsOfOneTask(), 1);
 }
 
+TEST(Failure, deadlinesEndWellWithinTheClaimWindow)
+{
+  RegionSpec spec;
+  spec.daemonFlags = { "--claim-window", "10" };
+  Region region(spec);
+  const HttpAnswer tooLate =
+    region.request(0, "confirm", "{}", { key("k"), { "Deadline-Ms", "5001" } });
+  EXPECT_EQ(problemType(tooLate), problemUrn("invalid-field"));
+  EXPECT_EQ(jsonOf(tooLate)["field"], "Deadline-Ms");
+  const HttpAnswer inTime =
+    region.request(0, "confirm", "{}", { key("k"), { "Deadline-Ms", "5000" } });
+  EXPECT_EQ(inTime.status, 200) << inTime.body;
+}
+
 TEST(Failure, claimsDoNotWaitForAFrozenAppender)
 {
   RegionSpec spec;
