Tests of the dispatcher for what mutations of it survived

Two of twelve mutations of the library passed all tests: a failed attempt not counted as slow, and a drain rate that outlives its backlog. Both have a test now that fails with the mutation. A parameter is printed by name.

--- a/tests/dispatch/healthtest.cpp
+++ b/tests/dispatch/healthtest.cpp
@@ -53,6 +53,18 @@
   EXPECT_LE(std::count(used.begin(), used.end(), "e0"), 10);
 }
 
+TEST(Health, FailureCountsAsSlownessWhereNothingMayBeEjected)
+{
+  DispatchSettings settings;
+  settings.ejection.maxShare = 0.0;
+  DispatchFixture fixture(settings);
+  fixture.list(DispatchFixture::endpoints(10, 8));
+  const std::vector<std::string> used =
+    fixture.runOneByOne(1000, failsAtFirst, Duration::zero());
+  EXPECT_FALSE(fixture.statsOf("e0").ejected);
+  EXPECT_LE(std::count(used.begin(), used.end(), "e0"), 30);
+}
+
 TEST(Health, EndpointThatRefusesConnectionsIsEjected)
 {
   DispatchFixture fixture;
--- a/tests/dispatch/refusaltest.cpp
+++ b/tests/dispatch/refusaltest.cpp
@@ -157,6 +157,24 @@
         t.deadline = f.now + milliseconds(800);
       },
       std::nullopt },
+    { "DrainRateOfAnEarlierBacklogIsForgotten",
+      [](auto& f, auto& t) {
+        f.list(DispatchFixture::endpoints(1, 1));
+        for (int i = 0; i < 60; ++i) {
+          f.submitMany(DispatchFixture::task("t" + std::to_string(i)), 2);
+          for (const Start& start : f.pollStarts()) {
+            f.now += seconds(2);
+            f.finish(start, AttemptEnd::Answered);
+          }
+          f.dispatcher.cancel(SubmissionKey("t" + std::to_string(i)), f.now);
+        }
+        f.submitMany(DispatchFixture::task("alone"), 1);
+        f.finish(f.pollStarts().at(0), AttemptEnd::Answered);
+        occupyOneSlot(f);
+        fill(f, "notaries", 1);
+        t.deadline = f.now + seconds(1);
+      },
+      std::nullopt },
     { "MaxInFlightInFront",
       [](auto& f, auto& t) {
         f.list(DispatchFixture::endpoints(2, 8));
--- a/tests/dispatch/slotdealertest.cpp
+++ b/tests/dispatch/slotdealertest.cpp
@@ -30,9 +30,9 @@
   /// How often each endpoint's slots are dealt in all.
   int expectedDealt;
 
-  friend void PrintTo(const DealCase& row, std::ostream* out)
+  friend std::ostream& operator<<(std::ostream& out, const DealCase& row)
   {
-    *out << row.name;
+    return out << row.name;
   }
 };
 
