--- a/src/libsettings/daemonsettings.cpp
+++ b/src/libsettings/daemonsettings.cpp
@@ -30,7 +30,8 @@
                          settings.crossingPenalty(),
                          settings.drainGrace(),
                          settings.maxQueuedTasks(),
-                         settings.vmListInterval());
+                         settings.vmListInterval(),
+                         settings.configSnapshotInterval());
 }
 
 } // namespace
--- a/src/libsettings/daemonsettings.h
+++ b/src/libsettings/daemonsettings.h
@@ -51,6 +51,8 @@
     Duration drainGrace{ 0 };
     std::size_t maxQueuedTasks = 0;
     Duration vmListInterval{ 0 };
+    /// How often the configuration is written anew as one record.
+    Duration configSnapshotInterval{ 0 };
   };
 
   explicit DaemonSettings(Fields fields)
@@ -92,6 +94,10 @@
   Duration drainGrace() const { return m_fields.drainGrace; }
   std::size_t maxQueuedTasks() const { return m_fields.maxQueuedTasks; }
   Duration vmListInterval() const { return m_fields.vmListInterval; }
+  Duration configSnapshotInterval() const
+  {
+    return m_fields.configSnapshotInterval;
+  }
 
   friend bool operator==(const DaemonSettings& a, const DaemonSettings& b);
   friend bool operator!=(const DaemonSettings& a, const DaemonSettings& b)
--- a/src/libsettings/settingspec.cpp
+++ b/src/libsettings/settingspec.cpp
@@ -281,6 +281,11 @@
              "1000",
              "time between readings of the VM list",
              storeMilliseconds(&Fields::vmListInterval, 50, 60'000)),
+    optional("config-snapshot-interval-ms",
+             "600000",
+             "time between snapshots of the configuration in the log; well "
+             "below the log's retention",
+             storeMilliseconds(&Fields::configSnapshotInterval, 50, 3'600'000)),
   };
 }
 
--- a/tests/settings/settingsreadertest.cpp
+++ b/tests/settings/settingsreadertest.cpp
@@ -83,7 +83,8 @@
                             "--crossing-penalty-ms=19",
                             "--drain-grace-ms=20",
                             "--max-queued-tasks=2100",
-                            "--vm-list-interval-ms=220" }));
+                            "--vm-list-interval-ms=220",
+                            "--config-snapshot-interval-ms=230" }));
   DaemonSettings::Fields expected;
   expected.vmId = VmId("vm-1");
   expected.zone = ZoneName("z1");
@@ -107,6 +108,7 @@
   expected.drainGrace = std::chrono::milliseconds(20);
   expected.maxQueuedTasks = 2100;
   expected.vmListInterval = std::chrono::milliseconds(220);
+  expected.configSnapshotInterval = std::chrono::milliseconds(230);
   EXPECT_EQ(settings, DaemonSettings(expected));
 }
 
