Move the TCP relay of the protocol's tests to the shared test support

Need: the system tests cut daemons and endpoints off with it as well. Change: moved, in the namespace of the test support; it can carry new connections again after a cut.

--- a/tests/protocol/peernetwork_test.cpp
+++ b/tests/protocol/peernetwork_test.cpp
@@ -1,4 +1,4 @@
-#include "relay.h"
+#include "support/relay.h"
 
 #include "libprotocol/protocol.h"
 
@@ -16,6 +16,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using cowslippin::testing::Relay;
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
--- a/tests/protocol/relay.cpp
+++ b/tests/support/relay.cpp
@@ -5,7 +5,7 @@
 
 #include <array>
 
-namespace cowslippin {
+namespace cowslippin::testing {
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -48,6 +48,12 @@
   m_silencesNew = true;
 }
 
+void
+Relay::carryNewConnections()
+{
+  m_silencesNew = false;
+}
+
 void
 Relay::accept()
 {
@@ -87,4 +93,4 @@
   from->async_read_some(asio::buffer(*buffer), forwarded);
 }
 
-} // namespace cowslippin
+} // namespace cowslippin::testing
--- a/tests/protocol/relay.h
+++ b/tests/support/relay.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <thread>
 
-namespace cowslippin {
+namespace cowslippin::testing {
 
 /// A TCP relay on loopback that can lose track of its connections as a
 /// middlebox does: they stay open at both ends and carry nothing any more.
@@ -29,6 +29,9 @@
   /// Neither do any that are accepted from now on.
   void silenceNewConnections();
 
+  /// What is accepted from now on is carried again.
+  void carryNewConnections();
+
 private:
   using Socket = boost::asio::ip::tcp::socket;
   using SocketPtr = std::shared_ptr<Socket>;
@@ -44,4 +47,4 @@
   std::thread m_thread;
 };
 
-} // namespace cowslippin
+} // namespace cowslippin::testing
