Act on a VM list before it is shown

Cause: /v1/vms showed a new list a moment before the dispatcher was told of it, so that whoever had seen an endpoint as leaving could still see work go there. Ruled out: waiting a while in the tests, which proves nothing. Change: the list is acted on first and shown then. Conclusion: a start after /v1/vms has shown the change was made before it.

--- a/src/libdaemon/membership.cpp
+++ b/src/libdaemon/membership.cpp
@@ -70,9 +70,10 @@
     return;
   }
   const auto next = std::make_shared<const VmList>(*list);
+  // Whoever sees the list shown may rely on its being acted on.
+  m_changed(*next);
   m_current.set(next);
   m_loaded = true;
-  m_changed(*next);
 }
 
 } // namespace cowslippin
