--- a/tests/system/region.cpp
+++ b/tests/system/region.cpp
@@ -36,6 +36,13 @@
   }
 }
 
+/// How others are told to reach what listens at `address`.
+std::string
+listedAddress(const Address& address, const std::unique_ptr<Relay>& relay)
+{
+  return (relay ? relay->address() : address).toString();
+}
+
 /// Reads `listening HTTP peers PEER`.
 void
 readAddresses(DaemonProcess& daemon)
@@ -108,12 +115,15 @@
     "--peer-listen",
     "127.0.0.1:0",
     "--vm-list-interval-ms",
-    "100",
+    std::to_string(m_spec.vmListIntervalMs),
   };
   arguments.insert(
     arguments.end(), m_spec.daemonFlags.begin(), m_spec.daemonFlags.end());
   daemon->process = std::make_unique<ChildProcess>(arguments);
   readAddresses(*daemon);
+  if (m_spec.relayPeers) {
+    daemon->relay = std::make_unique<Relay>(daemon->peer);
+  }
   return daemon;
 }
 
@@ -135,6 +145,9 @@
     std::to_string(m_spec.slots * connectionsPerSlot),
   });
   endpoint->address = endpoint->process->waitForAddress();
+  if (m_spec.relayEndpoints) {
+    endpoint->relay = std::make_unique<Relay>(endpoint->address);
+  }
   m_endpoints.push_back(std::move(endpoint));
 }
 
@@ -153,23 +166,28 @@
     const bool isUnlisted =
       std::count(m_unlisted.begin(), m_unlisted.end(), daemon->vm) != 0;
     if (!isUnlisted) {
-      vms.push_back({ { "id", daemon->vm },
-                      { "role", "entry" },
-                      { "zone", daemon->zone },
-                      { "peerAddress", daemon->peer.toString() },
-                      { "httpAddress", daemon->http.toString() },
-                      { "state", "live" } });
+      vms.push_back(
+        { { "id", daemon->vm },
+          { "role", "entry" },
+          { "zone", daemon->zone },
+          { "peerAddress", listedAddress(daemon->peer, daemon->relay) },
+          { "httpAddress", daemon->http.toString() },
+          { "state", daemon->state } });
     }
   }
   nlohmann::json endpoints = nlohmann::json::array();
   for (const auto& endpoint : m_endpoints) {
-    endpoints.push_back({ { "id", endpoint->id },
-                          { "service", "booking" },
-                          { "zone", endpoint->zone },
-                          { "address", endpoint->address.toString() },
-                          { "slots", m_spec.slots },
-                          { "connections", m_spec.slots * connectionsPerSlot },
-                          { "state", "live" } });
+    if (!endpoint->isListed) {
+      continue;
+    }
+    endpoints.push_back(
+      { { "id", endpoint->id },
+        { "service", "booking" },
+        { "zone", endpoint->zone },
+        { "address", listedAddress(endpoint->address, endpoint->relay) },
+        { "slots", m_spec.slots },
+        { "connections", m_spec.slots * connectionsPerSlot },
+        { "state", endpoint->state } });
   }
   const nlohmann::json list = { { "version", ++m_listVersion },
                                 { "vms", vms },
@@ -223,15 +241,21 @@
   return total;
 }
 
+std::map<std::string, int>
+Region::startsAt(std::size_t endpoint)
+{
+  const nlohmann::json json =
+    jsonOf(httpCall(m_endpoints[endpoint]->address, "GET", "/starts"));
+  return json["tasks"].get<std::map<std::string, int>>();
+}
+
 int
 Region::mostStartsOfOneTask()
 {
   std::map<std::string, int> starts;
-  for (const auto& endpoint : m_endpoints) {
-    const nlohmann::json json =
-      jsonOf(httpCall(endpoint->address, "GET", "/starts"));
-    for (const auto& [task, count] : json["tasks"].items()) {
-      starts[task] += count.get<int>();
+  for (std::size_t i = 0; i < m_endpoints.size(); ++i) {
+    for (const auto& [task, count] : startsAt(i)) {
+      starts[task] += count;
     }
   }
   int most = 0;
@@ -241,6 +265,23 @@
   return most;
 }
 
+void
+Region::cutDaemonsOff()
+{
+  for (const auto& daemon : m_daemons) {
+    daemon->relay->silenceNewConnections();
+    daemon->relay->silenceOpenConnections();
+  }
+}
+
+void
+Region::joinDaemons()
+{
+  for (const auto& daemon : m_daemons) {
+    daemon->relay->carryNewConnections();
+  }
+}
+
 void
 Region::awaitState(std::size_t daemon,
                    const std::string& path,
--- a/tests/system/region.h
+++ b/tests/system/region.h
@@ -2,10 +2,12 @@
 
 #include "support/childprocess.h"
 #include "support/httpcall.h"
+#include "support/relay.h"
 
 #include <nlohmann/json.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +22,9 @@
   std::unique_ptr<ChildProcess> process;
   Address http;
   Address peer;
+  /// In front of `peer`, if the region has relays between its daemons.
+  std::unique_ptr<Relay> relay;
+  std::string state = "live";
 };
 
 /// A stand-in endpoint of a test's region.
@@ -29,6 +34,10 @@
   std::string zone;
   std::unique_ptr<ChildProcess> process;
   Address address;
+  /// In front of `address`, if the region has relays to its endpoints.
+  std::unique_ptr<Relay> relay;
+  std::string state = "live";
+  bool isListed = true;
 };
 
 /// What a region is made of.
@@ -40,7 +49,12 @@
   int runTimeMs = 20;
   /// Of each endpoint; it accepts eight times as many connections.
   int slots = 8;
+  int vmListIntervalMs = 100;
   std::vector<std::string> daemonFlags;
+  /// Whether the list names relays in place of the daemons' peer addresses.
+  bool relayPeers = false;
+  /// Whether it names relays in place of the endpoints' addresses.
+  bool relayEndpoints = false;
 };
 
 /// A whole region of real processes on loopback: a stand-in platform, stand-in
@@ -77,6 +91,9 @@
   int totalStarts();
   int mostStartsOfOneTask();
 
+  /// How often each task was started at one endpoint.
+  std::map<std::string, int> startsAt(std::size_t endpoint);
+
   /// Waits until the daemon answers `GET path` so that `holds`.
   void awaitState(std::size_t daemon,
                   const std::string& path,
@@ -104,6 +121,11 @@
   /// One ticket of the daemon.
   std::string ticket(std::size_t daemon);
 
+  /// No connection between daemons carries anything any more, new ones
+  /// included, until `joinDaemons`.
+  void cutDaemonsOff();
+  void joinDaemons();
+
 private:
   std::unique_ptr<DaemonProcess> makeDaemon(const std::string& vm,
                                             const std::string& zone);
