Protocol: drop a message that nothing sends; measure a burst of connections

Need: SlotLoad was meant for sharing slots by messages between daemons. The deal from the VM list with lending by what replies tell does without, so the message was dead.

--- a/benchmarks/latency/main.cpp
+++ b/benchmarks/latency/main.cpp
@@ -19,6 +19,8 @@
 
 constexpr int runTimeMs = 50;
 constexpr int manyInFlight = 400;
+constexpr int burst = 600;
+constexpr int slotsForAll = 700;
 constexpr int callsAlone = 200;
 constexpr int callsAtOnce = 8000;
 
@@ -173,7 +175,7 @@
   testing::RegionSpec spec;
   spec.zones = { "zone-a" };
   spec.runTimeMs = runTimeMs;
-  spec.slots = manyInFlight;
+  spec.slots = slotsForAll;
   Region region(spec);
   std::cout << "idle daemon " << residentMemory(region.daemon(0).process->pid())
             << "\n\nTimes in ms; the endpoint runs each task for " << runTimeMs
@@ -212,6 +214,11 @@
     }
     ++round;
   }
+  const Path atOnce = { "600 new connections at once",
+                        daemon,
+                        base + "look-up/requests",
+                        [](int) { return std::string(); } };
+  measure(atOnce, burst, burst);
   std::cout << "\nafter the load "
             << residentMemory(region.daemon(0).process->pid()) << std::endl;
   return 0;
--- a/src/libprotocol/message.h
+++ b/src/libprotocol/message.h
@@ -8,7 +8,6 @@
 #include "hello.h"
 #include "ownercall.h"
 #include "ownerreply.h"
-#include "slotload.h"
 #include "submitcall.h"
 
 #include <optional>
@@ -25,7 +24,6 @@
                              OwnerReply,
                              ConfigRequest,
                              ConfigTransfer,
-                             SlotLoad,
                              SubmitCall,
                              ClaimAppend>;
 
