--- a/src/libdispatch/fairqueue.h
+++ b/src/libdispatch/fairqueue.h
@@ -79,9 +79,10 @@
   void activate(Lane& lane);
   void afterPush(Lane& lane);
 
-  std::vector<std::unique_ptr<Group>> m_groups;
   std::unordered_map<OrganisationRecord*, std::vector<std::unique_ptr<Lane>>>
     m_lanes;
+  // These link the lanes and so have to go before them.
+  std::vector<std::unique_ptr<Group>> m_groups;
   double m_virtualTime = 0.0;
   double m_waitingWeight = 0.0;
   std::size_t m_size = 0;
