Try a new connection before an endpoint is blamed for silent ones

Cause: a call that waits long probes its endpoint over a new connection, but nobody looked at what the probe found. When a middlebox forgot the eight open connections to an endpoint, eight attempts ended without an answer in a row and the endpoint was ejected, although it was well. Ruled out: forgiving every silent end whose probe worked, since an endpoint that takes tasks and never answers would then keep them coming; waiting for other answers of the endpoint, since the silent calls hold its slots. Change: silent ends whose probe worked are put down to their connections if they had started when the first of them was noticed. An attempt that starts later and is silent too counts, until one that started later is answered. Before: Answers.manySilentConnectionsAreNotHeldAgainstTheEndpoint failed, the endpoint was ejected after 3 s. After: it passed; test_dispatch 89 passed, with the endpoint that never answers still ejected. Conclusion: a batch of lost connections costs their own calls only.

--- a/src/libdaemon/taskrunner.cpp
+++ b/src/libdaemon/taskrunner.cpp
@@ -313,6 +313,8 @@
   report.end = attemptEndOf(end);
   report.runTime = end.elapsed();
   report.slotsFree = end.slotsFree();
+  report.isConnectionSilent = end.outcome() == CallOutcome::SentNoAnswer &&
+                              end.endpointReachable().value_or(false);
   std::optional<TaskAnswer> answer;
   if (report.end == AttemptEnd::Answered) {
     m_answers.add();
--- a/src/libdispatch/attemptreport.h
+++ b/src/libdispatch/attemptreport.h
@@ -16,6 +16,9 @@
   Duration runTime = Duration::zero();
   /// How many slots the endpoint said it has free, if it did.
   std::optional<int> slotsFree;
+  /// It got no answer, although a new connection to the endpoint worked
+  /// meanwhile.
+  bool isConnectionSilent = false;
 };
 
 } // namespace cowslippin
--- a/src/libdispatch/dispatcher.cpp
+++ b/src/libdispatch/dispatcher.cpp
@@ -486,8 +486,7 @@
     service.typicalRunTime.record(report.runTime);
     service.pool.setTypicalRunTime(service.typicalRunTime.mean());
   }
-  service.pool.ended(
-    *task.endpoint, task.isProbe, answered, relative, report.slotsFree, now);
+  service.pool.ended(*task.endpoint, task.isProbe, report, relative, now);
   task.tried.push_back(task.endpoint->serial);
   task.endpoint = nullptr;
   --task.templateRecord->inFlight;
--- a/src/libdispatch/endpointhealth.cpp
+++ b/src/libdispatch/endpointhealth.cpp
@@ -23,6 +23,23 @@
   recordSlowness(std::max(relativeTime, failureSlowness));
 }
 
+bool
+EndpointHealth::forgivesSilence(TimePoint startedAt, TimePoint now)
+{
+  if (!m_silenceNoticedAt) {
+    m_silenceNoticedAt = now;
+  }
+  return startedAt <= *m_silenceNoticedAt;
+}
+
+void
+EndpointHealth::answeredSilence(TimePoint startedAt)
+{
+  if (m_silenceNoticedAt && startedAt > *m_silenceNoticedAt) {
+    m_silenceNoticedAt.reset();
+  }
+}
+
 void
 EndpointHealth::recordSlowness(double relativeTime)
 {
--- a/src/libdispatch/endpointhealth.h
+++ b/src/libdispatch/endpointhealth.h
@@ -2,6 +2,8 @@
 
 #include "dispatchsettings.h"
 
+#include <optional>
+
 namespace cowslippin {
 
 /// What one endpoint's attempts tell of it: how often they fail, how slow it
@@ -16,6 +18,16 @@
   /// fast does not look idle.
   void failed(double relativeTime);
 
+  /// Whether an attempt that got no answer, although a new connection to the
+  /// endpoint worked, is put down to its connection alone. So is each that had
+  /// started when the first such end was noticed; a later one means that the
+  /// endpoint itself does not answer.
+  bool forgivesSilence(TimePoint startedAt, TimePoint now);
+
+  /// An attempt was answered; what falls silent after one that had started
+  /// since the silence was noticed is forgiven anew.
+  void answeredSilence(TimePoint startedAt);
+
   /// Drifts back towards typical when there was no attempt since the last call.
   void forget();
 
@@ -58,6 +70,7 @@
   bool m_probing = false;
   Duration m_backoff = Duration::zero();
   TimePoint m_probeAt;
+  std::optional<TimePoint> m_silenceNoticedAt;
 };
 
 } // namespace cowslippin
--- a/src/libdispatch/endpointpool.cpp
+++ b/src/libdispatch/endpointpool.cpp
@@ -406,15 +406,22 @@
 void
 EndpointPool::ended(EndpointRecord& record,
                     bool probe,
-                    bool answered,
+                    const AttemptReport& report,
                     double relativeTime,
-                    std::optional<int> slotsFree,
                     TimePoint now)
 {
+  const bool answered = report.end == AttemptEnd::Answered;
+  const TimePoint startedAt = now - report.runTime;
   --record.inFlight;
+  recordReport(record, answered, report.slotsFree);
+  if (!probe && report.isConnectionSilent &&
+      record.health.forgivesSilence(startedAt, now)) {
+    updateCost(record);
+    return;
+  }
   m_recentEnds.record(record.serial, !answered);
-  recordReport(record, answered, slotsFree);
   if (answered) {
+    record.health.answeredSilence(startedAt);
     record.health.answered(relativeTime);
   } else {
     record.health.failed(relativeTime);
--- a/src/libdispatch/endpointpool.h
+++ b/src/libdispatch/endpointpool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "attemptreport.h"
 #include "endpointrecord.h"
 #include "recentends.h"
 #include "zonenumbers.h"
@@ -46,9 +47,8 @@
   /// learned one.
   void ended(EndpointRecord& record,
              bool probe,
-             bool answered,
+             const AttemptReport& report,
              double relativeTime,
-             std::optional<int> slotsFree,
              TimePoint now);
 
   /// Sets the typical run time, which scales load against crossing a zone.
--- a/tests/dispatch/healthtest.cpp
+++ b/tests/dispatch/healthtest.cpp
@@ -1,5 +1,7 @@
 #include "dispatchfixture.h"
 
+#include "libdispatch/endpointhealth.h"
+
 #include <algorithm>
 
 namespace cowslippin {
@@ -79,6 +81,40 @@
   EXPECT_TRUE(fixture.statsOf("e0").ejected);
 }
 
+TEST(Health, SilentConnectionsAreForgivenUntilTheEndpointIsSilentAgain)
+{
+  const auto at = [](int second) { return TimePoint(seconds(second)); };
+  EndpointHealth health;
+  EXPECT_TRUE(health.forgivesSilence(at(0), at(10)));
+  EXPECT_TRUE(health.forgivesSilence(at(9), at(19)));
+  EXPECT_FALSE(health.forgivesSilence(at(11), at(21)));
+  health.answeredSilence(at(9));
+  EXPECT_FALSE(health.forgivesSilence(at(12), at(22)));
+  health.answeredSilence(at(13));
+  EXPECT_TRUE(health.forgivesSilence(at(14), at(24)));
+}
+
+TEST(Health, EndpointThatNeverAnswersIsEjectedThoughItCanBeReached)
+{
+  DispatchFixture fixture;
+  fixture.list(DispatchFixture::endpoints(4, 8));
+  for (int i = 0; i < 400; ++i) {
+    ASSERT_EQ(fixture.submit(DispatchFixture::task("run" + std::to_string(i))),
+              std::nullopt);
+    for (const Start& start : fixture.pollStarts()) {
+      const bool isSilent = start.endpoint().value() == "e0";
+      AttemptReport report;
+      report.endpoint = start.endpoint();
+      report.attempt = start.attempt();
+      report.end = isSilent ? AttemptEnd::Unknown : AttemptEnd::Answered;
+      report.isConnectionSilent = isSilent;
+      fixture.dispatcher.finished(start.task(), report, fixture.now);
+    }
+    fixture.now += milliseconds(1);
+  }
+  EXPECT_TRUE(fixture.statsOf("e0").ejected);
+}
+
 TEST(Health, EndpointThatFailsMostlyIsEjectedByItsRatio)
 {
   DispatchSettings settings;
--- a/tests/system/answers_test.cpp
+++ b/tests/system/answers_test.cpp
@@ -225,5 +225,46 @@
                     SilentCase{ "NotRepeatable", "confirm", 502, 1 }),
   [](const auto& info) { return info.param.name; });
 
+TEST(Answers, manySilentConnectionsAreNotHeldAgainstTheEndpoint)
+{
+  constexpr int slots = 8;
+  RegionSpec spec;
+  spec.zones = { "zone-a" };
+  spec.endpointsPerZone = 2;
+  spec.relayEndpoints = true;
+  spec.slots = slots;
+  spec.runTimeMs = 300;
+  Region region(spec);
+  const nlohmann::json jobTemplate = { { "service", "booking" },
+                                       { "path", "/run" },
+                                       { "repeatable", true },
+                                       { "declaredRunTimeMs", 300 },
+                                       { "taskTimeoutMs", 3000 } };
+  ASSERT_EQ(
+    region.call(0, "PUT", "/v1/config/templates/bounded", jobTemplate.dump())
+      .status,
+    200);
+  std::vector<std::future<HttpAnswer>> waiting;
+  for (int i = 0; i < 2 * slots; ++i) {
+    waiting.push_back(std::async(
+      std::launch::async, [&] { return region.request(0, "bounded", "{}"); }));
+  }
+  region.awaitStarts(2 * slots);
+  region.endpoint(0).relay->silenceOpenConnections();
+  // Each is retried, and nothing is held against the endpoint meanwhile.
+  bool wasEjected = false;
+  region.awaitState(0, "/v1/dump", [&](const HttpAnswer& answer) {
+    const nlohmann::json dispatch = jsonOf(answer)["dispatch"];
+    for (const nlohmann::json& endpoint : dispatch["endpoints"]) {
+      wasEjected = wasEjected || endpoint["ejected"].get<bool>();
+    }
+    return dispatch["queued"] == 0 && dispatch["inFlight"] == 0;
+  });
+  EXPECT_FALSE(wasEjected);
+  for (auto& answer : waiting) {
+    EXPECT_EQ(answer.get().status, 200);
+  }
+}
+
 } // namespace
 } // namespace cowslippin::testing
