--- a/src/libdaemon/claimservice.cpp
+++ b/src/libdaemon/claimservice.cpp
@@ -51,16 +51,8 @@
   , m_table(m_settings.self, m_settings.limits)
   , m_ownBudget(m_settings.appendsPerSecond, appendBurst, steadyNow())
   , m_regionBudget(m_settings.regionAppendsPerSecond, appendBurst, steadyNow())
-  , m_client(m_settings.platform, m_settings.identity)
-  , m_follower(
-      [this] {
-        LogFollower::Settings follower;
-        follower.platform = m_settings.platform;
-        follower.identity = m_settings.identity;
-        follower.stream = m_settings.stream;
-        return follower;
-      }(),
-      makeHooks())
+  , m_client(m_settings.log.platform, m_settings.log.identity)
+  , m_follower(m_settings.log.followerSettings(), makeHooks())
 {
 }
 
@@ -300,8 +292,8 @@
   }
   lock.unlock();
   const TimePoint begin = steadyNow();
-  const AppendEnd end =
-    endOf(m_client.append(m_settings.stream, record, m_settings.appendTimeout));
+  const AppendEnd end = endOf(
+    m_client.append(m_settings.log.stream, record, m_settings.appendTimeout));
   m_appendTime.record(steadyNow() - begin);
   m_appends.add();
   lock.lock();
--- a/src/libdaemon/claimservice.h
+++ b/src/libdaemon/claimservice.h
@@ -3,6 +3,7 @@
 #include "libclaims/claims.h"
 #include "libobserve/observe.h"
 #include "libplatform/platform.h"
+#include "streamlocation.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -19,9 +20,7 @@
 public:
   struct Settings
   {
-    Address platform;
-    ClientIdentity identity;
-    StreamName stream;
+    StreamLocation log;
     Incarnation self;
     ClaimLimits limits;
     /// What this daemon may append when it appends for itself alone.
--- a/src/libdaemon/configservice.cpp
+++ b/src/libdaemon/configservice.cpp
@@ -31,16 +31,8 @@
   : m_settings(std::move(settings))
   , m_changed(std::move(changed))
   , m_current(std::make_shared<const Configuration>())
-  , m_client(m_settings.platform, m_settings.identity)
-  , m_follower(
-      [this] {
-        LogFollower::Settings follower;
-        follower.platform = m_settings.platform;
-        follower.identity = m_settings.identity;
-        follower.stream = m_settings.stream;
-        return follower;
-      }(),
-      makeHooks())
+  , m_client(m_settings.log.platform, m_settings.log.identity)
+  , m_follower(m_settings.log.followerSettings(), makeHooks())
 {
 }
 
@@ -81,7 +73,7 @@
   AppendResult result = [&] {
     const std::lock_guard lock(m_appendMutex);
     return m_client.append(
-      m_settings.stream, encode(record), m_settings.appendTimeout);
+      m_settings.log.stream, encode(record), m_settings.appendTimeout);
   }();
   if (const auto* refused = std::get_if<NotAppended>(&result)) {
     const std::lock_guard lock(m_mutex);
@@ -235,7 +227,7 @@
     RecordId(randomHex128()), 0, ConfigSnapshot(*configuration));
   const std::lock_guard lock(m_appendMutex);
   const AppendResult result = m_client.append(
-    m_settings.stream, encode(record), m_settings.appendTimeout);
+    m_settings.log.stream, encode(record), m_settings.appendTimeout);
   logEvent(LogLevel::Info,
            "config-snapshot",
            { { "offset", configuration->offset() },
--- a/src/libdaemon/configservice.h
+++ b/src/libdaemon/configservice.h
@@ -4,6 +4,7 @@
 #include "libobserve/observe.h"
 #include "libplatform/platform.h"
 #include "published.h"
+#include "streamlocation.h"
 
 #include <condition_variable>
 #include <functional>
@@ -22,9 +23,7 @@
 public:
   struct Settings
   {
-    Address platform;
-    ClientIdentity identity;
-    StreamName stream;
+    StreamLocation log;
     Duration appendTimeout = std::chrono::seconds(2);
     /// How long an operator's change may take to be read back.
     Duration publishTimeout = std::chrono::seconds(5);
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -24,6 +24,12 @@
   return ClientIdentity{ settings.zone(), settings.vmId() };
 }
 
+StreamLocation
+locate(const DaemonSettings& settings, StreamName stream)
+{
+  return { settings.platform(), identityOf(settings), std::move(stream) };
+}
+
 EndpointClient::Settings
 endpointClientSettings(const DaemonSettings& settings)
 {
@@ -45,9 +51,7 @@
 configSettings(const DaemonSettings& settings)
 {
   ConfigService::Settings config;
-  config.platform = settings.platform();
-  config.identity = identityOf(settings);
-  config.stream = StreamName("config");
+  config.log = locate(settings, StreamName("config"));
   config.snapshotInterval = settings.configSnapshotInterval();
   return config;
 }
@@ -56,11 +60,11 @@
 claimSettings(const DaemonSettings& settings, const Incarnation& self)
 {
   ClaimService::Settings claims;
-  claims.platform = settings.platform();
-  claims.identity = identityOf(settings);
-  claims.stream = StreamName("claims-" + settings.region().value());
+  claims.log =
+    locate(settings, StreamName("claims-" + settings.region().value()));
   claims.self = self;
   claims.limits.window = settings.claimWindow();
+  claims.limits.retention = settings.logRetention();
   claims.limits.maxEntries = settings.maxLiveClaims();
   claims.appendsPerSecond = settings.appendsPerSecond();
   claims.regionAppendsPerSecond = settings.regionAppendsPerSecond();
--- a/src/libsettings/daemonsettings.cpp
+++ b/src/libsettings/daemonsettings.cpp
@@ -31,7 +31,8 @@
                          settings.drainGrace(),
                          settings.maxQueuedTasks(),
                          settings.vmListInterval(),
-                         settings.configSnapshotInterval());
+                         settings.configSnapshotInterval(),
+                         settings.logRetention());
 }
 
 } // namespace
--- a/src/libsettings/daemonsettings.h
+++ b/src/libsettings/daemonsettings.h
@@ -36,6 +36,8 @@
     std::size_t maxBodyBytes = 0;
     /// How long a resubmission of a key is recognised.
     Duration claimWindow{ 0 };
+    /// How long the platform's log surely keeps a record.
+    Duration logRetention{ 0 };
     std::size_t maxLiveClaims = 0;
     /// The most appends to the claim stream while it appends for itself.
     double appendsPerSecond = 0;
@@ -78,6 +80,7 @@
   unsigned maxHttpThreads() const { return m_fields.maxHttpThreads; }
   std::size_t maxBodyBytes() const { return m_fields.maxBodyBytes; }
   Duration claimWindow() const { return m_fields.claimWindow; }
+  Duration logRetention() const { return m_fields.logRetention; }
   std::size_t maxLiveClaims() const { return m_fields.maxLiveClaims; }
   double appendsPerSecond() const { return m_fields.appendsPerSecond; }
   double regionAppendsPerSecond() const
--- a/src/libsettings/settingspec.cpp
+++ b/src/libsettings/settingspec.cpp
@@ -257,6 +257,11 @@
       "600",
       "seconds for which a resubmission is recognised",
       storeDuration<std::chrono::seconds>(&Fields::claimWindow, 10, 86'400)),
+    optional(
+      "log-retention",
+      "3600",
+      "seconds for which the platform's log surely keeps a record",
+      storeDuration<std::chrono::seconds>(&Fields::logRetention, 1, 8'640'000)),
     optional("heartbeat-interval-ms",
              "500",
              "time between heartbeats to a peer",
--- a/src/libsettings/settingsreader.cpp
+++ b/src/libsettings/settingsreader.cpp
@@ -54,6 +54,14 @@
     std::chrono::duration_cast<milliseconds>(duration).count());
 }
 
+std::string
+secondsText(Duration duration)
+{
+  const auto seconds =
+    std::chrono::duration_cast<std::chrono::seconds>(duration);
+  return std::to_string(seconds.count());
+}
+
 /// Gathers settings and problems in one pass over every source.
 class Reader
 {
@@ -75,6 +83,7 @@
                          const Address& listen);
   void checkListenAddresses();
   void checkPeerSilence();
+  void checkLogRetention();
 
   DaemonSettings::Fields m_fields;
   std::vector<SettingSource> m_given;
@@ -138,6 +147,7 @@
                     m_fields.peerListen);
   checkListenAddresses();
   checkPeerSilence();
+  checkLogRetention();
 }
 
 SettingsOutcome
@@ -219,6 +229,26 @@
                millisecondsText(least));
 }
 
+void
+Reader::checkLogRetention()
+{
+  // A value that was refused has been reported already and is still 0.
+  if (m_fields.logRetention == Duration(0)) {
+    return;
+  }
+  const std::string retention = secondsText(m_fields.logRetention);
+  if (m_fields.claimWindow > m_fields.logRetention) {
+    addProblem("--claim-window",
+               secondsText(m_fields.claimWindow),
+               "at most --log-retention, which is " + retention);
+  }
+  if (2 * m_fields.configSnapshotInterval > m_fields.logRetention) {
+    addProblem("--config-snapshot-interval-ms",
+               millisecondsText(m_fields.configSnapshotInterval),
+               "at most half of --log-retention, which is " + retention + " s");
+  }
+}
+
 } // namespace
 
 SettingsOutcome
--- a/tests/settings/settingsreadertest.cpp
+++ b/tests/settings/settingsreadertest.cpp
@@ -75,6 +75,7 @@
                             "--max-body-bytes=12000",
                             "--claim-window=13",
                             "--max-live-claims=1400",
+                            "--log-retention=1500",
                             "--appends-per-second=1.5",
                             "--region-appends-per-second=2.5",
                             "--heartbeat-interval-ms=16",
@@ -99,6 +100,7 @@
   expected.maxBodyBytes = 12000;
   expected.claimWindow = std::chrono::seconds(13);
   expected.maxLiveClaims = 1400;
+  expected.logRetention = std::chrono::seconds(1500);
   expected.appendsPerSecond = 1.5;
   expected.regionAppendsPerSecond = 2.5;
   expected.heartbeatInterval = std::chrono::milliseconds(16);
@@ -230,6 +232,14 @@
   { "BadSilenceIsReportedOnce",
     { "--peer-silence-ms=x" },
     { "--peer-silence-ms" } },
+  { "WindowAboveRetention",
+    { "--claim-window=601",
+      "--log-retention=600",
+      "--config-snapshot-interval-ms=60000" },
+    { "--claim-window" } },
+  { "SnapshotsTooRareForRetention",
+    { "--config-snapshot-interval-ms=300001", "--log-retention=600" },
+    { "--config-snapshot-interval-ms" } },
   { "Repeated", { "--region=a", "--region=a" }, { "--region" } },
   { "StrayArgument", { "--region", "a", "b" }, { "b" } },
   { "AbbreviatedFlag", { "--regio=a" }, { "--regio=a" } },
