--- a/model/homes.pml
+++ b/model/homes.pml
@@ -367,8 +367,8 @@
 #endif
 
 #define mayAdd(next, home)                                                     \
-  (!isAlike(home) && lastView < VIEWS && ((next) & bitOf(home)) && !((next) & left) &&           \
-   isTrusted(lostBy(next)))
+  (!isAlike(home) && lastView < VIEWS && ((next) & bitOf(home)) &&             \
+   !((next) & left) && isTrusted(lostBy(next)))
 
 inline addView(next, newHome)
 {
