--- a/src/libdaemon/dumpsections.cpp
+++ b/src/libdaemon/dumpsections.cpp
@@ -24,6 +24,10 @@
            { "region", settings.region().value() },
            { "incarnation", incarnation.value() },
            { "platform", settings.platform().toString() },
+           { "advertisedHttpAddress",
+             settings.advertisedHttpAddress().toString() },
+           { "advertisedPeerAddress",
+             settings.advertisedPeerAddress().toString() },
            { "notReady", notReady } };
 }
 
