Find a job at a daemon that has not read its claim yet

Cause: a job's owner answers 202 as soon as it has read its own claim. Asked for the job a moment later, another daemon that had not read so far answered 404 unknown-job. Seen once in a run of the replacement test; ruled out: mixed up answers, since the status question itself was right.

Change: a key that nobody is known to own is waited for, 300 ms at most, while the claim stream is read on.

Also: the load that heartbeats tell is a counter; it used to render the state of every endpoint twice a second.

--- a/src/libdaemon/claimservice.cpp
+++ b/src/libdaemon/claimservice.cpp
@@ -133,6 +133,15 @@
   return m_table.owner(key);
 }
 
+std::optional<OwnedElsewhere>
+ClaimService::awaitOwner(const SubmissionKey& key, TimePoint until)
+{
+  std::unique_lock lock(m_mutex);
+  m_wake.wait_until(
+    lock, until, [&] { return m_stopping || m_table.owner(key).has_value(); });
+  return m_table.owner(key);
+}
+
 bool
 ClaimService::isOwner(const SubmissionKey& key) const
 {
--- a/src/libdaemon/claimservice.h
+++ b/src/libdaemon/claimservice.h
@@ -81,6 +81,11 @@
   /// Who owns the key, this daemon included, as far as the stream was read.
   std::optional<OwnedElsewhere> owner(const SubmissionKey& key) const;
 
+  /// The same, waiting until `until` for a claim that was made elsewhere a
+  /// moment ago to be read.
+  std::optional<OwnedElsewhere> awaitOwner(const SubmissionKey& key,
+                                           TimePoint until);
+
   /// Whether this daemon owns the key.
   bool isOwner(const SubmissionKey& key) const;
 
--- a/src/libdaemon/dumpsections.cpp
+++ b/src/libdaemon/dumpsections.cpp
@@ -19,16 +19,16 @@
               const Incarnation& incarnation,
               const std::string& notReady)
 {
-  return { { "vm", settings.vmId().value() },
-           { "zone", settings.zone().value() },
-           { "region", settings.region().value() },
-           { "incarnation", incarnation.value() },
-           { "platform", settings.platform().toString() },
-           { "advertisedHttpAddress",
-             settings.advertisedHttpAddress().toString() },
-           { "advertisedPeerAddress",
-             settings.advertisedPeerAddress().toString() },
-           { "notReady", notReady } };
+  return {
+    { "vm", settings.vmId().value() },
+    { "zone", settings.zone().value() },
+    { "region", settings.region().value() },
+    { "incarnation", incarnation.value() },
+    { "platform", settings.platform().toString() },
+    { "advertisedHttpAddress", settings.advertisedHttpAddress().toString() },
+    { "advertisedPeerAddress", settings.advertisedPeerAddress().toString() },
+    { "notReady", notReady }
+  };
 }
 
 nlohmann::json
--- a/src/libdaemon/submissionservice.cpp
+++ b/src/libdaemon/submissionservice.cpp
@@ -15,6 +15,8 @@
 constexpr Duration endingGrace = std::chrono::milliseconds(250);
 constexpr Duration drainRetry = std::chrono::seconds(1);
 constexpr Duration attachRetry = std::chrono::milliseconds(500);
+/// How much later than the owner this daemon may read a claim.
+constexpr Duration claimReadingPatience = std::chrono::milliseconds(300);
 constexpr Duration ownerPatience = std::chrono::seconds(5);
 
 Problem
@@ -487,7 +489,8 @@
     }
     return OwnerRef{ ticket->issuer(), 0 };
   }
-  const auto owner = m_claims.owner(key);
+  const auto owner =
+    m_claims.awaitOwner(key, steadyNow() + claimReadingPatience);
   if (!owner) {
     return std::nullopt;
   }
--- a/src/libdaemon/taskrunner.cpp
+++ b/src/libdaemon/taskrunner.cpp
@@ -142,6 +142,7 @@
       return problem;
     }
     m_active.emplace(key, ActiveSubmission{ submission, specs.size() });
+    m_held += specs.size();
     collectDue(work, now);
   }
   perform(std::move(work));
@@ -163,13 +164,6 @@
   perform(std::move(work));
 }
 
-std::size_t
-TaskRunner::load() const
-{
-  const DispatchStats now = stats();
-  return now.queued + now.inFlight;
-}
-
 DispatchStats
 TaskRunner::stats() const
 {
@@ -247,6 +241,7 @@
   }
   work.ends.push_back(
     { active->second.submission, task.index(), std::move(outcome) });
+  --m_held;
   if (--active->second.unended == 0) {
     m_active.erase(active);
   }
--- a/src/libdaemon/taskrunner.h
+++ b/src/libdaemon/taskrunner.h
@@ -5,6 +5,7 @@
 #include "libobserve/observe.h"
 #include "submission.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -43,7 +44,7 @@
   void cancel(const SubmissionKey& key);
 
   /// How many tasks wait or run.
-  std::size_t load() const;
+  std::size_t load() const { return m_held.load(); }
 
   DispatchStats stats() const;
 
@@ -106,6 +107,8 @@
   Dispatcher m_dispatcher;
   std::unordered_map<EndpointId, Endpoint> m_endpoints;
   std::unordered_map<SubmissionKey, ActiveSubmission> m_active;
+  /// Tasks that were taken and have not ended.
+  std::atomic<std::size_t> m_held{ 0 };
   std::optional<TimePoint> m_nextWake;
   bool m_stopping = false;
   std::thread m_timer;
--- a/tests/system/wholepath_test.cpp
+++ b/tests/system/wholepath_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <future>
 
 namespace cowslippin::testing {
@@ -80,6 +81,25 @@
   }
 }
 
+TEST(WholePath, findsAJobWhoseClaimItHasNotReadYet)
+{
+  constexpr int rounds = 20;
+  Region region;
+  for (int i = 0; i < rounds; ++i) {
+    // Woken up, the daemon has the claim and the question before it at once.
+    region.daemon(1).process->signal(SIGSTOP);
+    const HttpAnswer accepted =
+      region.submitJob(0, 1, { key("unread-" + std::to_string(i)) });
+    const std::string id = jsonOf(accepted)["job"];
+    auto status = std::async(std::launch::async, [&] {
+      return region.call(1, "GET", "/v1/jobs/" + id);
+    });
+    region.daemon(1).process->signal(SIGCONT);
+    const HttpAnswer got = status.get();
+    EXPECT_EQ(got.status, 200) << got.body;
+  }
+}
+
 TEST(WholePath, resubmissionsEverywhereStartEachTaskOnce)
 {
   RegionSpec spec;
