A daemon that has not read all claims says so when asked for a job

Cause: it answered 404 unknown-job for a job whose claim it had still to read. Change: not-caught-up, may have run, come back in a second. Run: 45 system tests passed; no test of its own, since the time until a daemon has caught up cannot be stretched with the stand-in's switches while it still answers.

--- a/src/libdaemon/submissionservice.cpp
+++ b/src/libdaemon/submissionservice.cpp
@@ -14,6 +14,7 @@
 /// What an ended call may still need to be told to its submission.
 constexpr Duration endingGrace = std::chrono::milliseconds(250);
 constexpr Duration drainRetry = std::chrono::seconds(1);
+constexpr Duration catchUpRetry = std::chrono::seconds(1);
 constexpr Duration attachRetry = std::chrono::milliseconds(500);
 /// How much later than the owner this daemon may read a claim.
 constexpr Duration claimReadingPatience = std::chrono::milliseconds(300);
@@ -56,6 +57,16 @@
     .withField("job", key.value(), "the id of a job within its window");
 }
 
+Problem
+notCaughtUp()
+{
+  return Problem(ProblemKind::NotCaughtUp,
+                 RunState::MayHaveRun,
+                 "This daemon has not read all claims yet, so it cannot tell "
+                 "who owns the job")
+    .withRetryAfter(catchUpRetry);
+}
+
 bool
 wasRefused(const Submission& submission)
 {
@@ -503,6 +514,9 @@
                             TimePoint until) const
 {
   const auto owner = ownerOf(key);
+  if (!owner && !m_claims.isCaughtUp()) {
+    return problemReply(notCaughtUp());
+  }
   if (!owner || owner->owner == m_settings.self) {
     return problemReply(unknownJob(key));
   }
