Say 'not run' only where no daemon knows the key

Cause: a daemon that cannot read the log refused a key as 'not run' although it had run for an earlier submission elsewhere, and advised a ticket, under which the work would have run twice. Found by reading, while the proofs were written; shown by Failure.notRunIsTrueOfTheKeyWhereTheLogCannotBeRead, where a daemon cut off from the platform denied a request that had just run.

Weighed: 'may have run' for every key in an outage (true, but no caller would ever be truly refused then); the peers' offsets in heartbeats (half a second old, so still untrue at times); asking at the moment of the refusal.

Change: before a daemon says 'not run' for platform-unavailable, not-caught-up or draining, every listed daemon must answer that it does not know the key; else it is 'may have run, go on with this key'. That costs up to one question a daemon, in an outage only.

--- a/src/libdaemon/claimservice.cpp
+++ b/src/libdaemon/claimservice.cpp
@@ -30,8 +30,7 @@
 {
   return Problem(ProblemKind::PlatformUnavailable,
                  RunState::NotRun,
-                 "The log cannot be reached, so the key cannot be claimed; "
-                 "a submission under a ticket could be taken")
+                 "The log cannot be reached, so the key cannot be claimed")
     .withRetryAfter(outageRetry);
 }
 
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -74,10 +74,30 @@
   return claims;
 }
 
+std::optional<std::vector<VmId>>
+otherEntryVms(const VmList& list, const VmId& self)
+{
+  if (list.find(self) == nullptr) {
+    return std::nullopt;
+  }
+  std::vector<VmId> others;
+  for (const VirtualMachine& vm : list.vms()) {
+    if (vm.role() == VmRole::Entry && vm.id() != self) {
+      others.push_back(vm.id());
+    }
+  }
+  return others;
+}
+
 SubmissionService::Settings
-submissionSettings(const DaemonSettings& settings, const Incarnation& self)
+submissionSettings(const DaemonSettings& settings,
+                   const Incarnation& self,
+                   const Membership& membership)
 {
   SubmissionService::Settings submissions;
+  submissions.otherVms = [&membership, vm = settings.vmId()] {
+    return otherEntryVms(*membership.current(), vm);
+  };
   submissions.self = self;
   submissions.store.window = settings.claimWindow();
   return submissions;
@@ -127,7 +147,7 @@
       },
       [this](const std::string& batch) { return handOverClaims(batch); },
       m_metrics)
-  , m_submissions(submissionSettings(m_settings, m_incarnation),
+  , m_submissions(submissionSettings(m_settings, m_incarnation, m_membership),
                   m_claims,
                   m_runner,
                   m_remoteOwner,
@@ -410,7 +430,9 @@
 Daemon::ownerCalled(const VmId& vm, const OwnerCall& call)
 {
   m_submissions.ownerCalled(
-    call, [this, vm](const OwnerReply& reply) { send(vm, reply); });
+    m_directory.incarnationOn(vm), call, [this, vm](const OwnerReply& reply) {
+      send(vm, reply);
+    });
 }
 
 void
--- a/src/libdaemon/peerdirectory.cpp
+++ b/src/libdaemon/peerdirectory.cpp
@@ -30,6 +30,14 @@
   m_incarnations[vm] = incarnation;
 }
 
+Incarnation
+PeerDirectory::incarnationOn(const VmId& vm) const
+{
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_incarnations.find(vm);
+  return found == m_incarnations.end() ? Incarnation() : found->second;
+}
+
 bool
 PeerDirectory::isGone(const Incarnation& incarnation, TimePoint now)
 {
--- a/src/libdaemon/remoteowner.cpp
+++ b/src/libdaemon/remoteowner.cpp
@@ -135,6 +135,21 @@
   return std::get<OwnerSays>(unreachable(owner)).reply;
 }
 
+bool
+RemoteOwner::isUnknownToAll(const std::vector<VmId>& vms,
+                            const SubmissionKey& key,
+                            TimePoint until) const
+{
+  return std::all_of(vms.begin(), vms.end(), [&](const VmId& vm) {
+    OwnerCall::Fields fields;
+    fields.operation = OwnerOperation::Know;
+    fields.key = key;
+    const OwnerCallEnd end = m_calls.call(vm, std::move(fields), until);
+    const auto* reply = std::get_if<OwnerReply>(&end);
+    return reply != nullptr && reply->result() == OwnerResult::Unknown;
+  });
+}
+
 OwnerAnswer
 RemoteOwner::unreachable(const OwnerRef& owner) const
 {
--- a/src/libdaemon/remoteowner.h
+++ b/src/libdaemon/remoteowner.h
@@ -46,6 +46,12 @@
                    const SubmissionRequest& request,
                    bool waitForEnd) const;
 
+  /// Whether each of these daemons answers by `until` that it knows nothing of
+  /// the key. The first that does not ends the asking.
+  bool isUnknownToAll(const std::vector<VmId>& vms,
+                      const SubmissionKey& key,
+                      TimePoint until) const;
+
 private:
   OwnerAnswer unreachable(const OwnerRef& owner) const;
 
--- a/src/libdaemon/submissionservice.cpp
+++ b/src/libdaemon/submissionservice.cpp
@@ -18,6 +18,7 @@
 constexpr Duration attachRetry = std::chrono::milliseconds(500);
 /// How much later than the owner this daemon may read a claim.
 constexpr Duration claimReadingPatience = std::chrono::milliseconds(300);
+constexpr Duration knowledgePatience = std::chrono::milliseconds(200);
 constexpr Duration ownerPatience = std::chrono::seconds(5);
 
 Problem
@@ -67,6 +68,15 @@
     .withRetryAfter(catchUpRetry);
 }
 
+/// Whether a refusal of this kind is given while it is not known who owns the
+/// key.
+bool
+isFromBeforeTheClaim(ProblemKind kind)
+{
+  return kind == ProblemKind::PlatformUnavailable ||
+         kind == ProblemKind::NotCaughtUp || kind == ProblemKind::Draining;
+}
+
 bool
 wasRefused(const Submission& submission)
 {
@@ -201,7 +211,7 @@
       submission = rerunIfRefused(request, submission);
     }
   } else if (m_draining && !m_claims.owner(key)) {
-    return problemReply(drainingProblem());
+    return problemReply(toldTruly(drainingProblem(), key));
   } else {
     submission = claim(request, [&] { return m_claims.submit(key); });
   }
@@ -220,6 +230,10 @@
     awaitClaim(submission);
     const auto owner = submission->elsewhere();
     if (!owner) {
+      const auto problem = submission->problem();
+      if (problem && isFromBeforeTheClaim(problem->kind())) {
+        return problemReply(toldTruly(*problem, request.key()));
+      }
       return replyFor(submission, waitForEnd, request.deadline());
     }
     m_attached.add();
@@ -307,6 +321,30 @@
   return next;
 }
 
+Problem
+SubmissionService::toldTruly(const Problem& refusal,
+                             const SubmissionKey& key) const
+{
+  if (refusal.ran() != RunState::NotRun || isUnknownElsewhere(key)) {
+    return refusal;
+  }
+  const Problem doubtful(refusal.kind(),
+                         RunState::MayHaveRun,
+                         refusal.detail() +
+                           ". It was not started here now, but may have run "
+                           "for an earlier submission; go on with this key");
+  return refusal.retryAfter() ? doubtful.withRetryAfter(*refusal.retryAfter())
+                              : doubtful;
+}
+
+bool
+SubmissionService::isUnknownElsewhere(const SubmissionKey& key) const
+{
+  const auto others = m_settings.otherVms();
+  return others &&
+         m_owners.isUnknownToAll(*others, key, steadyNow() + knowledgePatience);
+}
+
 HttpReply
 SubmissionService::replyFor(const SubmissionPtr& submission,
                             bool waitForEnd,
@@ -527,6 +565,17 @@
   return problemReply(unknownJob(key));
 }
 
+OwnerResult
+SubmissionService::knowledgeOf(const SubmissionKey& key,
+                               const Incarnation& asker) const
+{
+  // A claim of the asker's own is no news to it.
+  const auto owner = m_claims.owner(key);
+  const bool isOwned = owner && owner->owner != asker;
+  return m_store.find(key) || isOwned ? OwnerResult::Found
+                                      : OwnerResult::Unknown;
+}
+
 OwnerResult
 SubmissionService::standingOf(const OwnerCall& call) const
 {
@@ -567,11 +616,14 @@
 }
 
 void
-SubmissionService::ownerCalled(const OwnerCall& call,
+SubmissionService::ownerCalled(const Incarnation& asker,
+                               const OwnerCall& call,
                                std::function<void(const OwnerReply&)> reply)
 {
   const std::uint64_t id = call.requestId();
-  const OwnerResult standing = standingOf(call);
+  const OwnerResult standing = call.operation() == OwnerOperation::Know
+                                 ? knowledgeOf(call.key(), asker)
+                                 : standingOf(call);
   if (standing != OwnerResult::Found) {
     OwnerReply::Fields fields;
     fields.requestId = id;
@@ -585,6 +637,9 @@
     return;
   }
   switch (call.operation()) {
+    case OwnerOperation::Know:
+      reply(ownerReplyOf(id, submission->statusReply(200)));
+      return;
     case OwnerOperation::Attach:
       submission->setFetched();
       submission->whenEnded(
--- a/src/libdaemon/submissionservice.h
+++ b/src/libdaemon/submissionservice.h
@@ -23,6 +23,8 @@
     /// How long a claim may take to be settled before the submission is given
     /// up as not run.
     Duration claimPatience = std::chrono::seconds(2);
+    /// The other VMs that run daemons, or nothing while they are not known.
+    std::function<std::optional<std::vector<VmId>>()> otherVms;
   };
 
   SubmissionService(Settings settings,
@@ -51,9 +53,10 @@
   /// Takes in how claims were settled.
   void claimsEnded(const std::vector<ClaimEvent>& events);
 
-  /// A peer asks about a submission that this daemon may own; `reply` is
-  /// called once, maybe later and on another thread.
-  void ownerCalled(const OwnerCall& call,
+  /// The peer that runs as `asker` asks about a submission that this daemon may
+  /// own; `reply` is called once, maybe later and on another thread.
+  void ownerCalled(const Incarnation& asker,
+                   const OwnerCall& call,
                    std::function<void(const OwnerReply&)> reply);
 
   /// A peer hands over a submission under a ticket of this daemon. `reply` as
@@ -97,6 +100,8 @@
   void awaitClaim(const SubmissionPtr& submission) const;
   SubmissionPtr rerunIfRefused(const SubmissionRequest& request,
                                const SubmissionPtr& existing);
+  Problem toldTruly(const Problem& refusal, const SubmissionKey& key) const;
+  bool isUnknownElsewhere(const SubmissionKey& key) const;
   HttpReply replyFor(const SubmissionPtr& submission,
                      bool waitForEnd,
                      TimePoint deadline) const;
@@ -110,6 +115,8 @@
                      OwnerOperation operation,
                      TimePoint until) const;
   HttpReply cancelHere(const SubmissionPtr& submission);
+  OwnerResult knowledgeOf(const SubmissionKey& key,
+                          const Incarnation& asker) const;
   OwnerResult standingOf(const OwnerCall& call) const;
 
   const Settings m_settings;
--- a/src/libprotocol/codec.cpp
+++ b/src/libprotocol/codec.cpp
@@ -152,7 +152,7 @@
 {
   OwnerCall::Fields fields;
   fields.requestId = reader.number<std::uint64_t>("requestId");
-  fields.operation = reader.enumerator("operation", OwnerOperation::Resubmit);
+  fields.operation = reader.enumerator("operation", OwnerOperation::Know);
   fields.key = reader.nonEmptyName<SubmissionKey>("key");
   fields.claimOffset = reader.number<Offset>("claimOffset");
   fields.waitMs = reader.number<std::uint32_t>("waitMs");
--- a/src/libprotocol/ownercall.h
+++ b/src/libprotocol/ownercall.h
@@ -20,6 +20,8 @@
   Cancel,
   /// Reply as to a caller who submits it again and does not wait.
   Resubmit,
+  /// Reply whether anything is known of the key, by whatever claim.
+  Know,
 };
 
 /// Asks the owner of a submission about it.
--- a/tests/system/answers_test.cpp
+++ b/tests/system/answers_test.cpp
@@ -154,6 +154,7 @@
   // Endpoints that differ in speed bring the answers out of order.
   region.setEndpointFaults(0, { { "slowFactor", 6.0 } });
   std::vector<std::future<HttpAnswer>> answers;
+  answers.reserve(callers);
   for (int i = 0; i < callers; ++i) {
     answers.push_back(std::async(std::launch::async, [&region, i] {
       const std::string owner = "owner-" + std::to_string(i);
@@ -245,6 +246,7 @@
       .status,
     200);
   std::vector<std::future<HttpAnswer>> waiting;
+  waiting.reserve(2 * slots);
   for (int i = 0; i < 2 * slots; ++i) {
     waiting.push_back(std::async(
       std::launch::async, [&] { return region.request(0, "bounded", "{}"); }));
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -183,6 +183,27 @@
   EXPECT_EQ(region.mostStartsOfOneTask(), 1);
 }
 
+TEST(Failure, notRunIsTrueOfTheKeyWhereTheLogCannotBeRead)
+{
+  Region region;
+  region.setPlatformFaults({ { "cutVms", { "vm-2" } } });
+  ASSERT_EQ(region.request(0, "confirm", "{}", { key("ran") }).status, 200);
+  const HttpAnswer ran = region.request(1, "confirm", "{}", { key("ran") });
+  EXPECT_EQ(problemType(ran), problemUrn("platform-unavailable"));
+  EXPECT_EQ(jsonOf(ran)["ran"], "may have run");
+  EXPECT_FALSE(ran.header("Retry-After").empty());
+  const HttpAnswer fresh = region.request(1, "confirm", "{}", { key("new") });
+  EXPECT_EQ(problemType(fresh), problemUrn("platform-unavailable"));
+  EXPECT_EQ(jsonOf(fresh)["ran"], "not run");
+  region.daemon(0).process->signal(SIGSTOP);
+  const HttpAnswer doubtful =
+    region.request(1, "confirm", "{}", { key("other") });
+  EXPECT_EQ(problemType(doubtful), problemUrn("platform-unavailable"));
+  EXPECT_EQ(jsonOf(doubtful)["ran"], "may have run");
+  region.daemon(0).process->signal(SIGCONT);
+  EXPECT_EQ(region.totalStarts(), 1);
+}
+
 TEST(Failure, shutdownCutsOffNothing)
 {
   Region region(slowSpec());
