--- a/tests/system/answers_test.cpp
+++ b/tests/system/answers_test.cpp
@@ -246,7 +246,7 @@
       .status,
     200);
   std::vector<std::future<HttpAnswer>> waiting;
-  waiting.reserve(2 * slots);
+  waiting.reserve(std::size_t{ 2 } * slots);
   for (int i = 0; i < 2 * slots; ++i) {
     waiting.push_back(std::async(
       std::launch::async, [&] { return region.request(0, "bounded", "{}"); }));
