System tests: the headers and problem types they share stand once

Cause: five test files each had the same small functions for the key's header, the waiting header and a problem's type. Change: they are the region's, beside jobBody and jsonOf. No test or expectation is changed.

--- a/tests/system/answers_test.cpp
+++ b/tests/system/answers_test.cpp
@@ -7,20 +7,6 @@
 namespace cowslippin::testing {
 namespace {
 
-const HttpField waitForAnswer = { "Prefer", "wait" };
-
-HttpField
-key(const std::string& value)
-{
-  return { "Idempotency-Key", value };
-}
-
-std::string
-problemUrn(const std::string& slug)
-{
-  return "urn:cowslippin:problem:" + slug;
-}
-
 /// A job's body with this many tasks that all name `owner`.
 std::string
 namedJob(const std::string& owner, int tasks)
--- a/tests/system/cut_test.cpp
+++ b/tests/system/cut_test.cpp
@@ -7,20 +7,6 @@
 namespace cowslippin::testing {
 namespace {
 
-const HttpField waitForAnswer = { "Prefer", "wait" };
-
-HttpField
-key(const std::string& value)
-{
-  return { "Idempotency-Key", value };
-}
-
-std::string
-problemType(const HttpAnswer& answer)
-{
-  return jsonOf(answer).value("type", "");
-}
-
 bool
 isProblem(const HttpAnswer& answer, const std::string& slug)
 {
--- a/tests/system/failure_test.cpp
+++ b/tests/system/failure_test.cpp
@@ -8,27 +8,8 @@
 namespace cowslippin::testing {
 namespace {
 
-const HttpField waitForAnswer = { "Prefer", "wait" };
 constexpr int slowTaskMs = 400;
 
-HttpField
-key(const std::string& value)
-{
-  return { "Idempotency-Key", value };
-}
-
-std::string
-problemType(const HttpAnswer& answer)
-{
-  return jsonOf(answer).value("type", "");
-}
-
-std::string
-problemUrn(const std::string& slug)
-{
-  return "urn:cowslippin:problem:" + slug;
-}
-
 RegionSpec
 slowSpec()
 {
--- a/tests/system/membership_test.cpp
+++ b/tests/system/membership_test.cpp
@@ -11,14 +11,6 @@
 namespace cowslippin::testing {
 namespace {
 
-const HttpField waitForAnswer = { "Prefer", "wait" };
-
-HttpField
-key(const std::string& value)
-{
-  return { "Idempotency-Key", value };
-}
-
 struct LeavingCase
 {
   std::string name;
--- a/tests/system/region.cpp
+++ b/tests/system/region.cpp
@@ -371,6 +371,24 @@
   return json;
 }
 
+HttpField
+key(const std::string& value)
+{
+  return { "Idempotency-Key", value };
+}
+
+std::string
+problemType(const HttpAnswer& answer)
+{
+  return jsonOf(answer).value("type", "");
+}
+
+std::string
+problemUrn(const std::string& slug)
+{
+  return "urn:cowslippin:problem:" + slug;
+}
+
 std::string
 jobBody(int tasks)
 {
--- a/tests/system/region.h
+++ b/tests/system/region.h
@@ -145,6 +145,21 @@
 nlohmann::json
 jsonOf(const HttpAnswer& answer);
 
+/// The header that has a job's submission wait for the answer.
+inline const HttpField waitForAnswer = { "Prefer", "wait" };
+
+/// The header that gives a submission its key.
+HttpField
+key(const std::string& value);
+
+/// The type of the problem in a body; empty if it is none.
+std::string
+problemType(const HttpAnswer& answer);
+
+/// The type of the problems with this slug.
+std::string
+problemUrn(const std::string& slug);
+
 /// The body of a job with this many numbered tasks.
 std::string
 jobBody(int tasks);
--- a/tests/system/wholepath_test.cpp
+++ b/tests/system/wholepath_test.cpp
@@ -8,14 +8,6 @@
 namespace cowslippin::testing {
 namespace {
 
-const HttpField waitForAnswer = { "Prefer", "wait" };
-
-HttpField
-key(const std::string& value)
-{
-  return { "Idempotency-Key", value };
-}
-
 /// The numbers that a job's answer echoes, in its order.
 std::vector<int>
 echoedNumbers(const HttpAnswer& answer)
