--- /dev/null
+++ b/src/libasynchttp/asynchttp.h
@@ -0,0 +1,5 @@
+#pragma once
+
+#include "asynchttpserver.h"
+#include "httpchannel.h"
+#include "httpchannelpool.h"
--- /dev/null
+++ b/src/libasynchttp/asynchttpserver.cpp
@@ -0,0 +1,311 @@
+#include "asynchttpserver.h"
+
+#include "libobserve/observe.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using net::ip::tcp;
+
+/// A request with its body is mostly smaller; the buffer grows if not.
+constexpr std::size_t initialBufferBytes = 1024;
+
+HttpRequest
+toHttpRequest(http::request<http::string_body>& message)
+{
+  HttpRequest::Fields fields;
+  fields.method = std::string(message.method_string());
+  const std::string target(message.target());
+  const std::size_t mark = target.find('?');
+  fields.path = target.substr(0, mark);
+  if (mark != std::string::npos)
+    fields.query = target.substr(mark + 1);
+  for (const auto& field : message)
+    fields.headers.emplace_back(std::string(field.name_string()),
+                                std::string(field.value()));
+  fields.body = std::move(message.body());
+  return HttpRequest(std::move(fields));
+}
+
+} // namespace
+
+/// One connection of a client, and its request that waits, if there is one.
+class AsyncHttpServer::Session
+  : public HttpTransaction
+  , public std::enable_shared_from_this<Session>
+{
+public:
+  Session(tcp::socket socket, std::weak_ptr<AsyncHttpServer*> server)
+    : m_socket(std::move(socket))
+    , m_server(std::move(server))
+    , m_buffer()
+  {
+    m_buffer.reserve(initialBufferBytes);
+  }
+
+  ~Session() override { setWaiting(false); }
+
+  void read()
+  {
+    const auto server = m_server.lock();
+    if (!server)
+      return;
+    m_parser.emplace();
+    m_parser->header_limit((*server)->m_settings.maxHeaderBytes);
+    m_parser->body_limit((*server)->m_settings.maxBodyBytes);
+    m_isReading = true;
+    http::async_read(
+      m_socket,
+      m_buffer,
+      *m_parser,
+      [self = shared_from_this()](error_code error, std::size_t) {
+        self->m_isReading = false;
+        self->readDone(error);
+      });
+  }
+
+  void answer(const HttpReply& reply) override
+  {
+    if (!m_isWaiting || m_isAnswered)
+      return;
+    m_isAnswered = true;
+    m_gone = nullptr;
+    const auto server = m_server.lock();
+    const bool isLast = !m_keepAlive || !server || (*server)->m_isClosing;
+    m_output = render(reply, isLast);
+    error_code ignored;
+    if (m_isWatching)
+      m_socket.cancel(ignored);
+    net::async_write(
+      m_socket,
+      net::buffer(m_output),
+      [self = shared_from_this(), isLast](error_code error, std::size_t) {
+        self->written(error, isLast);
+      });
+  }
+
+  void onClientGone(std::function<void()> gone) override
+  {
+    m_gone = std::move(gone);
+  }
+
+  void closeIfIdle()
+  {
+    if (!m_isWaiting)
+      close();
+  }
+
+private:
+  void readDone(error_code error)
+  {
+    if (error == http::error::body_limit ||
+        error == http::error::header_limit) {
+      setWaiting(true);
+      m_keepAlive = false;
+      answer(HttpReply::json(413, "{\"error\":\"the request is too large\"}"));
+      return;
+    }
+    if (error) {
+      close();
+      return;
+    }
+    setWaiting(true);
+    m_keepAlive = m_parser->get().keep_alive();
+    const HttpRequest request = toHttpRequest(m_parser->get());
+    m_parser.reset();
+    const auto server = m_server.lock();
+    if (!server)
+      return;
+    (*server)->m_handler(request, shared_from_this());
+    if (!m_isAnswered)
+      watch();
+  }
+
+  /// Waits for the client to close its end. Bytes of a further request end the
+  /// watch.
+  void watch()
+  {
+    if (m_buffer.size() > 0)
+      return;
+    m_isWatching = true;
+    m_socket.async_wait(tcp::socket::wait_read,
+                        [self = shared_from_this()](error_code error) {
+                          self->m_isWatching = false;
+                          if (!error && !self->m_isAnswered)
+                            self->checkClient();
+                        });
+  }
+
+  void checkClient()
+  {
+    char byte = 0;
+    error_code error;
+    m_socket.non_blocking(true, error);
+    const std::size_t count = m_socket.receive(
+      net::buffer(&byte, 1), net::socket_base::message_peek, error);
+    if (error == net::error::would_block) {
+      watch();
+      return;
+    }
+    if (!error && count > 0)
+      return;
+    m_isAnswered = true;
+    setWaiting(false);
+    close();
+    if (const auto gone = std::exchange(m_gone, nullptr))
+      gone();
+  }
+
+  void written(error_code error, bool isLast)
+  {
+    setWaiting(false);
+    m_isAnswered = false;
+    m_output.clear();
+    if (error || isLast) {
+      close();
+      return;
+    }
+    read();
+  }
+
+  void close()
+  {
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+  }
+
+  void setWaiting(bool isWaiting)
+  {
+    const auto server = m_server.lock();
+    if (server && isWaiting != m_isWaiting)
+      isWaiting ? ++(*server)->m_waiting : --(*server)->m_waiting;
+    m_isWaiting = isWaiting;
+  }
+
+  static std::string render(const HttpReply& reply, bool isLast)
+  {
+    std::string text = "HTTP/1.1 " + std::to_string(reply.status()) + ' ' +
+                       std::string(http::obsolete_reason(
+                         static_cast<http::status>(reply.status()))) +
+                       "\r\n";
+    if (!reply.contentType().empty())
+      text += "Content-Type: " + reply.contentType() + "\r\n";
+    for (const HttpHeader& header : reply.headers())
+      text += header.name() + ": " + header.value() + "\r\n";
+    if (isLast)
+      text += "Connection: close\r\n";
+    text += "Content-Length: " + std::to_string(reply.body().size()) +
+            "\r\n\r\n" + reply.body();
+    return text;
+  }
+
+  tcp::socket m_socket;
+  const std::weak_ptr<AsyncHttpServer*> m_server;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<http::request_parser<http::string_body>> m_parser;
+  std::string m_output;
+  std::function<void()> m_gone;
+  bool m_keepAlive = true;
+  bool m_isReading = false;
+  bool m_isWaiting = false;
+  bool m_isAnswered = false;
+  bool m_isWatching = false;
+};
+
+AsyncHttpServer::AsyncHttpServer(net::io_context& context,
+                                 Settings settings,
+                                 Handler handler)
+  : m_context(context)
+  , m_settings(settings)
+  , m_handler(std::move(handler))
+  , m_acceptor(context)
+  , m_self(std::make_shared<AsyncHttpServer*>(this))
+{
+}
+
+AsyncHttpServer::~AsyncHttpServer()
+{
+  m_self.reset();
+}
+
+std::optional<Problem>
+AsyncHttpServer::listen(const Address& address)
+{
+  error_code error;
+  const auto host = net::ip::make_address(address.host(), error);
+  const tcp::endpoint endpoint(host, address.port());
+  const auto attempt = [&](auto step) {
+    if (!error)
+      step();
+  };
+  attempt([&] { m_acceptor.open(endpoint.protocol(), error); });
+  attempt(
+    [&] { m_acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
+  attempt([&] { m_acceptor.bind(endpoint, error); });
+  attempt([&] { m_acceptor.listen(m_settings.backlog, error); });
+  if (error)
+    return Problem::invalidField("listening address",
+                                 address.toString(),
+                                 "an address of this VM to listen on (" +
+                                   error.message() + ")");
+  accept();
+  return std::nullopt;
+}
+
+void
+AsyncHttpServer::stop()
+{
+  error_code ignored;
+  m_acceptor.close(ignored);
+  for (const auto& weak : m_sessions) {
+    if (const auto session = weak.lock())
+      session->closeIfIdle();
+  }
+}
+
+std::size_t
+AsyncHttpServer::connections() const
+{
+  std::size_t count = 0;
+  for (const auto& session : m_sessions)
+    count += session.expired() ? 0 : 1;
+  return count;
+}
+
+void
+AsyncHttpServer::accept()
+{
+  m_acceptor.async_accept([this, alive = std::weak_ptr(m_self)](
+                            error_code error, tcp::socket socket) {
+    if (alive.expired() || error == net::error::operation_aborted)
+      return;
+    if (!error) {
+      error_code ignored;
+      socket.set_option(tcp::no_delay(true), ignored);
+      const auto session =
+        std::make_shared<Session>(std::move(socket), std::weak_ptr(m_self));
+      m_sessions.remove_if([](const auto& weak) { return weak.expired(); });
+      m_sessions.push_back(session);
+      session->read();
+    } else {
+      logEvent(
+        LogLevel::Warning, "accept-failed", { { "reason", error.message() } });
+    }
+    if (m_acceptor.is_open())
+      accept();
+  });
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libasynchttp/httpchannel.cpp
@@ -0,0 +1,157 @@
+#include "httpchannel.h"
+
+#include <boost/asio/write.hpp>
+
+#include <utility>
+
+namespace cowslippin {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using net::ip::tcp;
+
+HttpChannel::HttpChannel(net::io_context& context, Address address)
+  : m_socket(context)
+  , m_address(std::move(address))
+{
+}
+
+void
+HttpChannel::call(const HttpCallOrder& order, TimePoint deadline, Done done)
+{
+  m_done = std::move(done);
+  m_deadline = deadline;
+  m_output = render(order);
+  m_isSent = false;
+  ++m_generation;
+  if (m_isConnected && wasClosedByPeer())
+    close();
+  if (m_isConnected)
+    write();
+  else
+    connect();
+}
+
+void
+HttpChannel::expire(TimePoint now)
+{
+  if (!isBusy() || now < m_deadline)
+    return;
+  end(m_isSent ? HttpCallEnd::Kind::Unanswered : HttpCallEnd::Kind::NotSent);
+}
+
+void
+HttpChannel::close()
+{
+  error_code ignored;
+  m_socket.close(ignored);
+  m_isConnected = false;
+  m_buffer.clear();
+}
+
+void
+HttpChannel::connect()
+{
+  error_code error;
+  const auto host = net::ip::make_address(m_address.host(), error);
+  const tcp::endpoint peer(host, m_address.port());
+  if (!error)
+    m_socket.open(peer.protocol(), error);
+  if (!error)
+    m_socket.set_option(tcp::no_delay(true), error);
+  m_socket.async_connect(
+    peer, [self = shared_from_this(), call = m_generation](error_code failed) {
+      if (call != self->m_generation || !self->isBusy())
+        return;
+      if (failed) {
+        self->end(HttpCallEnd::Kind::NotSent);
+        return;
+      }
+      self->m_isConnected = true;
+      self->write();
+    });
+}
+
+void
+HttpChannel::write()
+{
+  m_isSent = true;
+  net::async_write(m_socket,
+                   net::buffer(m_output),
+                   [self = shared_from_this(),
+                    call = m_generation](error_code error, std::size_t) {
+                     if (call != self->m_generation || !self->isBusy())
+                       return;
+                     if (error)
+                       self->end(HttpCallEnd::Kind::Unanswered);
+                     else
+                       self->read();
+                   });
+}
+
+void
+HttpChannel::read()
+{
+  m_parser.emplace();
+  m_parser->body_limit(maxAnswerBytes);
+  http::async_read(m_socket,
+                   m_buffer,
+                   *m_parser,
+                   [self = shared_from_this(),
+                    call = m_generation](error_code error, std::size_t) {
+                     if (call != self->m_generation || !self->isBusy())
+                       return;
+                     self->end(error ? HttpCallEnd::Kind::Unanswered
+                                     : HttpCallEnd::Kind::Answered);
+                   });
+}
+
+void
+HttpChannel::end(HttpCallEnd::Kind kind)
+{
+  HttpCallEnd result;
+  result.kind = kind;
+  bool isReusable = false;
+  if (kind == HttpCallEnd::Kind::Answered) {
+    auto message = m_parser->release();
+    isReusable = message.keep_alive();
+    result.status = static_cast<int>(message.result_int());
+    result.body = std::move(message.body());
+  }
+  if (!isReusable)
+    close();
+  // The parser may be in use by an operation that close has aborted; it is
+  // replaced by the next read on this channel only after that has returned.
+  ++m_generation;
+  m_idleSince = steadyNow();
+  const Done done = std::exchange(m_done, nullptr);
+  done(result);
+}
+
+std::string
+HttpChannel::render(const HttpCallOrder& order) const
+{
+  std::string text = order.method + ' ' + order.target +
+                     " HTTP/1.1\r\nHost: " + m_address.toString() + "\r\n";
+  for (const HttpHeader& header : order.headers)
+    text += header.name() + ": " + header.value() + "\r\n";
+  if (!order.contentType.empty())
+    text += "Content-Type: " + order.contentType + "\r\n";
+  if (order.method != "GET")
+    text += "Content-Length: " + std::to_string(order.body.size()) + "\r\n";
+  return text + "\r\n" + order.body;
+}
+
+bool
+HttpChannel::wasClosedByPeer()
+{
+  char byte = 0;
+  error_code error;
+  m_socket.non_blocking(true, error);
+  m_socket.receive(
+    net::buffer(&byte, 1), net::socket_base::message_peek, error);
+  return error != net::error::would_block;
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libasynchttp/httpchannel.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "libhttp/httpheader.h"
+
+#include "libcore/core.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cowslippin {
+
+/// A call for `HttpChannel`.
+struct HttpCallOrder
+{
+  std::string method = "GET";
+  /// Path and query.
+  std::string target = "/";
+  HttpHeaders headers;
+  std::string contentType;
+  std::string body;
+};
+
+/// How a call over an `HttpChannel` ended.
+struct HttpCallEnd
+{
+  enum class Kind
+  {
+    Answered,
+    /// No connection could be had; nothing was sent.
+    NotSent,
+    /// It may have been carried out.
+    Unanswered,
+  };
+
+  Kind kind = Kind::Unanswered;
+  int status = 0;
+  std::string body;
+};
+
+/// One client connection that carries one call at a time and is kept for the
+/// next. Times are checked by `expire`, which the owner calls at short
+/// intervals: that costs less than a timer for each call.
+class HttpChannel : public std::enable_shared_from_this<HttpChannel>
+{
+public:
+  using Done = std::function<void(const HttpCallEnd&)>;
+
+  /// Answers longer than this are taken as none, in bytes.
+  static constexpr std::uint64_t maxAnswerBytes = 8 * 1024 * 1024;
+
+  HttpChannel(boost::asio::io_context& context, Address address);
+
+  /// Only while `isBusy` is false. `done` is called once, never from within.
+  void call(const HttpCallOrder& order, TimePoint deadline, Done done);
+
+  bool isBusy() const { return static_cast<bool>(m_done); }
+  bool isOpen() const { return m_isConnected; }
+  TimePoint idleSince() const { return m_idleSince; }
+
+  /// Ends a call whose time is over, and closes the connection with it.
+  void expire(TimePoint now);
+  /// Closes the connection; a call under way ends.
+  void close();
+
+private:
+  using Parser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void connect();
+  void write();
+  void read();
+  void end(HttpCallEnd::Kind kind);
+  std::string render(const HttpCallOrder& order) const;
+  bool wasClosedByPeer();
+
+  boost::asio::ip::tcp::socket m_socket;
+  const Address m_address;
+  boost::beast::flat_buffer m_buffer;
+  std::optional<Parser> m_parser;
+  std::string m_output;
+  Done m_done;
+  TimePoint m_deadline{};
+  TimePoint m_idleSince{};
+  bool m_isConnected = false;
+  bool m_isSent = false;
+  /// Rises with each call, so that what belongs to an ended one is ignored.
+  std::uint64_t m_generation = 0;
+};
+
+} // namespace cowslippin
--- a/src/libcore/core.h
+++ b/src/libcore/core.h
@@ -12,6 +12,7 @@
 #include "problemjson.h"
 #include "result.h"
 #include "runstate.h"
+#include "shardid.h"
 #include "taskoutcome.h"
 #include "virtualmachine.h"
 #include "vmlist.h"
--- a/src/libcore/ids.h
+++ b/src/libcore/ids.h
@@ -24,6 +24,12 @@
 /// An endpoint as the platform's list names it.
 using EndpointId = Name<struct EndpointTag>;
 
+/// One life of a worker. A worker that restarts has a new id.
+using WorkerId = Name<struct WorkerTag>;
+
+/// A job as its caller names it.
+using JobId = Name<struct JobTag>;
+
 /// One run of a daemon process. A restarted daemon has a new incarnation.
 using Incarnation = Name<struct IncarnationTag>;
 
--- /dev/null
+++ b/src/libentry/entry.h
@@ -0,0 +1,5 @@
+#pragma once
+
+#include "entrydaemon.h"
+#include "gateway.h"
+#include "routingtable.h"
--- /dev/null
+++ b/src/libentry/gateway.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "libjobs/jobs.h"
+
+#include "libcore/core.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cowslippin {
+
+/// A job as a caller submits it.
+struct JobSubmission
+{
+  JobId job;
+  QueuePolicy policy;
+  TaskNeeds needs;
+  std::string spec;
+  std::string taskPrefix;
+  unsigned taskCount = 0;
+  /// How long the caller waits.
+  Duration timeLeft = Duration::zero();
+};
+
+/// What a caller is answered.
+struct JobAnswer
+{
+  enum class Kind
+  {
+    Completed,
+    Failed,
+    /// Nothing of the job has run or will run.
+    NotRun,
+    /// Something of it may have run; all of it is being stopped.
+    Unknown,
+  };
+
+  Kind kind = Kind::Completed;
+  /// Of `NotRun`: when to come back.
+  Duration retryAfter = Duration::zero();
+  std::string reason;
+};
+
+/// The jobs whose callers wait at this daemon. It finds the daemon that holds
+/// workers for each, and another one when that is lost, and makes sure that no
+/// task runs twice at the same time on the way. It does no input or output and
+/// reads no clock.
+class Gateway
+{
+public:
+  struct Settings
+  {
+    /// How long a job waits for a daemon that holds workers before it is
+    /// refused: a takeover takes some 500 ms after a silent loss, and a quarter
+    /// of the shortest ideal time is about this long.
+    Duration holderWait = std::chrono::milliseconds(60);
+    /// How long runs that a lost daemon left behind may go on: the silence
+    /// limit between daemons, the lease and a margin.
+    Duration lostRunLimit = std::chrono::milliseconds(1270);
+    /// A caller that is refused for want of workers comes back after this.
+    Duration noHolderRetry = std::chrono::milliseconds(500);
+  };
+
+  /// None may be empty.
+  struct Hooks
+  {
+    /// Who holds a shard, if that daemon can be reached.
+    std::function<std::optional<VmId>(const ShardId&)> holder;
+    /// Any other holder, the one with the most free places, and its shard.
+    std::function<std::optional<std::pair<VmId, ShardId>>()> otherHolder;
+    /// Hands a job to a daemon, this one included. False if it can't be
+    /// reached.
+    std::function<bool(const VmId&, const JobRequest&)> submit;
+    std::function<void(const VmId&, const JobKey&)> cancel;
+  };
+
+  using Done = std::function<void(const JobAnswer&)>;
+  /// Identifies a caller that waits.
+  using Ticket = std::uint64_t;
+
+  Gateway(VmId self, ShardId home, Settings settings, Hooks hooks);
+
+  /// A job that is under way here is joined, not begun again.
+  Ticket submit(JobSubmission submission, Done done, TimePoint now);
+  /// The caller has gone without an answer.
+  void callerGone(Ticket ticket, TimePoint now);
+
+  /// The daemon that had a job says what became of it.
+  void ended(const VmId& from,
+             const JobKey& key,
+             const JobEnd& end,
+             TimePoint now);
+  /// A daemon can't be reached any more.
+  void daemonLost(const VmId& vm, TimePoint now);
+  /// Looks for holders and ends what has run out of time; to be called every
+  /// 20 ms and when a shard has changed hands.
+  void tick(TimePoint now);
+
+  std::size_t waiting() const { return m_jobs.size(); }
+
+private:
+  struct Entry
+  {
+    JobSubmission submission;
+    JobKey key;
+    std::map<Ticket, Done> callers;
+    TimePoint arrivedAt{};
+    TimePoint expiresAt{};
+    std::set<TaskIndex> done;
+    std::uint64_t firstRun = 1;
+    /// The daemon that has the job now.
+    std::optional<VmId> holder;
+    ShardId shard;
+    /// Set when a daemon that had the job was lost or gave it up.
+    std::optional<TimePoint> lostAt;
+  };
+  using Entries = std::map<std::uint64_t, Entry>;
+
+  void place(Entry& entry, TimePoint now);
+  bool placeFresh(Entry& entry, TimePoint now);
+  bool placeAgain(Entry& entry, TimePoint now);
+  bool handTo(Entry& entry,
+              const VmId& vm,
+              const ShardId& shard,
+              bool isQuarantined,
+              TimePoint now);
+  void finish(Entries::iterator found, const JobAnswer& answer);
+
+  const VmId m_self;
+  const ShardId m_home;
+  const Settings m_settings;
+  const Hooks m_hooks;
+  /// By the part number of the job's key.
+  Entries m_jobs;
+  std::map<JobId, std::uint64_t> m_byId;
+  std::map<Ticket, std::uint64_t> m_tickets;
+  std::uint64_t m_lastPart = 0;
+  Ticket m_lastTicket = 0;
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libentry/routingtable.cpp
@@ -0,0 +1,19 @@
+#include "routingtable.h"
+
+namespace cowslippin {
+
+const Route*
+RoutingTable::find(std::string_view host, std::string_view path) const
+{
+  const Route* best = nullptr;
+  for (const Route& route : m_routes) {
+    if (route.host != host ||
+        path.substr(0, route.pathPrefix.size()) != route.pathPrefix)
+      continue;
+    if (!best || route.pathPrefix.size() > best->pathPrefix.size())
+      best = &route;
+  }
+  return best;
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libjobs/job.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "jobrequest.h"
+
+#include "libworkers/runkey.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace cowslippin {
+
+/// Where a task of a job stands.
+enum class TaskState
+{
+  /// To be started as soon as there is room.
+  Pending,
+  /// A run of it that a lost daemon left behind may still be at work.
+  Quarantined,
+  /// A run of it is at work on a worker of this daemon, or may be.
+  Running,
+  /// Handed on to another daemon.
+  Forwarded,
+  Done,
+};
+
+/// One task of a job that this daemon is to get done.
+struct JobTask
+{
+  TaskIndex index = 0;
+  TaskState state = TaskState::Pending;
+  std::uint64_t nextRun = 1;
+  unsigned failures = 0;
+  /// Runs that were stopped because they made no progress.
+  unsigned restarts = 0;
+  WorkerId worker;
+  std::uint64_t run = 0;
+  TimePoint startedAt{};
+  /// Share of its work that the worker last reported, and when that rose.
+  int percent = 0;
+  TimePoint progressAt{};
+  /// The part that it was forwarded with.
+  std::uint64_t part = 0;
+  TimePoint quarantinedUntil{};
+  /// Workers on which it failed or stood still.
+  std::set<WorkerId> avoided;
+};
+
+/// A job, or a part of one, at the daemon that holds the workers for it.
+struct Job
+{
+  JobRequest request;
+  /// When the caller's request arrived, by this daemon's clock.
+  TimePoint arrivedAt{};
+  TimePoint expiresAt{};
+  /// Expected run time of a task.
+  Duration expected = Duration::zero();
+  /// When the answer is ideal at the latest, and when it is worth nothing.
+  TimePoint objectiveAt{};
+  TimePoint worthlessAt{};
+  /// Jobs with pending tasks are served in this order.
+  TimePoint latestStart{};
+  std::uint64_t sequence = 0;
+  std::vector<JobTask> tasks;
+  std::size_t pending = 0;
+  std::size_t done = 0;
+  /// Whether anything of it may have been started.
+  bool hasStarted = false;
+  /// Since when its submitter can't be reached.
+  std::optional<TimePoint> detachedAt;
+  /// Other daemons that had no room for it.
+  std::set<VmId> refusedBy;
+
+  /// Whether a refusal could be false.
+  bool mayHaveStarted() const
+  {
+    return hasStarted ||
+           std::any_of(tasks.begin(), tasks.end(), [](const JobTask& task) {
+             return task.state == TaskState::Forwarded;
+           });
+  }
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libjobs/jobrequest.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "jobkey.h"
+#include "libcore/shardid.h"
+
+#include "libworkers/resources.h"
+
+#include "libcore/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cowslippin {
+
+/// What each task of a job needs.
+struct TaskNeeds
+{
+  Resources resources;
+  /// The submitter's rough guess of a task's run time.
+  Duration estimate = Duration::zero();
+  /// A label that the worker must have; empty for any.
+  std::string requiredLabel;
+  /// The rack of the task's data; empty for none.
+  std::string preferredRack;
+  /// At most so many tasks of the job on one worker; 0 for any number.
+  unsigned maxPerWorker = 0;
+};
+
+/// How a queue's jobs are treated, from the configuration in force.
+struct QueuePolicy
+{
+  std::string queue;
+  ServiceName service;
+  /// 0 goes first.
+  int priority = 0;
+  /// A task that has failed so often fails its job.
+  unsigned maxAttempts = 1;
+  /// The ideal response time is `stretch` times the longest task and `target`.
+  double stretch = 1;
+  Duration target = Duration::zero();
+};
+
+/// Runs that a lost daemon may have left behind. Until they are surely over,
+/// or all the workers have been asked, the job's tasks must not start anew.
+struct Quarantine
+{
+  ShardId shard;
+  Duration remaining = Duration::zero();
+};
+
+/// A job, or a part of its tasks, as one daemon hands it to another.
+struct JobRequest
+{
+  JobKey key;
+  QueuePolicy policy;
+  TaskNeeds needs;
+  /// Passed to the worker as it is.
+  std::string spec;
+  /// Followed by a task's index it is the task's name.
+  std::string taskPrefix;
+  std::vector<TaskIndex> tasks;
+  /// The number of the first run; rises with each start of a task.
+  std::uint64_t firstRun = 1;
+  /// Since the caller's request arrived.
+  Duration age = Duration::zero();
+  /// Until the caller stops waiting.
+  Duration timeLeft = Duration::zero();
+  std::optional<Quarantine> quarantine;
+  /// Whether something of the job may have run before, so that refusing it
+  /// would be false.
+  bool mayHaveRun = false;
+  /// Whether it may be handed on to a further daemon.
+  bool mayBeForwarded = true;
+
+  std::string taskName(TaskIndex task) const
+  {
+    return taskPrefix + std::to_string(task);
+  }
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libjobs/jobs.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "jobend.h"
+#include "jobkey.h"
+#include "jobrequest.h"
+#include "libcore/shardid.h"
+#include "runtimes.h"
+#include "scheduler.h"
+#include "workerpool.h"
--- /dev/null
+++ b/src/libjobs/runtimes.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "libcore/clock.h"
+
+#include <string>
+#include <unordered_map>
+
+namespace cowslippin {
+
+/// Learns how far the estimates of each queue are off, from runs that ended
+/// well.
+class RunTimes
+{
+public:
+  /// A run of this queue took `actual` where `estimate` was given.
+  void record(const std::string& queue, Duration estimate, Duration actual);
+
+  /// What a task with this estimate is expected to take.
+  Duration expected(const std::string& queue, Duration estimate) const;
+
+private:
+  struct Entry
+  {
+    double ratio = 1;
+    unsigned samples = 0;
+  };
+
+  std::unordered_map<std::string, Entry> m_entries;
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libjobs/scheduler.cpp
@@ -0,0 +1,839 @@
+#include "scheduler.h"
+
+#include "libobserve/observe.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+/// Added to a run's number when a worker finds it too low: another daemon has
+/// started the task there before.
+constexpr std::uint64_t staleRunStep = 8;
+/// Weight of the newest task in the mean of what tasks need.
+constexpr double sizeWeight = 0.05;
+/// A caller that is refused is told to come back after this long at least.
+constexpr Duration minRetryAfter = std::chrono::milliseconds(200);
+/// Places that another daemon keeps for jobs of its own.
+constexpr unsigned peerReserve = 1;
+
+Duration
+scaled(Duration duration, double factor)
+{
+  return Duration(std::int64_t(double(duration.count()) * factor));
+}
+
+std::int64_t
+milliseconds(Duration duration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+    .count();
+}
+
+} // namespace
+
+Scheduler::Scheduler(VmId self, Settings settings, Hooks hooks)
+  : m_self(std::move(self))
+  , m_settings(std::move(settings))
+  , m_hooks(std::move(hooks))
+  , m_pool(m_settings.pool, poolHooks())
+{
+}
+
+WorkerPool::Hooks
+Scheduler::poolHooks()
+{
+  WorkerPool::Hooks hooks;
+  hooks.sendHold = m_hooks.sendHold;
+  hooks.sendStart = m_hooks.sendStart;
+  hooks.sendStop = m_hooks.sendStop;
+  hooks.nextToken = m_hooks.nextToken;
+  hooks.fenced = m_hooks.fenced;
+  hooks.runEnded = [this](const WorkerId& worker,
+                          const RunKey& key,
+                          RunEnd end) { runEnded(worker, key, end); };
+  hooks.startRejected =
+    [this](const WorkerId& worker, const RunKey& key, OrderFailure failure) {
+      startRejected(worker, key, failure);
+    };
+  hooks.runActive = [this](const WorkerId& worker,
+                           const RunKey& key,
+                           int percent) { runActive(worker, key, percent); };
+  hooks.strayEnded = [this](const WorkerId&, const RunKey& key, RunEnd end) {
+    if (end == RunEnd::Done)
+      m_strayDone[key.task()] = m_now;
+  };
+  return hooks;
+}
+
+void
+Scheduler::submit(JobRequest request, TimePoint now)
+{
+  m_now = now;
+  const auto known = m_jobs.find(request.key);
+  if (known != m_jobs.end()) {
+    known->second->detachedAt.reset();
+    return;
+  }
+  const JobKey key = request.key;
+  auto owned = makeJob(std::move(request), now);
+  Job& job = *owned;
+  if (job.expiresAt <= now) {
+    m_hooks.ended(key, { JobOutcome::TimedOut, Duration::zero(), {}, 1 });
+    return;
+  }
+  Duration retryAfter = Duration::zero();
+  if (mustRefuse(job, now, retryAfter)) {
+    const JobEnd end{ JobOutcome::Refused, retryAfter, {}, 1 };
+    logJob("job-refused", job, &end);
+    m_hooks.ended(key, end);
+    return;
+  }
+  m_jobs.emplace(key, std::move(owned));
+  logJob("job-accepted", job, nullptr);
+  findRuns(job, now);
+  if (job.done == job.tasks.size()) {
+    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
+    return;
+  }
+  enqueue(job);
+  pump(now);
+}
+
+std::unique_ptr<Job>
+Scheduler::makeJob(JobRequest request, TimePoint now) const
+{
+  auto job = std::make_unique<Job>();
+  const QueuePolicy& policy = request.policy;
+  job->arrivedAt = now - request.age;
+  job->expiresAt = now + request.timeLeft;
+  job->expected = m_runTimes.expected(policy.queue, request.needs.estimate);
+  const Duration objective =
+    scaled(job->expected, policy.stretch) + policy.target;
+  job->objectiveAt = job->arrivedAt + objective;
+  job->worthlessAt =
+    job->arrivedAt + scaled(objective, m_settings.worthlessFactor);
+  job->latestStart = job->objectiveAt - job->expected;
+  job->hasStarted = request.mayHaveRun;
+  for (const TaskIndex index : request.tasks) {
+    JobTask task;
+    task.index = index;
+    task.nextRun = request.firstRun;
+    job->tasks.push_back(task);
+  }
+  job->pending = job->tasks.size();
+  job->request = std::move(request);
+  return job;
+}
+
+/// Takes over the runs of a job that a lost daemon left on workers that are now
+/// held here.
+void
+Scheduler::findRuns(Job& job, TimePoint now)
+{
+  const auto& quarantine = job.request.quarantine;
+  if (!job.request.mayHaveRun)
+    return;
+  const TimePoint until =
+    now + (quarantine ? quarantine->remaining : Duration::zero());
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    JobTask& task = job.tasks[i];
+    const std::string name = job.request.taskName(task.index);
+    if (m_strayDone.erase(name) > 0) {
+      leavePending(job, task, TaskState::Done);
+      ++job.done;
+      continue;
+    }
+    if (const auto run = m_pool.adopt(name, job.request.needs.resources)) {
+      leavePending(job, task, TaskState::Running);
+      task.worker = run->first;
+      task.run = run->second.run();
+      task.nextRun = std::max(task.nextRun, task.run + 1);
+      task.startedAt = now;
+      task.progressAt = now;
+      m_runs[run->second] = { &job, i };
+    } else if (quarantine) {
+      leavePending(job, task, TaskState::Quarantined);
+      task.quarantinedUntil = until;
+    }
+  }
+}
+
+bool
+Scheduler::mustRefuse(const Job& job, TimePoint now, Duration& retryAfter) const
+{
+  if (job.request.mayHaveRun)
+    return false;
+  retryAfter = std::max(minRetryAfter, expectedWait(job.latestStart, now));
+  if (!m_pool.canEverRun(job.request))
+    return true;
+  if (!job.request.mayBeForwarded)
+    return m_pool.freePlaces(job.request.needs.resources.cpuMillis(), now) == 0;
+  if (m_pool.totalCpuMillis(now) == 0 && m_peerPlaces.empty())
+    return true;
+  if (peerFor(job))
+    return false;
+  const Duration objective = job.objectiveAt - job.arrivedAt;
+  const TimePoint end = now + expectedWait(job.latestStart, now) + job.expected;
+  return end > job.arrivedAt + scaled(objective, m_settings.refusalFactor);
+}
+
+void
+Scheduler::cancel(const JobKey& key, TimePoint now)
+{
+  m_now = now;
+  const auto found = m_jobs.find(key);
+  if (found == m_jobs.end())
+    return;
+  logJob("job-cancelled", *found->second, nullptr);
+  drop(*found->second);
+  pump(now);
+}
+
+void
+Scheduler::daemonLost(const VmId& vm, TimePoint now)
+{
+  m_now = now;
+  forgetPeer(vm);
+  for (auto& [key, job] : m_jobs) {
+    if (key.submitter() == vm && !job->detachedAt)
+      job->detachedAt = now;
+  }
+  std::vector<std::uint64_t> lost;
+  for (const auto& [part, place] : m_forwarded) {
+    if (place.first == vm)
+      lost.push_back(part);
+  }
+  for (const std::uint64_t part : lost) {
+    Job& job = *m_forwarded.at(part).second;
+    m_forwarded.erase(part);
+    for (JobTask& task : job.tasks) {
+      if (task.state != TaskState::Forwarded || task.part != part)
+        continue;
+      task.state = TaskState::Quarantined;
+      task.quarantinedUntil = now + m_settings.lostRunLimit;
+      task.nextRun += staleRunStep;
+    }
+  }
+}
+
+void
+Scheduler::forwardedEnded(const JobKey& key, const JobEnd& end, TimePoint now)
+{
+  m_now = now;
+  const auto found = m_forwarded.find(key.part());
+  if (found == m_forwarded.end())
+    return;
+  const VmId vm = found->second.first;
+  Job& job = *found->second.second;
+  m_forwarded.erase(found);
+  if (end.outcome == JobOutcome::Failed ||
+      end.outcome == JobOutcome::TimedOut) {
+    finish(job, end);
+    pump(now);
+    return;
+  }
+  if (end.outcome == JobOutcome::Refused) {
+    job.refusedBy.insert(vm);
+    m_peerPlaces[vm] = 0;
+  } else {
+    job.hasStarted = true;
+  }
+  const std::set<TaskIndex> done(end.done.begin(), end.done.end());
+  for (JobTask& task : job.tasks) {
+    if (task.state != TaskState::Forwarded || task.part != key.part())
+      continue;
+    if (end.outcome == JobOutcome::Completed || done.count(task.index) > 0) {
+      task.state = TaskState::Done;
+      ++job.done;
+    } else if (end.outcome == JobOutcome::Moved) {
+      task.state = TaskState::Quarantined;
+      task.quarantinedUntil = now + m_settings.lostRunLimit;
+      task.nextRun = std::max(task.nextRun, end.nextRun);
+    } else {
+      setPending(job, task);
+    }
+  }
+  if (job.done == job.tasks.size())
+    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
+  pump(now);
+}
+
+void
+Scheduler::setList(const WorkerList& list, TimePoint now)
+{
+  m_now = now;
+  m_pool.setList(list, now);
+  pump(now);
+}
+
+void
+Scheduler::takeShard(const ShardId& shard, FencingToken token, TimePoint now)
+{
+  m_now = now;
+  m_pool.takeShard(shard, token, now);
+}
+
+void
+Scheduler::releaseShard(const ShardId& shard, TimePoint now)
+{
+  m_now = now;
+  m_pool.releaseShard(shard);
+  std::vector<Job*> jobs;
+  for (const auto& [key, job] : m_jobs)
+    jobs.push_back(job.get());
+  for (Job* job : jobs) {
+    for (auto run = m_runs.begin(); run != m_runs.end();) {
+      if (run->second.job == job)
+        run = m_runs.erase(run);
+      else
+        ++run;
+    }
+    finish(*job, movedEnd(*job));
+  }
+}
+
+void
+Scheduler::setPeerPlaces(const VmId& vm, unsigned places)
+{
+  m_peerPlaces[vm] = places;
+}
+
+void
+Scheduler::holdAnswered(const WorkerId& worker,
+                        const HoldAnswer& answer,
+                        TimePoint sent,
+                        TimePoint now)
+{
+  m_now = now;
+  m_pool.holdAnswered(worker, answer, sent, now);
+  pump(now);
+}
+
+void
+Scheduler::startAnswered(const WorkerId& worker,
+                         const RunKey& key,
+                         const OrderAnswer& answer,
+                         TimePoint now)
+{
+  m_now = now;
+  m_pool.startAnswered(worker, key, answer, now);
+  if (answer)
+    pump(now);
+}
+
+void
+Scheduler::stopAnswered(const WorkerId& worker,
+                        const RunKey& key,
+                        const OrderAnswer& answer,
+                        TimePoint now)
+{
+  m_now = now;
+  m_pool.stopAnswered(worker, key, answer, now);
+}
+
+void
+Scheduler::suspend(TimePoint now)
+{
+  m_now = now;
+  m_isSuspended = true;
+  std::vector<JobKey> foreign;
+  for (const auto& [key, job] : m_jobs) {
+    if (key.submitter() != m_self)
+      foreign.push_back(key);
+  }
+  for (const JobKey& key : foreign)
+    cancel(key, now);
+}
+
+void
+Scheduler::resume(TimePoint now)
+{
+  m_now = now;
+  m_isSuspended = false;
+  pump(now);
+}
+
+void
+Scheduler::tick(TimePoint now)
+{
+  m_now = now;
+  m_pool.tick(now);
+  tickJobs(now);
+  for (auto done = m_strayDone.begin(); done != m_strayDone.end();) {
+    if (now - done->second > m_settings.strayEndsKept)
+      done = m_strayDone.erase(done);
+    else
+      ++done;
+  }
+  pump(now);
+}
+
+unsigned
+Scheduler::sparePlaces(TimePoint now) const
+{
+  const auto usual = static_cast<std::int64_t>(m_usualCpuMillis);
+  const unsigned places =
+    m_pool.freePlaces(std::max<std::int64_t>(usual, 1000), now);
+  const auto waiting = static_cast<unsigned>(waitingTasks());
+  return places > waiting ? places - waiting : 0;
+}
+
+Duration
+Scheduler::expectedWait(TimePoint latestStart, TimePoint now) const
+{
+  double ahead = 0;
+  for (const auto& [key, job] : m_queue) {
+    if (std::get<0>(key) > latestStart)
+      break;
+    ahead += double(job->pending) *
+             double(job->request.needs.resources.cpuMillis()) *
+             double(job->expected.count());
+  }
+  const double total =
+    double(m_pool.totalCpuMillis(now)) * m_settings.usableShare;
+  return total > 0 ? Duration(std::int64_t(ahead / total)) : Duration::zero();
+}
+
+std::size_t
+Scheduler::waitingTasks() const
+{
+  std::size_t count = 0;
+  for (const auto& [key, job] : m_queue)
+    count += job->pending;
+  return count;
+}
+
+void
+Scheduler::enqueue(Job& job)
+{
+  if (job.pending == 0 || job.sequence != 0)
+    return;
+  job.sequence = ++m_lastSequence;
+  m_queue.emplace(QueueKey(job.latestStart, job.sequence), &job);
+}
+
+void
+Scheduler::dequeue(Job& job)
+{
+  if (job.sequence == 0)
+    return;
+  m_queue.erase(QueueKey(job.latestStart, job.sequence));
+  job.sequence = 0;
+}
+
+void
+Scheduler::setPending(Job& job, JobTask& task)
+{
+  task.state = TaskState::Pending;
+  ++job.pending;
+  enqueue(job);
+}
+
+void
+Scheduler::leavePending(Job& job, JobTask& task, TaskState state)
+{
+  task.state = state;
+  --job.pending;
+  if (job.pending == 0)
+    dequeue(job);
+}
+
+void
+Scheduler::pump(TimePoint now)
+{
+  if (m_isPumping || m_isSuspended)
+    return;
+  m_isPumping = true;
+  std::vector<Job*> jobs;
+  for (const auto& [key, job] : m_queue)
+    jobs.push_back(job);
+  std::int64_t room = m_pool.largestFreeCpuMillis();
+  for (Job* job : jobs) {
+    if (job->request.needs.resources.cpuMillis() <= room) {
+      pumpJob(*job, now);
+      room = m_pool.largestFreeCpuMillis();
+    }
+    if (job->pending > 0)
+      forwardTasks(*job, now);
+  }
+  m_isPumping = false;
+}
+
+void
+Scheduler::pumpJob(Job& job, TimePoint now)
+{
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    if (job.tasks[i].state != TaskState::Pending)
+      continue;
+    if (!startTask(job, i, now))
+      return;
+  }
+}
+
+bool
+Scheduler::startTask(Job& job, std::size_t position, TimePoint now)
+{
+  JobTask& task = job.tasks[position];
+  const std::string name = job.request.taskName(task.index);
+  // A run of the same task that another submitter left is still being stopped.
+  if (m_pool.isRunning(name))
+    return true;
+  std::map<WorkerId, unsigned> perWorker;
+  if (job.request.needs.maxPerWorker > 0) {
+    for (const JobTask& other : job.tasks) {
+      if (other.state == TaskState::Running)
+        ++perWorker[other.worker];
+    }
+  }
+  const auto worker = m_pool.choose(job.request, task.avoided, perWorker, now);
+  if (!worker)
+    return false;
+  const RunKey key(name, task.nextRun++);
+  leavePending(job, task, TaskState::Running);
+  task.worker = *worker;
+  task.run = key.run();
+  task.startedAt = now;
+  task.progressAt = now;
+  task.percent = 0;
+  job.hasStarted = true;
+  m_runs[key] = { &job, position };
+  const auto& resources = job.request.needs.resources;
+  m_usualCpuMillis = m_usualCpuMillis == 0
+                       ? double(resources.cpuMillis())
+                       : m_usualCpuMillis * (1 - sizeWeight) +
+                           double(resources.cpuMillis()) * sizeWeight;
+  logEvent(LogLevel::Info,
+           "task-started",
+           { { "job", job.request.key.job() },
+             { "task", task.index },
+             { "run", key.run() },
+             { "worker", *worker },
+             { "waitedMs", milliseconds(now - job.arrivedAt) } });
+  m_pool.start(*worker, key, resources, job.request.spec, now);
+  return true;
+}
+
+std::optional<VmId>
+Scheduler::peerFor(const Job& job) const
+{
+  std::optional<VmId> best;
+  unsigned most = peerReserve;
+  if (!job.request.mayBeForwarded)
+    return best;
+  for (const auto& [vm, places] : m_peerPlaces) {
+    if (places > most && job.refusedBy.count(vm) == 0) {
+      most = places;
+      best = vm;
+    }
+  }
+  return best;
+}
+
+void
+Scheduler::forwardTasks(Job& job, TimePoint now)
+{
+  const auto vm = peerFor(job);
+  if (!vm)
+    return;
+  unsigned& places = m_peerPlaces.at(*vm);
+  JobRequest part = job.request;
+  part.key = JobKey(m_self, job.request.key.job(), ++m_lastPart);
+  part.tasks.clear();
+  part.age = now - job.arrivedAt;
+  part.timeLeft = job.expiresAt - now;
+  part.mayBeForwarded = false;
+  part.mayHaveRun = false;
+  part.quarantine.reset();
+  for (JobTask& task : job.tasks) {
+    if (task.state != TaskState::Pending || places <= peerReserve ||
+        m_pool.isRunning(job.request.taskName(task.index)))
+      continue;
+    --places;
+    part.firstRun = std::max(part.firstRun, task.nextRun);
+    part.tasks.push_back(task.index);
+    task.part = part.key.part();
+  }
+  if (part.tasks.empty() || !m_hooks.forward(*vm, part))
+    return;
+  for (JobTask& task : job.tasks) {
+    if (task.state == TaskState::Pending && task.part == part.key.part())
+      leavePending(job, task, TaskState::Forwarded);
+  }
+  m_forwarded[part.key.part()] = { *vm, &job };
+  logEvent(LogLevel::Info,
+           "tasks-forwarded",
+           { { "job", job.request.key.job() },
+             { "tasks", part.tasks.size() },
+             { "to", *vm } });
+}
+
+void
+Scheduler::taskDone(Job& job, JobTask& task, TimePoint)
+{
+  task.state = TaskState::Done;
+  ++job.done;
+  if (job.done == job.tasks.size())
+    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
+}
+
+void
+Scheduler::taskFailed(Job& job, JobTask& task, TimePoint)
+{
+  ++task.failures;
+  task.avoided.insert(task.worker);
+  if (task.failures >= job.request.policy.maxAttempts)
+    finish(job, { JobOutcome::Failed, Duration::zero(), {}, 1 });
+  else
+    setPending(job, task);
+}
+
+void
+Scheduler::runEnded(const WorkerId& worker, const RunKey& key, RunEnd end)
+{
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end())
+    return;
+  Job& job = *found->second.job;
+  JobTask& task = job.tasks[found->second.task];
+  m_runs.erase(found);
+  if (end != RunEnd::Done) {
+    logEvent(LogLevel::Info,
+             "run-ended",
+             { { "job", job.request.key.job() },
+               { "task", task.index },
+               { "run", key.run() },
+               { "worker", worker },
+               { "end", toString(end) },
+               { "ranMs", milliseconds(m_now - task.startedAt) } });
+  }
+  if (end == RunEnd::Done) {
+    learn(job, task, worker);
+    taskDone(job, task, m_now);
+  } else if (end == RunEnd::Failed) {
+    m_pool.runFailed(worker, m_now);
+    taskFailed(job, task, m_now);
+  } else {
+    setPending(job, task);
+  }
+}
+
+void
+Scheduler::startRejected(const WorkerId& worker,
+                         const RunKey& key,
+                         OrderFailure failure)
+{
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end())
+    return;
+  Job& job = *found->second.job;
+  JobTask& task = job.tasks[found->second.task];
+  m_runs.erase(found);
+  logEvent(LogLevel::Warning,
+           "start-rejected",
+           { { "job", job.request.key.job() },
+             { "task", task.index },
+             { "run", key.run() },
+             { "worker", worker },
+             { "reason", toString(failure) } });
+  if (failure == OrderFailure::StaleRun)
+    task.nextRun += staleRunStep;
+  if (failure == OrderFailure::Invalid) {
+    taskFailed(job, task, m_now);
+    return;
+  }
+  if (failure != OrderFailure::StaleRun)
+    task.avoided.insert(worker);
+  setPending(job, task);
+}
+
+void
+Scheduler::runActive(const WorkerId&, const RunKey& key, int percent)
+{
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end())
+    return;
+  JobTask& task = found->second.job->tasks[found->second.task];
+  if (percent <= task.percent)
+    return;
+  task.percent = percent;
+  task.progressAt = m_now;
+}
+
+void
+Scheduler::learn(const Job& job, const JobTask& task, const WorkerId& worker)
+{
+  const Duration actual = m_now - task.startedAt;
+  const auto& request = job.request;
+  m_runTimes.record(request.policy.queue, request.needs.estimate, actual);
+  const double expected = std::max<double>(1, double(job.expected.count()));
+  m_pool.runWasSlow(worker, double(actual.count()) / expected, m_now);
+}
+
+void
+Scheduler::finish(Job& job, const JobEnd& end)
+{
+  const JobKey key = job.request.key;
+  logJob("job-ended", job, &end);
+  drop(job);
+  m_hooks.ended(key, end);
+}
+
+void
+Scheduler::drop(Job& job)
+{
+  dequeue(job);
+  const JobKey key = job.request.key;
+  std::vector<std::pair<WorkerId, RunKey>> runs;
+  std::set<std::uint64_t> parts;
+  for (const JobTask& task : job.tasks) {
+    const RunKey run(job.request.taskName(task.index), task.run);
+    if (task.state == TaskState::Running && m_runs.erase(run) > 0)
+      runs.emplace_back(task.worker, run);
+    if (task.state == TaskState::Forwarded)
+      parts.insert(task.part);
+  }
+  for (const auto& [worker, run] : runs)
+    m_pool.stop(worker, run, m_now);
+  for (const std::uint64_t part : parts) {
+    const auto found = m_forwarded.find(part);
+    if (found == m_forwarded.end())
+      continue;
+    const VmId vm = found->second.first;
+    m_forwarded.erase(found);
+    m_hooks.cancelForwarded(vm, JobKey(m_self, key.job(), part));
+  }
+  m_jobs.erase(key);
+}
+
+JobEnd
+Scheduler::movedEnd(const Job& job) const
+{
+  JobEnd end;
+  end.outcome = JobOutcome::Moved;
+  end.nextRun = job.request.firstRun;
+  for (const JobTask& task : job.tasks) {
+    if (task.state == TaskState::Done)
+      end.done.push_back(task.index);
+    end.nextRun = std::max(end.nextRun, task.nextRun + staleRunStep);
+  }
+  return end;
+}
+
+void
+Scheduler::tickJobs(TimePoint now)
+{
+  std::vector<Job*> jobs;
+  for (const auto& [key, job] : m_jobs)
+    jobs.push_back(job.get());
+  for (Job* job : jobs)
+    tickJob(*job, now);
+}
+
+void
+Scheduler::tickJob(Job& job, TimePoint now)
+{
+  if (job.detachedAt && now - *job.detachedAt >= m_settings.detachedLimit) {
+    logJob("job-abandoned", job, nullptr);
+    drop(job);
+    return;
+  }
+  if (now >= job.expiresAt) {
+    finish(job, { JobOutcome::TimedOut, Duration::zero(), {}, 1 });
+    return;
+  }
+  if (!job.mayHaveStarted() && now + job.expected > job.worthlessAt) {
+    const Duration retryAfter =
+      std::max(minRetryAfter, expectedWait(job.latestStart, now));
+    finish(job, { JobOutcome::Refused, retryAfter, {}, 1 });
+    return;
+  }
+  if (!endQuarantine(job, now))
+    return;
+  checkProgress(job, now);
+}
+
+/// Takes up or releases quarantined tasks. False if that ended the job.
+bool
+Scheduler::endQuarantine(Job& job, TimePoint now)
+{
+  const auto& quarantine = job.request.quarantine;
+  const bool isKnown = quarantine && holds(quarantine->shard) &&
+                       m_pool.isFullyClaimed(quarantine->shard);
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    JobTask& task = job.tasks[i];
+    if (task.state != TaskState::Quarantined)
+      continue;
+    const std::string name = job.request.taskName(task.index);
+    if (const auto run = m_pool.adopt(name, job.request.needs.resources)) {
+      task.state = TaskState::Running;
+      task.worker = run->first;
+      task.run = run->second.run();
+      task.nextRun = std::max(task.nextRun, task.run + 1);
+      task.startedAt = now;
+      task.progressAt = now;
+      m_runs[run->second] = { &job, i };
+    } else if (m_strayDone.erase(name) > 0) {
+      const bool isLast = job.done + 1 == job.tasks.size();
+      taskDone(job, task, now);
+      if (isLast)
+        return false;
+    } else if (isKnown || now >= task.quarantinedUntil) {
+      setPending(job, task);
+    }
+  }
+  return true;
+}
+
+void
+Scheduler::checkProgress(Job& job, TimePoint now)
+{
+  for (JobTask& task : job.tasks) {
+    if (task.state != TaskState::Running || !isStalled(job, task, now))
+      continue;
+    ++task.restarts;
+    task.avoided.insert(task.worker);
+    logEvent(LogLevel::Info,
+             "run-stalled",
+             { { "job", job.request.key.job() },
+               { "task", task.index },
+               { "run", task.run },
+               { "worker", task.worker },
+               { "percent", task.percent },
+               { "ranMs", milliseconds(now - task.startedAt) },
+               { "expectedMs", milliseconds(job.expected) } });
+    m_pool.workerStalled(task.worker, now);
+    m_pool.stop(
+      task.worker, RunKey(job.request.taskName(task.index), task.run), now);
+  }
+}
+
+bool
+Scheduler::isStalled(const Job& job, const JobTask& task, TimePoint now) const
+{
+  if (task.restarts >= m_settings.maxRestarts)
+    return false;
+  const Duration quiet = now - task.progressAt;
+  return quiet >
+         scaled(job.expected, m_settings.stallFactor) + m_settings.stallMargin;
+}
+
+void
+Scheduler::logJob(const char* event, const Job& job, const JobEnd* end) const
+{
+  const JobRequest& request = job.request;
+  logEvent(LogLevel::Info,
+           event,
+           { { "job", request.key.job() },
+             { "queue", request.policy.queue },
+             { "submitter", request.key.submitter() },
+             { "tasks", job.tasks.size() },
+             { "done", job.done },
+             { "ageMs", milliseconds(m_now - job.arrivedAt) },
+             { "outcome", end ? toString(end->outcome) : "" },
+             { "retryAfterMs", end ? milliseconds(end->retryAfter) : 0 } });
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libjobs/scheduler.h
@@ -0,0 +1,183 @@
+#pragma once
+
+#include "job.h"
+#include "jobend.h"
+#include "runtimes.h"
+#include "workerpool.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace cowslippin {
+
+/// Gets jobs done on the workers of the shards that this daemon holds. Jobs
+/// wait in one queue, the one that must start soonest first; what finds no room
+/// here is handed on to a daemon that has some. It does no input or output and
+/// reads no clock.
+class Scheduler
+{
+public:
+  struct Settings
+  {
+    WorkerPool::Settings pool;
+    /// A job that has to wait so long that it takes more than this many times
+    /// its ideal time is refused at once.
+    double refusalFactor = 1.25;
+    /// Up to this many times the ideal response time an answer has some worth.
+    double worthlessFactor = 3;
+    /// Share of the workers' capacity that can be used, as tasks don't fill
+    /// workers exactly: 13.6 of 16 cores with two tasks of 6.8.
+    double usableShare = 0.82;
+    /// How long the runs of a submitter that can't be reached go on. With the
+    /// time that a stop takes it is well below the 1,300 ms after which a
+    /// caller submits again.
+    Duration detachedLimit = std::chrono::milliseconds(200);
+    /// A run is stopped and started elsewhere when it has made no progress for
+    /// this many times its expected time and `stallMargin`.
+    double stallFactor = 2.0;
+    Duration stallMargin = std::chrono::milliseconds(150);
+    unsigned maxRestarts = 3;
+    /// How long a run that a lost daemon may have left goes on at most: the
+    /// silence limit between daemons, the lease and a margin.
+    Duration lostRunLimit = std::chrono::milliseconds(1270);
+    /// How long ends that nobody asked for are kept for who may ask.
+    Duration strayEndsKept = std::chrono::seconds(2);
+  };
+
+  /// None may be empty.
+  struct Hooks
+  {
+    std::function<void(const WorkerRecord&, const HoldOrder&, Duration)>
+      sendHold;
+    std::function<void(const WorkerRecord&, const StartOrder&, Duration)>
+      sendStart;
+    std::function<void(const WorkerRecord&, const StopOrder&, Duration)>
+      sendStop;
+    /// Tells the submitter. Nothing more comes of this job.
+    std::function<void(const JobKey&, const JobEnd&)> ended;
+    /// Hands a part of a job on. False if it could not be sent.
+    std::function<bool(const VmId&, const JobRequest&)> forward;
+    /// Tells another daemon that a part is no longer wanted.
+    std::function<void(const VmId&, const JobKey&)> cancelForwarded;
+    std::function<FencingToken()> nextToken;
+    /// A worker of a held shard was taken by another daemon.
+    std::function<void(const ShardId&)> fenced;
+  };
+
+  Scheduler(VmId self, Settings settings, Hooks hooks);
+
+  void submit(JobRequest request, TimePoint now);
+  /// The caller is gone: whatever runs is stopped, and no end is told.
+  void cancel(const JobKey& key, TimePoint now);
+  /// A daemon can't be reached: its jobs end soon unless it submits them again,
+  /// and what was handed on to it may still run there.
+  void daemonLost(const VmId& vm, TimePoint now);
+  /// A part that was handed on has ended.
+  void forwardedEnded(const JobKey& key, const JobEnd& end, TimePoint now);
+
+  void setList(const WorkerList& list, TimePoint now);
+  void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
+  /// Gives a shard up; its jobs move on to the next holder.
+  void releaseShard(const ShardId& shard, TimePoint now);
+  bool holds(const ShardId& shard) const { return m_pool.holds(shard); }
+
+  /// Places that another holder has, as it told last.
+  void setPeerPlaces(const VmId& vm, unsigned places);
+  void forgetPeer(const VmId& vm) { m_peerPlaces.erase(vm); }
+
+  void holdAnswered(const WorkerId& worker,
+                    const HoldAnswer& answer,
+                    TimePoint sent,
+                    TimePoint now);
+  void startAnswered(const WorkerId& worker,
+                     const RunKey& key,
+                     const OrderAnswer& answer,
+                     TimePoint now);
+  void stopAnswered(const WorkerId& worker,
+                    const RunKey& key,
+                    const OrderAnswer& answer,
+                    TimePoint now);
+  /// After a pause of the process: ends every job of other daemons, which have
+  /// given this one up, and starts nothing before `resume`.
+  void suspend(TimePoint now);
+  void resume(TimePoint now);
+  void tick(TimePoint now);
+
+  /// Free places for a task of the usual size, less what waits for them.
+  unsigned sparePlaces(TimePoint now) const;
+  /// How long a job that comes now would wait for its places.
+  Duration expectedWait(TimePoint latestStart, TimePoint now) const;
+  std::size_t jobCount() const { return m_jobs.size(); }
+  std::size_t waitingTasks() const;
+  const WorkerPool& pool() const { return m_pool; }
+
+private:
+  using QueueKey = std::tuple<TimePoint, std::uint64_t>;
+  using Queue = std::map<QueueKey, Job*>;
+  struct RunOwner
+  {
+    Job* job = nullptr;
+    std::size_t task = 0;
+  };
+
+  WorkerPool::Hooks poolHooks();
+  std::unique_ptr<Job> makeJob(JobRequest request, TimePoint now) const;
+  void findRuns(Job& job, TimePoint now);
+  bool mustRefuse(const Job& job, TimePoint now, Duration& retryAfter) const;
+  void enqueue(Job& job);
+  void dequeue(Job& job);
+  void setPending(Job& job, JobTask& task);
+  void leavePending(Job& job, JobTask& task, TaskState state);
+  void pump(TimePoint now);
+  void pumpJob(Job& job, TimePoint now);
+  bool startTask(Job& job, std::size_t position, TimePoint now);
+  void forwardTasks(Job& job, TimePoint now);
+  std::optional<VmId> peerFor(const Job& job) const;
+  void taskDone(Job& job, JobTask& task, TimePoint now);
+  void taskFailed(Job& job, JobTask& task, TimePoint now);
+  void runEnded(const WorkerId& worker, const RunKey& key, RunEnd end);
+  void startRejected(const WorkerId& worker,
+                     const RunKey& key,
+                     OrderFailure failure);
+  void runActive(const WorkerId& worker, const RunKey& key, int percent);
+  void learn(const Job& job, const JobTask& task, const WorkerId& worker);
+  void finish(Job& job, const JobEnd& end);
+  /// Ends what a job has under way and forgets it.
+  void drop(Job& job);
+  JobEnd movedEnd(const Job& job) const;
+  void tickJobs(TimePoint now);
+  void tickJob(Job& job, TimePoint now);
+  bool endQuarantine(Job& job, TimePoint now);
+  void checkProgress(Job& job, TimePoint now);
+  bool isStalled(const Job& job, const JobTask& task, TimePoint now) const;
+  void logJob(const char* event, const Job& job, const JobEnd* end) const;
+
+  const VmId m_self;
+  const Settings m_settings;
+  const Hooks m_hooks;
+  WorkerPool m_pool;
+  RunTimes m_runTimes;
+  std::map<JobKey, std::unique_ptr<Job>> m_jobs;
+  Queue m_queue;
+  std::map<RunKey, RunOwner> m_runs;
+  /// Parts that were handed on, by number, with the daemon that has them.
+  std::map<std::uint64_t, std::pair<VmId, Job*>> m_forwarded;
+  std::uint64_t m_lastPart = 0;
+  std::uint64_t m_lastSequence = 0;
+  std::map<VmId, unsigned> m_peerPlaces;
+  /// Tasks that were found done without a job that had asked.
+  std::unordered_map<std::string, TimePoint> m_strayDone;
+  /// Moving mean of what a task needs.
+  double m_usualCpuMillis = 0;
+  bool m_isSuspended = false;
+  bool m_isPumping = false;
+  TimePoint m_now{};
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libjobs/workerpool.cpp
@@ -0,0 +1,382 @@
+#include "workerpool.h"
+
+#include "libobserve/observe.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace cowslippin {
+
+WorkerPool::WorkerPool(Settings settings, Hooks hooks)
+  : m_settings(std::move(settings))
+  , m_hooks(std::move(hooks))
+{
+}
+
+void
+WorkerPool::setList(const WorkerList& list, TimePoint now)
+{
+  m_list = list;
+  for (auto& [id, entry] : m_entries)
+    entry.isListed = m_list.count(id) > 0;
+  for (const auto& [id, record] : m_list) {
+    const auto found = m_entries.find(id);
+    if (found != m_entries.end())
+      found->second.lease->setRecord(record);
+    else if (holds(shardOf(record)))
+      addWorker(record, now);
+  }
+  dropUnlisted();
+}
+
+void
+WorkerPool::takeShard(const ShardId& shard, FencingToken token, TimePoint now)
+{
+  m_shards[shard] = token;
+  for (const auto& [id, record] : m_list) {
+    if (shardOf(record) == shard && m_entries.count(id) == 0)
+      addWorker(record, now);
+  }
+}
+
+void
+WorkerPool::releaseShard(const ShardId& shard)
+{
+  m_shards.erase(shard);
+  for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+    if (entry->second.shard == shard)
+      entry = m_entries.erase(entry);
+    else
+      ++entry;
+  }
+}
+
+bool
+WorkerPool::isFullyClaimed(const ShardId& shard) const
+{
+  return std::all_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
+    return item.second.shard != shard ||
+           item.second.lease->state() == LeaseState::Held;
+  });
+}
+
+std::optional<WorkerId>
+WorkerPool::choose(const JobRequest& request,
+                   const std::set<WorkerId>& avoided,
+                   const std::map<WorkerId, unsigned>& perWorker,
+                   TimePoint now) const
+{
+  using Rank = std::tuple<bool, bool, std::int64_t>;
+  std::optional<std::pair<Rank, WorkerId>> best;
+  for (const auto& [id, entry] : m_entries) {
+    if (!isSuitable(entry, request, now))
+      continue;
+    const auto here = perWorker.find(id);
+    if (request.needs.maxPerWorker > 0 && here != perWorker.end() &&
+        here->second >= request.needs.maxPerWorker)
+      continue;
+    const auto& labels = entry.lease->record().labels();
+    const std::string& rack = request.needs.preferredRack;
+    const bool isFar =
+      !rack.empty() &&
+      std::find(labels.begin(), labels.end(), rack) == labels.end();
+    const Resources left = entry.lease->freeRoom() - request.needs.resources;
+    const Rank rank(avoided.count(id) > 0, isFar, left.cpuMillis());
+    if (!best || rank < best->first)
+      best.emplace(rank, id);
+  }
+  if (!best)
+    return std::nullopt;
+  return best->second;
+}
+
+bool
+WorkerPool::canEverRun(const JobRequest& request) const
+{
+  const auto fits = [&](const auto& item) {
+    const WorkerRecord& record = item.second;
+    const auto& labels = record.labels();
+    const std::string& label = request.needs.requiredLabel;
+    return record.service() == request.policy.service &&
+           request.needs.resources.fitsIn(record.capacity()) &&
+           (label.empty() ||
+            std::find(labels.begin(), labels.end(), label) != labels.end());
+  };
+  return std::any_of(m_list.begin(), m_list.end(), fits);
+}
+
+void
+WorkerPool::start(const WorkerId& worker,
+                  const RunKey& key,
+                  const Resources& resources,
+                  const std::string& spec,
+                  TimePoint now)
+{
+  m_entries.at(worker).lease->start(key, resources, spec, now);
+}
+
+void
+WorkerPool::stop(const WorkerId& worker, const RunKey& key, TimePoint now)
+{
+  const auto found = m_entries.find(worker);
+  if (found != m_entries.end())
+    found->second.lease->stop(key, now);
+}
+
+std::optional<std::pair<WorkerId, RunKey>>
+WorkerPool::adopt(const std::string& task, const Resources& resources)
+{
+  for (auto& [id, entry] : m_entries) {
+    if (!entry.lease->hasStrays())
+      continue;
+    if (const auto key = entry.lease->adopt(task, resources))
+      return std::make_pair(id, *key);
+  }
+  return std::nullopt;
+}
+
+bool
+WorkerPool::isRunning(const std::string& task) const
+{
+  return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
+    return item.second.lease->isRunning(task);
+  });
+}
+
+void
+WorkerPool::holdAnswered(const WorkerId& worker,
+                         const HoldAnswer& answer,
+                         TimePoint sent,
+                         TimePoint now)
+{
+  const auto found = m_entries.find(worker);
+  if (found == m_entries.end())
+    return;
+  found->second.lease->holdAnswered(answer, sent, now);
+}
+
+void
+WorkerPool::startAnswered(const WorkerId& worker,
+                          const RunKey& key,
+                          const OrderAnswer& answer,
+                          TimePoint now)
+{
+  const auto found = m_entries.find(worker);
+  if (found == m_entries.end())
+    return;
+  if (answer == OrderFailure::Unhealthy)
+    found->second.health.stalled(now);
+  found->second.lease->startAnswered(key, answer, now);
+}
+
+void
+WorkerPool::stopAnswered(const WorkerId& worker,
+                         const RunKey& key,
+                         const OrderAnswer& answer,
+                         TimePoint now)
+{
+  const auto found = m_entries.find(worker);
+  if (found != m_entries.end())
+    found->second.lease->stopAnswered(key, answer, now);
+}
+
+void
+WorkerPool::runWasSlow(const WorkerId& worker, double slowness, TimePoint now)
+{
+  const auto found = m_entries.find(worker);
+  if (found != m_entries.end())
+    found->second.health.ended(RunEnd::Done, slowness, now);
+}
+
+void
+WorkerPool::runFailed(const WorkerId& worker, TimePoint now)
+{
+  const auto found = m_entries.find(worker);
+  if (found != m_entries.end())
+    found->second.health.ended(RunEnd::Failed, 0, now);
+}
+
+void
+WorkerPool::workerStalled(const WorkerId& worker, TimePoint now)
+{
+  const auto found = m_entries.find(worker);
+  if (found != m_entries.end())
+    found->second.health.stalled(now);
+}
+
+void
+WorkerPool::tick(TimePoint now)
+{
+  for (auto& [id, entry] : m_entries)
+    entry.lease->tick(now);
+  dropUnlisted();
+  reclaim(now);
+}
+
+unsigned
+WorkerPool::freePlaces(std::int64_t cpuMillis, TimePoint now) const
+{
+  std::int64_t places = 0;
+  for (const auto& [id, entry] : m_entries) {
+    const WorkerLease& lease = *entry.lease;
+    if (entry.health.isUsable(lease.runCount(), now) &&
+        lease.canStart(Resources(cpuMillis, 0, 0)))
+      places +=
+        lease.freeRoom().cpuMillis() / std::max<std::int64_t>(cpuMillis, 1);
+  }
+  return static_cast<unsigned>(places);
+}
+
+std::int64_t
+WorkerPool::totalCpuMillis(TimePoint now) const
+{
+  std::int64_t total = 0;
+  for (const auto& [id, entry] : m_entries) {
+    const WorkerLease& lease = *entry.lease;
+    if (lease.state() == LeaseState::Held && !lease.record().isDraining() &&
+        !entry.health.isKeptOff(now))
+      total += lease.record().capacity().cpuMillis();
+  }
+  return total;
+}
+
+std::int64_t
+WorkerPool::largestFreeCpuMillis() const
+{
+  std::int64_t largest = 0;
+  for (const auto& [id, entry] : m_entries)
+    largest = std::max(largest, entry.lease->freeRoom().cpuMillis());
+  return largest;
+}
+
+std::vector<WorkerPool::WorkerView>
+WorkerPool::view() const
+{
+  std::vector<WorkerView> views;
+  for (const auto& [id, entry] : m_entries) {
+    views.push_back({ id,
+                      entry.lease->state(),
+                      entry.lease->runCount(),
+                      entry.health.slowness(),
+                      entry.health.failureShare() });
+  }
+  return views;
+}
+
+ShardId
+WorkerPool::shardOf(const WorkerRecord& record)
+{
+  return { record.zone(), 0 };
+}
+
+void
+WorkerPool::addWorker(const WorkerRecord& record, TimePoint now)
+{
+  const ShardId shard = shardOf(record);
+  Entry entry(m_settings.health);
+  entry.shard = shard;
+  entry.lease = std::make_unique<WorkerLease>(
+    record, m_settings.lease, leaseHooks(record.id()));
+  const auto added = m_entries.emplace(record.id(), std::move(entry)).first;
+  added->second.lease->claim(m_shards.at(shard), now);
+}
+
+WorkerLease::Hooks
+WorkerPool::leaseHooks(const WorkerId& id)
+{
+  WorkerLease::Hooks hooks;
+  hooks.sendHold = [this, id](const HoldOrder& order, Duration timeout) {
+    m_hooks.sendHold(m_entries.at(id).lease->record(), order, timeout);
+  };
+  hooks.sendStart = [this, id](const StartOrder& order, Duration timeout) {
+    m_hooks.sendStart(m_entries.at(id).lease->record(), order, timeout);
+  };
+  hooks.sendStop = [this, id](const StopOrder& order, Duration timeout) {
+    m_hooks.sendStop(m_entries.at(id).lease->record(), order, timeout);
+  };
+  hooks.runEnded = [this, id](const RunKey& key, RunEnd end) {
+    m_hooks.runEnded(id, key, end);
+  };
+  hooks.startRejected = [this, id](const RunKey& key, OrderFailure failure) {
+    m_hooks.startRejected(id, key, failure);
+  };
+  hooks.runActive = [this, id](const RunKey& key, int percent) {
+    m_hooks.runActive(id, key, percent);
+  };
+  hooks.strayFound = [id](const RunKey& key) {
+    logEvent(
+      LogLevel::Info,
+      "run-found",
+      { { "worker", id }, { "task", key.task() }, { "run", key.run() } });
+  };
+  hooks.strayEnded = [this, id](const RunKey& key, RunEnd end) {
+    m_hooks.strayEnded(id, key, end);
+  };
+  hooks.stateChanged = [this, id](LeaseState state) {
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end())
+      return;
+    logEvent(LogLevel::Info,
+             "lease-changed",
+             { { "worker", id },
+               { "state", toString(state) },
+               { "token", found->second.lease->token() } });
+    if (state == LeaseState::Fenced) {
+      found->second.fencedAt.reset();
+      m_hooks.fenced(found->second.shard);
+    }
+  };
+  return hooks;
+}
+
+void
+WorkerPool::dropUnlisted()
+{
+  for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+    const WorkerLease& lease = *entry->second.lease;
+    const bool isOver = lease.state() == LeaseState::Ended ||
+                        (!entry->second.isListed && lease.isIdle());
+    if (isOver &&
+        (!entry->second.isListed || lease.state() == LeaseState::Ended))
+      entry = m_entries.erase(entry);
+    else
+      ++entry;
+  }
+}
+
+void
+WorkerPool::reclaim(TimePoint now)
+{
+  for (auto& [id, entry] : m_entries) {
+    if (entry.lease->state() != LeaseState::Fenced)
+      continue;
+    if (!entry.fencedAt)
+      entry.fencedAt = now;
+    if (now - *entry.fencedAt < m_settings.reclaimAfter)
+      continue;
+    const FencingToken token = m_hooks.nextToken();
+    m_shards[entry.shard] = token;
+    entry.lease->claim(token, now);
+  }
+}
+
+bool
+WorkerPool::isSuitable(const Entry& entry,
+                       const JobRequest& request,
+                       TimePoint now) const
+{
+  const WorkerLease& lease = *entry.lease;
+  if (!entry.isListed || lease.record().service() != request.policy.service)
+    return false;
+  if (!lease.canStart(request.needs.resources))
+    return false;
+  const auto& labels = lease.record().labels();
+  const std::string& label = request.needs.requiredLabel;
+  if (!label.empty() &&
+      std::find(labels.begin(), labels.end(), label) == labels.end())
+    return false;
+  return entry.health.isUsable(lease.runCount(), now);
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libjobs/workerpool.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include "jobrequest.h"
+#include "libcore/shardid.h"
+
+#include "libworkers/workers.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cowslippin {
+
+/// The list of workers as the platform tells it, by id.
+using WorkerList = std::map<WorkerId, WorkerRecord>;
+
+/// The workers of the shards that this daemon holds: their leases, how well
+/// they work, and the choice among them.
+class WorkerPool
+{
+public:
+  struct Settings
+  {
+    WorkerLease::Settings lease;
+    WorkerHealth::Settings health;
+    /// The wait before a worker that another daemon took, though that daemon
+    /// doesn't hold the shard, is taken back.
+    Duration reclaimAfter = std::chrono::milliseconds(300);
+  };
+
+  /// None may be empty. Called from within the pool's functions. They may call
+  /// `start` and `stop`, but not what adds or drops workers.
+  struct Hooks
+  {
+    std::function<void(const WorkerRecord&, const HoldOrder&, Duration)>
+      sendHold;
+    std::function<void(const WorkerRecord&, const StartOrder&, Duration)>
+      sendStart;
+    std::function<void(const WorkerRecord&, const StopOrder&, Duration)>
+      sendStop;
+    std::function<void(const WorkerId&, const RunKey&, RunEnd)> runEnded;
+    std::function<void(const WorkerId&, const RunKey&, OrderFailure)>
+      startRejected;
+    std::function<void(const WorkerId&, const RunKey&, int percent)> runActive;
+    std::function<void(const WorkerId&, const RunKey&, RunEnd)> strayEnded;
+    /// A worker was taken from a shard that this daemon holds.
+    std::function<void(const ShardId&)> fenced;
+    /// A token higher than any that was given out before.
+    std::function<FencingToken()> nextToken;
+  };
+
+  WorkerPool(Settings settings, Hooks hooks);
+
+  /// Takes the platform's list; workers that have come to a held shard are
+  /// claimed, those that are gone are dropped once they run nothing.
+  void setList(const WorkerList& list, TimePoint now);
+
+  void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
+  /// Forgets the shard's workers; what runs there goes on under the next
+  /// holder.
+  void releaseShard(const ShardId& shard);
+  bool holds(const ShardId& shard) const { return m_shards.count(shard) > 0; }
+  /// Whether everything that may run on the shard's workers is known.
+  bool isFullyClaimed(const ShardId& shard) const;
+
+  /// The worker that a task should go to, or nothing if none has room. The
+  /// fullest that still fits is taken, so that large tasks find room. Workers
+  /// in `avoided` are taken only if `mayUseAvoided`.
+  std::optional<WorkerId> choose(const JobRequest& request,
+                                 const std::set<WorkerId>& avoided,
+                                 const std::map<WorkerId, unsigned>& perWorker,
+                                 TimePoint now) const;
+
+  /// Whether a worker of any size could ever run such a task, going by the
+  /// whole list.
+  bool canEverRun(const JobRequest& request) const;
+
+  void start(const WorkerId& worker,
+             const RunKey& key,
+             const Resources& resources,
+             const std::string& spec,
+             TimePoint now);
+  void stop(const WorkerId& worker, const RunKey& key, TimePoint now);
+  /// Takes a run that nobody has asked for into the book of its worker.
+  std::optional<std::pair<WorkerId, RunKey>> adopt(const std::string& task,
+                                                   const Resources& resources);
+  /// Whether a task of this name runs, or may run, on a held worker.
+  bool isRunning(const std::string& task) const;
+
+  void holdAnswered(const WorkerId& worker,
+                    const HoldAnswer& answer,
+                    TimePoint sent,
+                    TimePoint now);
+  void startAnswered(const WorkerId& worker,
+                     const RunKey& key,
+                     const OrderAnswer& answer,
+                     TimePoint now);
+  void stopAnswered(const WorkerId& worker,
+                    const RunKey& key,
+                    const OrderAnswer& answer,
+                    TimePoint now);
+  void runWasSlow(const WorkerId& worker, double slowness, TimePoint now);
+  void runFailed(const WorkerId& worker, TimePoint now);
+  void workerStalled(const WorkerId& worker, TimePoint now);
+  void tick(TimePoint now);
+
+  /// Tasks of this size that could be started now.
+  unsigned freePlaces(std::int64_t cpuMillis, TimePoint now) const;
+  /// All that the usable workers have, used or free.
+  std::int64_t totalCpuMillis(TimePoint now) const;
+  /// The largest free room on any one worker.
+  std::int64_t largestFreeCpuMillis() const;
+
+  struct WorkerView
+  {
+    WorkerId id;
+    LeaseState state = LeaseState::Claiming;
+    std::size_t runs = 0;
+    double slowness = 1;
+    double failureShare = 0;
+  };
+  std::vector<WorkerView> view() const;
+
+private:
+  struct Entry
+  {
+    ShardId shard;
+    std::unique_ptr<WorkerLease> lease;
+    WorkerHealth health;
+    bool isListed = true;
+    /// When a tick first saw that another daemon had taken it.
+    std::optional<TimePoint> fencedAt;
+
+    explicit Entry(const WorkerHealth::Settings& settings)
+      : health(settings)
+    {
+    }
+  };
+  using Entries = std::map<WorkerId, Entry>;
+
+  static ShardId shardOf(const WorkerRecord& record);
+  void addWorker(const WorkerRecord& record, TimePoint now);
+  WorkerLease::Hooks leaseHooks(const WorkerId& id);
+  void dropUnlisted();
+  void reclaim(TimePoint now);
+  bool isSuitable(const Entry& entry,
+                  const JobRequest& request,
+                  TimePoint now) const;
+
+  const Settings m_settings;
+  const Hooks m_hooks;
+  WorkerList m_list;
+  std::map<ShardId, FencingToken> m_shards;
+  Entries m_entries;
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libpeers/peercodec.cpp
@@ -0,0 +1,289 @@
+#include "peercodec.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+using nlohmann::json;
+
+/// Raised with every change that an older daemon can't read.
+constexpr int formatVersion = 1;
+
+json
+toJson(const ShardId& shard)
+{
+  return json::array({ shard.zone().value(), shard.index() });
+}
+
+json
+toJson(const JobKey& key)
+{
+  return json::array(
+    { key.submitter().value(), key.job().value(), key.part() });
+}
+
+json
+toJson(const PeerHello& hello)
+{
+  json known = json::array();
+  for (const Address& address : hello.known)
+    known.push_back(json::array({ address.host(), address.port() }));
+  return json::array({ formatVersion,
+                       hello.vm.value(),
+                       hello.incarnation.value(),
+                       hello.zone.value(),
+                       hello.address.host(),
+                       hello.address.port(),
+                       std::move(known) });
+}
+
+json
+toJson(const PeerBeat& beat)
+{
+  json shards = json::array();
+  for (const auto& [shard, token] : beat.shards)
+    shards.push_back(json::array({ toJson(shard), token }));
+  return json::array({ beat.isLeaving,
+                       beat.isReady,
+                       std::move(shards),
+                       beat.highestToken,
+                       beat.places,
+                       beat.configVersion });
+}
+
+json
+toJson(const QueuePolicy& policy)
+{
+  return json::array({ policy.queue,
+                       policy.service.value(),
+                       policy.priority,
+                       policy.maxAttempts,
+                       policy.stretch,
+                       policy.target.count() });
+}
+
+json
+toJson(const TaskNeeds& needs)
+{
+  return json::array({ needs.resources.cpuMillis(),
+                       needs.resources.memoryMb(),
+                       needs.resources.accelerators(),
+                       needs.estimate.count(),
+                       needs.requiredLabel,
+                       needs.preferredRack,
+                       needs.maxPerWorker });
+}
+
+json
+toJson(const PeerSubmit& submit)
+{
+  const JobRequest& request = submit.request;
+  json quarantine;
+  if (request.quarantine)
+    quarantine = json::array({ toJson(request.quarantine->shard),
+                               request.quarantine->remaining.count() });
+  return json::array({ toJson(request.key),
+                       toJson(request.policy),
+                       toJson(request.needs),
+                       request.spec,
+                       request.taskPrefix,
+                       request.tasks,
+                       request.firstRun,
+                       request.age.count(),
+                       request.timeLeft.count(),
+                       std::move(quarantine),
+                       request.mayHaveRun,
+                       request.mayBeForwarded });
+}
+
+json
+toJson(const PeerJobEnd& ended)
+{
+  return json::array({ toJson(ended.key),
+                       static_cast<int>(ended.end.outcome),
+                       ended.end.retryAfter.count(),
+                       ended.end.done,
+                       ended.end.nextRun });
+}
+
+json
+toJson(const PeerCancel& cancel)
+{
+  return json::array({ toJson(cancel.key) });
+}
+
+json
+toJson(const PeerConfig& config)
+{
+  return json::array({ config.version, config.body });
+}
+
+std::string
+text(const json& value)
+{
+  return value.get<std::string>();
+}
+
+Duration
+duration(const json& value)
+{
+  return Duration(value.get<std::int64_t>());
+}
+
+ShardId
+readShard(const json& value)
+{
+  return { ZoneName(text(value.at(0))), value.at(1).get<unsigned>() };
+}
+
+JobKey
+readKey(const json& value)
+{
+  return { VmId(text(value.at(0))),
+           JobId(text(value.at(1))),
+           value.at(2).get<std::uint64_t>() };
+}
+
+PeerHello
+readHello(const json& value)
+{
+  if (value.at(0).get<int>() != formatVersion)
+    throw std::invalid_argument("a version other than " +
+                                std::to_string(formatVersion));
+  PeerHello hello;
+  hello.vm = VmId(text(value.at(1)));
+  hello.incarnation = Incarnation(text(value.at(2)));
+  hello.zone = ZoneName(text(value.at(3)));
+  hello.address = Address(text(value.at(4)), value.at(5).get<std::uint16_t>());
+  for (const json& known : value.at(6))
+    hello.known.emplace_back(text(known.at(0)),
+                             known.at(1).get<std::uint16_t>());
+  return hello;
+}
+
+PeerBeat
+readBeat(const json& value)
+{
+  PeerBeat beat;
+  beat.isLeaving = value.at(0).get<bool>();
+  beat.isReady = value.at(1).get<bool>();
+  for (const json& shard : value.at(2))
+    beat.shards[readShard(shard.at(0))] = shard.at(1).get<std::uint64_t>();
+  beat.highestToken = value.at(3).get<std::uint64_t>();
+  beat.places = value.at(4).get<unsigned>();
+  beat.configVersion = value.at(5).get<std::uint64_t>();
+  return beat;
+}
+
+QueuePolicy
+readPolicy(const json& value)
+{
+  QueuePolicy policy;
+  policy.queue = text(value.at(0));
+  policy.service = ServiceName(text(value.at(1)));
+  policy.priority = value.at(2).get<int>();
+  policy.maxAttempts = value.at(3).get<unsigned>();
+  policy.stretch = value.at(4).get<double>();
+  policy.target = duration(value.at(5));
+  return policy;
+}
+
+TaskNeeds
+readNeeds(const json& value)
+{
+  TaskNeeds needs;
+  needs.resources = Resources(value.at(0).get<std::int64_t>(),
+                              value.at(1).get<std::int64_t>(),
+                              value.at(2).get<std::int64_t>());
+  needs.estimate = duration(value.at(3));
+  needs.requiredLabel = text(value.at(4));
+  needs.preferredRack = text(value.at(5));
+  needs.maxPerWorker = value.at(6).get<unsigned>();
+  return needs;
+}
+
+PeerSubmit
+readSubmit(const json& value)
+{
+  JobRequest request;
+  request.key = readKey(value.at(0));
+  request.policy = readPolicy(value.at(1));
+  request.needs = readNeeds(value.at(2));
+  request.spec = text(value.at(3));
+  request.taskPrefix = text(value.at(4));
+  request.tasks = value.at(5).get<std::vector<TaskIndex>>();
+  request.firstRun = value.at(6).get<std::uint64_t>();
+  request.age = duration(value.at(7));
+  request.timeLeft = duration(value.at(8));
+  const json& quarantine = value.at(9);
+  if (!quarantine.is_null())
+    request.quarantine =
+      Quarantine{ readShard(quarantine.at(0)), duration(quarantine.at(1)) };
+  request.mayHaveRun = value.at(10).get<bool>();
+  request.mayBeForwarded = value.at(11).get<bool>();
+  return { std::move(request) };
+}
+
+PeerJobEnd
+readJobEnd(const json& value)
+{
+  PeerJobEnd ended;
+  ended.key = readKey(value.at(0));
+  const int outcome = value.at(1).get<int>();
+  if (outcome < 0 || outcome > static_cast<int>(JobOutcome::Moved))
+    throw std::invalid_argument("an unknown outcome");
+  ended.end.outcome = static_cast<JobOutcome>(outcome);
+  ended.end.retryAfter = duration(value.at(2));
+  ended.end.done = value.at(3).get<std::vector<TaskIndex>>();
+  ended.end.nextRun = value.at(4).get<std::uint64_t>();
+  return ended;
+}
+
+PeerMessage
+readMessage(std::size_t kind, const json& value)
+{
+  switch (kind) {
+    case 0:
+      return readHello(value);
+    case 1:
+      return readBeat(value);
+    case 2:
+      return readSubmit(value);
+    case 3:
+      return readJobEnd(value);
+    case 4:
+      return PeerCancel{ readKey(value.at(0)) };
+    case 5:
+      return PeerConfig{ value.at(0).get<std::uint64_t>(), text(value.at(1)) };
+    default:
+      throw std::invalid_argument("an unknown kind");
+  }
+}
+
+} // namespace
+
+std::vector<std::uint8_t>
+encodePeerMessage(const PeerMessage& message)
+{
+  json body =
+    std::visit([](const auto& part) { return toJson(part); }, message);
+  return json::to_cbor(json::array({ message.index(), std::move(body) }));
+}
+
+Result<PeerMessage>
+decodePeerMessage(const std::string& bytes)
+{
+  try {
+    const json message = json::from_cbor(bytes);
+    return readMessage(message.at(0).get<std::size_t>(), message.at(1));
+  } catch (const std::exception& error) {
+    return failure(Problem::invalidField(
+      "peer message", error.what(), "a message of this version"));
+  }
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libpeers/peerlinks.cpp
@@ -0,0 +1,320 @@
+#include "peerlinks.h"
+
+#include "peercodec.h"
+
+#include "libobserve/observe.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+/// A configuration of some thousand routes is below 1 MB.
+constexpr std::size_t maxMessageBytes = std::size_t(4) << 20;
+constexpr std::size_t maxBufferedBytes = std::size_t(8) << 20;
+/// How much later than the other side the one with the higher address dials.
+constexpr Duration secondDialDelay = std::chrono::milliseconds(400);
+
+WebSocketTransport::Settings
+transportSettings(const PeerLinks::Settings& settings)
+{
+  WebSocketTransport::Settings transport;
+  transport.maxMessageBytes = maxMessageBytes;
+  transport.maxBufferedBytes = maxBufferedBytes;
+  transport.handshakeTimeout = settings.connectTimeout;
+  return transport;
+}
+
+} // namespace
+
+PeerLinks::PeerLinks(boost::asio::io_context& context,
+                     PeerHello self,
+                     Settings settings,
+                     Hooks hooks)
+  : m_self(std::move(self))
+  , m_settings(settings)
+  , m_hooks(std::move(hooks))
+  , m_transport(context, transportSettings(settings), transportHooks())
+{
+}
+
+std::optional<Problem>
+PeerLinks::listen()
+{
+  const Result<Address> address = m_transport.listen(m_self.address);
+  if (!address)
+    return address.error();
+  return std::nullopt;
+}
+
+void
+PeerLinks::addKnown(const Address& address, TimePoint now)
+{
+  if (address == m_self.address)
+    return;
+  const auto [found, isNew] = m_peers.try_emplace(address);
+  if (!isNew)
+    return;
+  found->second.lastUp = now;
+  found->second.nextDialAt = now;
+  if (address < m_self.address)
+    found->second.nextDialAt = now + secondDialDelay;
+}
+
+bool
+PeerLinks::send(const VmId& vm, const PeerMessage& message)
+{
+  const auto address = m_addresses.find(vm);
+  if (address == m_addresses.end())
+    return false;
+  const Peer& peer = m_peers.at(address->second);
+  if (!peer.link)
+    return false;
+  write(*peer.link, message);
+  return true;
+}
+
+void
+PeerLinks::sendToAll(const PeerMessage& message)
+{
+  const auto bytes = encodePeerMessage(message);
+  for (const auto& [address, peer] : m_peers) {
+    if (peer.link)
+      m_transport.send(*peer.link, bytes);
+  }
+}
+
+bool
+PeerLinks::isUp(const VmId& vm) const
+{
+  const auto address = m_addresses.find(vm);
+  return address != m_addresses.end() &&
+         m_peers.at(address->second).link.has_value();
+}
+
+std::set<VmId>
+PeerLinks::up() const
+{
+  std::set<VmId> all;
+  for (const auto& [vm, address] : m_addresses) {
+    if (m_peers.at(address).link)
+      all.insert(vm);
+  }
+  return all;
+}
+
+void
+PeerLinks::dropAll(TimePoint now)
+{
+  for (auto& [address, peer] : m_peers) {
+    if (peer.dialled) {
+      m_transport.drop(*peer.dialled);
+      m_links.erase(*peer.dialled);
+      peer.dialled.reset();
+    }
+    if (peer.link)
+      lost(peer, now);
+    peer.nextDialAt = now;
+    peer.backoff = Duration::zero();
+  }
+}
+
+void
+PeerLinks::tick(TimePoint now)
+{
+  std::vector<Address> forgotten;
+  for (auto& [address, peer] : m_peers) {
+    if (peer.link) {
+      peer.lastUp = now;
+      if (now - m_links.at(*peer.link).lastHeard > m_settings.silenceLimit)
+        lost(peer, now);
+      continue;
+    }
+    if (peer.dialled) {
+      if (now - peer.dialledAt > m_settings.connectTimeout)
+        dialFailed(peer, now);
+    } else if (now - peer.lastUp > m_settings.forgetAfter) {
+      forgotten.push_back(address);
+    } else if (now >= peer.nextDialAt) {
+      dial(address, peer, now);
+    }
+  }
+  for (const Address& address : forgotten) {
+    m_addresses.erase(m_peers.at(address).vm);
+    m_peers.erase(address);
+  }
+}
+
+void
+PeerLinks::close()
+{
+  m_transport.closeAll();
+}
+
+WebSocketTransport::Hooks
+PeerLinks::transportHooks()
+{
+  WebSocketTransport::Hooks hooks;
+  hooks.accepted = [this](LinkId link) { accepted(link); };
+  hooks.received = [this](LinkId link, const std::string& bytes) {
+    received(link, bytes);
+  };
+  hooks.closed = [this](LinkId link, LinkEnd) { closed(link); };
+  return hooks;
+}
+
+void
+PeerLinks::accepted(LinkId link)
+{
+  const TimePoint now = steadyNow();
+  m_links[link] = { std::nullopt, now, false };
+  write(link, hello());
+}
+
+void
+PeerLinks::received(LinkId link, const std::string& bytes)
+{
+  const auto found = m_links.find(link);
+  if (found == m_links.end())
+    return;
+  found->second.lastHeard = steadyNow();
+  const Result<PeerMessage> message = decodePeerMessage(bytes);
+  if (!message) {
+    logEvent(LogLevel::Warning,
+             "peer-message-refused",
+             { { "reason", message.error().detail() } });
+    return;
+  }
+  if (const auto* hello = std::get_if<PeerHello>(&*message)) {
+    greeted(link, *hello);
+    return;
+  }
+  if (!found->second.peer)
+    return;
+  const auto peer = m_peers.find(*found->second.peer);
+  if (peer != m_peers.end())
+    m_hooks.received(peer->second.vm, *message);
+}
+
+void
+PeerLinks::closed(LinkId link)
+{
+  m_links.erase(link);
+  const TimePoint now = steadyNow();
+  for (auto& [address, peer] : m_peers) {
+    if (peer.link == link) {
+      lost(peer, now);
+      return;
+    }
+    if (peer.dialled == link) {
+      peer.dialled.reset();
+      dialFailed(peer, now);
+      return;
+    }
+  }
+}
+
+void
+PeerLinks::greeted(LinkId link, const PeerHello& hello)
+{
+  const TimePoint now = steadyNow();
+  addKnown(hello.address, now);
+  const auto found = m_peers.find(hello.address);
+  if (found == m_peers.end())
+    return;
+  Peer& peer = found->second;
+  const bool wasDialled = peer.dialled == link;
+  if (wasDialled) {
+    peer.dialled.reset();
+    write(link, this->hello());
+  }
+  if (peer.link && peer.incarnation == hello.incarnation &&
+      isRedundant(peer, link, hello.address)) {
+    m_transport.drop(link);
+    m_links.erase(link);
+    return;
+  }
+  if (peer.link)
+    lost(peer, now);
+  m_links[link].peer = hello.address;
+  peer.link = link;
+  peer.backoff = Duration::zero();
+  peer.vm = hello.vm;
+  peer.incarnation = hello.incarnation;
+  m_addresses[hello.vm] = hello.address;
+  for (const Address& address : hello.known)
+    addKnown(address, now);
+  logEvent(LogLevel::Info,
+           "peer-up",
+           { { "peer", hello.vm },
+             { "zone", hello.zone },
+             { "incarnation", hello.incarnation } });
+  m_hooks.up(hello);
+}
+
+/// Two daemons may dial each other at the same time. Both keep the connection
+/// that the one with the lower address dialled. A second one from the same side
+/// means that it has given up the first.
+bool
+PeerLinks::isRedundant(const Peer& peer,
+                       LinkId link,
+                       const Address& address) const
+{
+  const bool isNewDialled = m_links.at(link).isDialled;
+  const bool isOldDialled = m_links.at(*peer.link).isDialled;
+  const bool dialsFirst = m_self.address < address;
+  return isNewDialled != isOldDialled && isNewDialled != dialsFirst;
+}
+
+void
+PeerLinks::lost(Peer& peer, TimePoint now)
+{
+  const LinkId link = *peer.link;
+  peer.link.reset();
+  peer.nextDialAt = now;
+  m_transport.drop(link);
+  m_links.erase(link);
+  logEvent(LogLevel::Info, "peer-down", { { "peer", peer.vm } });
+  m_hooks.down(peer.vm);
+}
+
+void
+PeerLinks::dial(const Address& address, Peer& peer, TimePoint now)
+{
+  const LinkId link = m_transport.dial(address);
+  m_links[link] = { std::nullopt, now, true };
+  peer.dialled = link;
+  peer.dialledAt = now;
+}
+
+void
+PeerLinks::dialFailed(Peer& peer, TimePoint now)
+{
+  if (peer.dialled) {
+    m_transport.drop(*peer.dialled);
+    m_links.erase(*peer.dialled);
+    peer.dialled.reset();
+  }
+  peer.backoff = std::clamp(
+    peer.backoff * 2, m_settings.reconnectMin, m_settings.reconnectMax);
+  peer.nextDialAt = now + peer.backoff;
+}
+
+void
+PeerLinks::write(LinkId link, const PeerMessage& message)
+{
+  m_transport.send(link, encodePeerMessage(message));
+}
+
+PeerHello
+PeerLinks::hello() const
+{
+  PeerHello hello = m_self;
+  for (const auto& [address, peer] : m_peers)
+    hello.known.push_back(address);
+  return hello;
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libpeers/peermessage.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "libjobs/jobs.h"
+
+#include "libcore/core.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cowslippin {
+
+/// The first message on a connection, both ways.
+struct PeerHello
+{
+  VmId vm;
+  Incarnation incarnation;
+  ZoneName zone;
+  /// Where the daemon accepts connections.
+  Address address;
+  /// Other daemons that it knows of.
+  std::vector<Address> known;
+};
+
+/// Sent at short intervals, and at once when the shards or `isLeaving` change.
+struct PeerBeat
+{
+  bool isLeaving = false;
+  bool isReady = false;
+  /// The shards that the daemon holds and the token of each.
+  std::map<ShardId, std::uint64_t> shards;
+  /// The highest token that it knows of.
+  std::uint64_t highestToken = 0;
+  /// Places that are free at it.
+  unsigned places = 0;
+  /// The version of the configuration in force there.
+  std::uint64_t configVersion = 0;
+};
+
+/// Asks a holder to get a job, or a part of one, done.
+struct PeerSubmit
+{
+  JobRequest request;
+};
+
+/// What has become of a job that was submitted.
+struct PeerJobEnd
+{
+  JobKey key;
+  JobEnd end;
+};
+
+/// The caller of a job is gone.
+struct PeerCancel
+{
+  JobKey key;
+};
+
+/// A configuration, for a daemon that told of an older one.
+struct PeerConfig
+{
+  std::uint64_t version = 0;
+  /// As the platform has it.
+  std::string body;
+};
+
+using PeerMessage = std::
+  variant<PeerHello, PeerBeat, PeerSubmit, PeerJobEnd, PeerCancel, PeerConfig>;
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libpeers/peers.h
@@ -0,0 +1,5 @@
+#pragma once
+
+#include "peercodec.h"
+#include "peerlinks.h"
+#include "peermessage.h"
--- /dev/null
+++ b/src/libshards/memberview.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "libcore/core.h"
+
+#include <cstdint>
+#include <map>
+
+namespace cowslippin {
+
+/// What another daemon says of itself, as of its last heartbeat.
+struct MemberView
+{
+  VmId id;
+  ZoneName zone;
+  /// It is shutting down and gives up what it holds.
+  bool isLeaving = false;
+  /// It has a configuration and a list of workers.
+  bool isReady = false;
+  /// The shards it holds, each with the token it took them with.
+  std::map<ShardId, std::uint64_t> shards;
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libshards/shards.h
@@ -0,0 +1,4 @@
+#pragma once
+
+#include "memberview.h"
+#include "shardtable.h"
--- /dev/null
+++ b/src/libshards/shardtable.cpp
@@ -0,0 +1,241 @@
+#include "shardtable.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+/// Spreads the shards over the daemons; the lowest takes a shard that is free.
+std::size_t
+rank(const ShardId& shard, const VmId& vm)
+{
+  return std::hash<std::string>()(shard.toString() + '|' + vm.value());
+}
+
+} // namespace
+
+ShardTable::ShardTable(VmId self,
+                       ZoneName zone,
+                       Settings settings,
+                       TimePoint start)
+  : m_self(std::move(self))
+  , m_zone(std::move(zone))
+  , m_settings(settings)
+  , m_start(start)
+  , m_lastHeard(start)
+{
+}
+
+void
+ShardTable::setZones(const std::set<ZoneName>& zones)
+{
+  m_shards.clear();
+  for (const ZoneName& zone : zones)
+    m_shards.emplace(zone, 0);
+}
+
+void
+ShardTable::memberSeen(const MemberView& member, TimePoint now)
+{
+  m_members[member.id] = member;
+  m_lastHeard = now;
+  m_zoneEmptySince.erase(member.zone);
+}
+
+void
+ShardTable::memberGone(const VmId& id, TimePoint now)
+{
+  const auto found = m_members.find(id);
+  if (found == m_members.end())
+    return;
+  const ZoneName zone = found->second.zone;
+  m_members.erase(found);
+  m_lastHeard = now;
+  if (!hasZoneMember(zone))
+    m_zoneEmptySince[zone] = now;
+}
+
+void
+ShardTable::platformBeat(const ShardId& shard,
+                         const VmId& holder,
+                         TimePoint now)
+{
+  m_platformBeats[shard] = { holder, now };
+}
+
+void
+ShardTable::fenced(const ShardId& shard, TimePoint now)
+{
+  Fences& fences = m_fences[shard];
+  if (now - fences.first > m_settings.fencedAgainWithin) {
+    fences.first = now;
+    fences.count = 0;
+  }
+  // The workers of a shard are lost one after the other within a moment.
+  const bool isSameLoss = now - fences.first < std::chrono::milliseconds(250);
+  if (fences.count == 0 || !isSameLoss)
+    ++fences.count;
+}
+
+ShardTable::Decisions
+ShardTable::decide(TimePoint now) const
+{
+  Decisions decisions;
+  for (const auto& [shard, token] : m_held) {
+    if (mustRelease(shard, now))
+      decisions.release.push_back(shard);
+  }
+  for (const ShardId& shard : m_shards) {
+    if (m_held.count(shard) == 0 && mayTake(shard, now))
+      decisions.take.push_back(shard);
+  }
+  return decisions;
+}
+
+void
+ShardTable::taken(const ShardId& shard, std::uint64_t token)
+{
+  m_held[shard] = token;
+  m_fences.erase(shard);
+}
+
+void
+ShardTable::released(const ShardId& shard, TimePoint now)
+{
+  m_held.erase(shard);
+  m_fences.erase(shard);
+  m_keptOffUntil[shard] = now + m_settings.coolOff;
+}
+
+std::optional<VmId>
+ShardTable::holder(const ShardId& shard) const
+{
+  std::optional<VmId> best;
+  std::pair<bool, std::uint64_t> bestRank;
+  const auto consider = [&](const VmId& vm, bool isZone, std::uint64_t token) {
+    const auto candidate = std::make_pair(isZone, token);
+    if (!best || candidate > bestRank) {
+      best = vm;
+      bestRank = candidate;
+    }
+  };
+  const auto own = m_held.find(shard);
+  if (own != m_held.end())
+    consider(m_self, m_zone == shard.zone(), own->second);
+  for (const auto& [vm, member] : m_members) {
+    const auto claim = member.shards.find(shard);
+    if (claim != member.shards.end())
+      consider(vm, member.zone == shard.zone(), claim->second);
+  }
+  return best;
+}
+
+std::set<VmId>
+ShardTable::holders() const
+{
+  std::set<VmId> all;
+  for (const ShardId& shard : m_shards) {
+    if (const auto vm = holder(shard))
+      all.insert(*vm);
+  }
+  return all;
+}
+
+bool
+ShardTable::isIsolated() const
+{
+  return m_members.empty() && m_knownMembers > 0;
+}
+
+bool
+ShardTable::mustRelease(const ShardId& shard, TimePoint now) const
+{
+  const std::uint64_t token = m_held.at(shard);
+  const bool isOwnZone = m_zone == shard.zone();
+  for (const auto& [vm, member] : m_members) {
+    const auto claim = member.shards.find(shard);
+    if (claim == member.shards.end())
+      continue;
+    const bool isTheirZone = member.zone == shard.zone();
+    if (isTheirZone && !isOwnZone)
+      return true;
+    if (isTheirZone == isOwnZone && claim->second > token)
+      return true;
+  }
+  const auto fences = m_fences.find(shard);
+  if (fences == m_fences.end() || fences->second.count == 0)
+    return false;
+  if (now - fences->second.first > m_settings.fencedAgainWithin)
+    return false;
+  return isIsolated() || fences->second.count > 1;
+}
+
+bool
+ShardTable::mayTake(const ShardId& shard, TimePoint now) const
+{
+  if (!m_isReady || m_isLeaving || now - m_start < m_settings.settleTime)
+    return false;
+  const auto keptOff = m_keptOffUntil.find(shard);
+  if (keptOff != m_keptOffUntil.end() && now < keptOff->second)
+    return false;
+  if (hasZoneClaimant(shard))
+    return false;
+  const bool isForeign = m_zone != shard.zone();
+  if (isIsolated()) {
+    const bool hasWaited = now - m_lastHeard >= m_settings.isolatedWait;
+    return !isForeign && hasWaited && !isPlatformBeatFresh(shard, now);
+  }
+  if (!isForeign)
+    return isFirst(shard, false);
+  if (hasZoneMember(shard.zone()) || holder(shard))
+    return false;
+  const auto empty = m_zoneEmptySince.find(shard.zone());
+  const TimePoint since =
+    empty == m_zoneEmptySince.end() ? m_start : empty->second;
+  return now - since >= m_settings.foreignWait &&
+         !isPlatformBeatFresh(shard, now) && isFirst(shard, true);
+}
+
+bool
+ShardTable::isFirst(const ShardId& shard, bool isForeign) const
+{
+  const std::size_t own = rank(shard, m_self);
+  return std::none_of(
+    m_members.begin(), m_members.end(), [&](const auto& item) {
+      const MemberView& member = item.second;
+      const bool isCandidate = !member.isLeaving && member.isReady &&
+                               (isForeign || member.zone == shard.zone());
+      return isCandidate && rank(shard, member.id) < own;
+    });
+}
+
+bool
+ShardTable::hasZoneClaimant(const ShardId& shard) const
+{
+  return std::any_of(m_members.begin(), m_members.end(), [&](const auto& item) {
+    const MemberView& member = item.second;
+    return !member.isLeaving && member.zone == shard.zone() &&
+           member.shards.count(shard) > 0;
+  });
+}
+
+bool
+ShardTable::hasZoneMember(const ZoneName& zone) const
+{
+  return std::any_of(m_members.begin(), m_members.end(), [&](const auto& item) {
+    return item.second.zone == zone && !item.second.isLeaving;
+  });
+}
+
+bool
+ShardTable::isPlatformBeatFresh(const ShardId& shard, TimePoint now) const
+{
+  const auto beat = m_platformBeats.find(shard);
+  return beat != m_platformBeats.end() && beat->second.first != m_self &&
+         now - beat->second.second < m_settings.platformBeatLimit;
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libshards/shardtable.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "memberview.h"
+
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace cowslippin {
+
+/// Decides which shards of workers this daemon holds, from what it hears of the
+/// others. The workers themselves arbitrate by their fencing tokens: two
+/// daemons that both believe to hold a shard can do no harm but to each other's
+/// speed, so this table aims at few and quick changes, not at agreement.
+///
+/// A shard is held by a daemon of its own availability zone as long as one is
+/// there. It does no input or output and reads no clock.
+class ShardTable
+{
+public:
+  struct Settings
+  {
+    /// How long after its start a daemon waits for others to show up. Daemons
+    /// start within 300 ms of each other and connect at once.
+    Duration settleTime = std::chrono::milliseconds(700);
+    /// How long a daemon that hears nobody, though it knows of others, waits
+    /// before it takes a shard: it may be the one that is cut off.
+    Duration isolatedWait = std::chrono::milliseconds(2500);
+    /// How long a zone must be without a daemon before one of another zone
+    /// takes its workers.
+    Duration foreignWait = std::chrono::milliseconds(2500);
+    /// A holder's heartbeat at the platform counts for this long. It sends one
+    /// each second.
+    Duration platformBeatLimit = std::chrono::milliseconds(2500);
+    /// Being fenced a second time within this ends a holder's claim.
+    Duration fencedAgainWithin = std::chrono::seconds(3);
+    /// How long a daemon keeps off a shard that it was driven from.
+    Duration coolOff = std::chrono::seconds(3);
+  };
+
+  struct Decisions
+  {
+    std::vector<ShardId> take;
+    std::vector<ShardId> release;
+  };
+
+  ShardTable(VmId self, ZoneName zone, Settings settings, TimePoint start);
+
+  /// The zones that have workers.
+  void setZones(const std::set<ZoneName>& zones);
+  /// Daemons that exist, whether or not they can be reached.
+  void setKnownMembers(std::size_t count) { m_knownMembers = count; }
+  void memberSeen(const MemberView& member, TimePoint now);
+  void memberGone(const VmId& id, TimePoint now);
+  /// A holder's heartbeat was read at the platform.
+  void platformBeat(const ShardId& shard, const VmId& holder, TimePoint now);
+  void setReady(bool isReady) { m_isReady = isReady; }
+  void setLeaving() { m_isLeaving = true; }
+  /// Another daemon has taken a worker of a held shard.
+  void fenced(const ShardId& shard, TimePoint now);
+
+  Decisions decide(TimePoint now) const;
+  void taken(const ShardId& shard, std::uint64_t token);
+  void released(const ShardId& shard, TimePoint now);
+
+  /// Who holds a shard, this daemon included, as far as can be seen.
+  std::optional<VmId> holder(const ShardId& shard) const;
+  /// All who hold a shard and can be reached, this daemon included.
+  std::set<VmId> holders() const;
+  const std::map<ShardId, std::uint64_t>& held() const { return m_held; }
+  const std::set<ShardId>& shards() const { return m_shards; }
+  /// Whether no other daemon can be reached though others exist.
+  bool isIsolated() const;
+
+private:
+  struct Fences
+  {
+    TimePoint first{};
+    unsigned count = 0;
+  };
+
+  bool mustRelease(const ShardId& shard, TimePoint now) const;
+  bool mayTake(const ShardId& shard, TimePoint now) const;
+  bool isFirst(const ShardId& shard, bool isForeign) const;
+  bool hasZoneClaimant(const ShardId& shard) const;
+  bool hasZoneMember(const ZoneName& zone) const;
+  bool isPlatformBeatFresh(const ShardId& shard, TimePoint now) const;
+
+  const VmId m_self;
+  const ZoneName m_zone;
+  const Settings m_settings;
+  const TimePoint m_start;
+  std::size_t m_knownMembers = 0;
+  std::set<ShardId> m_shards;
+  std::map<VmId, MemberView> m_members;
+  std::map<ShardId, std::uint64_t> m_held;
+  std::map<ShardId, Fences> m_fences;
+  std::map<ShardId, TimePoint> m_keptOffUntil;
+  std::map<ShardId, std::pair<VmId, TimePoint>> m_platformBeats;
+  /// When a zone's last daemon was lost.
+  std::map<ZoneName, TimePoint> m_zoneEmptySince;
+  TimePoint m_lastHeard;
+  bool m_isReady = false;
+  bool m_isLeaving = false;
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libworkers/workerhealth.cpp
@@ -0,0 +1,57 @@
+#include "workerhealth.h"
+
+#include <algorithm>
+
+namespace cowslippin {
+
+void
+WorkerHealth::ended(RunEnd end, double slowness, TimePoint now)
+{
+  if (end != RunEnd::Done && end != RunEnd::Failed)
+    return;
+  const bool isFailure = end == RunEnd::Failed;
+  const double weight = m_settings.weight;
+  m_failureShare = m_failureShare * (1 - weight) + (isFailure ? weight : 0);
+  if (!isFailure && slowness > 0)
+    m_slowness = m_slowness * (1 - weight) + slowness * weight;
+  const bool isBad = m_failureShare > m_settings.failureLimit ||
+                     m_slowness > m_settings.slownessLimit;
+  const bool failedProbation = m_isOnProbation && isFailure;
+  if (isBad || failedProbation) {
+    keepOff(now);
+  } else if (m_isOnProbation && m_failureShare < m_settings.failureLimit / 2) {
+    m_isOnProbation = false;
+    m_pause = Duration::zero();
+  }
+}
+
+void
+WorkerHealth::stalled(TimePoint now)
+{
+  keepOff(now);
+}
+
+bool
+WorkerHealth::isUsable(std::size_t runs, TimePoint now) const
+{
+  if (isKeptOff(now))
+    return false;
+  return !m_isOnProbation || runs == 0;
+}
+
+void
+WorkerHealth::keepOff(TimePoint now)
+{
+  if (isKeptOff(now))
+    return;
+  m_pause = m_pause == Duration::zero()
+              ? m_settings.firstPause
+              : std::min(m_pause * 2, m_settings.longestPause);
+  m_keptOffUntil = now + m_pause;
+  m_isOnProbation = true;
+  // One good run on probation shows more than what came before it.
+  m_failureShare = std::min(m_failureShare, m_settings.failureLimit * 0.7);
+  m_slowness = std::min(m_slowness, m_settings.slownessLimit * 0.9);
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libworkers/workerlease.cpp
@@ -0,0 +1,390 @@
+#include "workerlease.h"
+
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace cowslippin {
+
+namespace {
+
+std::int64_t
+milliseconds(TimePoint time)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           time.time_since_epoch())
+    .count();
+}
+
+std::int64_t
+milliseconds(Duration duration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+    .count();
+}
+
+} // namespace
+
+const char*
+toString(LeaseState state)
+{
+  switch (state) {
+    case LeaseState::Claiming:
+      return "claiming";
+    case LeaseState::Held:
+      return "held";
+    case LeaseState::Silent:
+      return "silent";
+    case LeaseState::Fenced:
+      return "fenced";
+    case LeaseState::Ended:
+      return "ended";
+  }
+  return "unknown";
+}
+
+WorkerLease::WorkerLease(WorkerRecord record, Settings settings, Hooks hooks)
+  : m_record(std::move(record))
+  , m_settings(settings)
+  , m_hooks(std::move(hooks))
+{
+}
+
+void
+WorkerLease::claim(FencingToken token, TimePoint now)
+{
+  m_token = token;
+  m_unanswered = 0;
+  setState(LeaseState::Claiming);
+  m_nextHoldAt = now;
+  if (!m_isHoldUnderWay)
+    sendHold(Duration::zero(), now);
+}
+
+void
+WorkerLease::start(const RunKey& key,
+                   const Resources& resources,
+                   const std::string& spec,
+                   TimePoint now)
+{
+  Run run;
+  run.resources = resources;
+  run.since = now;
+  run.startDeadlineMs = deadline(now);
+  m_used = m_used + resources;
+  const StartOrder order{ m_token, key, spec, run.startDeadlineMs };
+  m_runs.emplace(key, run);
+  m_hooks.sendStart(order, m_settings.orderTimeout);
+}
+
+void
+WorkerLease::stop(const RunKey& key, TimePoint now)
+{
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end() || found->second.state == RunState::Stopping)
+    return;
+  found->second.state = RunState::Stopping;
+  sendStop(key, found->second, now);
+}
+
+std::optional<RunKey>
+WorkerLease::adopt(const std::string& task, const Resources& resources)
+{
+  for (auto& [key, run] : m_runs) {
+    if (!run.isStray || run.state == RunState::Stopping || key.task() != task)
+      continue;
+    run.isStray = false;
+    run.resources = resources;
+    m_used = m_used + resources;
+    --m_strays;
+    return key;
+  }
+  return std::nullopt;
+}
+
+void
+WorkerLease::holdAnswered(const HoldAnswer& answer,
+                          TimePoint sent,
+                          TimePoint now)
+{
+  m_isHoldUnderWay = false;
+  if (const auto* failure = std::get_if<OrderFailure>(&answer)) {
+    holdFailed(*failure, now);
+    return;
+  }
+  applyReport(std::get<HoldReport>(answer), sent, now);
+}
+
+void
+WorkerLease::startAnswered(const RunKey& key,
+                           const OrderAnswer& answer,
+                           TimePoint now)
+{
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end())
+    return;
+  Run& run = found->second;
+  if (!answer) {
+    if (run.state == RunState::Starting)
+      run.state = RunState::Running;
+    if (!run.confirmedAt)
+      run.confirmedAt = now;
+    return;
+  }
+  if (*answer != OrderFailure::Unanswered) {
+    rejectRun(found, *answer);
+    if (*answer == OrderFailure::Fenced)
+      setState(LeaseState::Fenced);
+    return;
+  }
+  if (run.state != RunState::Starting)
+    return;
+  stop(key, now);
+}
+
+void
+WorkerLease::stopAnswered(const RunKey& key,
+                          const OrderAnswer& answer,
+                          TimePoint now)
+{
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end())
+    return;
+  Run& run = found->second;
+  // What failed is sent again by a later tick.
+  if (!answer)
+    run.stopAnsweredAt = now;
+}
+
+void
+WorkerLease::tick(TimePoint now)
+{
+  if (m_state == LeaseState::Fenced || m_state == LeaseState::Ended)
+    return;
+  if (m_state == LeaseState::Silent && !m_runs.empty() && now >= lapsedBy())
+    endAll(RunEnd::Lapsed);
+  tickRuns(now);
+  if (!m_isHoldUnderWay && now >= m_nextHoldAt)
+    sendHold(Duration::zero(), now);
+}
+
+bool
+WorkerLease::canStart(const Resources& resources) const
+{
+  return m_state == LeaseState::Held && m_unanswered == 0 && m_strays == 0 &&
+         !m_record.isDraining() && resources.fitsIn(freeRoom());
+}
+
+Resources
+WorkerLease::freeRoom() const
+{
+  if (m_state != LeaseState::Held || m_strays > 0)
+    return {};
+  return m_record.capacity() - m_used;
+}
+
+bool
+WorkerLease::isRunning(const std::string& task) const
+{
+  const auto found = m_runs.lower_bound(RunKey(task, 0));
+  return found != m_runs.end() && found->first.task() == task;
+}
+
+TimePoint
+WorkerLease::lapsedBy() const
+{
+  const auto lease = std::chrono::duration_cast<Duration>(
+    m_settings.leaseTime * m_settings.slowestClock);
+  return m_renewedAt + lease + m_settings.lapseMargin;
+}
+
+void
+WorkerLease::setState(LeaseState state)
+{
+  if (m_state == state)
+    return;
+  m_state = state;
+  m_hooks.stateChanged(state);
+}
+
+void
+WorkerLease::sendHold(Duration wait, TimePoint now)
+{
+  HoldOrder order;
+  order.token = m_token;
+  order.acknowledged = m_acknowledged;
+  order.wait = wait;
+  // A claim leaves the leases as they are: nobody may want these runs.
+  if (m_state == LeaseState::Held && !m_runs.empty())
+    order.deadlineMs = deadline(now);
+  m_isHoldUnderWay = true;
+  m_hooks.sendHold(order, wait + m_settings.orderTimeout);
+}
+
+void
+WorkerLease::sendStop(const RunKey& key, Run& run, TimePoint now)
+{
+  run.stopSentAt = now;
+  m_hooks.sendStop({ m_token, key }, m_settings.orderTimeout);
+}
+
+void
+WorkerLease::holdFailed(OrderFailure failure, TimePoint now)
+{
+  if (failure == OrderFailure::Fenced) {
+    setState(LeaseState::Fenced);
+    return;
+  }
+  if (failure == OrderFailure::OtherLife) {
+    setState(LeaseState::Ended);
+    endAll(RunEnd::Lost);
+    return;
+  }
+  ++m_unanswered;
+  m_nextHoldAt = now;
+  if (failure == OrderFailure::NotSent)
+    m_nextHoldAt = now + m_settings.orderTimeout;
+  if (m_unanswered >= m_settings.silentAfter) {
+    m_nextHoldAt = now + m_settings.silentRetry;
+    if (m_state == LeaseState::Held)
+      setState(LeaseState::Silent);
+  }
+}
+
+void
+WorkerLease::applyReport(const HoldReport& report,
+                         TimePoint sent,
+                         TimePoint now)
+{
+  m_clockOffsetMs = report.clockMs - milliseconds(now);
+  m_unanswered = 0;
+  applyEnds(report);
+  applyActive(report, now);
+  dropMissing(report, sent);
+  setState(LeaseState::Held);
+  m_nextHoldAt = now;
+  sendHold(m_settings.reportWait, now);
+}
+
+void
+WorkerLease::applyEnds(const HoldReport& report)
+{
+  for (const EndedRun& ended : report.ended) {
+    if (ended.number <= m_acknowledged)
+      continue;
+    m_acknowledged = ended.number;
+    const auto found = m_runs.find(ended.key);
+    if (found != m_runs.end())
+      endRun(found, ended.end);
+    else
+      m_hooks.strayEnded(ended.key, ended.end);
+  }
+}
+
+void
+WorkerLease::applyActive(const HoldReport& report, TimePoint now)
+{
+  for (const ActiveRun& active : report.active) {
+    const auto [found, isNew] = m_runs.try_emplace(active.key);
+    Run& run = found->second;
+    if (isNew) {
+      run.isStray = true;
+      run.since = now;
+      ++m_strays;
+    }
+    if (!run.confirmedAt)
+      run.confirmedAt = now;
+    if (run.state == RunState::Starting)
+      run.state = RunState::Running;
+    if (isNew)
+      m_hooks.strayFound(active.key);
+    else if (!run.isStray)
+      m_hooks.runActive(active.key, active.percent);
+  }
+}
+
+/// Ends the runs of the book that the worker doesn't have and that can't begin
+/// there any more.
+void
+WorkerLease::dropMissing(const HoldReport& report, TimePoint sent)
+{
+  std::set<RunKey> present;
+  for (const ActiveRun& active : report.active)
+    present.insert(active.key);
+  std::vector<RunKey> over;
+  for (const auto& [key, run] : m_runs) {
+    if (present.count(key) == 0 && isOver(run, report.clockMs, sent))
+      over.push_back(key);
+  }
+  for (const RunKey& key : over)
+    endRun(m_runs.find(key), RunEnd::Lost);
+}
+
+bool
+WorkerLease::isOver(const Run& run, std::int64_t clockMs, TimePoint sent) const
+{
+  if (run.confirmedAt && *run.confirmedAt <= sent)
+    return true;
+  if (run.stopAnsweredAt && *run.stopAnsweredAt <= sent)
+    return true;
+  // A start is ignored from its deadline on. The margin covers a start that
+  // was carried out at that moment and isn't in this report.
+  const std::int64_t margin = milliseconds(m_settings.lapseMargin);
+  return run.startDeadlineMs > 0 && clockMs > run.startDeadlineMs + margin;
+}
+
+void
+WorkerLease::endRun(Runs::iterator found, RunEnd end)
+{
+  const RunKey key = found->first;
+  const bool isStray = found->second.isStray;
+  m_used = m_used - found->second.resources;
+  m_runs.erase(found);
+  if (isStray) {
+    --m_strays;
+    m_hooks.strayEnded(key, end);
+  } else {
+    m_hooks.runEnded(key, end);
+  }
+}
+
+void
+WorkerLease::rejectRun(Runs::iterator found, OrderFailure failure)
+{
+  const RunKey key = found->first;
+  m_used = m_used - found->second.resources;
+  m_runs.erase(found);
+  m_hooks.startRejected(key, failure);
+}
+
+void
+WorkerLease::endAll(RunEnd end)
+{
+  while (!m_runs.empty())
+    endRun(m_runs.begin(), end);
+}
+
+void
+WorkerLease::tickRuns(TimePoint now)
+{
+  for (auto& [key, run] : m_runs) {
+    if (run.isStray && run.state != RunState::Stopping &&
+        now - run.since >= m_settings.strayLimit) {
+      run.state = RunState::Stopping;
+      sendStop(key, run, now);
+    }
+    if (run.state == RunState::Stopping && !run.stopAnsweredAt &&
+        now - *run.stopSentAt >= m_settings.orderTimeout)
+      sendStop(key, run, now);
+  }
+}
+
+std::int64_t
+WorkerLease::deadline(TimePoint now)
+{
+  m_renewedAt = now;
+  return milliseconds(now) + m_clockOffsetMs.value_or(0) +
+         milliseconds(m_settings.leaseTime);
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libworkers/workerlease.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "workerorder.h"
+#include "workerrecord.h"
+
+#include "libcore/clock.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cowslippin {
+
+/// What this daemon can do with a worker.
+enum class LeaseState
+{
+  /// An order with a new token is under way; what runs there isn't known.
+  Claiming,
+  /// This daemon alone may start runs there and knows all that runs.
+  Held,
+  /// The worker hasn't answered for a while.
+  Silent,
+  /// Another daemon has taken it with a higher token.
+  Fenced,
+  /// Another life of the worker answers at its address.
+  Ended,
+};
+
+const char*
+toString(LeaseState state);
+
+/// One worker under this daemon's lease: its token, the runs that count against
+/// its capacity, and the orders under way. It does no input or output and reads
+/// no clock: answers and times go in, orders and ends go out by hooks.
+///
+/// A run counts against the capacity from the moment its start is sent until
+/// the worker has listed its end, or until it can't be running any more.
+class WorkerLease
+{
+public:
+  struct Settings
+  {
+    /// How long a run goes on without a renewal. Together with the silence
+    /// limit between daemons (450 ms) and the time that a stop takes (50 ms) it
+    /// stays below the 1,300 ms after which a caller submits again, also on a
+    /// worker whose clock is 2% slow: 450 + 765 + 50 = 1,265 ms.
+    Duration leaseTime = std::chrono::milliseconds(750);
+    /// How long a worker may hold its report back for an end to report. Three
+    /// unanswered reports in a row still leave the lease alive.
+    Duration reportWait = std::chrono::milliseconds(200);
+    /// How long an order may take on the network and at the worker. A round
+    /// trip takes 1 to 3 ms.
+    Duration orderTimeout = std::chrono::milliseconds(90);
+    /// Unanswered reports in a row after which the worker counts as silent.
+    int silentAfter = 3;
+    /// The wait between reports asked of a silent worker.
+    Duration silentRetry = std::chrono::milliseconds(250);
+    /// How long a run that nobody has asked for is left alone, so that the
+    /// daemon whose task it is can ask for it.
+    Duration strayLimit = std::chrono::milliseconds(200);
+    /// How much slower a worker's clock may be, as a factor.
+    double slowestClock = 1.02;
+    /// Added to a lease before its runs are taken as gone.
+    Duration lapseMargin = std::chrono::milliseconds(60);
+  };
+
+  /// None may be empty. They are called from within the functions below and
+  /// must not call back into the lease.
+  struct Hooks
+  {
+    std::function<void(const HoldOrder&, Duration timeout)> sendHold;
+    std::function<void(const StartOrder&, Duration timeout)> sendStart;
+    std::function<void(const StopOrder&, Duration timeout)> sendStop;
+    /// A run of the book has ended and its room is free.
+    std::function<void(const RunKey&, RunEnd)> runEnded;
+    /// A start was surely not carried out; its room is free.
+    std::function<void(const RunKey&, OrderFailure)> startRejected;
+    /// A run of the book is at work.
+    std::function<void(const RunKey&, int percent)> runActive;
+    /// A run was found that isn't in the book.
+    std::function<void(const RunKey&)> strayFound;
+    /// A run that isn't in the book has ended.
+    std::function<void(const RunKey&, RunEnd)> strayEnded;
+    std::function<void(LeaseState)> stateChanged;
+  };
+
+  WorkerLease(WorkerRecord record, Settings settings, Hooks hooks);
+
+  /// Takes the worker with a token, also again after it was fenced. The book
+  /// stays; the worker's report is compared with it.
+  void claim(FencingToken token, TimePoint now);
+
+  /// Starts a run. Only when `canStart` allows it.
+  void start(const RunKey& key,
+             const Resources& resources,
+             const std::string& spec,
+             TimePoint now);
+
+  /// Stops a run of the book. Its end comes by a hook.
+  void stop(const RunKey& key, TimePoint now);
+
+  /// Takes a stray run of this task into the book. Nothing if there is none.
+  std::optional<RunKey> adopt(const std::string& task,
+                              const Resources& resources);
+
+  void holdAnswered(const HoldAnswer& answer, TimePoint sent, TimePoint now);
+  void startAnswered(const RunKey& key,
+                     const OrderAnswer& answer,
+                     TimePoint now);
+  void stopAnswered(const RunKey& key,
+                    const OrderAnswer& answer,
+                    TimePoint now);
+
+  /// Lets time pass; to be called every 20 ms or so.
+  void tick(TimePoint now);
+
+  /// A newer entry of the platform's list.
+  void setRecord(const WorkerRecord& record) { m_record = record; }
+
+  bool canStart(const Resources& resources) const;
+  /// Capacity that nothing counts against; nothing while that isn't known.
+  Resources freeRoom() const;
+  bool isIdle() const { return m_runs.empty(); }
+  bool hasStrays() const { return m_strays > 0; }
+  bool isRunning(const std::string& task) const;
+
+  LeaseState state() const { return m_state; }
+  const WorkerRecord& record() const { return m_record; }
+  FencingToken token() const { return m_token; }
+  std::size_t runCount() const { return m_runs.size(); }
+  /// When every run was surely over if the worker had not answered since.
+  TimePoint lapsedBy() const;
+
+private:
+  enum class RunState
+  {
+    Starting,
+    Running,
+    Stopping,
+  };
+  struct Run
+  {
+    Resources resources;
+    RunState state = RunState::Starting;
+    /// Nobody has asked for it; its size isn't known.
+    bool isStray = false;
+    TimePoint since{};
+    /// On the worker's clock; a start is ignored from then on.
+    std::int64_t startDeadlineMs = 0;
+    std::optional<TimePoint> confirmedAt;
+    std::optional<TimePoint> stopSentAt;
+    std::optional<TimePoint> stopAnsweredAt;
+  };
+  using Runs = std::map<RunKey, Run>;
+
+  void setState(LeaseState state);
+  void sendHold(Duration wait, TimePoint now);
+  void sendStop(const RunKey& key, Run& run, TimePoint now);
+  void holdFailed(OrderFailure failure, TimePoint now);
+  void applyReport(const HoldReport& report, TimePoint sent, TimePoint now);
+  void applyEnds(const HoldReport& report);
+  void applyActive(const HoldReport& report, TimePoint now);
+  void dropMissing(const HoldReport& report, TimePoint sent);
+  bool isOver(const Run& run, std::int64_t clockMs, TimePoint sent) const;
+  void endRun(Runs::iterator found, RunEnd end);
+  void rejectRun(Runs::iterator found, OrderFailure failure);
+  void endAll(RunEnd end);
+  void tickRuns(TimePoint now);
+  std::int64_t deadline(TimePoint now);
+
+  WorkerRecord m_record;
+  const Settings m_settings;
+  const Hooks m_hooks;
+  LeaseState m_state = LeaseState::Claiming;
+  FencingToken m_token = 0;
+  Runs m_runs;
+  Resources m_used;
+  std::size_t m_strays = 0;
+  std::uint64_t m_acknowledged = 0;
+  /// The worker's clock less this daemon's, in milliseconds.
+  std::optional<std::int64_t> m_clockOffsetMs;
+  bool m_isHoldUnderWay = false;
+  int m_unanswered = 0;
+  TimePoint m_nextHoldAt{};
+  /// When an order last carried a deadline.
+  TimePoint m_renewedAt{};
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libworkers/workerrecord.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "resources.h"
+
+#include "libcore/address.h"
+#include "libcore/ids.h"
+
+#include <string>
+#include <vector>
+
+namespace cowslippin {
+
+/// What the platform's list tells of a worker.
+class WorkerRecord
+{
+public:
+  struct Fields
+  {
+    WorkerId id;
+    ServiceName service;
+    Address address;
+    ZoneName zone;
+    Resources capacity;
+    /// Its kind and its rack.
+    std::vector<std::string> labels;
+    /// It is leaving and must be given nothing new.
+    bool isDraining = false;
+  };
+
+  WorkerRecord() = default;
+  explicit WorkerRecord(Fields fields)
+    : m_fields(std::move(fields))
+  {
+  }
+
+  const WorkerId& id() const { return m_fields.id; }
+  const ServiceName& service() const { return m_fields.service; }
+  const Address& address() const { return m_fields.address; }
+  const ZoneName& zone() const { return m_fields.zone; }
+  const Resources& capacity() const { return m_fields.capacity; }
+  const std::vector<std::string>& labels() const { return m_fields.labels; }
+  bool isDraining() const { return m_fields.isDraining; }
+
+  friend bool operator==(const WorkerRecord& a, const WorkerRecord& b)
+  {
+    return a.id() == b.id() && a.service() == b.service() &&
+           a.address() == b.address() && a.zone() == b.zone() &&
+           a.capacity() == b.capacity() && a.labels() == b.labels() &&
+           a.isDraining() == b.isDraining();
+  }
+  friend bool operator!=(const WorkerRecord& a, const WorkerRecord& b)
+  {
+    return !(a == b);
+  }
+
+private:
+  Fields m_fields;
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libworkers/workers.h
@@ -0,0 +1,9 @@
+#pragma once
+
+#include "holdreport.h"
+#include "resources.h"
+#include "runkey.h"
+#include "workerhealth.h"
+#include "workerlease.h"
+#include "workerorder.h"
+#include "workerrecord.h"
