Quarantine each task by itself; another zone's workers only with the platform's word

Cause of false refusals: a part handed to a daemon that was lost left its job refusable. Of double runs: a lost part's tasks were released as soon as another shard's workers had been asked. Of contests for workers after a cut: daemons of other zones took a cut zone's workers, and each worker taken back raised the token by ten seconds.

--- a/src/libentry/entrydaemon.cpp
+++ b/src/libentry/entrydaemon.cpp
@@ -19,8 +19,10 @@
 /// 2^53, which any JSON reader takes exactly.
 constexpr std::uint64_t tokensPerMs = 4096;
 constexpr std::int64_t tokenEpochMs = 1704067200000;
-/// A takeover must beat a holder whose time of day is ahead.
-constexpr std::uint64_t tokenStep = 10000 * tokensPerMs;
+/// Above the highest token that is known of.
+constexpr std::uint64_t usualMargin = tokensPerMs;
+/// After a worker has refused a token: somebody's time of day is ahead.
+constexpr std::uint64_t fencedMargin = 3000 * tokensPerMs;
 /// How long a configuration is left to arrive from the platform before a peer
 /// that is behind is sent it.
 constexpr Duration configHeadStart = std::chrono::milliseconds(400);
@@ -147,6 +149,13 @@
   m_shards.platformBeat(shard, holder, observeTime());
 }
 
+void
+EntryDaemon::holdersRead(FencingToken highest)
+{
+  m_shards.platformRead(observeTime());
+  m_lastToken = std::max(m_lastToken, highest);
+}
+
 bool
 EntryDaemon::isReady() const
 {
@@ -259,7 +268,7 @@
   hooks.cancelForwarded = [this](const VmId& vm, const JobKey& key) {
     m_links.send(vm, PeerCancel{ key });
   };
-  hooks.nextToken = [this] { return nextToken(); };
+  hooks.higherToken = [this] { return nextToken(fencedMargin); };
   hooks.fenced = [this](const ShardId& shard) { m_fenced.insert(shard); };
   return hooks;
 }
@@ -354,7 +363,7 @@
   if (now - m_lastPlatformBeatAt >= m_settings.platformBeatInterval) {
     m_lastPlatformBeatAt = now;
     for (const auto& [shard, token] : m_shards.held())
-      m_ports.publishHolder(shard);
+      m_ports.publishHolder(shard, m_lastToken);
   }
   checkLeaving(now);
 }
@@ -417,7 +426,7 @@
     m_scheduler.releaseShard(shard, now);
   }
   for (const ShardId& shard : decisions.take) {
-    const FencingToken token = nextToken();
+    const FencingToken token = nextToken(usualMargin);
     logEvent(LogLevel::Info,
              "shard-taken",
              { { "shard", shard.toString() },
@@ -425,7 +434,7 @@
                { "peers", m_links.up().size() } });
     m_shards.taken(shard, token);
     m_scheduler.takeShard(shard, token, now);
-    m_ports.publishHolder(shard);
+    m_ports.publishHolder(shard, token);
   }
   if (!decisions.release.empty() || !decisions.take.empty())
     beat(now);
@@ -510,7 +519,7 @@
 }
 
 FencingToken
-EntryDaemon::nextToken()
+EntryDaemon::nextToken(std::uint64_t margin)
 {
   static const std::uint64_t rest = std::random_device{}() % tokensPerMs;
   const auto sinceEpoch = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -520,7 +529,7 @@
   const auto fromClock =
     static_cast<std::uint64_t>(std::max<std::int64_t>(sinceEpoch, 1)) *
     tokensPerMs;
-  const std::uint64_t next = std::max(fromClock, m_lastToken + tokenStep);
+  const std::uint64_t next = std::max(fromClock, m_lastToken + margin);
   m_lastToken = next / tokensPerMs * tokensPerMs + rest;
   return m_lastToken;
 }
--- a/src/libentry/entrydaemon.h
+++ b/src/libentry/entrydaemon.h
@@ -76,7 +76,7 @@
                        std::function<void(const OrderAnswer&)>)>
       stop;
     /// Tells the platform which daemon holds a shard.
-    std::function<void(const ShardId&)> publishHolder;
+    std::function<void(const ShardId&, FencingToken)> publishHolder;
     /// Reads a configuration as the platform has it.
     std::function<Result<RoutingTable>(const std::string&)> readConfiguration;
     /// Time passes.
@@ -93,7 +93,10 @@
   void configurationRead(const std::string& body);
   void workersRead(const WorkerList& workers);
   void memberRead(const Address& address);
+  /// A holder has told the platform anew that it holds a shard.
   void holderRead(const ShardId& shard, const VmId& holder);
+  /// The holders' entries at the platform were read; the highest token in them.
+  void holdersRead(FencingToken highest);
 
   std::shared_ptr<const RoutingTable> routing() const { return m_routing; }
   /// Whether callers should be sent here.
@@ -110,8 +113,8 @@
   /// The state of every part, for an operator.
   nlohmann::json dump() const;
 
-  /// Whether no other daemon can be reached though others exist.
-  bool isIsolated() const { return m_shards.isIsolated(); }
+  /// Whether the holders' entries at the platform should be read often.
+  bool needsHolderReads() const { return m_shards.needsPlatformReads(); }
 
 private:
   using Clock = std::chrono::steady_clock;
@@ -134,7 +137,7 @@
   void beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now);
   void peerDown(const VmId& vm);
   void jobEnded(const JobKey& key, const JobEnd& end);
-  FencingToken nextToken();
+  FencingToken nextToken(std::uint64_t margin);
   std::optional<VmId> reachableHolder(const ShardId& shard) const;
   std::optional<std::pair<VmId, ShardId>> otherHolder() const;
   bool submitTo(const VmId& vm, const JobRequest& request);
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -43,6 +43,9 @@
   /// The part that it was forwarded with.
   std::uint64_t part = 0;
   TimePoint quarantinedUntil{};
+  /// Whether its quarantine ends as soon as the workers of the job's lost shard
+  /// have all been asked.
+  bool isAskable = false;
   /// Workers on which it failed or stood still.
   std::set<WorkerId> avoided;
 };
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -49,7 +49,7 @@
   hooks.sendHold = m_hooks.sendHold;
   hooks.sendStart = m_hooks.sendStart;
   hooks.sendStop = m_hooks.sendStop;
-  hooks.nextToken = m_hooks.nextToken;
+  hooks.higherToken = m_hooks.higherToken;
   hooks.fenced = m_hooks.fenced;
   hooks.runEnded = [this](const WorkerId& worker,
                           const RunKey& key,
@@ -157,6 +157,7 @@
     } else if (quarantine) {
       leavePending(job, task, TaskState::Quarantined);
       task.quarantinedUntil = until;
+      task.isAskable = true;
     }
   }
 }
@@ -209,12 +210,10 @@
   for (const std::uint64_t part : lost) {
     Job& job = *m_forwarded.at(part).second;
     m_forwarded.erase(part);
+    job.hasStarted = true;
     for (JobTask& task : job.tasks) {
-      if (task.state != TaskState::Forwarded || task.part != part)
-        continue;
-      task.state = TaskState::Quarantined;
-      task.quarantinedUntil = now + m_settings.lostRunLimit;
-      task.nextRun += staleRunStep;
+      if (task.state == TaskState::Forwarded && task.part == part)
+        quarantineForwarded(task, task.nextRun + staleRunStep, now);
     }
   }
 }
@@ -249,9 +248,7 @@
       task.state = TaskState::Done;
       ++job.done;
     } else if (end.outcome == JobOutcome::Moved) {
-      task.state = TaskState::Quarantined;
-      task.quarantinedUntil = now + m_settings.lostRunLimit;
-      task.nextRun = std::max(task.nextRun, end.nextRun);
+      quarantineForwarded(task, end.nextRun, now);
     } else {
       setPending(job, task);
     }
@@ -261,6 +258,18 @@
   pump(now);
 }
 
+/// A run that another daemon left may go on; which workers to ask isn't known.
+void
+Scheduler::quarantineForwarded(JobTask& task,
+                               std::uint64_t nextRun,
+                               TimePoint now)
+{
+  task.state = TaskState::Quarantined;
+  task.isAskable = false;
+  task.quarantinedUntil = now + m_settings.lostRunLimit;
+  task.nextRun = std::max(task.nextRun, nextRun);
+}
+
 void
 Scheduler::setList(const WorkerList& list, TimePoint now)
 {
@@ -780,7 +789,7 @@
       taskDone(job, task, now);
       if (isLast)
         return false;
-    } else if (isKnown || now >= task.quarantinedUntil) {
+    } else if ((isKnown && task.isAskable) || now >= task.quarantinedUntil) {
       setPending(job, task);
     }
   }
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -65,7 +65,7 @@
     std::function<bool(const VmId&, const JobRequest&)> forward;
     /// Tells another daemon that a part is no longer wanted.
     std::function<void(const VmId&, const JobKey&)> cancelForwarded;
-    std::function<FencingToken()> nextToken;
+    std::function<FencingToken()> higherToken;
     /// A worker of a held shard was taken by another daemon.
     std::function<void(const ShardId&)> fenced;
   };
@@ -130,6 +130,7 @@
   std::unique_ptr<Job> makeJob(JobRequest request, TimePoint now) const;
   void findRuns(Job& job, TimePoint now);
   bool mustRefuse(const Job& job, TimePoint now, Duration& retryAfter) const;
+  void quarantineForwarded(JobTask& task, std::uint64_t nextRun, TimePoint now);
   void enqueue(Job& job);
   void dequeue(Job& job);
   void setPending(Job& job, JobTask& task);
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -348,16 +348,24 @@
 void
 WorkerPool::reclaim(TimePoint now)
 {
+  std::map<ShardId, FencingToken> tokens;
   for (auto& [id, entry] : m_entries) {
     if (entry.lease->state() != LeaseState::Fenced)
       continue;
-    if (!entry.fencedAt)
+    if (!entry.fencedAt) {
       entry.fencedAt = now;
-    if (now - *entry.fencedAt < m_settings.reclaimAfter)
+      entry.reclaimWait = std::clamp(entry.reclaimWait * 2,
+                                     m_settings.reclaimAfter,
+                                     m_settings.reclaimAfterMax);
+    }
+    if (now - *entry.fencedAt < entry.reclaimWait)
       continue;
-    const FencingToken token = m_hooks.nextToken();
-    m_shards[entry.shard] = token;
-    entry.lease->claim(token, now);
+    const auto [token, isNew] = tokens.try_emplace(entry.shard);
+    if (isNew) {
+      token->second = m_hooks.higherToken();
+      m_shards[entry.shard] = token->second;
+    }
+    entry.lease->claim(token->second, now);
   }
 }
 
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -30,6 +30,8 @@
     /// The wait before a worker that another daemon took, though that daemon
     /// doesn't hold the shard, is taken back.
     Duration reclaimAfter = std::chrono::milliseconds(300);
+    /// The wait doubles with every time up to this.
+    Duration reclaimAfterMax = std::chrono::milliseconds(1500);
   };
 
   /// None may be empty. Called from within the pool's functions. They may call
@@ -49,8 +51,9 @@
     std::function<void(const WorkerId&, const RunKey&, RunEnd)> strayEnded;
     /// A worker was taken from a shard that this daemon holds.
     std::function<void(const ShardId&)> fenced;
-    /// A token higher than any that was given out before.
-    std::function<FencingToken()> nextToken;
+    /// A token that is higher than any known one by a margin, as somebody has
+    /// one that is higher than ours.
+    std::function<FencingToken()> higherToken;
   };
 
   WorkerPool(Settings settings, Hooks hooks);
@@ -134,6 +137,7 @@
     bool isListed = true;
     /// When a tick first saw that another daemon had taken it.
     std::optional<TimePoint> fencedAt;
+    Duration reclaimWait = Duration::zero();
 
     explicit Entry(const WorkerHealth::Settings& settings)
       : health(settings)
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -69,15 +69,16 @@
 void
 ShardTable::fenced(const ShardId& shard, TimePoint now)
 {
-  Fences& fences = m_fences[shard];
-  if (now - fences.first > m_settings.fencedAgainWithin) {
-    fences.first = now;
-    fences.count = 0;
-  }
-  // The workers of a shard are lost one after the other within a moment.
-  const bool isSameLoss = now - fences.first < std::chrono::milliseconds(250);
-  if (fences.count == 0 || !isSameLoss)
-    ++fences.count;
+  m_fencedAt[shard] = now;
+}
+
+bool
+ShardTable::needsPlatformReads() const
+{
+  return isIsolated() ||
+         std::any_of(m_shards.begin(), m_shards.end(), [&](const auto& shard) {
+           return shard.zone() != m_zone && !hasZoneMember(shard.zone());
+         });
 }
 
 ShardTable::Decisions
@@ -99,14 +100,14 @@
 ShardTable::taken(const ShardId& shard, std::uint64_t token)
 {
   m_held[shard] = token;
-  m_fences.erase(shard);
+  m_fencedAt.erase(shard);
 }
 
 void
 ShardTable::released(const ShardId& shard, TimePoint now)
 {
   m_held.erase(shard);
-  m_fences.erase(shard);
+  m_fencedAt.erase(shard);
   m_keptOffUntil[shard] = now + m_settings.coolOff;
 }
 
@@ -165,12 +166,10 @@
     if (isTheirZone == isOwnZone && claim->second > token)
       return true;
   }
-  const auto fences = m_fences.find(shard);
-  if (fences == m_fences.end() || fences->second.count == 0)
-    return false;
-  if (now - fences->second.first > m_settings.fencedAgainWithin)
-    return false;
-  return isIsolated() || fences->second.count > 1;
+  // One that hears nobody and loses its workers is the one that is cut off.
+  const auto fenced = m_fencedAt.find(shard);
+  return isIsolated() && fenced != m_fencedAt.end() &&
+         now - fenced->second < m_settings.fencedLimit;
 }
 
 bool
@@ -195,7 +194,9 @@
   const auto empty = m_zoneEmptySince.find(shard.zone());
   const TimePoint since =
     empty == m_zoneEmptySince.end() ? m_start : empty->second;
-  return now - since >= m_settings.foreignWait &&
+  const bool isInformed =
+    m_platformReadAt && now - *m_platformReadAt < m_settings.platformReadLimit;
+  return isInformed && now - since >= m_settings.foreignWait &&
          !isPlatformBeatFresh(shard, now) && isFirst(shard, true);
 }
 
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -27,13 +27,16 @@
     /// before it takes a shard: it may be the one that is cut off.
     Duration isolatedWait = std::chrono::milliseconds(2500);
     /// How long a zone must be without a daemon before one of another zone
-    /// takes its workers.
-    Duration foreignWait = std::chrono::milliseconds(2500);
+    /// takes its workers. Daemons that were killed are back within five
+    /// seconds, and a zone that is cut off goes on by itself.
+    Duration foreignWait = std::chrono::seconds(8);
     /// A holder's heartbeat at the platform counts for this long. It sends one
     /// each second.
     Duration platformBeatLimit = std::chrono::milliseconds(2500);
-    /// Being fenced a second time within this ends a holder's claim.
-    Duration fencedAgainWithin = std::chrono::seconds(3);
+    /// What was read at the platform counts for this long.
+    Duration platformReadLimit = std::chrono::milliseconds(1500);
+    /// How long being fenced counts for a daemon that hears nobody.
+    Duration fencedLimit = std::chrono::seconds(1);
     /// How long a daemon keeps off a shard that it was driven from.
     Duration coolOff = std::chrono::seconds(3);
   };
@@ -54,6 +57,10 @@
   void memberGone(const VmId& id, TimePoint now);
   /// A holder's heartbeat was read at the platform.
   void platformBeat(const ShardId& shard, const VmId& holder, TimePoint now);
+  /// The holders' heartbeats at the platform were read.
+  void platformRead(TimePoint now) { m_platformReadAt = now; }
+  /// Whether the holders' heartbeats at the platform should be read often.
+  bool needsPlatformReads() const;
   void setReady(bool isReady) { m_isReady = isReady; }
   void setLeaving() { m_isLeaving = true; }
   /// Another daemon has taken a worker of a held shard.
@@ -73,12 +80,6 @@
   bool isIsolated() const;
 
 private:
-  struct Fences
-  {
-    TimePoint first{};
-    unsigned count = 0;
-  };
-
   bool mustRelease(const ShardId& shard, TimePoint now) const;
   bool mayTake(const ShardId& shard, TimePoint now) const;
   bool isFirst(const ShardId& shard, bool isForeign) const;
@@ -94,12 +95,13 @@
   std::set<ShardId> m_shards;
   std::map<VmId, MemberView> m_members;
   std::map<ShardId, std::uint64_t> m_held;
-  std::map<ShardId, Fences> m_fences;
+  std::map<ShardId, TimePoint> m_fencedAt;
   std::map<ShardId, TimePoint> m_keptOffUntil;
   std::map<ShardId, std::pair<VmId, TimePoint>> m_platformBeats;
   /// When a zone's last daemon was lost.
   std::map<ZoneName, TimePoint> m_zoneEmptySince;
   TimePoint m_lastHeard;
+  std::optional<TimePoint> m_platformReadAt;
   bool m_isReady = false;
   bool m_isLeaving = false;
 };
