Name the tasks that a further daemon may run when a job moves on

Ruled out: adoption of runs, which found all those of the shard itself. Change: these tasks are named and wait until their runs are surely over.

--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -100,6 +100,8 @@
     case JobOutcome::Moved:
       entry.done.insert(end.done.begin(), end.done.end());
       entry.firstRun = std::max(entry.firstRun, end.nextRun);
+      for (const TaskIndex task : end.elsewhere)
+        entry.elsewhere[task] = now + m_settings.lostRunLimit;
       entry.holder.reset();
       entry.lostAt = now;
       place(entry, now);
@@ -200,6 +202,13 @@
     if (entry.done.count(task) == 0)
       request.tasks.push_back(task);
   }
+  for (const auto& [task, until] : entry.elsewhere) {
+    if (now >= until || entry.done.count(task) > 0)
+      continue;
+    request.elsewhere.push_back(task);
+    request.elsewhereRemaining =
+      std::max(request.elsewhereRemaining, until - now);
+  }
   request.firstRun = entry.firstRun;
   request.age = now - entry.arrivedAt;
   request.timeLeft = entry.expiresAt - now;
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -112,6 +112,8 @@
     TimePoint arrivedAt{};
     TimePoint expiresAt{};
     std::set<TaskIndex> done;
+    /// Tasks that a run may be left of anywhere, and until when at most.
+    std::map<TaskIndex, TimePoint> elsewhere;
     std::uint64_t firstRun = 1;
     /// The daemon that has the job now.
     std::optional<VmId> holder;
--- a/src/libjobs/jobend.h
+++ b/src/libjobs/jobend.h
@@ -50,6 +50,9 @@
   Duration retryAfter = Duration::zero();
   /// Of `Moved`: tasks that are done.
   std::vector<TaskIndex> done;
+  /// Of `Moved`: tasks that yet another daemon may be running; asking the next
+  /// holder of these workers doesn't find them.
+  std::vector<TaskIndex> elsewhere;
   /// Of `Moved`: higher than the number of any run so far.
   std::uint64_t nextRun = 1;
 };
--- a/src/libjobs/jobrequest.h
+++ b/src/libjobs/jobrequest.h
@@ -68,6 +68,9 @@
   /// Until the caller stops waiting.
   Duration timeLeft = Duration::zero();
   std::optional<Quarantine> quarantine;
+  /// Tasks of which a run may be left anywhere, and for how long at most.
+  std::vector<TaskIndex> elsewhere;
+  Duration elsewhereRemaining = Duration::zero();
   /// Whether something of the job may have run before, so that refusing it
   /// would be false.
   bool mayHaveRun = false;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -81,12 +81,12 @@
   auto owned = makeJob(std::move(request), now);
   Job& job = *owned;
   if (job.expiresAt <= now) {
-    m_hooks.ended(key, { JobOutcome::TimedOut, Duration::zero(), {}, 1 });
+    m_hooks.ended(key, { JobOutcome::TimedOut, Duration::zero(), {}, {}, 1 });
     return;
   }
   Duration retryAfter = Duration::zero();
   if (mustRefuse(job, now, retryAfter)) {
-    const JobEnd end{ JobOutcome::Refused, retryAfter, {}, 1 };
+    const JobEnd end{ JobOutcome::Refused, retryAfter, {}, {}, 1 };
     logJob("job-refused", job, &end);
     m_hooks.ended(key, end);
     return;
@@ -95,7 +95,7 @@
   logJob("job-accepted", job, nullptr);
   findRuns(job, now);
   if (job.done == job.tasks.size()) {
-    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
+    finish(job, { JobOutcome::Completed, Duration::zero(), {}, {}, 1 });
     return;
   }
   enqueue(job);
@@ -136,6 +136,8 @@
   const auto& quarantine = job.request.quarantine;
   if (!job.request.mayHaveRun)
     return;
+  const std::set<TaskIndex> elsewhere(job.request.elsewhere.begin(),
+                                      job.request.elsewhere.end());
   const TimePoint until =
     now + (quarantine ? quarantine->remaining : Duration::zero());
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
@@ -154,6 +156,9 @@
       task.startedAt = now;
       task.progressAt = now;
       m_runs[run->second] = { &job, i };
+    } else if (elsewhere.count(task.index) > 0) {
+      leavePending(job, task, TaskState::Quarantined);
+      task.quarantinedUntil = now + job.request.elsewhereRemaining;
     } else if (quarantine) {
       leavePending(job, task, TaskState::Quarantined);
       task.quarantinedUntil = until;
@@ -254,7 +259,7 @@
     }
   }
   if (job.done == job.tasks.size())
-    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
+    finish(job, { JobOutcome::Completed, Duration::zero(), {}, {}, 1 });
   pump(now);
 }
 
@@ -585,7 +590,7 @@
   task.state = TaskState::Done;
   ++job.done;
   if (job.done == job.tasks.size())
-    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
+    finish(job, { JobOutcome::Completed, Duration::zero(), {}, {}, 1 });
 }
 
 void
@@ -594,7 +599,7 @@
   ++task.failures;
   task.avoided.insert(task.worker);
   if (task.failures >= job.request.policy.maxAttempts)
-    finish(job, { JobOutcome::Failed, Duration::zero(), {}, 1 });
+    finish(job, { JobOutcome::Failed, Duration::zero(), {}, {}, 1 });
   else
     setPending(job, task);
 }
@@ -726,6 +731,10 @@
   for (const JobTask& task : job.tasks) {
     if (task.state == TaskState::Done)
       end.done.push_back(task.index);
+    const bool isUnaskable =
+      task.state == TaskState::Quarantined && !task.isAskable;
+    if (task.state == TaskState::Forwarded || isUnaskable)
+      end.elsewhere.push_back(task.index);
     end.nextRun = std::max(end.nextRun, task.nextRun + staleRunStep);
   }
   return end;
@@ -750,13 +759,13 @@
     return;
   }
   if (now >= job.expiresAt) {
-    finish(job, { JobOutcome::TimedOut, Duration::zero(), {}, 1 });
+    finish(job, { JobOutcome::TimedOut, Duration::zero(), {}, {}, 1 });
     return;
   }
   if (!job.mayHaveStarted() && now + job.expected > job.worthlessAt) {
     const Duration retryAfter =
       std::max(minRetryAfter, expectedWait(job.latestStart, now));
-    finish(job, { JobOutcome::Refused, retryAfter, {}, 1 });
+    finish(job, { JobOutcome::Refused, retryAfter, {}, {}, 1 });
     return;
   }
   if (!endQuarantine(job, now))
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -96,6 +96,8 @@
                        request.age.count(),
                        request.timeLeft.count(),
                        std::move(quarantine),
+                       request.elsewhere,
+                       request.elsewhereRemaining.count(),
                        request.mayHaveRun,
                        request.mayBeForwarded });
 }
@@ -107,6 +109,7 @@
                        static_cast<int>(ended.end.outcome),
                        ended.end.retryAfter.count(),
                        ended.end.done,
+                       ended.end.elsewhere,
                        ended.end.nextRun });
 }
 
@@ -223,8 +226,10 @@
   if (!quarantine.is_null())
     request.quarantine =
       Quarantine{ readShard(quarantine.at(0)), duration(quarantine.at(1)) };
-  request.mayHaveRun = value.at(10).get<bool>();
-  request.mayBeForwarded = value.at(11).get<bool>();
+  request.elsewhere = value.at(10).get<std::vector<TaskIndex>>();
+  request.elsewhereRemaining = duration(value.at(11));
+  request.mayHaveRun = value.at(12).get<bool>();
+  request.mayBeForwarded = value.at(13).get<bool>();
   return { std::move(request) };
 }
 
@@ -239,7 +244,8 @@
   ended.end.outcome = static_cast<JobOutcome>(outcome);
   ended.end.retryAfter = duration(value.at(2));
   ended.end.done = value.at(3).get<std::vector<TaskIndex>>();
-  ended.end.nextRun = value.at(4).get<std::uint64_t>();
+  ended.end.elsewhere = value.at(4).get<std::vector<TaskIndex>>();
+  ended.end.nextRun = value.at(5).get<std::uint64_t>();
   return ended;
 }
 
