--- /dev/null
+++ b/tests/support/fakeworker.h
@@ -0,0 +1,149 @@
+#pragma once
+
+#include "libworkers/workers.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cowslippin::test {
+
+/// A worker in memory, as the platform describes it: it ignores orders with a
+/// lower token than it has seen, starts whatever it is told, ends what its
+/// lease no longer covers, and lists ends until they are acknowledged. Its
+/// clock is the test's plus an offset.
+class FakeWorker
+{
+public:
+  explicit FakeWorker(std::int64_t clockOffsetMs = 50000)
+    : m_offset(clockOffsetMs)
+  {
+  }
+
+  HoldAnswer hold(const HoldOrder& order, TimePoint now)
+  {
+    lapse(now);
+    if (!admit(order.token))
+      return OrderFailure::Fenced;
+    if (order.deadlineMs)
+      extend(*order.deadlineMs);
+    while (!m_ended.empty() && m_ended.front().number <= order.acknowledged)
+      m_ended.erase(m_ended.begin());
+    HoldReport report;
+    report.clockMs = clockMs(now);
+    for (const auto& [key, percent] : m_running)
+      report.active.push_back({ key, percent });
+    report.ended = m_ended;
+    return report;
+  }
+
+  OrderAnswer start(const StartOrder& order, TimePoint now)
+  {
+    lapse(now);
+    if (!admit(order.token))
+      return OrderFailure::Fenced;
+    extend(order.deadlineMs);
+    if (clockMs(now) >= order.deadlineMs)
+      return OrderFailure::Late;
+    if (m_running.count(order.key) > 0)
+      return std::nullopt;
+    const auto last = m_lastRuns.find(order.key.task());
+    if (last != m_lastRuns.end() && order.key.run() <= last->second)
+      return OrderFailure::StaleRun;
+    m_running[order.key] = 0;
+    ++m_starts[order.key.task()];
+    return std::nullopt;
+  }
+
+  OrderAnswer stop(const StopOrder& order, TimePoint now)
+  {
+    lapse(now);
+    if (!admit(order.token))
+      return OrderFailure::Fenced;
+    if (m_running.count(order.key) > 0)
+      end(order.key, RunEnd::Stopped);
+    noteRun(order.key);
+    return std::nullopt;
+  }
+
+  /// Ends a run by itself.
+  void end(const RunKey& key, RunEnd how)
+  {
+    m_running.erase(key);
+    noteRun(key);
+    m_ended.push_back({ ++m_lastEnd, key, how });
+  }
+
+  void setPercent(const RunKey& key, int percent) { m_running[key] = percent; }
+
+  /// Ends everything whose lease is over.
+  void lapse(TimePoint now)
+  {
+    if (clockMs(now) < m_deadlineMs)
+      return;
+    const auto running = m_running;
+    for (const auto& [key, percent] : running)
+      end(key, RunEnd::Lapsed);
+  }
+
+  bool isRunning(const RunKey& key) const { return m_running.count(key) > 0; }
+  bool isTaskRunning(const std::string& task) const
+  {
+    const auto found = m_running.lower_bound(RunKey(task, 0));
+    return found != m_running.end() && found->first.task() == task;
+  }
+  std::size_t runCount() const { return m_running.size(); }
+  std::vector<RunKey> runs() const
+  {
+    std::vector<RunKey> keys;
+    for (const auto& [key, percent] : m_running)
+      keys.push_back(key);
+    return keys;
+  }
+  unsigned starts(const std::string& task) const
+  {
+    const auto found = m_starts.find(task);
+    return found == m_starts.end() ? 0 : found->second;
+  }
+  FencingToken highestToken() const { return m_token; }
+
+private:
+  std::int64_t clockMs(TimePoint now) const
+  {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+             now.time_since_epoch())
+             .count() +
+           m_offset;
+  }
+
+  bool admit(FencingToken token)
+  {
+    if (token < m_token)
+      return false;
+    m_token = token;
+    return true;
+  }
+
+  void extend(std::int64_t deadlineMs)
+  {
+    m_deadlineMs = std::max(m_deadlineMs, deadlineMs);
+  }
+
+  void noteRun(const RunKey& key)
+  {
+    std::uint64_t& last = m_lastRuns[key.task()];
+    last = std::max(last, key.run());
+  }
+
+  const std::int64_t m_offset;
+  FencingToken m_token = 0;
+  std::int64_t m_deadlineMs = 0;
+  std::map<RunKey, int> m_running;
+  std::vector<EndedRun> m_ended;
+  std::uint64_t m_lastEnd = 0;
+  std::map<std::string, std::uint64_t> m_lastRuns;
+  std::map<std::string, unsigned> m_starts;
+};
+
+} // namespace cowslippin::test
--- /dev/null
+++ b/tests/workers/leasefixture.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "support/fakeworker.h"
+
+#include "libworkers/workers.h"
+
+#include <deque>
+#include <memory>
+#include <vector>
+
+namespace cowslippin::test {
+
+/// What becomes of an order on its way.
+enum class Delivery
+{
+  Normal,
+  /// Nothing arrives and nothing is answered.
+  Lost,
+  /// It is carried out and its answer is lost.
+  AnswerLost,
+  /// It isn't answered and is carried out when the test says so.
+  Late,
+};
+
+/// A lease on a worker in memory, on a virtual clock. Orders wait until they
+/// are delivered.
+class LeaseFixture
+{
+public:
+  LeaseFixture()
+    : LeaseFixture(WorkerLease::Settings())
+  {
+  }
+
+  explicit LeaseFixture(const WorkerLease::Settings& settings)
+    : lease(record(), settings, hooks())
+  {
+  }
+
+  static WorkerRecord record()
+  {
+    WorkerRecord::Fields fields;
+    fields.id = WorkerId("w1");
+    fields.service = ServiceName("booking");
+    fields.zone = ZoneName("z1");
+    fields.capacity = Resources(16000, 1000, 0);
+    return WorkerRecord(fields);
+  }
+
+  /// Delivers the orders that wait, and those that this brings forth up to a
+  /// bound, as the worker answers a report without an end only after a wait.
+  void deliver(Delivery delivery = Delivery::Normal, std::size_t count = 8)
+  {
+    while (!orders.empty() && count-- > 0) {
+      const auto order = orders.front();
+      orders.pop_front();
+      order(delivery);
+    }
+  }
+
+  void claim(FencingToken token = 10)
+  {
+    lease.claim(token, now);
+    deliver(Delivery::Normal, 1);
+  }
+
+  void start(const RunKey& key, std::int64_t cpu = 6800)
+  {
+    lease.start(key, Resources(cpu, 10, 0), "spec", now);
+  }
+
+  void pass(int milliseconds)
+  {
+    now += std::chrono::milliseconds(milliseconds);
+    lease.tick(now);
+  }
+
+  TimePoint now{ std::chrono::seconds(1000) };
+  FakeWorker worker;
+  std::deque<std::function<void(Delivery)>> orders;
+  /// Orders that were delivered `Late`.
+  std::vector<std::function<void()>> late;
+  std::vector<std::pair<RunKey, RunEnd>> ended;
+  std::vector<std::pair<RunKey, OrderFailure>> rejected;
+  std::vector<RunKey> strays;
+  std::vector<LeaseState> states;
+  WorkerLease lease;
+
+private:
+  WorkerLease::Hooks hooks()
+  {
+    WorkerLease::Hooks hooks;
+    hooks.sendHold = [this](const HoldOrder& order, Duration) {
+      orders.push_back([this, order, sent = now](Delivery delivery) {
+        const auto carryOut = [this, order] { return worker.hold(order, now); };
+        HoldAnswer answer = OrderFailure::Unanswered;
+        if (delivery == Delivery::Normal)
+          answer = carryOut();
+        else
+          dispose(delivery, carryOut);
+        lease.holdAnswered(answer, sent, now);
+      });
+    };
+    hooks.sendStart = [this](const StartOrder& order, Duration) {
+      orders.push_back([this, order](Delivery delivery) {
+        const auto carryOut = [this, order] {
+          return worker.start(order, now);
+        };
+        OrderAnswer answer = OrderFailure::Unanswered;
+        if (delivery == Delivery::Normal)
+          answer = carryOut();
+        else
+          dispose(delivery, carryOut);
+        lease.startAnswered(order.key, answer, now);
+      });
+    };
+    hooks.sendStop = [this](const StopOrder& order, Duration) {
+      orders.push_back([this, order](Delivery delivery) {
+        const auto carryOut = [this, order] { return worker.stop(order, now); };
+        OrderAnswer answer = OrderFailure::Unanswered;
+        if (delivery == Delivery::Normal)
+          answer = carryOut();
+        else
+          dispose(delivery, carryOut);
+        lease.stopAnswered(order.key, answer, now);
+      });
+    };
+    hooks.runEnded = [this](const RunKey& key, RunEnd end) {
+      ended.emplace_back(key, end);
+    };
+    hooks.startRejected = [this](const RunKey& key, OrderFailure failure) {
+      rejected.emplace_back(key, failure);
+    };
+    hooks.runActive = [](const RunKey&, int) {};
+    hooks.strayFound = [this](const RunKey& key) { strays.push_back(key); };
+    hooks.strayEnded = [](const RunKey&, RunEnd) {};
+    hooks.stateChanged = [this](LeaseState state) { states.push_back(state); };
+    return hooks;
+  }
+
+  template<class CarryOut>
+  void dispose(Delivery delivery, CarryOut carryOut)
+  {
+    if (delivery == Delivery::AnswerLost)
+      carryOut();
+    else if (delivery == Delivery::Late)
+      late.push_back([carryOut] { carryOut(); });
+  }
+};
+
+} // namespace cowslippin::test
--- /dev/null
+++ b/tests/workers/leaseproperty_test.cpp
@@ -0,0 +1,127 @@
+#include "leasefixture.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <set>
+
+namespace cowslippin::test {
+namespace {
+
+/// Drives a lease with random faults and checks, after each step, that the
+/// worker never runs more than it has room for, and that a run whose end was
+/// told is over.
+class RandomLease
+{
+public:
+  RandomLease() { m_fixture.claim(m_token); }
+
+  void step()
+  {
+    switch (*rc::gen::inRange(0, 8)) {
+      case 0:
+      case 1:
+        startIfPossible();
+        break;
+      case 2:
+      case 3:
+        m_fixture.deliver(randomDelivery(), 1);
+        break;
+      case 4:
+        endOne();
+        break;
+      case 5:
+        stopOne();
+        break;
+      case 6:
+        m_fixture.pass(*rc::gen::inRange(1, 150));
+        break;
+      default:
+        disturb();
+    }
+    check();
+  }
+
+private:
+  static Delivery randomDelivery()
+  {
+    return *rc::gen::element(Delivery::Normal,
+                             Delivery::Normal,
+                             Delivery::Normal,
+                             Delivery::Lost,
+                             Delivery::AnswerLost,
+                             Delivery::Late);
+  }
+
+  void startIfPossible()
+  {
+    const Resources size(*rc::gen::inRange(3000, 9000), 1, 0);
+    if (!m_fixture.lease.canStart(size))
+      return;
+    const RunKey key("task" + std::to_string(++m_lastTask), 1);
+    m_sizes[key] = size.cpuMillis();
+    m_fixture.lease.start(key, size, "", m_fixture.now);
+  }
+
+  void endOne()
+  {
+    const auto runs = m_fixture.worker.runs();
+    if (!runs.empty())
+      m_fixture.worker.end(*rc::gen::elementOf(runs), RunEnd::Done);
+  }
+
+  void stopOne()
+  {
+    const auto runs = m_fixture.worker.runs();
+    if (!runs.empty())
+      m_fixture.lease.stop(*rc::gen::elementOf(runs), m_fixture.now);
+  }
+
+  /// A late order arrives, or another daemon takes the worker and gives it up.
+  void disturb()
+  {
+    if (!m_fixture.late.empty() && *rc::gen::arbitrary<bool>()) {
+      m_fixture.late.back()();
+      m_fixture.late.pop_back();
+      return;
+    }
+    if (*rc::gen::inRange(0, 4) == 0)
+      m_fixture.worker.hold({ m_token + 5, std::nullopt, 0, {} },
+                            m_fixture.now);
+    if (m_fixture.lease.state() == LeaseState::Fenced) {
+      m_token += 10;
+      m_fixture.lease.claim(m_token, m_fixture.now);
+    }
+  }
+
+  void check()
+  {
+    m_fixture.worker.lapse(m_fixture.now);
+    std::int64_t used = 0;
+    for (const RunKey& key : m_fixture.worker.runs())
+      used += m_sizes[key];
+    RC_ASSERT(used <= 16000);
+    for (const auto& [key, end] : m_fixture.ended)
+      RC_ASSERT(!m_fixture.worker.isRunning(key));
+    for (const auto& [key, failure] : m_fixture.rejected)
+      RC_ASSERT(!m_fixture.worker.isRunning(key));
+  }
+
+  LeaseFixture m_fixture;
+  FencingToken m_token = 10;
+  unsigned m_lastTask = 0;
+  std::map<RunKey, std::int64_t> m_sizes;
+};
+
+TEST(WorkerLease, NeverOverfillsAWorkerNorEndsARunningTaskWhateverIsLost)
+{
+  EXPECT_TRUE(rc::check([] {
+    RandomLease lease;
+    const int steps = *rc::gen::inRange(20, 250);
+    for (int i = 0; i < steps; ++i)
+      lease.step();
+  }));
+}
+
+} // namespace
+} // namespace cowslippin::test
