Entry core without I/O; simulation of a group of daemons on a virtual clock

The simulation kills, cuts, freezes and restarts daemons and loses orders, and checks that no task runs twice, no worker is overfilled and no refusal is false.

--- a/src/libentry/entry.h
+++ b/src/libentry/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entrycore.h"
 #include "entrydaemon.h"
 #include "gateway.h"
 #include "routingtable.h"
--- /dev/null
+++ b/src/libentry/entrycore.cpp
@@ -0,0 +1,517 @@
+#include "entrycore.h"
+
+#include "libobserve/observe.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+/// Tokens are the time of day in milliseconds since 2024 times this, and a
+/// random rest, so that two daemons don't make the same one. They stay below
+/// 2^53, which any JSON reader takes exactly.
+constexpr std::uint64_t tokensPerMs = 4096;
+constexpr std::int64_t tokenEpochMs = 1704067200000;
+/// Above the highest token that is known of.
+constexpr std::uint64_t usualMargin = tokensPerMs;
+/// After a worker has refused a token: somebody's time of day is ahead.
+constexpr std::uint64_t fencedMargin = 3000 * tokensPerMs;
+/// How long a configuration is left to arrive from the platform before a peer
+/// that is behind is sent it.
+constexpr Duration configHeadStart = std::chrono::milliseconds(400);
+/// Between two sendings of a configuration to the same peer.
+constexpr Duration configResend = std::chrono::milliseconds(1000);
+/// Between two messages about free places to other holders.
+constexpr Duration placesInterval = std::chrono::milliseconds(30);
+/// How much earlier than the platform kills it a daemon exits by itself.
+constexpr Duration exitMargin = std::chrono::milliseconds(400);
+
+std::int64_t
+milliseconds(Duration duration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+    .count();
+}
+
+} // namespace
+
+EntryCore::EntryCore(Settings settings, Ports ports, Links links, Clocks clocks)
+  : m_settings(std::move(settings))
+  , m_ports(std::move(ports))
+  , m_links(std::move(links))
+  , m_clocks(std::move(clocks))
+  , m_shards(m_settings.vm,
+             m_settings.zone,
+             m_settings.shards,
+             m_clocks.steady())
+  , m_scheduler(m_settings.vm, m_settings.scheduler, schedulerHooks())
+  , m_gateway(m_settings.vm,
+              ShardId(m_settings.zone, 0),
+              m_settings.gateway,
+              gatewayHooks())
+  , m_routing(std::make_shared<RoutingTable>())
+  , m_lastBootTime(m_clocks.sinceBoot())
+{
+}
+
+void
+EntryCore::configurationRead(const std::string& body)
+{
+  const TimePoint now = observeTime();
+  const Result<RoutingTable> table = m_ports.readConfiguration(body);
+  if (!table) {
+    logEvent(LogLevel::Error,
+             "configuration-refused",
+             { { "reason", table.error().detail() } });
+    return;
+  }
+  if (table->version() <= m_routing->version())
+    return;
+  m_routing = std::make_shared<RoutingTable>(*table);
+  m_configurationBody = body;
+  m_configuredAt = now;
+  m_shards.setReady(m_hasWorkers);
+  logEvent(LogLevel::Info,
+           "configuration-in-force",
+           { { "version", m_routing->version() },
+             { "routes", m_routing->routes().size() } });
+}
+
+void
+EntryCore::workersRead(const WorkerList& workers)
+{
+  const TimePoint now = observeTime();
+  std::set<ZoneName> zones;
+  for (const auto& [id, record] : workers)
+    zones.insert(record.zone());
+  m_shards.setZones(zones);
+  m_hasWorkers = true;
+  m_shards.setReady(m_routing->version() > 0);
+  m_scheduler.setList(workers, now);
+}
+
+void
+EntryCore::holderRead(const ShardId& shard, const VmId& holder)
+{
+  m_shards.platformBeat(shard, holder, observeTime());
+}
+
+void
+EntryCore::holdersRead(FencingToken highest)
+{
+  m_shards.platformRead(observeTime());
+  m_lastToken = std::max(m_lastToken, highest);
+}
+
+bool
+EntryCore::isReady() const
+{
+  if (isLeaving() || m_routing->version() == 0 || !m_hasWorkers)
+    return false;
+  const auto& shards = m_shards.shards();
+  return std::any_of(shards.begin(), shards.end(), [this](const auto& shard) {
+    return reachableHolder(shard).has_value();
+  });
+}
+
+Gateway::Ticket
+EntryCore::submit(JobSubmission submission, Gateway::Done done)
+{
+  return m_gateway.submit(
+    std::move(submission), std::move(done), observeTime());
+}
+
+void
+EntryCore::callerGone(Gateway::Ticket ticket)
+{
+  m_gateway.callerGone(ticket, observeTime());
+}
+
+void
+EntryCore::leave(std::function<void()> ended)
+{
+  if (isLeaving())
+    return;
+  const TimePoint now = observeTime();
+  m_leaveAt = now;
+  m_left = std::move(ended);
+  m_shards.setLeaving();
+  beat(now);
+}
+
+std::set<ShardId>
+EntryCore::heldShards() const
+{
+  std::set<ShardId> shards;
+  for (const auto& [shard, token] : m_shards.held())
+    shards.insert(shard);
+  return shards;
+}
+
+nlohmann::json
+EntryCore::dump() const
+{
+  nlohmann::json workers = nlohmann::json::array();
+  for (const auto& worker : m_scheduler.pool().view())
+    workers.push_back({ { "id", worker.id.value() },
+                        { "lease", toString(worker.state) },
+                        { "runs", worker.runs },
+                        { "slowness", worker.slowness },
+                        { "failureShare", worker.failureShare } });
+  nlohmann::json shards = nlohmann::json::object();
+  for (const ShardId& shard : m_shards.shards()) {
+    const auto holder = m_shards.holder(shard);
+    shards[shard.toString()] = holder ? holder->value() : "";
+  }
+  nlohmann::json peers = nlohmann::json::array();
+  for (const VmId& vm : m_links.up())
+    peers.push_back(vm.value());
+  return { { "vm", m_settings.vm.value() },
+           { "zone", m_settings.zone.value() },
+           { "configurationVersion", m_routing->version() },
+           { "isReady", isReady() },
+           { "isLeaving", isLeaving() },
+           { "callersWaiting", m_gateway.waiting() },
+           { "jobsScheduled", m_scheduler.jobCount() },
+           { "tasksWaiting", m_scheduler.waitingTasks() },
+           { "shards", std::move(shards) },
+           { "peers", std::move(peers) },
+           { "workers", std::move(workers) } };
+}
+
+Scheduler::Hooks
+EntryCore::schedulerHooks()
+{
+  Scheduler::Hooks hooks;
+  hooks.sendHold = [this](const WorkerRecord& worker,
+                          const HoldOrder& order,
+                          Duration timeout) {
+    const TimePoint sent = m_clocks.steady();
+    m_ports.hold(worker,
+                 order,
+                 timeout,
+                 [this, id = worker.id(), sent](const auto& answer) {
+                   m_scheduler.holdAnswered(id, answer, sent, observeTime());
+                 });
+  };
+  hooks.sendStart = [this](const WorkerRecord& worker,
+                           const StartOrder& order,
+                           Duration timeout) {
+    m_ports.start(
+      worker,
+      order,
+      timeout,
+      [this, id = worker.id(), key = order.key](const auto& answer) {
+        m_scheduler.startAnswered(id, key, answer, observeTime());
+      });
+  };
+  hooks.sendStop = [this](const WorkerRecord& worker,
+                          const StopOrder& order,
+                          Duration timeout) {
+    m_ports.stop(worker,
+                 order,
+                 timeout,
+                 [this, id = worker.id(), key = order.key](const auto& answer) {
+                   m_scheduler.stopAnswered(id, key, answer, observeTime());
+                 });
+  };
+  hooks.ended = [this](const JobKey& key, const JobEnd& end) {
+    jobEnded(key, end);
+  };
+  hooks.forward = [this](const VmId& vm, const JobRequest& request) {
+    return m_links.send(vm, PeerSubmit{ request });
+  };
+  hooks.cancelForwarded = [this](const VmId& vm, const JobKey& key) {
+    m_links.send(vm, PeerCancel{ key });
+  };
+  hooks.higherToken = [this] { return nextToken(fencedMargin); };
+  hooks.fenced = [this](const ShardId& shard) { m_fenced.insert(shard); };
+  return hooks;
+}
+
+Gateway::Hooks
+EntryCore::gatewayHooks()
+{
+  Gateway::Hooks hooks;
+  hooks.holder = [this](const ShardId& shard) {
+    return reachableHolder(shard);
+  };
+  hooks.otherHolder = [this] { return otherHolder(); };
+  hooks.submit = [this](const VmId& vm, const JobRequest& request) {
+    return submitTo(vm, request);
+  };
+  hooks.cancel = [this](const VmId& vm, const JobKey& key) {
+    cancelAt(vm, key);
+  };
+  return hooks;
+}
+
+void
+EntryCore::peerUp(const PeerHello& hello)
+{
+  const TimePoint now = observeTime();
+  m_peers[hello.vm].zone = hello.zone;
+  m_links.send(hello.vm, makeBeat(now));
+}
+
+TimePoint
+EntryCore::observeTime()
+{
+  const auto boot = m_clocks.sinceBoot();
+  const auto gap = std::chrono::duration_cast<Duration>(boot - m_lastBootTime);
+  m_lastBootTime = boot;
+  const TimePoint now = m_clocks.steady();
+  if (gap > m_settings.pauseLimit)
+    pauseNoticed(now, gap);
+  return now;
+}
+
+/// Others have given this daemon up, and callers may have submitted again
+/// elsewhere: nothing is started before all that has come in meanwhile is read.
+void
+EntryCore::pauseNoticed(TimePoint now, Duration gap)
+{
+  logEvent(
+    LogLevel::Warning, "pause-noticed", { { "gapMs", milliseconds(gap) } });
+  m_resumeAt = now + m_settings.wakeTime;
+  m_scheduler.suspend(now);
+  m_links.dropAll();
+}
+
+void
+EntryCore::tick()
+{
+  const TimePoint now = observeTime();
+  if (m_resumeAt && now >= *m_resumeAt) {
+    m_resumeAt.reset();
+    m_scheduler.resume(now);
+  }
+  m_shards.setKnownMembers(m_links.knownCount());
+  applyDecisions(now);
+  m_scheduler.tick(now);
+  m_gateway.tick(now);
+  if (now - m_lastBeatAt >= m_settings.beatInterval)
+    beat(now);
+  else
+    beatHolders(now);
+  if (now - m_lastPlatformBeatAt >= m_settings.platformBeatInterval) {
+    m_lastPlatformBeatAt = now;
+    for (const auto& [shard, token] : m_shards.held())
+      m_ports.publishHolder(shard, m_lastToken);
+  }
+  checkLeaving(now);
+}
+
+void
+EntryCore::beat(TimePoint now)
+{
+  m_lastBeatAt = now;
+  m_lastHolderBeatAt = now;
+  const PeerBeat beat = makeBeat(now);
+  m_toldPlaces = beat.places;
+  m_links.sendToAll(beat);
+}
+
+/// Tells other holders soon when places have become free or rare.
+void
+EntryCore::beatHolders(TimePoint now)
+{
+  if (m_shards.held().empty() || now - m_lastHolderBeatAt < placesInterval)
+    return;
+  const unsigned places = m_scheduler.sparePlaces(now);
+  const unsigned change =
+    std::max(places, m_toldPlaces) - std::min(places, m_toldPlaces);
+  if (change * 4 < std::max(places, m_toldPlaces))
+    return;
+  m_lastHolderBeatAt = now;
+  m_toldPlaces = places;
+  const PeerBeat beat = makeBeat(now);
+  for (const VmId& vm : m_shards.holders()) {
+    if (vm != m_settings.vm)
+      m_links.send(vm, beat);
+  }
+}
+
+PeerBeat
+EntryCore::makeBeat(TimePoint now) const
+{
+  PeerBeat beat;
+  beat.isLeaving = isLeaving();
+  beat.isReady = m_hasWorkers && m_routing->version() > 0;
+  beat.shards = m_shards.held();
+  beat.highestToken = m_lastToken;
+  beat.places = m_scheduler.sparePlaces(now);
+  beat.configVersion = m_routing->version();
+  return beat;
+}
+
+void
+EntryCore::applyDecisions(TimePoint now)
+{
+  for (const ShardId& shard : std::exchange(m_fenced, {}))
+    m_shards.fenced(shard, now);
+  const ShardTable::Decisions decisions = m_shards.decide(now);
+  for (const ShardId& shard : decisions.release) {
+    logEvent(LogLevel::Info,
+             "shard-released",
+             { { "shard", shard.toString() },
+               { "isIsolated", m_shards.isIsolated() } });
+    m_shards.released(shard, now);
+    m_scheduler.releaseShard(shard, now);
+  }
+  for (const ShardId& shard : decisions.take) {
+    const FencingToken token = nextToken(usualMargin);
+    logEvent(LogLevel::Info,
+             "shard-taken",
+             { { "shard", shard.toString() },
+               { "token", token },
+               { "peers", m_links.up().size() } });
+    m_shards.taken(shard, token);
+    m_scheduler.takeShard(shard, token, now);
+    m_ports.publishHolder(shard, token);
+  }
+  if (!decisions.release.empty() || !decisions.take.empty())
+    beat(now);
+}
+
+void
+EntryCore::checkLeaving(TimePoint now)
+{
+  if (!m_leaveAt || !m_left)
+    return;
+  const Duration since = now - *m_leaveAt;
+  const bool isIdle = m_gateway.waiting() == 0 && m_scheduler.jobCount() == 0;
+  const bool isDone = isIdle && since >= m_settings.unreadyTime;
+  if (!isDone && since < m_settings.grace - exitMargin)
+    return;
+  std::exchange(m_left, nullptr)();
+}
+
+void
+EntryCore::received(const VmId& vm, const PeerMessage& message)
+{
+  const TimePoint now = observeTime();
+  if (const auto* beat = std::get_if<PeerBeat>(&message))
+    beatReceived(vm, *beat, now);
+  else if (const auto* submit = std::get_if<PeerSubmit>(&message))
+    m_scheduler.submit(submit->request, now);
+  else if (const auto* cancel = std::get_if<PeerCancel>(&message))
+    m_scheduler.cancel(cancel->key, now);
+  else if (const auto* config = std::get_if<PeerConfig>(&message))
+    configurationRead(config->body);
+  else if (const auto* ended = std::get_if<PeerJobEnd>(&message)) {
+    m_gateway.ended(vm, ended->key, ended->end, now);
+    m_scheduler.forwardedEnded(ended->key, ended->end, now);
+  }
+}
+
+void
+EntryCore::beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now)
+{
+  Peer& peer = m_peers[vm];
+  peer.places = beat.places;
+  m_lastToken = std::max(m_lastToken, beat.highestToken);
+  MemberView view;
+  view.id = vm;
+  view.zone = peer.zone;
+  view.isLeaving = beat.isLeaving;
+  view.isReady = beat.isReady;
+  view.shards = beat.shards;
+  m_shards.memberSeen(view, now);
+  if (!beat.shards.empty() && !beat.isLeaving)
+    m_scheduler.setPeerPlaces(vm, beat.places);
+  else
+    m_scheduler.forgetPeer(vm);
+  const bool isBehind = beat.configVersion < m_routing->version();
+  if (isBehind && now - m_configuredAt >= configHeadStart &&
+      now - peer.configSentAt >= configResend) {
+    peer.configSentAt = now;
+    m_links.send(vm, PeerConfig{ m_routing->version(), m_configurationBody });
+  }
+}
+
+void
+EntryCore::peerDown(const VmId& vm)
+{
+  const TimePoint now = m_clocks.steady();
+  m_shards.memberGone(vm, now);
+  m_scheduler.daemonLost(vm, now);
+  m_gateway.daemonLost(vm, now);
+}
+
+void
+EntryCore::jobEnded(const JobKey& key, const JobEnd& end)
+{
+  if (key.submitter() == m_settings.vm) {
+    m_links.post([this, key, end] {
+      m_gateway.ended(m_settings.vm, key, end, observeTime());
+    });
+    return;
+  }
+  m_links.send(key.submitter(), PeerJobEnd{ key, end });
+}
+
+FencingToken
+EntryCore::nextToken(std::uint64_t margin)
+{
+  const std::int64_t sinceEpoch = m_clocks.timeOfDay() - tokenEpochMs;
+  const auto fromClock =
+    static_cast<std::uint64_t>(std::max<std::int64_t>(sinceEpoch, 1)) *
+    tokensPerMs;
+  const std::uint64_t next = std::max(fromClock, m_lastToken + margin);
+  m_lastToken =
+    next / tokensPerMs * tokensPerMs + m_clocks.processNumber % tokensPerMs;
+  return m_lastToken;
+}
+
+std::optional<VmId>
+EntryCore::reachableHolder(const ShardId& shard) const
+{
+  const auto holder = m_shards.holder(shard);
+  if (holder && *holder != m_settings.vm && !m_links.isUp(*holder))
+    return std::nullopt;
+  return holder;
+}
+
+std::optional<std::pair<VmId, ShardId>>
+EntryCore::otherHolder() const
+{
+  std::optional<std::pair<VmId, ShardId>> best;
+  unsigned most = 0;
+  for (const ShardId& shard : m_shards.shards()) {
+    const auto holder = reachableHolder(shard);
+    if (!holder || shard.zone() == m_settings.zone)
+      continue;
+    const auto peer = m_peers.find(*holder);
+    const unsigned places = peer == m_peers.end() ? 0 : peer->second.places;
+    if (!best || places > most) {
+      best.emplace(*holder, shard);
+      most = places;
+    }
+  }
+  return best;
+}
+
+bool
+EntryCore::submitTo(const VmId& vm, const JobRequest& request)
+{
+  if (vm != m_settings.vm)
+    return m_links.send(vm, PeerSubmit{ request });
+  m_scheduler.submit(request, m_clocks.steady());
+  return true;
+}
+
+void
+EntryCore::cancelAt(const VmId& vm, const JobKey& key)
+{
+  if (vm == m_settings.vm)
+    m_scheduler.cancel(key, m_clocks.steady());
+  else
+    m_links.send(vm, PeerCancel{ key });
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libentry/entrycore.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include "gateway.h"
+#include "routingtable.h"
+
+#include "libjobs/jobs.h"
+#include "libpeers/peermessage.h"
+#include "libshards/shards.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace cowslippin {
+
+/// What a daemon that serves callers' jobs on leased workers decides: the
+/// callers' jobs, the shards of workers that it holds, and its part among the
+/// other daemons, put together. It does no input or output and reads no clock,
+/// so that a whole group of daemons runs in a test on a virtual clock.
+class EntryCore
+{
+public:
+  struct Settings
+  {
+    VmId vm;
+    ZoneName zone;
+    /// From the request to end until the process is killed.
+    Duration grace = std::chrono::seconds(6);
+    Scheduler::Settings scheduler;
+    ShardTable::Settings shards;
+    Gateway::Settings gateway;
+    /// Three of them fit into the silence limit between daemons.
+    Duration beatInterval = std::chrono::milliseconds(140);
+    /// How often a holder tells the platform that it is there.
+    Duration platformBeatInterval = std::chrono::seconds(1);
+    /// A longer time in which this process did nothing means that it was
+    /// stopped, and that others may have given it up.
+    Duration pauseLimit = std::chrono::milliseconds(250);
+    /// After a pause, how long what came in is read before anything is started.
+    Duration wakeTime = std::chrono::milliseconds(60);
+    /// How long the platform's balancer may take to see that this daemon is no
+    /// longer ready: it asks every second and goes by two misses.
+    Duration unreadyTime = std::chrono::milliseconds(2400);
+  };
+
+  /// Orders to workers and messages to the platform. None may be empty; no
+  /// answer may be given from within.
+  struct Ports
+  {
+    std::function<void(const WorkerRecord&,
+                       const HoldOrder&,
+                       Duration timeout,
+                       std::function<void(const HoldAnswer&)>)>
+      hold;
+    std::function<void(const WorkerRecord&,
+                       const StartOrder&,
+                       Duration timeout,
+                       std::function<void(const OrderAnswer&)>)>
+      start;
+    std::function<void(const WorkerRecord&,
+                       const StopOrder&,
+                       Duration timeout,
+                       std::function<void(const OrderAnswer&)>)>
+      stop;
+    /// Tells the platform which daemon holds a shard.
+    std::function<void(const ShardId&, FencingToken)> publishHolder;
+    /// Reads a configuration as the platform has it.
+    std::function<Result<RoutingTable>(const std::string&)> readConfiguration;
+  };
+
+  /// The connections to other daemons. None may be empty.
+  struct Links
+  {
+    /// False if there is no connection.
+    std::function<bool(const VmId&, const PeerMessage&)> send;
+    std::function<void(const PeerMessage&)> sendToAll;
+    std::function<bool(const VmId&)> isUp;
+    std::function<std::set<VmId>()> up;
+    /// Daemons that exist, whether or not they can be reached.
+    std::function<std::size_t()> knownCount;
+    std::function<void()> dropAll;
+    /// Calls a function soon, but not from within.
+    std::function<void(std::function<void()>)> post;
+  };
+
+  /// None may be empty.
+  struct Clocks
+  {
+    Clock steady;
+    /// Goes on while the machine is suspended, other than the steady clock.
+    std::function<std::chrono::nanoseconds()> sinceBoot;
+    /// In milliseconds since 1970; may jump.
+    std::function<std::int64_t()> timeOfDay;
+    /// Differs from one process to the next.
+    std::uint64_t processNumber = 0;
+  };
+
+  EntryCore(Settings settings, Ports ports, Links links, Clocks clocks);
+
+  /// The platform has a configuration; an older one than that in force is
+  /// ignored.
+  void configurationRead(const std::string& body);
+  void workersRead(const WorkerList& workers);
+  /// A holder has told the platform anew that it holds a shard.
+  void holderRead(const ShardId& shard, const VmId& holder);
+  /// The holders' entries at the platform were read; the highest token in them.
+  void holdersRead(FencingToken highest);
+
+  std::shared_ptr<const RoutingTable> routing() const { return m_routing; }
+  /// Whether callers should be sent here.
+  bool isReady() const;
+
+  Gateway::Ticket submit(JobSubmission submission, Gateway::Done done);
+  void callerGone(Gateway::Ticket ticket);
+
+  /// Messages of other daemons, and whether they can be reached.
+  void peerUp(const PeerHello& hello);
+  void peerDown(const VmId& vm);
+  void received(const VmId& vm, const PeerMessage& message);
+
+  /// Lets time pass; to be called every 20 ms or so.
+  void tick();
+
+  /// Gives up what is held and ends when nothing waits any more. `ended` is
+  /// called once, when the process may exit.
+  void leave(std::function<void()> ended);
+  bool isLeaving() const { return m_leaveAt.has_value(); }
+
+  std::set<ShardId> heldShards() const;
+
+  /// The state of every part, for an operator.
+  nlohmann::json dump() const;
+
+  /// Whether the holders' entries at the platform should be read often.
+  bool needsHolderReads() const { return m_shards.needsPlatformReads(); }
+
+  /// Reads the clocks; notices when the process has been stopped for a while.
+  TimePoint observeTime();
+
+private:
+  Scheduler::Hooks schedulerHooks();
+  Gateway::Hooks gatewayHooks();
+
+  void pauseNoticed(TimePoint now, Duration gap);
+  void beat(TimePoint now);
+  void beatHolders(TimePoint now);
+  PeerBeat makeBeat(TimePoint now) const;
+  void applyDecisions(TimePoint now);
+  void checkLeaving(TimePoint now);
+  void beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now);
+  void jobEnded(const JobKey& key, const JobEnd& end);
+  FencingToken nextToken(std::uint64_t margin);
+  std::optional<VmId> reachableHolder(const ShardId& shard) const;
+  std::optional<std::pair<VmId, ShardId>> otherHolder() const;
+  bool submitTo(const VmId& vm, const JobRequest& request);
+  void cancelAt(const VmId& vm, const JobKey& key);
+
+  const Settings m_settings;
+  const Ports m_ports;
+  const Links m_links;
+  const Clocks m_clocks;
+  ShardTable m_shards;
+  Scheduler m_scheduler;
+  Gateway m_gateway;
+  std::shared_ptr<const RoutingTable> m_routing;
+  std::string m_configurationBody;
+  TimePoint m_configuredAt{};
+  bool m_hasWorkers = false;
+  struct Peer
+  {
+    ZoneName zone;
+    unsigned places = 0;
+    TimePoint configSentAt{};
+  };
+  std::map<VmId, Peer> m_peers;
+  FencingToken m_lastToken = 0;
+  std::set<ShardId> m_fenced;
+  TimePoint m_lastBeatAt{};
+  TimePoint m_lastHolderBeatAt{};
+  unsigned m_toldPlaces = 0;
+  TimePoint m_lastPlatformBeatAt{};
+  std::chrono::nanoseconds m_lastBootTime{};
+  std::optional<TimePoint> m_resumeAt;
+  std::optional<TimePoint> m_leaveAt;
+  std::function<void()> m_left;
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/tests/entry/simulation.h
@@ -0,0 +1,198 @@
+#pragma once
+
+#include "support/fakeworker.h"
+
+#include "libentry/entrycore.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cowslippin::test {
+
+/// A group of daemons, their workers and callers on a virtual clock. The same
+/// seed gives the same run. It checks, while it runs, that no task runs twice
+/// at the same time, that no worker runs more than it has room for, and that
+/// nothing runs of a job whose every submission was refused.
+class Simulation
+{
+public:
+  struct Settings
+  {
+    unsigned zones = 2;
+    unsigned daemonsPerZone = 2;
+    unsigned workersPerZone = 4;
+    /// Jobs submitted in a second.
+    double jobsPerSecond = 12;
+    /// Shares of the orders to workers that meet a fault.
+    double lostOrders = 0;
+    double lostAnswers = 0;
+    double lateOrders = 0;
+    /// Whether tasks of one job in a hundred fail.
+    bool hasFailures = true;
+  };
+
+  Simulation(Settings settings, std::uint64_t seed);
+  ~Simulation();
+
+  void runFor(Duration duration);
+
+  /// Kills a daemon; its connections are reset. It starts again after `down`.
+  void kill(std::size_t daemon, Duration down);
+  /// It falls silent at once and starts again after `down`.
+  void powerOff(std::size_t daemon, Duration down);
+  /// It stands still; what arrives meanwhile waits.
+  void freeze(std::size_t daemon, Duration duration);
+  /// It is told to end, and starts again when it has.
+  void leave(std::size_t daemon);
+  /// It reaches no other daemon; callers and workers still reach it.
+  void cutOff(std::size_t daemon, Duration duration);
+  /// A zone's daemons and workers are cut off from those of other zones.
+  void cutZone(unsigned zone, Duration duration);
+  /// Every connection between daemons is reset.
+  void resetLinks();
+  void crashWorker(std::size_t worker);
+  void killAll(Duration down);
+
+  std::size_t daemons() const { return m_nodes.size(); }
+  std::size_t workers() const { return m_workers.size(); }
+  unsigned zones() const { return m_settings.zones; }
+  EntryCore& core(std::size_t daemon) { return *m_nodes[daemon].core; }
+
+  const std::vector<std::string>& violations() const { return m_violations; }
+  unsigned submitted() const { return m_submitted; }
+  unsigned completed() const { return m_completed; }
+  unsigned failed() const { return m_failed; }
+  unsigned refused() const { return m_refused; }
+  unsigned unknown() const { return m_unknown; }
+  unsigned startedTasks() const { return m_startedTasks; }
+
+  std::mt19937_64& random() { return m_random; }
+  TimePoint now() const { return m_now; }
+
+private:
+  using Action = std::function<void()>;
+
+  struct Event
+  {
+    TimePoint at;
+    std::uint64_t sequence = 0;
+    Action action;
+    bool operator<(const Event& other) const
+    {
+      return std::tie(at, sequence) > std::tie(other.at, other.sequence);
+    }
+  };
+  struct Node
+  {
+    VmId id;
+    unsigned zone = 0;
+    std::unique_ptr<EntryCore> core;
+    unsigned life = 0;
+    bool isAlive = false;
+    bool isFrozen = false;
+    TimePoint cutUntil{};
+    std::vector<Action> waiting;
+  };
+  struct ParkedHold
+  {
+    HoldOrder order;
+    std::function<void(const HoldAnswer&)> answer;
+  };
+  struct Worker
+  {
+    WorkerRecord record;
+    unsigned zone = 0;
+    unsigned life = 0;
+    std::unique_ptr<FakeWorker> fake;
+    std::map<RunKey, std::int64_t> sizes;
+    std::vector<std::shared_ptr<ParkedHold>> parked;
+  };
+  struct Caller
+  {
+    JobSubmission submission;
+    std::size_t daemon = 0;
+    unsigned daemonLife = 0;
+    TimePoint deadline{};
+    Gateway::Ticket ticket = 0;
+    bool isWaiting = false;
+    bool wasAlwaysRefused = true;
+    bool hasStarted = false;
+    bool isRefused = false;
+  };
+
+  void at(Duration delay, Action action);
+  void onNode(std::size_t node, unsigned life, Action action);
+  void startNode(std::size_t node);
+  void tickNode(std::size_t node, unsigned life);
+  EntryCore::Ports ports(std::size_t node);
+  EntryCore::Links links(std::size_t node);
+  EntryCore::Clocks clocks(std::size_t node);
+  bool areLinked(std::size_t a, std::size_t b) const;
+  bool isCut(std::size_t a, std::size_t b) const;
+  bool reachesWorker(std::size_t node, const Worker& worker) const;
+  void unlink(std::size_t a, std::size_t b, Duration noticed);
+  void unlinkAll(std::size_t node, Duration noticed);
+  void connectDaemons();
+  void stopNode(std::size_t node);
+
+  Worker* findWorker(const WorkerId& id);
+  template<class Order, class Answer>
+  void order(std::size_t node,
+             const WorkerRecord& record,
+             const Order& order,
+             Duration timeout,
+             std::function<void(const Answer&)> done,
+             std::function<Answer(Worker&, const Order&)> carryOut);
+  void holdOrder(std::size_t node,
+                 const WorkerRecord& record,
+                 const HoldOrder& order,
+                 Duration timeout,
+                 std::function<void(const HoldAnswer&)> done);
+  OrderAnswer carryOutStart(Worker& worker, const StartOrder& order);
+  OrderAnswer carryOutStop(Worker& worker, const StopOrder& order);
+  void endRun(const WorkerId& id, unsigned life, const RunKey& key, RunEnd end);
+  void answerParked(Worker& worker);
+  void checkWorker(const Worker& worker, const RunKey& started);
+  void tickWorkers();
+
+  void submitLater();
+  void submitNew();
+  void submit(const JobId& job, std::size_t daemon);
+  void callerBroken(std::size_t daemon);
+  void answered(const JobId& job, const JobAnswer& answer);
+  WorkerList list() const;
+  double chance() { return std::uniform_real_distribution<>(0, 1)(m_random); }
+  std::size_t below(std::size_t bound)
+  {
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
+  }
+  void violated(const std::string& what);
+
+  const Settings m_settings;
+  std::mt19937_64 m_random;
+  TimePoint m_now{ std::chrono::seconds(1000) };
+  std::priority_queue<Event> m_events;
+  std::uint64_t m_lastSequence = 0;
+  std::vector<Node> m_nodes;
+  std::vector<Worker> m_workers;
+  std::set<std::pair<std::size_t, std::size_t>> m_links;
+  std::map<unsigned, TimePoint> m_zoneCutUntil;
+  std::map<JobId, Caller> m_callers;
+  std::vector<std::string> m_violations;
+  std::uint64_t m_lastJob = 0;
+  unsigned m_lastWorker = 0;
+  unsigned m_submitted = 0;
+  unsigned m_completed = 0;
+  unsigned m_failed = 0;
+  unsigned m_refused = 0;
+  unsigned m_unknown = 0;
+  unsigned m_startedTasks = 0;
+};
+
+} // namespace cowslippin::test
--- /dev/null
+++ b/tests/entry/simulation_test.cpp
@@ -0,0 +1,148 @@
+#include "simulation.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+
+namespace cowslippin::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+void
+expectNoViolations(const Simulation& simulation)
+{
+  for (const std::string& violation : simulation.violations())
+    ADD_FAILURE() << violation;
+}
+
+TEST(DaemonGroup, ServesEverythingOnACalmDay)
+{
+  Simulation::Settings settings;
+  settings.hasFailures = false;
+  settings.jobsPerSecond = 8;
+  Simulation simulation(settings, 1);
+  simulation.runFor(seconds(30));
+  expectNoViolations(simulation);
+  EXPECT_GT(simulation.completed(), simulation.submitted() * 97 / 100);
+  EXPECT_EQ(simulation.failed(), 0u);
+}
+
+TEST(DaemonGroup, EachShardHasOneHolder)
+{
+  Simulation simulation({}, 2);
+  simulation.runFor(seconds(3));
+  std::map<ShardId, int> holders;
+  for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon) {
+    for (const auto& shard : simulation.core(daemon).heldShards())
+      ++holders[shard];
+  }
+  EXPECT_EQ(holders.size(), 2u);
+  for (const auto& [shard, count] : holders)
+    EXPECT_EQ(count, 1) << shard.toString();
+}
+
+/// A kind of trouble, brought about by `strike` every second and a half.
+struct Trouble
+{
+  const char* name;
+  std::function<void(Simulation&)> strike;
+  Simulation::Settings settings = {};
+};
+
+std::size_t
+anyDaemon(Simulation& simulation)
+{
+  return simulation.random()() % simulation.daemons();
+}
+
+std::size_t
+anyWorker(Simulation& simulation)
+{
+  return simulation.random()() % simulation.workers();
+}
+
+Simulation::Settings
+withOrderFaults()
+{
+  Simulation::Settings settings;
+  settings.lostOrders = 0.02;
+  settings.lostAnswers = 0.03;
+  settings.lateOrders = 0.05;
+  return settings;
+}
+
+std::vector<Trouble>
+troubles()
+{
+  return {
+    { "Kill", [](Simulation& s) { s.kill(anyDaemon(s), milliseconds(600)); } },
+    { "PowerOff",
+      [](Simulation& s) { s.powerOff(anyDaemon(s), milliseconds(900)); } },
+    { "Freeze",
+      [](Simulation& s) {
+        s.freeze(anyDaemon(s), milliseconds(200 + s.random()() % 4000));
+      } },
+    { "Leave", [](Simulation& s) { s.leave(anyDaemon(s)); } },
+    { "CutOff",
+      [](Simulation& s) {
+        s.cutOff(anyDaemon(s), milliseconds(300 + s.random()() % 5000));
+      } },
+    { "CutZone",
+      [](Simulation& s) {
+        s.cutZone(s.random()() % s.zones(), milliseconds(3000));
+      } },
+    { "ResetLinks", [](Simulation& s) { s.resetLinks(); } },
+    { "CrashWorker", [](Simulation& s) { s.crashWorker(anyWorker(s)); } },
+    { "KillAll", [](Simulation& s) { s.killAll(milliseconds(700)); } },
+    { "OrderFaults", [](Simulation&) {}, withOrderFaults() },
+    { "All",
+      [](Simulation& s) {
+        const auto all = troubles();
+        all[s.random()() % (all.size() - 2)].strike(s);
+      },
+      withOrderFaults() },
+  };
+}
+
+using Case = std::tuple<std::size_t, int>;
+
+class DaemonGroupInTrouble : public ::testing::TestWithParam<Case>
+{};
+
+TEST_P(DaemonGroupInTrouble, KeepsEveryPromiseAndServesAgainAfterIt)
+{
+  const Trouble trouble = troubles()[std::get<0>(GetParam())];
+  Simulation simulation(trouble.settings, std::get<1>(GetParam()));
+  simulation.runFor(seconds(3));
+  for (int strike = 0; strike < 8; ++strike) {
+    trouble.strike(simulation);
+    simulation.runFor(milliseconds(700 + simulation.random()() % 1600));
+  }
+  simulation.runFor(seconds(8));
+  expectNoViolations(simulation);
+  const unsigned submitted = simulation.submitted();
+  const unsigned completed = simulation.completed();
+  simulation.runFor(seconds(5));
+  EXPECT_GT(simulation.completed() - completed,
+            (simulation.submitted() - submitted) / 3);
+  expectNoViolations(simulation);
+}
+
+std::string
+caseName(const ::testing::TestParamInfo<Case>& info)
+{
+  return std::string(troubles()[std::get<0>(info.param)].name) +
+         std::to_string(std::get<1>(info.param));
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         DaemonGroupInTrouble,
+                         ::testing::Combine(::testing::Range<std::size_t>(0,
+                                                                          11),
+                                            ::testing::Range(1, 9)),
+                         caseName);
+
+} // namespace
+} // namespace cowslippin::test
