Holders return tasks without room; the submitter hands them on

Cause of double runs after a holder's kill: it had handed parts on itself, and nobody else knew. Ruled out: a note to the submitter, as the kill may come between the two messages. Change: tasks without room go back to the submitter, which alone hands tasks to holders, under a new key each time, so that what crosses on the way is not heeded. A daemon that doesn't hold the shard says so.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -222,11 +222,8 @@
   hooks.ended = [this](const JobKey& key, const JobEnd& end) {
     jobEnded(key, end);
   };
-  hooks.forward = [this](const VmId& vm, const JobRequest& request) {
-    return m_links.send(vm, PeerSubmit{ request });
-  };
-  hooks.cancelForwarded = [this](const VmId& vm, const JobKey& key) {
-    m_links.send(vm, PeerCancel{ key });
+  hooks.returned = [this](const JobKey& key, const TasksReturned& returned) {
+    tasksReturned(key, returned);
   };
   hooks.higherToken = [this] { return nextToken(fencedMargin); };
   hooks.fenced = [this](const ShardId& shard) { m_fenced.insert(shard); };
@@ -403,10 +400,10 @@
     m_scheduler.cancel(cancel->key, now);
   else if (const auto* config = std::get_if<PeerConfig>(&message))
     configurationRead(config->body);
-  else if (const auto* ended = std::get_if<PeerJobEnd>(&message)) {
+  else if (const auto* ended = std::get_if<PeerJobEnd>(&message))
     m_gateway.ended(vm, ended->key, ended->end, now);
-    m_scheduler.forwardedEnded(ended->key, ended->end, now);
-  }
+  else if (const auto* back = std::get_if<PeerTasksReturned>(&message))
+    m_gateway.returned(vm, back->key, back->returned, now);
 }
 
 void
@@ -423,7 +420,7 @@
   view.shards = beat.shards;
   m_shards.memberSeen(view, now);
   if (!beat.shards.empty() && !beat.isLeaving)
-    m_scheduler.setPeerPlaces(vm, beat.places);
+    m_scheduler.setPeerPlaces(vm, beat.shards.begin()->first, beat.places);
   else
     m_scheduler.forgetPeer(vm);
   const bool isBehind = beat.configVersion < m_routing->version();
@@ -455,6 +452,18 @@
   m_links.send(key.submitter(), PeerJobEnd{ key, end });
 }
 
+void
+EntryCore::tasksReturned(const JobKey& key, const TasksReturned& returned)
+{
+  if (key.submitter() == m_settings.vm) {
+    m_links.post([this, key, returned] {
+      m_gateway.returned(m_settings.vm, key, returned, observeTime());
+    });
+    return;
+  }
+  m_links.send(key.submitter(), PeerTasksReturned{ key, returned });
+}
+
 FencingToken
 EntryCore::nextToken(std::uint64_t margin)
 {
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -153,6 +153,7 @@
   void checkLeaving(TimePoint now);
   void beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now);
   void jobEnded(const JobKey& key, const JobEnd& end);
+  void tasksReturned(const JobKey& key, const TasksReturned& returned);
   FencingToken nextToken(std::uint64_t margin);
   std::optional<VmId> reachableHolder(const ShardId& shard) const;
   std::optional<std::pair<VmId, ShardId>> otherHolder() const;
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -7,20 +7,11 @@
 
 namespace cowslippin {
 
-namespace {
-
-/// Parts that a scheduler hands on are numbered from 1; those of callers' jobs
-/// from here, so that the two never meet.
-constexpr std::uint64_t firstCallerPart = std::uint64_t(1) << 40;
-
-} // namespace
-
 Gateway::Gateway(VmId self, ShardId home, Settings settings, Hooks hooks)
   : m_self(std::move(self))
   , m_home(std::move(home))
   , m_settings(settings)
   , m_hooks(std::move(hooks))
-  , m_lastPart(firstCallerPart)
 {
 }
 
@@ -34,39 +25,38 @@
     m_tickets[ticket] = known->second;
     return ticket;
   }
-  const std::uint64_t part = ++m_lastPart;
-  Entry& entry = m_jobs[part];
-  entry.key = JobKey(m_self, submission.job, part);
+  const std::uint64_t number = ++m_lastJob;
+  Entry& entry = m_jobs[number];
+  entry.number = number;
   entry.arrivedAt = now;
   entry.expiresAt = now + submission.timeLeft;
   entry.callers[ticket] = std::move(done);
   entry.submission = std::move(submission);
-  m_byId[entry.submission.job] = part;
-  m_tickets[ticket] = part;
-  place(entry, now);
+  m_byId[entry.submission.job] = number;
+  m_tickets[ticket] = number;
+  Part& part = addPart(entry);
+  for (TaskIndex task = 0; task < entry.submission.taskCount; ++task)
+    part.tasks.insert(task);
+  place(entry, part, now);
   return ticket;
 }
 
 void
 Gateway::callerGone(Ticket ticket, TimePoint)
 {
-  const auto part = m_tickets.find(ticket);
-  if (part == m_tickets.end())
+  const auto number = m_tickets.find(ticket);
+  if (number == m_tickets.end())
     return;
-  const auto found = m_jobs.find(part->second);
-  m_tickets.erase(part);
-  Entry& entry = found->second;
+  Entry& entry = m_jobs.at(number->second);
+  m_tickets.erase(number);
   entry.callers.erase(ticket);
   if (!entry.callers.empty())
     return;
-  logEvent(LogLevel::Info,
-           "caller-gone",
-           { { "job", entry.submission.job },
-             { "holder", entry.holder ? entry.holder->value() : "" } });
-  if (entry.holder)
-    m_hooks.cancel(*entry.holder, entry.key);
-  m_byId.erase(entry.submission.job);
-  m_jobs.erase(found);
+  logEvent(
+    LogLevel::Info,
+    "caller-gone",
+    { { "job", entry.submission.job }, { "parts", entry.parts.size() } });
+  forget(entry);
 }
 
 void
@@ -75,153 +65,227 @@
                const JobEnd& end,
                TimePoint now)
 {
-  const auto found = m_jobs.find(key.part());
-  if (found == m_jobs.end() || found->second.holder != from)
+  const auto [entry, part] = find(from, key);
+  if (!part)
     return;
-  Entry& entry = found->second;
   switch (end.outcome) {
     case JobOutcome::Completed:
-      finish(found, { JobAnswer::Kind::Completed, Duration::zero(), "" });
+      partDone(*entry, *part);
       return;
     case JobOutcome::Failed:
-      finish(found, { JobAnswer::Kind::Failed, Duration::zero(), "" });
+      finish(*entry, { JobAnswer::Kind::Failed, Duration::zero(), "" });
       return;
     case JobOutcome::TimedOut:
-      finish(found,
+      finish(*entry,
              { JobAnswer::Kind::Unknown, Duration::zero(), "out of time" });
       return;
     case JobOutcome::Refused:
-      finish(
-        found,
-        { entry.lostAt ? JobAnswer::Kind::Unknown : JobAnswer::Kind::NotRun,
-          end.retryAfter,
-          "no room in time" });
+      partRefused(*entry, *part, end, now);
       return;
     case JobOutcome::Moved:
-      entry.done.insert(end.done.begin(), end.done.end());
-      entry.firstRun = std::max(entry.firstRun, end.nextRun);
-      for (const TaskIndex task : end.elsewhere)
-        entry.elsewhere[task] = now + m_settings.lostRunLimit;
-      entry.holder.reset();
-      entry.lostAt = now;
-      place(entry, now);
+      partMoved(*entry, *part, end, now);
+      return;
+    case JobOutcome::NotHolder:
+      // A tick looks again, when this daemon may know better.
+      part->holder.reset();
       return;
   }
 }
 
+void
+Gateway::returned(const VmId& from,
+                  const JobKey& key,
+                  const TasksReturned& returned,
+                  TimePoint now)
+{
+  const auto [entry, part] = find(from, key);
+  if (!part)
+    return;
+  Part& other = addPart(*entry);
+  other.firstRun = std::max(part->firstRun, returned.nextRun);
+  other.mayBeReturned = false;
+  for (const TaskIndex task : returned.tasks) {
+    if (part->tasks.erase(task) > 0)
+      other.tasks.insert(task);
+  }
+  entry->isSplit = true;
+  if (!handTo(*entry, other, returned.holder, returned.shard, now))
+    place(*entry, other, now);
+}
+
 void
 Gateway::daemonLost(const VmId& vm, TimePoint now)
 {
-  for (auto& [part, entry] : m_jobs) {
-    if (entry.holder != vm)
-      continue;
-    entry.holder.reset();
-    entry.lostAt = now;
+  for (auto& [number, entry] : m_jobs) {
+    for (auto& [id, part] : entry.parts) {
+      if (part.holder != vm)
+        continue;
+      part.holder.reset();
+      part.lostAt = now;
+    }
   }
 }
 
 void
 Gateway::tick(TimePoint now)
 {
-  std::vector<std::uint64_t> parts;
-  for (const auto& [part, entry] : m_jobs) {
-    if (!entry.holder || now >= entry.expiresAt)
-      parts.push_back(part);
-  }
-  for (const std::uint64_t part : parts) {
-    const auto found = m_jobs.find(part);
-    if (found == m_jobs.end())
-      continue;
-    Entry& entry = found->second;
+  std::vector<std::uint64_t> numbers;
+  for (const auto& [number, entry] : m_jobs)
+    numbers.push_back(number);
+  for (const std::uint64_t number : numbers) {
+    Entry& entry = m_jobs.at(number);
     if (now >= entry.expiresAt) {
-      if (entry.holder)
-        m_hooks.cancel(*entry.holder, entry.key);
-      finish(found,
+      finish(entry,
              { JobAnswer::Kind::Unknown, Duration::zero(), "out of time" });
-    } else {
-      place(entry, now);
+      continue;
+    }
+    std::vector<std::uint64_t> parts;
+    for (const auto& [id, part] : entry.parts) {
+      if (!part.holder)
+        parts.push_back(id);
+    }
+    for (const std::uint64_t id : parts) {
+      if (m_jobs.count(number) > 0)
+        place(entry, entry.parts.at(id), now);
     }
   }
 }
 
+/// The job and the part that `from` has under this key now, or nulls.
+Gateway::PartPlace
+Gateway::find(const VmId& from, const JobKey& key)
+{
+  const auto place = m_keys.find(key.part());
+  if (place == m_keys.end())
+    return { nullptr, nullptr };
+  Entry& entry = m_jobs.at(place->second.first);
+  Part& part = entry.parts.at(place->second.second);
+  if (part.holder != from)
+    return { nullptr, nullptr };
+  return { &entry, &part };
+}
+
+Gateway::Part&
+Gateway::addPart(Entry& entry)
+{
+  const std::uint64_t id = ++m_lastPart;
+  Part& part = entry.parts[id];
+  part.id = id;
+  return part;
+}
+
 void
-Gateway::place(Entry& entry, TimePoint now)
+Gateway::partDone(Entry& entry, Part& part)
+{
+  m_keys.erase(part.key.part());
+  entry.parts.erase(part.id);
+  if (entry.parts.empty())
+    finish(entry, { JobAnswer::Kind::Completed, Duration::zero(), "" });
+}
+
+/// A job that is refused as a whole has not run. A part of one goes back to the
+/// holder at home, which has to wait for room.
+void
+Gateway::partRefused(Entry& entry, Part& part, const JobEnd& end, TimePoint now)
+{
+  if (!entry.isSplit && !part.lostAt) {
+    finish(entry,
+           { JobAnswer::Kind::NotRun, end.retryAfter, "no room in time" });
+    return;
+  }
+  part.holder.reset();
+  place(entry, part, now);
+}
+
+void
+Gateway::partMoved(Entry& entry, Part& part, const JobEnd& end, TimePoint now)
+{
+  for (const TaskIndex task : end.done)
+    part.tasks.erase(task);
+  if (part.tasks.empty()) {
+    partDone(entry, part);
+    return;
+  }
+  part.firstRun = std::max(part.firstRun, end.nextRun);
+  part.holder.reset();
+  part.lostAt = now;
+  place(entry, part, now);
+}
+
+void
+Gateway::place(Entry& entry, Part& part, TimePoint now)
 {
   const bool isPlaced =
-    entry.lostAt ? placeAgain(entry, now) : placeFresh(entry, now);
-  if (isPlaced || entry.lostAt || now - entry.arrivedAt < m_settings.holderWait)
+    part.lostAt ? placeAgain(entry, part, now) : placeFresh(entry, part, now);
+  const bool mayRefuse = !part.lostAt && !entry.isSplit;
+  if (isPlaced || !mayRefuse || now - entry.arrivedAt < m_settings.holderWait)
     return;
-  finish(m_jobs.find(entry.key.part()),
+  finish(entry,
          { JobAnswer::Kind::NotRun,
            m_settings.noHolderRetry,
            "no daemon holds workers" });
 }
 
 bool
-Gateway::placeFresh(Entry& entry, TimePoint now)
+Gateway::placeFresh(Entry& entry, Part& part, TimePoint now)
 {
   if (const auto holder = m_hooks.holder(m_home)) {
-    if (handTo(entry, *holder, m_home, false, now))
+    if (handTo(entry, part, *holder, m_home, now))
       return true;
   }
   const auto other = m_hooks.otherHolder();
-  return other && handTo(entry, other->first, other->second, false, now);
+  return other && handTo(entry, part, other->first, other->second, now);
 }
 
-/// A job whose daemon was lost goes to the next holder of the same workers,
+/// A part whose daemon was lost goes to the next holder of the same workers,
 /// which finds what still runs. If there is none, it starts anew elsewhere once
 /// all that ran is surely over.
 bool
-Gateway::placeAgain(Entry& entry, TimePoint now)
+Gateway::placeAgain(Entry& entry, Part& part, TimePoint now)
 {
-  const bool isOver = now - *entry.lostAt >= m_settings.lostRunLimit;
-  if (const auto holder = m_hooks.holder(entry.shard)) {
-    if (handTo(entry, *holder, entry.shard, !isOver, now))
+  if (const auto holder = m_hooks.holder(part.shard)) {
+    if (handTo(entry, part, *holder, part.shard, now))
       return true;
   }
-  if (!isOver)
-    return false;
-  const auto other = m_hooks.otherHolder();
-  return other && handTo(entry, other->first, other->second, false, now);
+  const bool isOver = now - *part.lostAt >= m_settings.lostRunLimit;
+  return isOver && placeFresh(entry, part, now);
 }
 
 bool
 Gateway::handTo(Entry& entry,
+                Part& part,
                 const VmId& vm,
                 const ShardId& shard,
-                bool isQuarantined,
                 TimePoint now)
 {
   JobRequest request;
-  request.key = entry.key;
+  request.key = JobKey(m_self, entry.submission.job, ++m_lastKey);
+  request.previousPart = part.key.part();
   request.policy = entry.submission.policy;
   request.needs = entry.submission.needs;
   request.spec = entry.submission.spec;
   request.taskPrefix = entry.submission.taskPrefix;
-  for (TaskIndex task = 0; task < entry.submission.taskCount; ++task) {
-    if (entry.done.count(task) == 0)
-      request.tasks.push_back(task);
-  }
-  for (const auto& [task, until] : entry.elsewhere) {
-    if (now >= until || entry.done.count(task) > 0)
-      continue;
-    request.elsewhere.push_back(task);
-    request.elsewhereRemaining =
-      std::max(request.elsewhereRemaining, until - now);
-  }
-  request.firstRun = entry.firstRun;
+  request.tasks.assign(part.tasks.begin(), part.tasks.end());
+  request.firstRun = part.firstRun;
   request.age = now - entry.arrivedAt;
   request.timeLeft = entry.expiresAt - now;
-  request.mayHaveRun = entry.lostAt.has_value();
-  if (isQuarantined)
+  request.mayBeReturned = part.mayBeReturned;
+  // A part that another holder has room for may be refused by it; at home it
+  // waits.
+  const bool isSuggested = entry.isSplit && shard != m_home && !part.lostAt;
+  request.mayHaveRun = part.lostAt || (entry.isSplit && !isSuggested);
+  const Duration lostFor = part.lostAt ? now - *part.lostAt : Duration::zero();
+  if (part.lostAt && lostFor < m_settings.lostRunLimit)
     request.quarantine =
-      Quarantine{ entry.shard,
-                  m_settings.lostRunLimit - (now - *entry.lostAt) };
+      Quarantine{ part.shard, m_settings.lostRunLimit - lostFor };
   if (!m_hooks.submit(vm, request))
     return false;
-  entry.holder = vm;
-  entry.shard = shard;
-  if (entry.lostAt)
+  m_keys.erase(part.key.part());
+  m_keys[request.key.part()] = { entry.number, part.id };
+  part.key = request.key;
+  part.holder = vm;
+  part.shard = shard;
+  if (part.lostAt)
     logEvent(LogLevel::Info,
              "job-resubmitted",
              { { "job", entry.submission.job },
@@ -231,15 +295,27 @@
 }
 
 void
-Gateway::finish(Entries::iterator found, const JobAnswer& answer)
+Gateway::finish(Entry& entry, const JobAnswer& answer)
 {
-  std::map<Ticket, Done> callers = std::move(found->second.callers);
-  m_byId.erase(found->second.submission.job);
-  m_jobs.erase(found);
+  const std::map<Ticket, Done> callers = std::move(entry.callers);
+  forget(entry);
   for (const auto& [ticket, done] : callers)
     m_tickets.erase(ticket);
   for (const auto& [ticket, done] : callers)
     done(answer);
 }
 
+/// Takes back what holders still have of a job, and drops it.
+void
+Gateway::forget(Entry& entry)
+{
+  for (const auto& [id, part] : entry.parts) {
+    m_keys.erase(part.key.part());
+    if (part.holder)
+      m_hooks.cancel(*part.holder, part.key);
+  }
+  m_byId.erase(entry.submission.job);
+  m_jobs.erase(entry.number);
+}
+
 } // namespace cowslippin
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -95,6 +95,11 @@
              const JobKey& key,
              const JobEnd& end,
              TimePoint now);
+  /// A holder has no room for some tasks and names one that has.
+  void returned(const VmId& from,
+                const JobKey& key,
+                const TasksReturned& returned,
+                TimePoint now);
   /// A daemon can't be reached any more.
   void daemonLost(const VmId& vm, TimePoint now);
   /// Looks for holders and ends what has run out of time; to be called every
@@ -104,44 +109,67 @@
   std::size_t waiting() const { return m_jobs.size(); }
 
 private:
-  struct Entry
+  /// Tasks of a job that one holder has.
+  struct Part
   {
-    JobSubmission submission;
+    std::uint64_t id = 0;
+    /// New each time that the part is handed over, so that what a holder says
+    /// of an earlier time is not heeded.
     JobKey key;
-    std::map<Ticket, Done> callers;
-    TimePoint arrivedAt{};
-    TimePoint expiresAt{};
-    std::set<TaskIndex> done;
-    /// Tasks that a run may be left of anywhere, and until when at most.
-    std::map<TaskIndex, TimePoint> elsewhere;
+    std::set<TaskIndex> tasks;
     std::uint64_t firstRun = 1;
-    /// The daemon that has the job now.
+    /// The daemon that has the part now, and the shard of its workers.
     std::optional<VmId> holder;
     ShardId shard;
-    /// Set when a daemon that had the job was lost or gave it up.
+    /// Set when a daemon that had the part was lost or gave it up.
     std::optional<TimePoint> lostAt;
+    /// Whether the holder may name another one. It may do so once.
+    bool mayBeReturned = true;
+  };
+  struct Entry
+  {
+    std::uint64_t number = 0;
+    JobSubmission submission;
+    std::map<Ticket, Done> callers;
+    TimePoint arrivedAt{};
+    TimePoint expiresAt{};
+    std::map<std::uint64_t, Part> parts;
+    /// Whether it has had more than one part, so that no holder knows whether
+    /// something of it runs.
+    bool isSplit = false;
   };
   using Entries = std::map<std::uint64_t, Entry>;
 
-  void place(Entry& entry, TimePoint now);
-  bool placeFresh(Entry& entry, TimePoint now);
-  bool placeAgain(Entry& entry, TimePoint now);
+  using PartPlace = std::pair<Entry*, Part*>;
+
+  PartPlace find(const VmId& from, const JobKey& key);
+  Part& addPart(Entry& entry);
+  void partDone(Entry& entry, Part& part);
+  void partRefused(Entry& entry, Part& part, const JobEnd& end, TimePoint now);
+  void partMoved(Entry& entry, Part& part, const JobEnd& end, TimePoint now);
+  void place(Entry& entry, Part& part, TimePoint now);
+  bool placeFresh(Entry& entry, Part& part, TimePoint now);
+  bool placeAgain(Entry& entry, Part& part, TimePoint now);
   bool handTo(Entry& entry,
+              Part& part,
               const VmId& vm,
               const ShardId& shard,
-              bool isQuarantined,
               TimePoint now);
-  void finish(Entries::iterator found, const JobAnswer& answer);
+  void finish(Entry& entry, const JobAnswer& answer);
+  void forget(Entry& entry);
 
   const VmId m_self;
   const ShardId m_home;
   const Settings m_settings;
   const Hooks m_hooks;
-  /// By the part number of the job's key.
   Entries m_jobs;
   std::map<JobId, std::uint64_t> m_byId;
+  /// The job and the part that each key stands for.
+  std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> m_keys;
   std::map<Ticket, std::uint64_t> m_tickets;
+  std::uint64_t m_lastJob = 0;
   std::uint64_t m_lastPart = 0;
+  std::uint64_t m_lastKey = 0;
   Ticket m_lastTicket = 0;
 };
 
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -4,7 +4,6 @@
 
 #include "libworkers/runkey.h"
 
-#include <algorithm>
 #include <optional>
 #include <set>
 #include <vector>
@@ -20,8 +19,8 @@
   Quarantined,
   /// A run of it is at work on a worker of this daemon, or may be.
   Running,
-  /// Handed on to another daemon.
-  Forwarded,
+  /// Returned to the submitter, who hands it to another holder.
+  Returned,
   Done,
 };
 
@@ -40,12 +39,7 @@
   /// Share of its work that the worker last reported, and when that rose.
   int percent = 0;
   TimePoint progressAt{};
-  /// The part that it was forwarded with.
-  std::uint64_t part = 0;
   TimePoint quarantinedUntil{};
-  /// Whether its quarantine ends as soon as the workers of the job's lost shard
-  /// have all been asked.
-  bool isAskable = false;
   /// Workers on which it failed or stood still.
   std::set<WorkerId> avoided;
 };
@@ -68,21 +62,13 @@
   std::vector<JobTask> tasks;
   std::size_t pending = 0;
   std::size_t done = 0;
-  /// Whether anything of it may have been started.
+  std::size_t returned = 0;
+  /// Whether anything of it may have been started, here or elsewhere.
   bool hasStarted = false;
   /// Since when its submitter can't be reached.
   std::optional<TimePoint> detachedAt;
-  /// Other daemons that had no room for it.
-  std::set<VmId> refusedBy;
 
-  /// Whether a refusal could be false.
-  bool mayHaveStarted() const
-  {
-    return hasStarted ||
-           std::any_of(tasks.begin(), tasks.end(), [](const JobTask& task) {
-             return task.state == TaskState::Forwarded;
-           });
-  }
+  bool isOver() const { return done + returned == tasks.size(); }
 };
 
 } // namespace cowslippin
--- a/src/libjobs/jobend.h
+++ b/src/libjobs/jobend.h
@@ -2,6 +2,7 @@
 
 #include "libcore/clock.h"
 #include "libcore/ids.h"
+#include "libcore/shardid.h"
 
 #include <cstdint>
 #include <vector>
@@ -22,6 +23,9 @@
   /// This daemon no longer holds the workers. Tasks that are not done may be
   /// running under the next holder of the same workers.
   Moved,
+  /// This daemon doesn't hold the workers that the job was meant for, and has
+  /// done nothing.
+  NotHolder,
 };
 
 inline const char*
@@ -38,10 +42,24 @@
       return "timed-out";
     case JobOutcome::Moved:
       return "moved";
+    case JobOutcome::NotHolder:
+      return "not-holder";
   }
   return "unknown";
 }
 
+/// Tasks for which a holder has no room and another one has. They have no run;
+/// the submitter hands them on, so that it always knows who has what.
+struct TasksReturned
+{
+  std::vector<TaskIndex> tasks;
+  /// Who has room, and where.
+  VmId holder;
+  ShardId shard;
+  /// Higher than the number of any run so far.
+  std::uint64_t nextRun = 1;
+};
+
 /// The end of a job, or of a part of one, as its submitter is told of it.
 struct JobEnd
 {
@@ -50,9 +68,6 @@
   Duration retryAfter = Duration::zero();
   /// Of `Moved`: tasks that are done.
   std::vector<TaskIndex> done;
-  /// Of `Moved`: tasks that yet another daemon may be running; asking the next
-  /// holder of these workers doesn't find them.
-  std::vector<TaskIndex> elsewhere;
   /// Of `Moved`: higher than the number of any run so far.
   std::uint64_t nextRun = 1;
 };
--- a/src/libjobs/jobrequest.h
+++ b/src/libjobs/jobrequest.h
@@ -68,14 +68,15 @@
   /// Until the caller stops waiting.
   Duration timeLeft = Duration::zero();
   std::optional<Quarantine> quarantine;
-  /// Tasks of which a run may be left anywhere, and for how long at most.
-  std::vector<TaskIndex> elsewhere;
-  Duration elsewhereRemaining = Duration::zero();
+  /// The part of the key under which the submitter has handed the same over
+  /// before; 0 if it has not. What is said of that key is no longer heeded.
+  std::uint64_t previousPart = 0;
   /// Whether something of the job may have run before, so that refusing it
   /// would be false.
   bool mayHaveRun = false;
-  /// Whether it may be handed on to a further daemon.
-  bool mayBeForwarded = true;
+  /// Whether its tasks may be returned to be handed to another holder. If not,
+  /// it is refused at once where there is no room at all.
+  bool mayBeReturned = true;
 
   std::string taskName(TaskIndex task) const
   {
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -72,21 +72,24 @@
 Scheduler::submit(JobRequest request, TimePoint now)
 {
   m_now = now;
-  const auto known = m_jobs.find(request.key);
-  if (known != m_jobs.end()) {
-    known->second->detachedAt.reset();
+  if (attach(request)) {
+    pump(now);
     return;
   }
   const JobKey key = request.key;
   auto owned = makeJob(std::move(request), now);
   Job& job = *owned;
   if (job.expiresAt <= now) {
-    m_hooks.ended(key, { JobOutcome::TimedOut, Duration::zero(), {}, {}, 1 });
+    m_hooks.ended(key, { JobOutcome::TimedOut, Duration::zero(), {}, 1 });
+    return;
+  }
+  if (!isHolderFor(job.request)) {
+    m_hooks.ended(key, { JobOutcome::NotHolder, Duration::zero(), {}, 1 });
     return;
   }
   Duration retryAfter = Duration::zero();
   if (mustRefuse(job, now, retryAfter)) {
-    const JobEnd end{ JobOutcome::Refused, retryAfter, {}, {}, 1 };
+    const JobEnd end{ JobOutcome::Refused, retryAfter, {}, 1 };
     logJob("job-refused", job, &end);
     m_hooks.ended(key, end);
     return;
@@ -94,8 +97,8 @@
   m_jobs.emplace(key, std::move(owned));
   logJob("job-accepted", job, nullptr);
   findRuns(job, now);
-  if (job.done == job.tasks.size()) {
-    finish(job, { JobOutcome::Completed, Duration::zero(), {}, {}, 1 });
+  if (job.isOver()) {
+    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
     return;
   }
   enqueue(job);
@@ -136,8 +139,6 @@
   const auto& quarantine = job.request.quarantine;
   if (!job.request.mayHaveRun)
     return;
-  const std::set<TaskIndex> elsewhere(job.request.elsewhere.begin(),
-                                      job.request.elsewhere.end());
   const TimePoint until =
     now + (quarantine ? quarantine->remaining : Duration::zero());
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
@@ -156,13 +157,9 @@
       task.startedAt = now;
       task.progressAt = now;
       m_runs[run->second] = { &job, i };
-    } else if (elsewhere.count(task.index) > 0) {
-      leavePending(job, task, TaskState::Quarantined);
-      task.quarantinedUntil = now + job.request.elsewhereRemaining;
     } else if (quarantine) {
       leavePending(job, task, TaskState::Quarantined);
       task.quarantinedUntil = until;
-      task.isAskable = true;
     }
   }
 }
@@ -175,11 +172,11 @@
   retryAfter = std::max(minRetryAfter, expectedWait(job.latestStart, now));
   if (!m_pool.canEverRun(job.request))
     return true;
-  if (!job.request.mayBeForwarded)
+  if (!job.request.mayBeReturned)
     return m_pool.freePlaces(job.request.needs.resources.cpuMillis(), now) == 0;
   if (m_pool.totalCpuMillis(now) == 0 && m_peerPlaces.empty())
     return true;
-  if (peerFor(job))
+  if (hasPeerFor(job))
     return false;
   const Duration objective = job.objectiveAt - job.arrivedAt;
   const TimePoint end = now + expectedWait(job.latestStart, now) + job.expected;
@@ -207,72 +204,6 @@
     if (key.submitter() == vm && !job->detachedAt)
       job->detachedAt = now;
   }
-  std::vector<std::uint64_t> lost;
-  for (const auto& [part, place] : m_forwarded) {
-    if (place.first == vm)
-      lost.push_back(part);
-  }
-  for (const std::uint64_t part : lost) {
-    Job& job = *m_forwarded.at(part).second;
-    m_forwarded.erase(part);
-    job.hasStarted = true;
-    for (JobTask& task : job.tasks) {
-      if (task.state == TaskState::Forwarded && task.part == part)
-        quarantineForwarded(task, task.nextRun + staleRunStep, now);
-    }
-  }
-}
-
-void
-Scheduler::forwardedEnded(const JobKey& key, const JobEnd& end, TimePoint now)
-{
-  m_now = now;
-  const auto found = m_forwarded.find(key.part());
-  if (found == m_forwarded.end())
-    return;
-  const VmId vm = found->second.first;
-  Job& job = *found->second.second;
-  m_forwarded.erase(found);
-  if (end.outcome == JobOutcome::Failed ||
-      end.outcome == JobOutcome::TimedOut) {
-    finish(job, end);
-    pump(now);
-    return;
-  }
-  if (end.outcome == JobOutcome::Refused) {
-    job.refusedBy.insert(vm);
-    m_peerPlaces[vm] = 0;
-  } else {
-    job.hasStarted = true;
-  }
-  const std::set<TaskIndex> done(end.done.begin(), end.done.end());
-  for (JobTask& task : job.tasks) {
-    if (task.state != TaskState::Forwarded || task.part != key.part())
-      continue;
-    if (end.outcome == JobOutcome::Completed || done.count(task.index) > 0) {
-      task.state = TaskState::Done;
-      ++job.done;
-    } else if (end.outcome == JobOutcome::Moved) {
-      quarantineForwarded(task, end.nextRun, now);
-    } else {
-      setPending(job, task);
-    }
-  }
-  if (job.done == job.tasks.size())
-    finish(job, { JobOutcome::Completed, Duration::zero(), {}, {}, 1 });
-  pump(now);
-}
-
-/// A run that another daemon left may go on; which workers to ask isn't known.
-void
-Scheduler::quarantineForwarded(JobTask& task,
-                               std::uint64_t nextRun,
-                               TimePoint now)
-{
-  task.state = TaskState::Quarantined;
-  task.isAskable = false;
-  task.quarantinedUntil = now + m_settings.lostRunLimit;
-  task.nextRun = std::max(task.nextRun, nextRun);
 }
 
 void
@@ -310,9 +241,42 @@
 }
 
 void
-Scheduler::setPeerPlaces(const VmId& vm, unsigned places)
+Scheduler::setPeerPlaces(const VmId& vm, const ShardId& shard, unsigned places)
 {
-  m_peerPlaces[vm] = places;
+  m_peerPlaces[vm] = { shard, places };
+}
+
+bool
+Scheduler::isHolderFor(const JobRequest& request) const
+{
+  return request.quarantine ? holds(request.quarantine->shard)
+                            : m_pool.holdsAny();
+}
+
+/// A submitter that had lost the connection for a moment goes on under a new
+/// key. Tasks that it has again were returned without its knowledge. False if
+/// nothing of it is here.
+bool
+Scheduler::attach(const JobRequest& request)
+{
+  const JobKey previous(
+    request.key.submitter(), request.key.job(), request.previousPart);
+  auto node = m_jobs.extract(previous);
+  if (request.previousPart == 0 || node.empty())
+    return false;
+  node.key() = request.key;
+  Job& job = *node.mapped();
+  job.request.key = request.key;
+  job.detachedAt.reset();
+  m_jobs.insert(std::move(node));
+  const std::set<TaskIndex> wanted(request.tasks.begin(), request.tasks.end());
+  for (JobTask& task : job.tasks) {
+    if (task.state != TaskState::Returned || wanted.count(task.index) == 0)
+      continue;
+    --job.returned;
+    setPending(job, task);
+  }
+  return true;
 }
 
 void
@@ -471,7 +435,7 @@
       room = m_pool.largestFreeCpuMillis();
     }
     if (job->pending > 0)
-      forwardTasks(*job, now);
+      returnTasks(*job);
   }
   m_isPumping = false;
 }
@@ -530,58 +494,63 @@
   return true;
 }
 
-std::optional<VmId>
-Scheduler::peerFor(const Job& job) const
+Scheduler::Peers::iterator
+Scheduler::peerFor(const Job& job)
 {
-  std::optional<VmId> best;
-  unsigned most = peerReserve;
-  if (!job.request.mayBeForwarded)
+  auto best = m_peerPlaces.end();
+  if (!job.request.mayBeReturned)
     return best;
-  for (const auto& [vm, places] : m_peerPlaces) {
-    if (places > most && job.refusedBy.count(vm) == 0) {
-      most = places;
-      best = vm;
+  unsigned most = peerReserve;
+  for (auto peer = m_peerPlaces.begin(); peer != m_peerPlaces.end(); ++peer) {
+    if (peer->second.places > most) {
+      most = peer->second.places;
+      best = peer;
     }
   }
   return best;
 }
 
+bool
+Scheduler::hasPeerFor(const Job& job) const
+{
+  return job.request.mayBeReturned &&
+         std::any_of(
+           m_peerPlaces.begin(), m_peerPlaces.end(), [](const auto& peer) {
+             return peer.second.places > peerReserve;
+           });
+}
+
 void
-Scheduler::forwardTasks(Job& job, TimePoint now)
+Scheduler::returnTasks(Job& job)
 {
-  const auto vm = peerFor(job);
-  if (!vm)
+  const auto peer = peerFor(job);
+  if (peer == m_peerPlaces.end())
     return;
-  unsigned& places = m_peerPlaces.at(*vm);
-  JobRequest part = job.request;
-  part.key = JobKey(m_self, job.request.key.job(), ++m_lastPart);
-  part.tasks.clear();
-  part.age = now - job.arrivedAt;
-  part.timeLeft = job.expiresAt - now;
-  part.mayBeForwarded = false;
-  part.mayHaveRun = false;
-  part.quarantine.reset();
+  TasksReturned returned;
+  returned.holder = peer->first;
+  returned.shard = peer->second.shard;
   for (JobTask& task : job.tasks) {
-    if (task.state != TaskState::Pending || places <= peerReserve ||
-        m_pool.isRunning(job.request.taskName(task.index)))
+    const bool isFree = task.state == TaskState::Pending &&
+                        !m_pool.isRunning(job.request.taskName(task.index));
+    if (!isFree || peer->second.places <= peerReserve)
       continue;
-    --places;
-    part.firstRun = std::max(part.firstRun, task.nextRun);
-    part.tasks.push_back(task.index);
-    task.part = part.key.part();
+    --peer->second.places;
+    returned.tasks.push_back(task.index);
+    returned.nextRun = std::max(returned.nextRun, task.nextRun);
+    leavePending(job, task, TaskState::Returned);
+    ++job.returned;
   }
-  if (part.tasks.empty() || !m_hooks.forward(*vm, part))
+  if (returned.tasks.empty())
     return;
-  for (JobTask& task : job.tasks) {
-    if (task.state == TaskState::Pending && task.part == part.key.part())
-      leavePending(job, task, TaskState::Forwarded);
-  }
-  m_forwarded[part.key.part()] = { *vm, &job };
+  job.hasStarted = true;
   logEvent(LogLevel::Info,
-           "tasks-forwarded",
+           "tasks-returned",
            { { "job", job.request.key.job() },
-             { "tasks", part.tasks.size() },
-             { "to", *vm } });
+             { "tasks", returned.tasks.size() },
+             { "holder", returned.holder } });
+  m_hooks.returned(job.request.key, returned);
+  if (job.isOver())
+    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
 }
 
 void
@@ -589,8 +558,8 @@
 {
   task.state = TaskState::Done;
   ++job.done;
-  if (job.done == job.tasks.size())
-    finish(job, { JobOutcome::Completed, Duration::zero(), {}, {}, 1 });
+  if (job.isOver())
+    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
 }
 
 void
@@ -599,7 +568,7 @@
   ++task.failures;
   task.avoided.insert(task.worker);
   if (task.failures >= job.request.policy.maxAttempts)
-    finish(job, { JobOutcome::Failed, Duration::zero(), {}, {}, 1 });
+    finish(job, { JobOutcome::Failed, Duration::zero(), {}, 1 });
   else
     setPending(job, task);
 }
@@ -701,24 +670,13 @@
   dequeue(job);
   const JobKey key = job.request.key;
   std::vector<std::pair<WorkerId, RunKey>> runs;
-  std::set<std::uint64_t> parts;
   for (const JobTask& task : job.tasks) {
     const RunKey run(job.request.taskName(task.index), task.run);
     if (task.state == TaskState::Running && m_runs.erase(run) > 0)
       runs.emplace_back(task.worker, run);
-    if (task.state == TaskState::Forwarded)
-      parts.insert(task.part);
   }
   for (const auto& [worker, run] : runs)
     m_pool.stop(worker, run, m_now);
-  for (const std::uint64_t part : parts) {
-    const auto found = m_forwarded.find(part);
-    if (found == m_forwarded.end())
-      continue;
-    const VmId vm = found->second.first;
-    m_forwarded.erase(found);
-    m_hooks.cancelForwarded(vm, JobKey(m_self, key.job(), part));
-  }
   m_jobs.erase(key);
 }
 
@@ -731,10 +689,6 @@
   for (const JobTask& task : job.tasks) {
     if (task.state == TaskState::Done)
       end.done.push_back(task.index);
-    const bool isUnaskable =
-      task.state == TaskState::Quarantined && !task.isAskable;
-    if (task.state == TaskState::Forwarded || isUnaskable)
-      end.elsewhere.push_back(task.index);
     end.nextRun = std::max(end.nextRun, task.nextRun + staleRunStep);
   }
   return end;
@@ -759,13 +713,13 @@
     return;
   }
   if (now >= job.expiresAt) {
-    finish(job, { JobOutcome::TimedOut, Duration::zero(), {}, {}, 1 });
+    finish(job, { JobOutcome::TimedOut, Duration::zero(), {}, 1 });
     return;
   }
-  if (!job.mayHaveStarted() && now + job.expected > job.worthlessAt) {
+  if (!job.hasStarted && now + job.expected > job.worthlessAt) {
     const Duration retryAfter =
       std::max(minRetryAfter, expectedWait(job.latestStart, now));
-    finish(job, { JobOutcome::Refused, retryAfter, {}, {}, 1 });
+    finish(job, { JobOutcome::Refused, retryAfter, {}, 1 });
     return;
   }
   if (!endQuarantine(job, now))
@@ -794,11 +748,11 @@
       task.progressAt = now;
       m_runs[run->second] = { &job, i };
     } else if (m_strayDone.erase(name) > 0) {
-      const bool isLast = job.done + 1 == job.tasks.size();
+      const bool isLast = job.done + job.returned + 1 == job.tasks.size();
       taskDone(job, task, now);
       if (isLast)
         return false;
-    } else if ((isKnown && task.isAskable) || now >= task.quarantinedUntil) {
+    } else if (isKnown || now >= task.quarantinedUntil) {
       setPending(job, task);
     }
   }
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -18,8 +18,8 @@
 
 /// Gets jobs done on the workers of the shards that this daemon holds. Jobs
 /// wait in one queue, the one that must start soonest first; what finds no room
-/// here is handed on to a daemon that has some. It does no input or output and
-/// reads no clock.
+/// here is returned to be handed to a holder that has some. It does no input or
+/// output and reads no clock.
 class Scheduler
 {
 public:
@@ -43,9 +43,6 @@
     double stallFactor = 2.0;
     Duration stallMargin = std::chrono::milliseconds(150);
     unsigned maxRestarts = 3;
-    /// How long a run that a lost daemon may have left goes on at most: the
-    /// silence limit between daemons, the lease and a margin.
-    Duration lostRunLimit = std::chrono::milliseconds(1270);
     /// How long ends that nobody asked for are kept for who may ask.
     Duration strayEndsKept = std::chrono::seconds(2);
   };
@@ -61,10 +58,8 @@
       sendStop;
     /// Tells the submitter. Nothing more comes of this job.
     std::function<void(const JobKey&, const JobEnd&)> ended;
-    /// Hands a part of a job on. False if it could not be sent.
-    std::function<bool(const VmId&, const JobRequest&)> forward;
-    /// Tells another daemon that a part is no longer wanted.
-    std::function<void(const VmId&, const JobKey&)> cancelForwarded;
+    /// Returns tasks to the submitter, with where to hand them.
+    std::function<void(const JobKey&, const TasksReturned&)> returned;
     std::function<FencingToken()> higherToken;
     /// A worker of a held shard was taken by another daemon.
     std::function<void(const ShardId&)> fenced;
@@ -75,11 +70,8 @@
   void submit(JobRequest request, TimePoint now);
   /// The caller is gone: whatever runs is stopped, and no end is told.
   void cancel(const JobKey& key, TimePoint now);
-  /// A daemon can't be reached: its jobs end soon unless it submits them again,
-  /// and what was handed on to it may still run there.
+  /// A daemon can't be reached: its jobs end soon unless it submits them again.
   void daemonLost(const VmId& vm, TimePoint now);
-  /// A part that was handed on has ended.
-  void forwardedEnded(const JobKey& key, const JobEnd& end, TimePoint now);
 
   void setList(const WorkerList& list, TimePoint now);
   void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
@@ -87,8 +79,8 @@
   void releaseShard(const ShardId& shard, TimePoint now);
   bool holds(const ShardId& shard) const { return m_pool.holds(shard); }
 
-  /// Places that another holder has, as it told last.
-  void setPeerPlaces(const VmId& vm, unsigned places);
+  /// Places that another holder has on a shard, as it told last.
+  void setPeerPlaces(const VmId& vm, const ShardId& shard, unsigned places);
   void forgetPeer(const VmId& vm) { m_peerPlaces.erase(vm); }
 
   void holdAnswered(const WorkerId& worker,
@@ -138,8 +130,17 @@
   void pump(TimePoint now);
   void pumpJob(Job& job, TimePoint now);
   bool startTask(Job& job, std::size_t position, TimePoint now);
-  void forwardTasks(Job& job, TimePoint now);
-  std::optional<VmId> peerFor(const Job& job) const;
+  void returnTasks(Job& job);
+  struct PeerPlaces
+  {
+    ShardId shard;
+    unsigned places = 0;
+  };
+  using Peers = std::map<VmId, PeerPlaces>;
+  Peers::iterator peerFor(const Job& job);
+  bool hasPeerFor(const Job& job) const;
+  bool isHolderFor(const JobRequest& request) const;
+  bool attach(const JobRequest& request);
   void taskDone(Job& job, JobTask& task, TimePoint now);
   void taskFailed(Job& job, JobTask& task, TimePoint now);
   void runEnded(const WorkerId& worker, const RunKey& key, RunEnd end);
@@ -167,11 +168,8 @@
   std::map<JobKey, std::unique_ptr<Job>> m_jobs;
   Queue m_queue;
   std::map<RunKey, RunOwner> m_runs;
-  /// Parts that were handed on, by number, with the daemon that has them.
-  std::map<std::uint64_t, std::pair<VmId, Job*>> m_forwarded;
-  std::uint64_t m_lastPart = 0;
   std::uint64_t m_lastSequence = 0;
-  std::map<VmId, unsigned> m_peerPlaces;
+  Peers m_peerPlaces;
   /// Tasks that were found done without a job that had asked.
   std::unordered_map<std::string, TimePoint> m_strayDone;
   /// Moving mean of what a task needs.
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -67,6 +67,7 @@
   /// holder.
   void releaseShard(const ShardId& shard);
   bool holds(const ShardId& shard) const { return m_shards.count(shard) > 0; }
+  bool holdsAny() const { return !m_shards.empty(); }
   /// Whether everything that may run on the shard's workers is known.
   bool isFullyClaimed(const ShardId& shard) const;
 
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -96,10 +96,9 @@
                        request.age.count(),
                        request.timeLeft.count(),
                        std::move(quarantine),
-                       request.elsewhere,
-                       request.elsewhereRemaining.count(),
+                       request.previousPart,
                        request.mayHaveRun,
-                       request.mayBeForwarded });
+                       request.mayBeReturned });
 }
 
 json
@@ -109,10 +108,19 @@
                        static_cast<int>(ended.end.outcome),
                        ended.end.retryAfter.count(),
                        ended.end.done,
-                       ended.end.elsewhere,
                        ended.end.nextRun });
 }
 
+json
+toJson(const PeerTasksReturned& message)
+{
+  return json::array({ toJson(message.key),
+                       message.returned.tasks,
+                       message.returned.holder.value(),
+                       toJson(message.returned.shard),
+                       message.returned.nextRun });
+}
+
 json
 toJson(const PeerCancel& cancel)
 {
@@ -226,10 +234,9 @@
   if (!quarantine.is_null())
     request.quarantine =
       Quarantine{ readShard(quarantine.at(0)), duration(quarantine.at(1)) };
-  request.elsewhere = value.at(10).get<std::vector<TaskIndex>>();
-  request.elsewhereRemaining = duration(value.at(11));
-  request.mayHaveRun = value.at(12).get<bool>();
-  request.mayBeForwarded = value.at(13).get<bool>();
+  request.previousPart = value.at(10).get<std::uint64_t>();
+  request.mayHaveRun = value.at(11).get<bool>();
+  request.mayBeReturned = value.at(12).get<bool>();
   return { std::move(request) };
 }
 
@@ -239,16 +246,27 @@
   PeerJobEnd ended;
   ended.key = readKey(value.at(0));
   const int outcome = value.at(1).get<int>();
-  if (outcome < 0 || outcome > static_cast<int>(JobOutcome::Moved))
+  if (outcome < 0 || outcome > static_cast<int>(JobOutcome::NotHolder))
     throw std::invalid_argument("an unknown outcome");
   ended.end.outcome = static_cast<JobOutcome>(outcome);
   ended.end.retryAfter = duration(value.at(2));
   ended.end.done = value.at(3).get<std::vector<TaskIndex>>();
-  ended.end.elsewhere = value.at(4).get<std::vector<TaskIndex>>();
-  ended.end.nextRun = value.at(5).get<std::uint64_t>();
+  ended.end.nextRun = value.at(4).get<std::uint64_t>();
   return ended;
 }
 
+PeerTasksReturned
+readTasksReturned(const json& value)
+{
+  PeerTasksReturned message;
+  message.key = readKey(value.at(0));
+  message.returned.tasks = value.at(1).get<std::vector<TaskIndex>>();
+  message.returned.holder = VmId(text(value.at(2)));
+  message.returned.shard = readShard(value.at(3));
+  message.returned.nextRun = value.at(4).get<std::uint64_t>();
+  return message;
+}
+
 PeerMessage
 readMessage(std::size_t kind, const json& value)
 {
@@ -265,6 +283,8 @@
       return PeerCancel{ readKey(value.at(0)) };
     case 5:
       return PeerConfig{ value.at(0).get<std::uint64_t>(), text(value.at(1)) };
+    case 6:
+      return readTasksReturned(value);
     default:
       throw std::invalid_argument("an unknown kind");
   }
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -52,6 +52,13 @@
   JobEnd end;
 };
 
+/// Tasks that a holder has no room for.
+struct PeerTasksReturned
+{
+  JobKey key;
+  TasksReturned returned;
+};
+
 /// The caller of a job is gone.
 struct PeerCancel
 {
@@ -66,7 +73,12 @@
   std::string body;
 };
 
-using PeerMessage = std::
-  variant<PeerHello, PeerBeat, PeerSubmit, PeerJobEnd, PeerCancel, PeerConfig>;
+using PeerMessage = std::variant<PeerHello,
+                                 PeerBeat,
+                                 PeerSubmit,
+                                 PeerJobEnd,
+                                 PeerCancel,
+                                 PeerConfig,
+                                 PeerTasksReturned>;
 
 } // namespace cowslippin
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -747,6 +747,15 @@
   }
 }
 
+unsigned
+Simulation::waitingCallers() const
+{
+  return static_cast<unsigned>(
+    std::count_if(m_callers.begin(), m_callers.end(), [](const auto& item) {
+      return item.second.isWaiting;
+    }));
+}
+
 WorkerList
 Simulation::list() const
 {
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -65,6 +65,8 @@
   EntryCore& core(std::size_t daemon) { return *m_nodes[daemon].core; }
 
   const std::vector<std::string>& violations() const { return m_violations; }
+  /// Jobs that are under way.
+  unsigned waitingCallers() const;
   unsigned submitted() const { return m_submitted; }
   unsigned completed() const { return m_completed; }
   unsigned failed() const { return m_failed; }
