--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -143,6 +143,12 @@
   beat(now);
 }
 
+bool
+EntryCore::acceptsCallers() const
+{
+  return !m_leaveAt || m_clocks.steady() - *m_leaveAt < m_settings.unreadyTime;
+}
+
 std::set<ShardId>
 EntryCore::heldShards() const
 {
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -129,6 +129,9 @@
   /// called once, when the process may exit.
   void leave(std::function<void()> ended);
   bool isLeaving() const { return m_leaveAt.has_value(); }
+  /// Whether callers may still come. When this daemon leaves they may until the
+  /// platform's balancer has had the time to see it.
+  bool acceptsCallers() const;
 
   std::set<ShardId> heldShards() const;
 
