Settle sooner when all known daemons are heard; dial all at the start

A caller was refused after 60 ms whatever its job's ideal time. Change: a daemon settles 200 ms after its start once it has heard all that it knows of; whoever starts dials; a job waits a quarter of its ideal time for a holder.

--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -218,7 +218,7 @@
   const bool isPlaced =
     part.lostAt ? placeAgain(entry, part, now) : placeFresh(entry, part, now);
   const bool mayRefuse = !part.lostAt && !entry.isSplit;
-  if (isPlaced || !mayRefuse || now - entry.arrivedAt < m_settings.holderWait)
+  if (isPlaced || !mayRefuse || !hasWaitedForHolder(entry, now))
     return;
   finish(entry,
          { JobAnswer::Kind::NotRun,
@@ -226,6 +226,17 @@
            "no daemon holds workers" });
 }
 
+bool
+Gateway::hasWaitedForHolder(const Entry& entry, TimePoint now) const
+{
+  const QueuePolicy& policy = entry.submission.policy;
+  const double ideal =
+    double(entry.submission.needs.estimate.count()) * policy.stretch +
+    double(policy.target.count());
+  return double((now - entry.arrivedAt).count()) >=
+         ideal * m_settings.holderWaitShare;
+}
+
 bool
 Gateway::placeFresh(Entry& entry, Part& part, TimePoint now)
 {
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -55,10 +55,9 @@
 public:
   struct Settings
   {
-    /// How long a job waits for a daemon that holds workers before it is
-    /// refused: a takeover takes some 500 ms after a silent loss, and a quarter
-    /// of the shortest ideal time is about this long.
-    Duration holderWait = std::chrono::milliseconds(60);
+    /// Share of its ideal response time that a job waits for a daemon that
+    /// holds workers before it is refused.
+    double holderWaitShare = 0.25;
     /// How long runs that a lost daemon left behind may go on: the silence
     /// limit between daemons, the lease and a margin.
     Duration lostRunLimit = std::chrono::milliseconds(1270);
@@ -148,6 +147,7 @@
   void partRefused(Entry& entry, Part& part, const JobEnd& end, TimePoint now);
   void partMoved(Entry& entry, Part& part, const JobEnd& end, TimePoint now);
   void place(Entry& entry, Part& part, TimePoint now);
+  bool hasWaitedForHolder(const Entry& entry, TimePoint now) const;
   bool placeFresh(Entry& entry, Part& part, TimePoint now);
   bool placeAgain(Entry& entry, Part& part, TimePoint now);
   bool handTo(Entry& entry,
--- a/src/libpeers/peerlinks.cpp
+++ b/src/libpeers/peerlinks.cpp
@@ -16,6 +16,9 @@
 constexpr std::size_t maxBufferedBytes = std::size_t(8) << 20;
 /// How much later than the other side the one with the higher address dials.
 constexpr Duration secondDialDelay = std::chrono::milliseconds(400);
+/// A daemon that has just started dials everyone: the others may be waiting
+/// before they try its address again.
+constexpr Duration startTime = std::chrono::milliseconds(1000);
 
 WebSocketTransport::Settings
 transportSettings(const PeerLinks::Settings& settings)
@@ -37,6 +40,7 @@
   , m_settings(settings)
   , m_hooks(std::move(hooks))
   , m_transport(context, transportSettings(settings), transportHooks())
+  , m_startedAt(steadyNow())
 {
 }
 
@@ -59,7 +63,7 @@
     return;
   found->second.lastUp = now;
   found->second.nextDialAt = now;
-  if (address < m_self.address)
+  if (address < m_self.address && now - m_startedAt > startTime)
     found->second.nextDialAt = now + secondDialDelay;
 }
 
--- a/src/libpeers/peerlinks.h
+++ b/src/libpeers/peerlinks.h
@@ -105,6 +105,7 @@
   const Settings m_settings;
   const Hooks m_hooks;
   WebSocketTransport m_transport;
+  const TimePoint m_startedAt;
   std::map<Address, Peer> m_peers;
   std::map<VmId, Address> m_addresses;
   std::map<LinkId, Link> m_links;
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -151,6 +151,16 @@
   return m_members.empty() && m_knownMembers > 0;
 }
 
+bool
+ShardTable::hasSettled(TimePoint now) const
+{
+  const Duration age = now - m_start;
+  const bool hasHeardAll =
+    m_knownMembers > 0 && m_members.size() >= m_knownMembers;
+  return age >= m_settings.settleLimit ||
+         (hasHeardAll && age >= m_settings.settleTime);
+}
+
 bool
 ShardTable::mustRelease(const ShardId& shard, TimePoint now) const
 {
@@ -175,7 +185,7 @@
 bool
 ShardTable::mayTake(const ShardId& shard, TimePoint now) const
 {
-  if (!m_isReady || m_isLeaving || now - m_start < m_settings.settleTime)
+  if (!m_isReady || m_isLeaving || !hasSettled(now))
     return false;
   const auto keptOff = m_keptOffUntil.find(shard);
   if (keptOff != m_keptOffUntil.end() && now < keptOff->second)
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -20,9 +20,12 @@
 public:
   struct Settings
   {
-    /// How long after its start a daemon waits for others to show up. Daemons
-    /// start within 300 ms of each other and connect at once.
-    Duration settleTime = std::chrono::milliseconds(700);
+    /// How long after its start a daemon waits at least for others to show up,
+    /// so that it hears of shards that are held. Connecting takes some 20 ms.
+    Duration settleTime = std::chrono::milliseconds(200);
+    /// How long it waits for those that it knows of and has not heard. Daemons
+    /// start within 300 ms of each other.
+    Duration settleLimit = std::chrono::milliseconds(700);
     /// How long a daemon that hears nobody, though it knows of others, waits
     /// before it takes a shard: it may be the one that is cut off.
     Duration isolatedWait = std::chrono::milliseconds(2500);
@@ -80,6 +83,7 @@
   bool isIsolated() const;
 
 private:
+  bool hasSettled(TimePoint now) const;
   bool mustRelease(const ShardId& shard, TimePoint now) const;
   bool mayTake(const ShardId& shard, TimePoint now) const;
   bool isFirst(const ShardId& shard, bool isForeign) const;
--- a/tests/entry/entrydaemon_test.cpp
+++ b/tests/entry/entrydaemon_test.cpp
@@ -19,8 +19,7 @@
   ports.stop = [](const auto&, const auto&, Duration, auto) {};
   ports.publishHolder = [](const ShardId&, FencingToken) {};
   ports.readConfiguration = [](const std::string& body) {
-    return Result<RoutingTable>(
-      RoutingTable(std::stoull(body), { Route() }));
+    return Result<RoutingTable>(RoutingTable(std::stoull(body), { Route() }));
   };
   return ports;
 }
@@ -72,8 +71,7 @@
   {
     boost::asio::io_context context;
     boost::asio::ip::tcp::acceptor acceptor(
-      context,
-      { boost::asio::ip::make_address("127.0.0.1"), 0 });
+      context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
     return acceptor.local_endpoint().port();
   }
 
@@ -93,8 +91,7 @@
   }
   const auto held = [&] {
     return first.core().heldShards().size() +
-           second.core().heldShards().size() +
-           third.core().heldShards().size();
+           second.core().heldShards().size() + third.core().heldShards().size();
   };
   await([&] { return held() == 1; });
   await([&] {
