--- a/src/libasynchttp/asynchttpserver.h
+++ b/src/libasynchttp/asynchttpserver.h
@@ -23,7 +23,7 @@
   struct Settings
   {
     std::uint32_t maxHeaderBytes = 16 * 1024;
-    std::uint64_t maxBodyBytes = 256 * 1024;
+    std::uint64_t maxBodyBytes = std::uint64_t(256) * 1024;
     /// Connections that may wait to be accepted. Beyond it opening packets are
     /// dropped and come again after a second.
     int backlog = 512;
--- a/src/libasynchttp/httpchannel.h
+++ b/src/libasynchttp/httpchannel.h
@@ -53,7 +53,7 @@
   using Done = std::function<void(const HttpCallEnd&)>;
 
   /// Answers longer than this are taken as none, in bytes.
-  static constexpr std::uint64_t maxAnswerBytes = 8 * 1024 * 1024;
+  static constexpr std::uint64_t maxAnswerBytes = std::uint64_t(8) << 20;
 
   HttpChannel(boost::asio::io_context& context, Address address);
 
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -26,19 +26,31 @@
     { key.submitter().value(), key.job().value(), key.part() });
 }
 
+json
+toJson(const std::vector<Address>& addresses)
+{
+  json list = json::array();
+  for (const Address& address : addresses)
+    list.push_back(json::array({ address.host(), address.port() }));
+  return list;
+}
+
+json
+toJson(const PeerKnown& message)
+{
+  return json::array({ toJson(message.known) });
+}
+
 json
 toJson(const PeerHello& hello)
 {
-  json known = json::array();
-  for (const Address& address : hello.known)
-    known.push_back(json::array({ address.host(), address.port() }));
   return json::array({ formatVersion,
                        hello.vm.value(),
                        hello.incarnation.value(),
                        hello.zone.value(),
                        hello.address.host(),
                        hello.address.port(),
-                       std::move(known) });
+                       toJson(hello.known) });
 }
 
 json
@@ -159,6 +171,16 @@
            value.at(2).get<std::uint64_t>() };
 }
 
+std::vector<Address>
+readAddresses(const json& value)
+{
+  std::vector<Address> addresses;
+  for (const json& address : value)
+    addresses.emplace_back(text(address.at(0)),
+                           address.at(1).get<std::uint16_t>());
+  return addresses;
+}
+
 PeerHello
 readHello(const json& value)
 {
@@ -170,9 +192,7 @@
   hello.incarnation = Incarnation(text(value.at(2)));
   hello.zone = ZoneName(text(value.at(3)));
   hello.address = Address(text(value.at(4)), value.at(5).get<std::uint16_t>());
-  for (const json& known : value.at(6))
-    hello.known.emplace_back(text(known.at(0)),
-                             known.at(1).get<std::uint16_t>());
+  hello.known = readAddresses(value.at(6));
   return hello;
 }
 
@@ -285,6 +305,8 @@
       return PeerConfig{ value.at(0).get<std::uint64_t>(), text(value.at(1)) };
     case 6:
       return readTasksReturned(value);
+    case 7:
+      return PeerKnown{ readAddresses(value.at(0)) };
     default:
       throw std::invalid_argument("an unknown kind");
   }
--- a/src/libpeers/peerlinks.cpp
+++ b/src/libpeers/peerlinks.cpp
@@ -195,6 +195,11 @@
     greeted(link, *hello);
     return;
   }
+  if (const auto* news = std::get_if<PeerKnown>(&*message)) {
+    for (const Address& address : news->known)
+      addKnown(address, steadyNow());
+    return;
+  }
   if (!found->second.peer)
     return;
   const auto peer = m_peers.find(*found->second.peer);
@@ -255,6 +260,7 @@
            { { "peer", hello.vm },
              { "zone", hello.zone },
              { "incarnation", hello.incarnation } });
+  sendToAll(PeerKnown{ { hello.address } });
   m_hooks.up(hello);
 }
 
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -24,6 +24,12 @@
   std::vector<Address> known;
 };
 
+/// Daemons that the sender has come to know since it greeted.
+struct PeerKnown
+{
+  std::vector<Address> known;
+};
+
 /// Sent at short intervals, and at once when the shards or `isLeaving` change.
 struct PeerBeat
 {
@@ -79,6 +85,7 @@
                                  PeerJobEnd,
                                  PeerCancel,
                                  PeerConfig,
-                                 PeerTasksReturned>;
+                                 PeerTasksReturned,
+                                 PeerKnown>;
 
 } // namespace cowslippin
--- a/tests/entry/entrydaemon_test.cpp
+++ b/tests/entry/entrydaemon_test.cpp
@@ -7,7 +7,7 @@
 #include <memory>
 #include <vector>
 
-namespace cowslippin::test {
+namespace cowslippin::testing {
 namespace {
 
 EntryCore::Ports
@@ -109,4 +109,4 @@
 }
 
 } // namespace
-} // namespace cowslippin::test
+} // namespace cowslippin::testing
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace cowslippin::test {
+namespace cowslippin::testing {
 
 namespace {
 
@@ -775,4 +775,4 @@
   m_violations.push_back(std::to_string(ms) + " ms: " + what);
 }
 
-} // namespace cowslippin::test
+} // namespace cowslippin::testing
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace cowslippin::test {
+namespace cowslippin::testing {
 
 /// A group of daemons, their workers and callers on a virtual clock. The same
 /// seed gives the same run. It checks, while it runs, that no task runs twice
@@ -197,4 +197,4 @@
   unsigned m_startedTasks = 0;
 };
 
-} // namespace cowslippin::test
+} // namespace cowslippin::testing
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -4,7 +4,7 @@
 
 #include <functional>
 
-namespace cowslippin::test {
+namespace cowslippin::testing {
 namespace {
 
 using std::chrono::milliseconds;
@@ -146,4 +146,4 @@
                          caseName);
 
 } // namespace
-} // namespace cowslippin::test
+} // namespace cowslippin::testing
--- /dev/null
+++ b/tests/peers/peercodec_test.cpp
@@ -0,0 +1,164 @@
+#include "libpeers/peers.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace cowslippin::testing {
+namespace {
+
+template<class Part>
+Part
+throughTheWire(const Part& part)
+{
+  const auto bytes = encodePeerMessage(part);
+  const Result<PeerMessage> read =
+    decodePeerMessage(std::string(bytes.begin(), bytes.end()));
+  EXPECT_TRUE(read.has_value());
+  return std::get<Part>(*read);
+}
+
+JobRequest
+request()
+{
+  JobRequest request;
+  request.key = JobKey(VmId("vm-1"), JobId("0123456789abcdef"), 77);
+  request.policy.queue = "scans";
+  request.policy.service = ServiceName("booking");
+  request.policy.priority = 2;
+  request.policy.maxAttempts = 3;
+  request.policy.stretch = 1.6;
+  request.policy.target = std::chrono::milliseconds(60);
+  request.needs.resources = Resources(6800, 64, 1);
+  request.needs.estimate = std::chrono::milliseconds(900);
+  request.needs.requiredLabel = "b";
+  request.needs.preferredRack = "r1-3";
+  request.needs.maxPerWorker = 2;
+  request.spec = "a \"text\"";
+  request.taskPrefix = "0123456789abcdef.0.0.";
+  request.tasks = { 0, 2, 5 };
+  request.firstRun = 9;
+  request.age = std::chrono::milliseconds(12);
+  request.timeLeft = std::chrono::milliseconds(1488);
+  request.quarantine =
+    Quarantine{ ShardId(ZoneName("z1"), 3), std::chrono::milliseconds(700) };
+  request.previousPart = 76;
+  request.mayHaveRun = true;
+  request.mayBeReturned = false;
+  return request;
+}
+
+TEST(PeerCodec, CarriesEveryMemberOfASubmission)
+{
+  const JobRequest sent = request();
+  const JobRequest read = throughTheWire(PeerSubmit{ sent }).request;
+  EXPECT_EQ(read.key, sent.key);
+  EXPECT_EQ(read.policy.queue, sent.policy.queue);
+  EXPECT_EQ(read.policy.service, sent.policy.service);
+  EXPECT_EQ(read.policy.priority, sent.policy.priority);
+  EXPECT_EQ(read.policy.maxAttempts, sent.policy.maxAttempts);
+  EXPECT_EQ(read.policy.stretch, sent.policy.stretch);
+  EXPECT_EQ(read.policy.target, sent.policy.target);
+  EXPECT_EQ(read.needs.resources, sent.needs.resources);
+  EXPECT_EQ(read.needs.estimate, sent.needs.estimate);
+  EXPECT_EQ(read.needs.requiredLabel, sent.needs.requiredLabel);
+  EXPECT_EQ(read.needs.preferredRack, sent.needs.preferredRack);
+  EXPECT_EQ(read.needs.maxPerWorker, sent.needs.maxPerWorker);
+  EXPECT_EQ(read.spec, sent.spec);
+  EXPECT_EQ(read.taskPrefix, sent.taskPrefix);
+  EXPECT_EQ(read.tasks, sent.tasks);
+  EXPECT_EQ(read.firstRun, sent.firstRun);
+  EXPECT_EQ(read.age, sent.age);
+  EXPECT_EQ(read.timeLeft, sent.timeLeft);
+  ASSERT_TRUE(read.quarantine);
+  EXPECT_EQ(read.quarantine->shard, sent.quarantine->shard);
+  EXPECT_EQ(read.quarantine->remaining, sent.quarantine->remaining);
+  EXPECT_EQ(read.previousPart, sent.previousPart);
+  EXPECT_EQ(read.mayHaveRun, sent.mayHaveRun);
+  EXPECT_EQ(read.mayBeReturned, sent.mayBeReturned);
+}
+
+TEST(PeerCodec, CarriesGreetingsAndBeats)
+{
+  PeerHello hello;
+  hello.vm = VmId("vm-1");
+  hello.incarnation = Incarnation("17");
+  hello.zone = ZoneName("z1");
+  hello.address = Address("10.0.0.1", 7720);
+  hello.known = { Address("10.0.0.2", 7720) };
+  const PeerHello readHello = throughTheWire(hello);
+  EXPECT_EQ(readHello.vm, hello.vm);
+  EXPECT_EQ(readHello.incarnation, hello.incarnation);
+  EXPECT_EQ(readHello.zone, hello.zone);
+  EXPECT_EQ(readHello.address, hello.address);
+  EXPECT_EQ(readHello.known, hello.known);
+
+  PeerBeat beat;
+  beat.isLeaving = true;
+  beat.isReady = true;
+  beat.shards = { { ShardId(ZoneName("z1"), 0), 300243599585797 } };
+  beat.highestToken = 300243599585799;
+  beat.places = 12;
+  beat.configVersion = 40;
+  const PeerBeat readBeat = throughTheWire(beat);
+  EXPECT_EQ(readBeat.isLeaving, beat.isLeaving);
+  EXPECT_EQ(readBeat.isReady, beat.isReady);
+  EXPECT_EQ(readBeat.shards, beat.shards);
+  EXPECT_EQ(readBeat.highestToken, beat.highestToken);
+  EXPECT_EQ(readBeat.places, beat.places);
+  EXPECT_EQ(readBeat.configVersion, beat.configVersion);
+}
+
+TEST(PeerCodec, CarriesEndsReturnsCancelsAndConfigurations)
+{
+  const JobKey key(VmId("vm-1"), JobId("j"), 4);
+  PeerJobEnd ended{ key, {} };
+  ended.end.outcome = JobOutcome::Moved;
+  ended.end.retryAfter = std::chrono::milliseconds(250);
+  ended.end.done = { 1, 3 };
+  ended.end.nextRun = 11;
+  const PeerJobEnd readEnd = throughTheWire(ended);
+  EXPECT_EQ(readEnd.key, key);
+  EXPECT_EQ(readEnd.end.outcome, ended.end.outcome);
+  EXPECT_EQ(readEnd.end.retryAfter, ended.end.retryAfter);
+  EXPECT_EQ(readEnd.end.done, ended.end.done);
+  EXPECT_EQ(readEnd.end.nextRun, ended.end.nextRun);
+
+  PeerTasksReturned back{ key, {} };
+  back.returned.tasks = { 2 };
+  back.returned.holder = VmId("vm-2");
+  back.returned.shard = ShardId(ZoneName("z2"), 1);
+  back.returned.nextRun = 3;
+  const PeerTasksReturned readBack = throughTheWire(back);
+  EXPECT_EQ(readBack.returned.tasks, back.returned.tasks);
+  EXPECT_EQ(readBack.returned.holder, back.returned.holder);
+  EXPECT_EQ(readBack.returned.shard, back.returned.shard);
+  EXPECT_EQ(readBack.returned.nextRun, back.returned.nextRun);
+
+  const std::vector<Address> known{ Address("10.0.0.3", 7720) };
+  EXPECT_EQ(throughTheWire(PeerKnown{ known }).known, known);
+  EXPECT_EQ(throughTheWire(PeerCancel{ key }).key, key);
+  const PeerConfig config = throughTheWire(PeerConfig{ 9, "{}" });
+  EXPECT_EQ(config.version, 9u);
+  EXPECT_EQ(config.body, "{}");
+}
+
+TEST(PeerCodec, AnyBytesAreAMessageOrAProblem)
+{
+  EXPECT_TRUE(rc::check([](const std::string& bytes) {
+    const Result<PeerMessage> read = decodePeerMessage(bytes);
+    RC_ASSERT(read.has_value() || !read.error().detail().empty());
+  }));
+}
+
+TEST(PeerCodec, ACutMessageIsAProblem)
+{
+  const auto bytes = encodePeerMessage(PeerSubmit{ request() });
+  for (std::size_t length = 0; length < bytes.size(); ++length) {
+    const Result<PeerMessage> read =
+      decodePeerMessage(std::string(bytes.begin(), bytes.begin() + length));
+    EXPECT_FALSE(read.has_value()) << length;
+  }
+}
+
+} // namespace
+} // namespace cowslippin::testing
--- /dev/null
+++ b/tests/shards/shardtable_test.cpp
@@ -0,0 +1,210 @@
+#include "libshards/shards.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace cowslippin::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const ZoneName home("z1");
+const ZoneName abroad("z2");
+const ShardId homeShard(home, 0);
+const ShardId foreignShard(abroad, 0);
+
+class ShardTableTest : public ::testing::Test
+{
+protected:
+  ShardTableTest()
+    : table(VmId("self"), home, settings, start)
+    , now(start)
+  {
+    table.setZones({ home, abroad });
+    table.setReady(true);
+  }
+
+  static MemberView member(const std::string& id,
+                           const ZoneName& zone,
+                           std::map<ShardId, std::uint64_t> shards = {})
+  {
+    MemberView view;
+    view.id = VmId(id);
+    view.zone = zone;
+    view.isReady = true;
+    view.shards = std::move(shards);
+    return view;
+  }
+
+  void pass(Duration time) { now += time; }
+
+  bool takes(const ShardId& shard) const
+  {
+    const auto decisions = table.decide(now);
+    return std::count(decisions.take.begin(), decisions.take.end(), shard) > 0;
+  }
+  bool releases(const ShardId& shard) const
+  {
+    const auto decisions = table.decide(now);
+    return std::count(
+             decisions.release.begin(), decisions.release.end(), shard) > 0;
+  }
+
+  const ShardTable::Settings settings;
+  const TimePoint start{ seconds(100) };
+  ShardTable table;
+  TimePoint now;
+};
+
+TEST_F(ShardTableTest, TakesAFreeShardOnceAllKnownDaemonsWereHeard)
+{
+  table.setKnownMembers(1);
+  pass(milliseconds(250));
+  EXPECT_FALSE(takes(homeShard)) << "one it knows of was not heard";
+  table.memberSeen(member("far", abroad), now);
+  EXPECT_TRUE(takes(homeShard));
+}
+
+TEST_F(ShardTableTest, WaitsForAnUnheardDaemonOnlySoLong)
+{
+  table.setKnownMembers(2);
+  table.memberSeen(member("far", abroad), now);
+  pass(milliseconds(650));
+  EXPECT_FALSE(takes(homeShard));
+  pass(milliseconds(100));
+  EXPECT_TRUE(takes(homeShard));
+}
+
+TEST_F(ShardTableTest, LeavesAShardToItsHolder)
+{
+  table.setKnownMembers(1);
+  table.memberSeen(member("mate", home, { { homeShard, 5 } }), now);
+  pass(seconds(1));
+  EXPECT_FALSE(takes(homeShard));
+  EXPECT_EQ(table.holder(homeShard), VmId("mate"));
+}
+
+TEST_F(ShardTableTest, OnlyOneOfAZonesDaemonsTakesAFreeShard)
+{
+  ShardTable other(VmId("mate"), home, settings, start);
+  other.setZones({ home });
+  other.setReady(true);
+  table.memberSeen(member("mate", home), now);
+  other.memberSeen(member("self", home), now);
+  pass(seconds(1));
+  const bool otherTakes = !other.decide(now).take.empty();
+  EXPECT_NE(takes(homeShard), otherTakes);
+}
+
+TEST_F(ShardTableTest, TakesOverFromAHolderThatLeavesOrIsLost)
+{
+  MemberView leaving = member("mate", home, { { homeShard, 5 } });
+  leaving.isLeaving = true;
+  table.setKnownMembers(2);
+  table.memberSeen(leaving, now);
+  table.memberSeen(member("far", abroad), now);
+  pass(seconds(1));
+  EXPECT_TRUE(takes(homeShard));
+}
+
+TEST_F(ShardTableTest, OfTwoHoldersTheOneWithTheLowerTokenReleases)
+{
+  table.taken(homeShard, 7);
+  table.memberSeen(member("mate", home, { { homeShard, 5 } }), now);
+  EXPECT_FALSE(releases(homeShard));
+  table.memberSeen(member("mate", home, { { homeShard, 9 } }), now);
+  EXPECT_TRUE(releases(homeShard));
+}
+
+TEST_F(ShardTableTest, ADaemonOfTheZoneGoesBeforeAForeignOne)
+{
+  table.taken(homeShard, 7);
+  table.memberSeen(member("far", abroad, { { homeShard, 99 } }), now);
+  EXPECT_FALSE(releases(homeShard));
+  table.taken(foreignShard, 99);
+  table.memberSeen(member("far", abroad, { { foreignShard, 7 } }), now);
+  EXPECT_TRUE(releases(foreignShard));
+}
+
+TEST_F(ShardTableTest, ADaemonThatHearsNobodyTakesNothingForAWhile)
+{
+  table.setKnownMembers(1);
+  table.memberSeen(member("mate", home), now);
+  pass(seconds(1));
+  table.memberGone(VmId("mate"), now);
+  EXPECT_FALSE(takes(homeShard));
+  pass(settings.isolatedWait);
+  EXPECT_TRUE(takes(homeShard));
+}
+
+TEST_F(ShardTableTest, ADaemonThatHearsNobodyHeedsTheHoldersEntryAtThePlatform)
+{
+  table.setKnownMembers(1);
+  table.memberSeen(member("mate", home), now);
+  table.memberGone(VmId("mate"), now);
+  pass(settings.isolatedWait + seconds(1));
+  table.platformBeat(homeShard, VmId("mate"), now);
+  EXPECT_FALSE(takes(homeShard));
+  pass(settings.platformBeatLimit);
+  EXPECT_TRUE(takes(homeShard));
+}
+
+TEST_F(ShardTableTest, OneThatIsCutOffGivesUpWhatOthersHaveTaken)
+{
+  table.setKnownMembers(1);
+  table.taken(homeShard, 7);
+  table.fenced(homeShard, now);
+  EXPECT_TRUE(releases(homeShard));
+  table.memberSeen(member("mate", home), now);
+  EXPECT_FALSE(releases(homeShard)) << "it is heard, so it isn't cut off";
+}
+
+TEST_F(ShardTableTest, KeepsOffAShardThatItWasDrivenFrom)
+{
+  table.setKnownMembers(1);
+  table.memberSeen(member("far", abroad), now);
+  table.taken(homeShard, 7);
+  pass(seconds(1));
+  table.released(homeShard, now);
+  EXPECT_FALSE(takes(homeShard));
+  pass(settings.coolOff);
+  EXPECT_TRUE(takes(homeShard));
+}
+
+TEST_F(ShardTableTest, AForeignShardIsTakenOnlyWithThePlatformsWord)
+{
+  table.setKnownMembers(2);
+  table.memberSeen(member("mate", home), now);
+  table.memberSeen(member("far", abroad), now);
+  table.memberGone(VmId("far"), now);
+  pass(settings.foreignWait + seconds(1));
+  table.memberSeen(member("mate", home, { { homeShard, 1 } }), now);
+  EXPECT_FALSE(takes(foreignShard)) << "nothing was read at the platform";
+  table.platformRead(now);
+  const bool isFirst = takes(foreignShard);
+  table.memberGone(VmId("mate"), now);
+  table.memberSeen(member("zzz", home), now);
+  table.platformRead(now);
+  const bool isFirstToo = takes(foreignShard);
+  EXPECT_TRUE(isFirst || isFirstToo) << "one of the two candidates takes it";
+  table.platformBeat(foreignShard, VmId("far"), now);
+  EXPECT_FALSE(takes(foreignShard)) << "its holder lives";
+}
+
+TEST_F(ShardTableTest, TakesNothingBeforeItIsReadyOrWhenItLeaves)
+{
+  table.setKnownMembers(1);
+  table.memberSeen(member("far", abroad), now);
+  pass(seconds(1));
+  table.setReady(false);
+  EXPECT_FALSE(takes(homeShard));
+  table.setReady(true);
+  EXPECT_TRUE(takes(homeShard));
+  table.setLeaving();
+  EXPECT_FALSE(takes(homeShard));
+}
+
+} // namespace
+} // namespace cowslippin::testing
--- a/tests/support/fakeworker.h
+++ b/tests/support/fakeworker.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace cowslippin::test {
+namespace cowslippin::testing {
 
 /// A worker in memory, as the platform describes it: it ignores orders with a
 /// lower token than it has seen, starts whatever it is told, ends what its
@@ -146,4 +146,4 @@
   std::map<std::string, unsigned> m_starts;
 };
 
-} // namespace cowslippin::test
+} // namespace cowslippin::testing
--- a/tests/workers/leasefixture.h
+++ b/tests/workers/leasefixture.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <vector>
 
-namespace cowslippin::test {
+namespace cowslippin::testing {
 
 /// What becomes of an order on its way.
 enum class Delivery
@@ -148,4 +148,4 @@
   }
 };
 
-} // namespace cowslippin::test
+} // namespace cowslippin::testing
--- a/tests/workers/leaseproperty_test.cpp
+++ b/tests/workers/leaseproperty_test.cpp
@@ -5,7 +5,7 @@
 
 #include <set>
 
-namespace cowslippin::test {
+namespace cowslippin::testing {
 namespace {
 
 /// Drives a lease with random faults and checks, after each step, that the
@@ -124,4 +124,4 @@
 }
 
 } // namespace
-} // namespace cowslippin::test
+} // namespace cowslippin::testing
--- a/tests/workers/workerhealth_test.cpp
+++ b/tests/workers/workerhealth_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-namespace cowslippin::test {
+namespace cowslippin::testing {
 namespace {
 
 class WorkerHealthTest : public ::testing::Test
@@ -68,4 +68,4 @@
 }
 
 } // namespace
-} // namespace cowslippin::test
+} // namespace cowslippin::testing
--- a/tests/workers/workerlease_test.cpp
+++ b/tests/workers/workerlease_test.cpp
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-namespace cowslippin::test {
+namespace cowslippin::testing {
 namespace {
 
 const RunKey run1("job.0.0.0", 1);
@@ -230,4 +230,4 @@
 }
 
 } // namespace
-} // namespace cowslippin::test
+} // namespace cowslippin::testing
