--- a/src/libentry/entry.h
+++ b/src/libentry/entry.h
@@ -2,5 +2,7 @@
 
 #include "entrycore.h"
 #include "entrydaemon.h"
+#include "entrymetrics.h"
 #include "gateway.h"
+#include "operatorserver.h"
 #include "routingtable.h"
--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -158,6 +158,23 @@
   return shards;
 }
 
+EntryCore::Figures
+EntryCore::figures() const
+{
+  Figures figures;
+  figures.configurationVersion = m_routing->version();
+  figures.callersWaiting = m_gateway.waiting();
+  figures.jobsScheduled = m_scheduler.jobCount();
+  figures.tasksWaiting = m_scheduler.waitingTasks();
+  figures.sparePlaces = m_scheduler.sparePlaces(m_clocks.steady());
+  figures.shardsHeld = m_shards.held().size();
+  figures.peersUp = m_links.up().size();
+  figures.isReady = isReady();
+  for (const auto& worker : m_scheduler.pool().view())
+    figures.leases.push_back(worker.state);
+  return figures;
+}
+
 nlohmann::json
 EntryCore::dump() const
 {
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -135,6 +135,22 @@
 
   std::set<ShardId> heldShards() const;
 
+  /// What an operator watches.
+  struct Figures
+  {
+    std::uint64_t configurationVersion = 0;
+    std::size_t callersWaiting = 0;
+    std::size_t jobsScheduled = 0;
+    std::size_t tasksWaiting = 0;
+    unsigned sparePlaces = 0;
+    std::size_t shardsHeld = 0;
+    std::size_t peersUp = 0;
+    bool isReady = false;
+    /// Of each worker of the held shards.
+    std::vector<LeaseState> leases;
+  };
+  Figures figures() const;
+
   /// The state of every part, for an operator.
   nlohmann::json dump() const;
 
--- /dev/null
+++ b/src/libentry/entrymetrics.cpp
@@ -0,0 +1,129 @@
+#include "entrymetrics.h"
+
+#include "libobserve/observe.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <map>
+
+namespace cowslippin {
+
+namespace {
+
+/// In seconds. The ideal times of the tasks served are 0.15 to 1.5 s.
+const prometheus::Histogram::BucketBoundaries responseBuckets{
+  0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 1.5, 2.5, 5
+};
+
+const char*
+outcomeLabel(JobAnswer::Kind kind)
+{
+  switch (kind) {
+    case JobAnswer::Kind::Completed:
+      return "completed";
+    case JobAnswer::Kind::Failed:
+      return "failed";
+    case JobAnswer::Kind::NotRun:
+      return "refused";
+    case JobAnswer::Kind::Unknown:
+      return "unknown";
+  }
+  return "other";
+}
+
+} // namespace
+
+struct EntryMetrics::Families
+{
+  explicit Families(prometheus::Registry& registry)
+    : events(prometheus::BuildCounter()
+               .Name("cowslippin_events_total")
+               .Help("Log events by name, those left out of the log included")
+               .Register(registry))
+    , responses(prometheus::BuildHistogram()
+                  .Name("cowslippin_response_seconds")
+                  .Help("From a caller's request to its answer")
+                  .Register(registry))
+    , gauges(prometheus::BuildGauge()
+               .Name("cowslippin_state")
+               .Help("What the daemon holds and has to do now")
+               .Register(registry))
+    , workers(prometheus::BuildGauge()
+                .Name("cowslippin_workers")
+                .Help("Workers of the held shards by the state of their lease")
+                .Register(registry))
+  {
+  }
+
+  prometheus::Family<prometheus::Counter>& events;
+  prometheus::Family<prometheus::Histogram>& responses;
+  prometheus::Family<prometheus::Gauge>& gauges;
+  prometheus::Family<prometheus::Gauge>& workers;
+};
+
+EntryMetrics::EntryMetrics()
+  : m_registry(std::make_shared<prometheus::Registry>())
+  , m_families(std::make_unique<Families>(*m_registry))
+{
+}
+
+EntryMetrics::~EntryMetrics() = default;
+
+void
+EntryMetrics::answered(JobAnswer::Kind kind, Duration took)
+{
+  m_families->responses
+    .Add({ { "outcome", outcomeLabel(kind) } }, responseBuckets)
+    .Observe(std::chrono::duration<double>(took).count());
+}
+
+std::string
+EntryMetrics::render(const EntryCore& core)
+{
+  setGauges(core);
+  countEvents();
+  return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+void
+EntryMetrics::setGauges(const EntryCore& core)
+{
+  const auto set = [this](const char* what, double value) {
+    m_families->gauges.Add({ { "what", what } }).Set(value);
+  };
+  const EntryCore::Figures figures = core.figures();
+  set("configuration_version", double(figures.configurationVersion));
+  set("callers_waiting", double(figures.callersWaiting));
+  set("jobs_scheduled", double(figures.jobsScheduled));
+  set("tasks_waiting", double(figures.tasksWaiting));
+  set("spare_places", figures.sparePlaces);
+  set("shards_held", double(figures.shardsHeld));
+  set("peers_up", double(figures.peersUp));
+  set("is_ready", figures.isReady ? 1 : 0);
+  std::map<std::string, double> byState;
+  for (const LeaseState state : { LeaseState::Claiming,
+                                  LeaseState::Held,
+                                  LeaseState::Silent,
+                                  LeaseState::Fenced,
+                                  LeaseState::Ended })
+    byState[toString(state)] = 0;
+  for (const LeaseState state : figures.leases)
+    ++byState[toString(state)];
+  for (const auto& [state, count] : byState)
+    m_families->workers.Add({ { "lease", state } }).Set(count);
+}
+
+void
+EntryMetrics::countEvents()
+{
+  for (const auto& [event, count] : eventCounts()) {
+    auto& counter = m_families->events.Add({ { "event", event } });
+    counter.Increment(double(count) - counter.Value());
+  }
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libentry/operatorserver.cpp
@@ -0,0 +1,44 @@
+#include "operatorserver.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cowslippin {
+
+OperatorServer::OperatorServer(boost::asio::io_context& context,
+                               EntryCore& core,
+                               EntryMetrics& metrics)
+  : m_core(core)
+  , m_metrics(metrics)
+  , m_server(context,
+             {},
+             [this](const HttpRequest& request,
+                    const std::shared_ptr<HttpTransaction>& transaction) {
+               serve(request, transaction);
+             })
+{
+}
+
+std::optional<Problem>
+OperatorServer::listen(const Address& address)
+{
+  return m_server.listen(address);
+}
+
+void
+OperatorServer::serve(const HttpRequest& request,
+                      const std::shared_ptr<HttpTransaction>& transaction)
+{
+  if (request.path() == "/metrics") {
+    HttpReply::Fields reply;
+    reply.contentType = "text/plain; version=0.0.4";
+    reply.body = m_metrics.render(m_core);
+    transaction->answer(HttpReply(reply));
+  } else if (request.path() == "/state") {
+    transaction->answer(HttpReply::json(200, m_core.dump().dump()));
+  } else {
+    transaction->answer(
+      HttpReply::json(404, R"({"error":"/metrics and /state are here"})"));
+  }
+}
+
+} // namespace cowslippin
--- a/src/libobserve/eventratelimiter.cpp
+++ b/src/libobserve/eventratelimiter.cpp
@@ -25,6 +25,7 @@
   }
   Window& window = found->second;
   startWindowIfEnded(found->first, window, now);
+  ++window.total;
   if (window.admitted >= m_eventsPerSecond) {
     ++window.suppressed;
     return false;
@@ -33,6 +34,16 @@
   return true;
 }
 
+std::map<std::string, std::uint64_t>
+EventRateLimiter::totals() const
+{
+  const std::lock_guard lock(m_mutex);
+  std::map<std::string, std::uint64_t> totals;
+  for (const auto& [event, window] : m_windows)
+    totals.emplace(event, window.total);
+  return totals;
+}
+
 std::vector<SuppressedEvents>
 EventRateLimiter::takeEnded(TimePoint now)
 {
@@ -60,7 +71,9 @@
   if (window.suppressed > 0) {
     m_ended.emplace_back(event, window.suppressed);
   }
+  const std::uint64_t total = window.total;
   window = Window{ now };
+  window.total = total;
 }
 
 } // namespace cowslippin
--- a/src/libobserve/eventratelimiter.h
+++ b/src/libobserve/eventratelimiter.h
@@ -49,6 +49,9 @@
   /// Whether the event may be logged at `now`. If not, it is counted.
   bool admit(std::string_view event, TimePoint now);
 
+  /// How often each event came, admitted or not.
+  std::map<std::string, std::uint64_t> totals() const;
+
   /// What was suppressed in seconds that have ended, each told once.
   std::vector<SuppressedEvents> takeEnded(TimePoint now);
 
@@ -61,6 +64,7 @@
     TimePoint start;
     unsigned admitted = 0;
     std::uint64_t suppressed = 0;
+    std::uint64_t total = 0;
   };
 
   void startWindowIfEnded(const std::string& event,
@@ -68,7 +72,7 @@
                           TimePoint now);
 
   const unsigned m_eventsPerSecond;
-  std::mutex m_mutex;
+  mutable std::mutex m_mutex;
   std::map<std::string, Window, std::less<>> m_windows;
   std::vector<SuppressedEvents> m_ended;
 };
--- a/src/libobserve/logging.cpp
+++ b/src/libobserve/logging.cpp
@@ -49,6 +49,7 @@
            const char* event,
            std::initializer_list<LogField> fields);
   void reportSuppressed();
+  std::map<std::string, std::uint64_t> counts() const;
 
 private:
   void stopLocked();
@@ -206,6 +207,13 @@
   }
 }
 
+std::map<std::string, std::uint64_t>
+ProcessLogger::counts() const
+{
+  const auto limiter = std::atomic_load(&m_limiter);
+  return limiter ? limiter->totals() : std::map<std::string, std::uint64_t>();
+}
+
 void
 ProcessLogger::write(const std::string& line)
 {
@@ -245,6 +253,12 @@
   processLogger().log(level, event, fields);
 }
 
+std::map<std::string, std::uint64_t>
+eventCounts()
+{
+  return processLogger().counts();
+}
+
 void
 reportSuppressedEvents()
 {
--- a/src/libobserve/logging.h
+++ b/src/libobserve/logging.h
@@ -3,8 +3,11 @@
 #include "logfield.h"
 #include "loglevel.h"
 
+#include <cstdint>
 #include <initializer_list>
 #include <iostream>
+#include <map>
+#include <string>
 
 namespace cowslippin {
 
@@ -51,6 +54,11 @@
          const char* event,
          std::initializer_list<LogField> fields = {});
 
+/// How often each event was logged since logging was set up, the suppressed
+/// ones included. Events below the level are not counted.
+std::map<std::string, std::uint64_t>
+eventCounts();
+
 /// Writes the `log-suppressed` records that are due. Every `logEvent` does
 /// so too; a process that may fall silent calls this from a timer.
 void
--- a/tests/observe/eventratelimitertest.cpp
+++ b/tests/observe/eventratelimitertest.cpp
@@ -66,5 +66,18 @@
   EXPECT_TRUE(limiter.takeAll().empty());
 }
 
+TEST(EventRateLimiter, TotalsCountWhatIsSuppressedToo)
+{
+  EventRateLimiter limiter(2);
+  const TimePoint start{ std::chrono::seconds(5) };
+  for (int i = 0; i < 5; ++i) {
+    limiter.admit("job-ended", start);
+  }
+  limiter.admit("job-ended", start + std::chrono::seconds(3));
+  limiter.admit("peer-up", start);
+  EXPECT_EQ(limiter.totals().at("job-ended"), 6u);
+  EXPECT_EQ(limiter.totals().at("peer-up"), 1u);
+}
+
 } // namespace
 } // namespace cowslippin
