Runs of a daemon that fell silent end after 50 ms more, not 200

The sum of silence, patience and a lease that can't be ended was 1,415 ms, above the 1,300 ms after which a caller submits again. Now 1,265 ms.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -455,11 +455,11 @@
 }
 
 void
-EntryCore::peerDown(const VmId& vm)
+EntryCore::peerDown(const VmId& vm, PeerLoss loss)
 {
   const TimePoint now = m_clocks.steady();
   m_shards.memberGone(vm, now);
-  m_scheduler.daemonLost(vm, now);
+  m_scheduler.daemonLost(vm, loss == PeerLoss::Silent, now);
   m_gateway.daemonLost(vm, now);
 }
 
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -119,7 +119,7 @@
 
   /// Messages of other daemons, and whether they can be reached.
   void peerUp(const PeerHello& hello);
-  void peerDown(const VmId& vm);
+  void peerDown(const VmId& vm, PeerLoss loss);
   void received(const VmId& vm, const PeerMessage& message);
 
   /// Lets time pass; to be called every 20 ms or so.
--- a/src/libentry/entrydaemon.cpp
+++ b/src/libentry/entrydaemon.cpp
@@ -117,7 +117,9 @@
 {
   PeerLinks::Hooks hooks;
   hooks.up = [this](const PeerHello& hello) { m_core.peerUp(hello); };
-  hooks.down = [this](const VmId& vm) { m_core.peerDown(vm); };
+  hooks.down = [this](const VmId& vm, PeerLoss loss) {
+    m_core.peerDown(vm, loss);
+  };
   hooks.received = [this](const VmId& vm, const PeerMessage& message) {
     m_core.received(vm, message);
   };
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -65,8 +65,8 @@
   std::size_t returned = 0;
   /// Whether anything of it may have been started, here or elsewhere.
   bool hasStarted = false;
-  /// Since when its submitter can't be reached.
-  std::optional<TimePoint> detachedAt;
+  /// Set while its submitter can't be reached: when it is given up.
+  std::optional<TimePoint> dropAt;
 
   bool isOver() const { return done + returned == tasks.size(); }
 };
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -196,13 +196,14 @@
 }
 
 void
-Scheduler::daemonLost(const VmId& vm, TimePoint now)
+Scheduler::daemonLost(const VmId& vm, bool wasSilent, TimePoint now)
 {
   m_now = now;
   forgetPeer(vm);
   for (auto& [key, job] : m_jobs) {
-    if (key.submitter() == vm && !job->detachedAt)
-      job->detachedAt = now;
+    if (key.submitter() == vm && !job->dropAt)
+      job->dropAt = now + (wasSilent ? m_settings.silentDetachedLimit
+                                     : m_settings.detachedLimit);
   }
 }
 
@@ -267,7 +268,7 @@
   node.key() = request.key;
   Job& job = *node.mapped();
   job.request.key = request.key;
-  job.detachedAt.reset();
+  job.dropAt.reset();
   m_jobs.insert(std::move(node));
   const std::set<TaskIndex> wanted(request.tasks.begin(), request.tasks.end());
   for (JobTask& task : job.tasks) {
@@ -707,7 +708,7 @@
 void
 Scheduler::tickJob(Job& job, TimePoint now)
 {
-  if (job.detachedAt && now - *job.detachedAt >= m_settings.detachedLimit) {
+  if (job.dropAt && now >= *job.dropAt) {
     logJob("job-abandoned", job, nullptr);
     drop(job);
     return;
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -38,6 +38,10 @@
     /// time that a stop takes it is well below the 1,300 ms after which a
     /// caller submits again.
     Duration detachedLimit = std::chrono::milliseconds(200);
+    /// The same when it has been silent for the silence limit between daemons,
+    /// 450 ms: with the lease of a worker that can't be reached either, the sum
+    /// is 450 + 50 + 765 = 1,265 ms.
+    Duration silentDetachedLimit = std::chrono::milliseconds(50);
     /// A run is stopped and started elsewhere when it has made no progress for
     /// this many times its expected time and `stallMargin`.
     double stallFactor = 2.0;
@@ -71,7 +75,7 @@
   /// The caller is gone: whatever runs is stopped, and no end is told.
   void cancel(const JobKey& key, TimePoint now);
   /// A daemon can't be reached: its jobs end soon unless it submits them again.
-  void daemonLost(const VmId& vm, TimePoint now);
+  void daemonLost(const VmId& vm, bool wasSilent, TimePoint now);
 
   void setList(const WorkerList& list, TimePoint now);
   void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
--- a/src/libpeers/peerlinks.cpp
+++ b/src/libpeers/peerlinks.cpp
@@ -119,7 +119,7 @@
       peer.dialled.reset();
     }
     if (peer.link)
-      lost(peer, now);
+      lost(peer, PeerLoss::Closed, now);
     peer.nextDialAt = now;
     peer.backoff = Duration::zero();
   }
@@ -133,7 +133,7 @@
     if (peer.link) {
       peer.lastUp = now;
       if (now - m_links.at(*peer.link).lastHeard > m_settings.silenceLimit)
-        lost(peer, now);
+        lost(peer, PeerLoss::Silent, now);
       continue;
     }
     if (peer.dialled) {
@@ -214,7 +214,7 @@
   const TimePoint now = steadyNow();
   for (auto& [address, peer] : m_peers) {
     if (peer.link == link) {
-      lost(peer, now);
+      lost(peer, PeerLoss::Closed, now);
       return;
     }
     if (peer.dialled == link) {
@@ -246,7 +246,7 @@
     return;
   }
   if (peer.link)
-    lost(peer, now);
+    lost(peer, PeerLoss::Closed, now);
   m_links[link].peer = hello.address;
   peer.link = link;
   peer.backoff = Duration::zero();
@@ -279,15 +279,17 @@
 }
 
 void
-PeerLinks::lost(Peer& peer, TimePoint now)
+PeerLinks::lost(Peer& peer, PeerLoss loss, TimePoint now)
 {
   const LinkId link = *peer.link;
   peer.link.reset();
   peer.nextDialAt = now;
   m_transport.drop(link);
   m_links.erase(link);
-  logEvent(LogLevel::Info, "peer-down", { { "peer", peer.vm } });
-  m_hooks.down(peer.vm);
+  logEvent(LogLevel::Info,
+           "peer-down",
+           { { "peer", peer.vm }, { "wasSilent", loss == PeerLoss::Silent } });
+  m_hooks.down(peer.vm, loss);
 }
 
 void
--- a/src/libpeers/peerlinks.h
+++ b/src/libpeers/peerlinks.h
@@ -40,7 +40,7 @@
   struct Hooks
   {
     std::function<void(const PeerHello&)> up;
-    std::function<void(const VmId&)> down;
+    std::function<void(const VmId&, PeerLoss)> down;
     std::function<void(const VmId&, const PeerMessage&)> received;
   };
 
@@ -95,7 +95,7 @@
   void closed(LinkId link);
   void greeted(LinkId link, const PeerHello& hello);
   bool isRedundant(const Peer& peer, LinkId link, const Address& address) const;
-  void lost(Peer& peer, TimePoint now);
+  void lost(Peer& peer, PeerLoss loss, TimePoint now);
   void dial(const Address& address, Peer& peer, TimePoint now);
   void dialFailed(Peer& peer, TimePoint now);
   void write(LinkId link, const PeerMessage& message);
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -12,6 +12,15 @@
 
 namespace cowslippin {
 
+/// How a connection to another daemon ended.
+enum class PeerLoss
+{
+  /// It was closed or reset, so that the loss is known at once.
+  Closed,
+  /// Nothing came over it for the silence limit.
+  Silent,
+};
+
 /// The first message on a connection, both ways.
 struct PeerHello
 {
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -326,7 +326,7 @@
       if (!areLinked(node, other))
         continue;
       unlink(other, node, oneWay);
-      m_nodes[node].core->peerDown(m_nodes[other].id);
+      m_nodes[node].core->peerDown(m_nodes[other].id, PeerLoss::Closed);
     }
   };
   links.post = [this, node, life = m_nodes[node].life](Action action) {
@@ -390,9 +390,11 @@
   const std::pair<std::size_t, std::size_t> key = std::minmax(a, b);
   if (m_links.count(key) == 0)
     return;
-  const auto tell = [this](std::size_t node, std::size_t other) {
-    onNode(node, m_nodes[node].life, [this, node, other] {
-      m_nodes[node].core->peerDown(m_nodes[other].id);
+  // What is noticed at once or late was silence.
+  const PeerLoss loss = noticed == oneWay ? PeerLoss::Closed : PeerLoss::Silent;
+  const auto tell = [this, loss](std::size_t node, std::size_t other) {
+    onNode(node, m_nodes[node].life, [this, node, other, loss] {
+      m_nodes[node].core->peerDown(m_nodes[other].id, loss);
     });
   };
   if (noticed == Duration::zero()) {
