Shards of 40 workers, the fastest machines and those with the fewest shards first

Change: a zone's workers are divided into 1, 2, 4... shards; who holds the fewest takes a free one, then who measured the fastest machine; a daemon whose ticks come late gives its shards to others. A job stays within its shard; tasks without room go to any other.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -16,6 +16,8 @@
 /// 2^53, which any JSON reader takes exactly.
 constexpr std::uint64_t tokensPerMs = 4096;
 constexpr std::int64_t tokenEpochMs = 1704067200000;
+/// Weight of the newest tick in the mean lateness; it spans some 300 ms.
+constexpr double latenessWeight = 0.07;
 /// Above the highest token that is known of.
 constexpr std::uint64_t usualMargin = tokensPerMs;
 /// After a worker has refused a token: somebody's time of day is ahead.
@@ -49,13 +51,11 @@
              m_settings.shards,
              m_clocks.steady())
   , m_scheduler(m_settings.vm, m_settings.scheduler, schedulerHooks())
-  , m_gateway(m_settings.vm,
-              ShardId(m_settings.zone, 0),
-              m_settings.gateway,
-              gatewayHooks())
+  , m_gateway(m_settings.vm, m_settings.gateway, gatewayHooks())
   , m_routing(std::make_shared<RoutingTable>())
   , m_lastBootTime(m_clocks.sinceBoot())
 {
+  m_shards.setSlowness(m_settings.slowness);
 }
 
 void
@@ -85,13 +85,24 @@
 EntryCore::workersRead(const WorkerList& workers)
 {
   const TimePoint now = observeTime();
-  std::set<ZoneName> zones;
-  for (const auto& [id, record] : workers)
-    zones.insert(record.zone());
-  m_shards.setZones(zones);
   m_hasWorkers = true;
   m_shards.setReady(m_routing->version() > 0);
-  m_scheduler.setList(workers, now);
+  if (m_scheduler.setList(workers, now))
+    dissolveShards(now);
+  m_shards.setShards(m_scheduler.shards());
+}
+
+/// Gives up all that is held, since the workers are divided into other shards.
+void
+EntryCore::dissolveShards(TimePoint now)
+{
+  const auto held = m_shards.held();
+  for (const auto& [shard, token] : held) {
+    logEvent(
+      LogLevel::Info, "shard-dissolved", { { "shard", shard.toString() } });
+    m_shards.dissolved(shard);
+    m_scheduler.releaseShard(shard, now);
+  }
 }
 
 void
@@ -166,7 +177,7 @@
   figures.callersWaiting = m_gateway.waiting();
   figures.jobsScheduled = m_scheduler.jobCount();
   figures.tasksWaiting = m_scheduler.waitingTasks();
-  figures.sparePlaces = m_scheduler.sparePlaces(m_clocks.steady());
+  figures.sparePlaces = sparePlaces(m_clocks.steady());
   figures.shardsHeld = m_shards.held().size();
   figures.peersUp = m_links.up().size();
   figures.isReady = isReady();
@@ -260,7 +271,7 @@
   hooks.holder = [this](const ShardId& shard) {
     return reachableHolder(shard);
   };
-  hooks.otherHolder = [this] { return otherHolder(); };
+  hooks.bestHolder = [this] { return bestHolder(); };
   hooks.submit = [this](const VmId& vm, const JobRequest& request) {
     return submitTo(vm, request);
   };
@@ -310,6 +321,7 @@
     m_resumeAt.reset();
     m_scheduler.resume(now);
   }
+  noticeStrain(now);
   m_shards.setKnownMembers(m_links.knownCount());
   applyDecisions(now);
   m_scheduler.tick(now);
@@ -331,9 +343,8 @@
 {
   m_lastBeatAt = now;
   m_lastHolderBeatAt = now;
-  const PeerBeat beat = makeBeat(now);
-  m_toldPlaces = beat.places;
-  m_links.sendToAll(beat);
+  m_toldPlaces = sparePlaces(now);
+  m_links.sendToAll(makeBeat(now));
 }
 
 /// Tells other holders soon when places have become free or rare.
@@ -342,7 +353,7 @@
 {
   if (m_shards.held().empty() || now - m_lastHolderBeatAt < placesInterval)
     return;
-  const unsigned places = m_scheduler.sparePlaces(now);
+  const unsigned places = sparePlaces(now);
   const unsigned change =
     std::max(places, m_toldPlaces) - std::min(places, m_toldPlaces);
   if (change * 4 < std::max(places, m_toldPlaces))
@@ -356,15 +367,48 @@
   }
 }
 
+unsigned
+EntryCore::sparePlaces(TimePoint now) const
+{
+  unsigned places = 0;
+  for (const auto& [shard, token] : m_shards.held())
+    places += m_scheduler.sparePlaces(shard, now);
+  return places;
+}
+
+/// Ticks that come late over a while mean that this process gets too little
+/// processor time.
+void
+EntryCore::noticeStrain(TimePoint now)
+{
+  if (m_lastTickAt) {
+    const double late =
+      double((now - *m_lastTickAt - m_settings.tickInterval).count());
+    m_lateness = m_lateness * (1 - latenessWeight) + late * latenessWeight;
+  }
+  m_lastTickAt = now;
+  const auto limit =
+    m_isStrained ? m_settings.calmLateness : m_settings.strainLateness;
+  const bool isStrained = m_lateness > double(limit.count());
+  if (isStrained != m_isStrained)
+    logEvent(LogLevel::Info,
+             isStrained ? "strained" : "strain-over",
+             { { "latenessMs", m_lateness / 1000 } });
+  m_isStrained = isStrained;
+  m_shards.setStrained(isStrained);
+}
+
 PeerBeat
 EntryCore::makeBeat(TimePoint now) const
 {
   PeerBeat beat;
   beat.isLeaving = isLeaving();
   beat.isReady = m_hasWorkers && m_routing->version() > 0;
-  beat.shards = m_shards.held();
+  for (const auto& [shard, token] : m_shards.held())
+    beat.shards[shard] = { token, m_scheduler.sparePlaces(shard, now) };
+  beat.isStrained = m_isStrained;
+  beat.slowness = m_settings.slowness;
   beat.highestToken = m_lastToken;
-  beat.places = m_scheduler.sparePlaces(now);
   beat.configVersion = m_routing->version();
   return beat;
 }
@@ -433,19 +477,25 @@
 EntryCore::beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now)
 {
   Peer& peer = m_peers[vm];
-  peer.places = beat.places;
+  peer.places.clear();
   m_lastToken = std::max(m_lastToken, beat.highestToken);
   MemberView view;
   view.id = vm;
   view.zone = peer.zone;
   view.isLeaving = beat.isLeaving;
   view.isReady = beat.isReady;
-  view.shards = beat.shards;
+  view.isStrained = beat.isStrained;
+  view.slowness = beat.slowness;
+  for (const auto& [shard, held] : beat.shards) {
+    view.shards[shard] = held.token;
+    peer.places[shard] = held.places;
+  }
   m_shards.memberSeen(view, now);
-  if (!beat.shards.empty() && !beat.isLeaving)
-    m_scheduler.setPeerPlaces(vm, beat.shards.begin()->first, beat.places);
-  else
-    m_scheduler.forgetPeer(vm);
+  m_scheduler.forgetPeer(vm);
+  if (!beat.isLeaving) {
+    for (const auto& [shard, held] : beat.shards)
+      m_scheduler.setPeerPlaces(vm, shard, held.places);
+  }
   const bool isBehind = beat.configVersion < m_routing->version();
   if (isBehind && now - m_configuredAt >= configHeadStart &&
       now - peer.configSentAt >= configResend) {
@@ -509,23 +559,38 @@
   return holder;
 }
 
+/// Of two shards of this zone the one with more room, so that what isn't quite
+/// up to date doesn't send everything to one. Another zone's if there is none.
 std::optional<std::pair<VmId, ShardId>>
-EntryCore::otherHolder() const
+EntryCore::bestHolder()
 {
-  std::optional<std::pair<VmId, ShardId>> best;
-  unsigned most = 0;
+  std::vector<std::pair<VmId, ShardId>> home;
+  std::vector<std::pair<VmId, ShardId>> abroad;
   for (const ShardId& shard : m_shards.shards()) {
-    const auto holder = reachableHolder(shard);
-    if (!holder || shard.zone() == m_settings.zone)
-      continue;
-    const auto peer = m_peers.find(*holder);
-    const unsigned places = peer == m_peers.end() ? 0 : peer->second.places;
-    if (!best || places > most) {
-      best.emplace(*holder, shard);
-      most = places;
-    }
+    if (const auto holder = reachableHolder(shard))
+      (shard.zone() == m_settings.zone ? home : abroad)
+        .emplace_back(*holder, shard);
   }
-  return best;
+  const auto& choice = home.empty() ? abroad : home;
+  if (choice.empty())
+    return std::nullopt;
+  const std::size_t first = m_nextChoice++ % choice.size();
+  const std::size_t second =
+    (first + 1 + m_nextChoice / choice.size() % choice.size()) % choice.size();
+  return placesOf(choice[first]) >= placesOf(choice[second]) ? choice[first]
+                                                             : choice[second];
+}
+
+unsigned
+EntryCore::placesOf(const std::pair<VmId, ShardId>& holder) const
+{
+  if (holder.first == m_settings.vm)
+    return m_scheduler.sparePlaces(holder.second, m_clocks.steady());
+  const auto peer = m_peers.find(holder.first);
+  if (peer == m_peers.end())
+    return 0;
+  const auto places = peer->second.places.find(holder.second);
+  return places == peer->second.places.end() ? 0 : places->second;
 }
 
 bool
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -30,6 +30,15 @@
     ZoneName zone;
     /// From the request to end until the process is killed.
     Duration grace = std::chrono::seconds(6);
+    /// How slow this machine is: the logarithm of what a fixed work takes.
+    int slowness = 0;
+    /// Time between two ticks.
+    Duration tickInterval = std::chrono::milliseconds(20);
+    /// Mean lateness of ticks from which this daemon gives its shards to
+    /// others, and below which it takes some again. The silence limit between
+    /// daemons is 450 ms, heartbeats come each 140 ms.
+    Duration strainLateness = std::chrono::milliseconds(60);
+    Duration calmLateness = std::chrono::milliseconds(15);
     Scheduler::Settings scheduler;
     ShardTable::Settings shards;
     Gateway::Settings gateway;
@@ -175,7 +184,11 @@
   void tasksReturned(const JobKey& key, const TasksReturned& returned);
   FencingToken nextToken(std::uint64_t margin);
   std::optional<VmId> reachableHolder(const ShardId& shard) const;
-  std::optional<std::pair<VmId, ShardId>> otherHolder() const;
+  std::optional<std::pair<VmId, ShardId>> bestHolder();
+  unsigned placesOf(const std::pair<VmId, ShardId>& holder) const;
+  unsigned sparePlaces(TimePoint now) const;
+  void noticeStrain(TimePoint now);
+  void dissolveShards(TimePoint now);
   bool submitTo(const VmId& vm, const JobRequest& request);
   void cancelAt(const VmId& vm, const JobKey& key);
 
@@ -193,7 +206,7 @@
   struct Peer
   {
     ZoneName zone;
-    unsigned places = 0;
+    std::map<ShardId, unsigned> places;
     TimePoint configSentAt{};
   };
   std::map<VmId, Peer> m_peers;
@@ -205,6 +218,11 @@
   TimePoint m_lastPlatformBeatAt{};
   std::chrono::nanoseconds m_lastBootTime{};
   std::optional<TimePoint> m_resumeAt;
+  std::optional<TimePoint> m_lastTickAt;
+  /// Moving mean, in microseconds.
+  double m_lateness = 0;
+  bool m_isStrained = false;
+  std::size_t m_nextChoice = 0;
   std::optional<TimePoint> m_leaveAt;
   std::function<void()> m_left;
 };
--- a/src/libentry/entrydaemon.cpp
+++ b/src/libentry/entrydaemon.cpp
@@ -1,7 +1,11 @@
 #include "entrydaemon.h"
 
+#include "libobserve/observe.h"
+
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <ctime>
 #include <random>
 #include <utility>
@@ -45,6 +49,37 @@
     .count();
 }
 
+/// What a fixed work, some messages written and read, takes on this machine, as
+/// a logarithm to the base of two: machines differ by factors.
+int
+measureSlowness()
+{
+  constexpr int rounds = 3;
+  constexpr int messages = 20;
+  PeerSubmit sample;
+  sample.request.spec = std::string(500, 'x');
+  Duration best = std::chrono::seconds(1);
+  for (int round = 0; round < rounds; ++round) {
+    const TimePoint start = steadyNow();
+    for (int i = 0; i < messages; ++i) {
+      const auto bytes = encodePeerMessage(sample);
+      decodePeerMessage(std::string(bytes.begin(), bytes.end()));
+    }
+    best = std::min(best, steadyNow() - start);
+  }
+  return static_cast<int>(std::lround(std::log2(double(best.count()) + 1)));
+}
+
+EntryDaemon::Settings
+withSlowness(EntryDaemon::Settings settings)
+{
+  settings.core.slowness = measureSlowness();
+  logEvent(LogLevel::Info,
+           "machine-measured",
+           { { "slowness", settings.core.slowness } });
+  return settings;
+}
+
 EntryCore::Clocks
 machineClocks()
 {
@@ -58,7 +93,7 @@
                          EntryCore::Ports ports,
                          std::function<void(TimePoint)> ticked)
   : m_context(context)
-  , m_settings(std::move(settings))
+  , m_settings(withSlowness(std::move(settings)))
   , m_ticked(std::move(ticked))
   , m_links(context, makeHello(m_settings), m_settings.links, linkHooks())
   , m_core(m_settings.core, std::move(ports), linkFunctions(), machineClocks())
@@ -129,7 +164,7 @@
 void
 EntryDaemon::tickLater()
 {
-  m_timer.expires_after(m_settings.tickInterval);
+  m_timer.expires_after(m_settings.core.tickInterval);
   m_timer.async_wait([this](boost::system::error_code error) {
     if (error)
       return;
--- a/src/libentry/entrydaemon.h
+++ b/src/libentry/entrydaemon.h
@@ -24,8 +24,6 @@
     /// Where other daemons connect.
     Address peerAddress;
     std::vector<Address> seeds;
-    /// Time between two checks of all that waits for time to pass.
-    Duration tickInterval = std::chrono::milliseconds(20);
   };
 
   /// `ticked` is called at each tick, before anything else.
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -7,9 +7,8 @@
 
 namespace cowslippin {
 
-Gateway::Gateway(VmId self, ShardId home, Settings settings, Hooks hooks)
+Gateway::Gateway(VmId self, Settings settings, Hooks hooks)
   : m_self(std::move(self))
-  , m_home(std::move(home))
   , m_settings(settings)
   , m_hooks(std::move(hooks))
 {
@@ -109,6 +108,7 @@
       other.tasks.insert(task);
   }
   entry->isSplit = true;
+  other.isSuggested = true;
   if (!handTo(*entry, other, returned.holder, returned.shard, now))
     place(*entry, other, now);
 }
@@ -194,6 +194,7 @@
     return;
   }
   part.holder.reset();
+  part.isSuggested = false;
   place(entry, part, now);
 }
 
@@ -240,12 +241,9 @@
 bool
 Gateway::placeFresh(Entry& entry, Part& part, TimePoint now)
 {
-  if (const auto holder = m_hooks.holder(m_home)) {
-    if (handTo(entry, part, *holder, m_home, now))
-      return true;
-  }
-  const auto other = m_hooks.otherHolder();
-  return other && handTo(entry, part, other->first, other->second, now);
+  part.isSuggested = false;
+  const auto best = m_hooks.bestHolder();
+  return best && handTo(entry, part, best->first, best->second, now);
 }
 
 /// A part whose daemon was lost goes to the next holder of the same workers,
@@ -281,10 +279,11 @@
   request.age = now - entry.arrivedAt;
   request.timeLeft = entry.expiresAt - now;
   request.mayBeReturned = part.mayBeReturned;
-  // A part that another holder has room for may be refused by it; at home it
+  request.shard = shard;
+  // One that was named for its room may refuse; elsewhere a part of a job
   // waits.
-  const bool isSuggested = entry.isSplit && shard != m_home && !part.lostAt;
-  request.mayHaveRun = part.lostAt || (entry.isSplit && !isSuggested);
+  const bool mayRefuse = !entry.isSplit || part.isSuggested;
+  request.mayHaveRun = part.lostAt || !mayRefuse;
   const Duration lostFor = part.lostAt ? now - *part.lostAt : Duration::zero();
   if (part.lostAt && lostFor < m_settings.lostRunLimit)
     request.quarantine =
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -70,8 +70,9 @@
   {
     /// Who holds a shard, if that daemon can be reached.
     std::function<std::optional<VmId>(const ShardId&)> holder;
-    /// Any other holder, the one with the most free places, and its shard.
-    std::function<std::optional<std::pair<VmId, ShardId>>()> otherHolder;
+    /// A holder for a new job: one of this zone if there is any, with room if
+    /// there is any, and its shard.
+    std::function<std::optional<std::pair<VmId, ShardId>>()> bestHolder;
     /// Hands a job to a daemon, this one included. False if it can't be
     /// reached.
     std::function<bool(const VmId&, const JobRequest&)> submit;
@@ -82,7 +83,7 @@
   /// Identifies a caller that waits.
   using Ticket = std::uint64_t;
 
-  Gateway(VmId self, ShardId home, Settings settings, Hooks hooks);
+  Gateway(VmId self, Settings settings, Hooks hooks);
 
   /// A job that is under way here is joined, not begun again.
   Ticket submit(JobSubmission submission, Done done, TimePoint now);
@@ -124,6 +125,8 @@
     std::optional<TimePoint> lostAt;
     /// Whether the holder may name another one. It may do so once.
     bool mayBeReturned = true;
+    /// Handed to a holder that another one has named: it may refuse.
+    bool isSuggested = false;
   };
   struct Entry
   {
@@ -159,7 +162,6 @@
   void forget(Entry& entry);
 
   const VmId m_self;
-  const ShardId m_home;
   const Settings m_settings;
   const Hooks m_hooks;
   Entries m_jobs;
--- a/src/libjobs/jobrequest.h
+++ b/src/libjobs/jobrequest.h
@@ -56,6 +56,8 @@
   JobKey key;
   QueuePolicy policy;
   TaskNeeds needs;
+  /// Whose workers the tasks may use.
+  ShardId shard;
   /// Passed to the worker as it is.
   std::string spec;
   /// Followed by a task's index it is the task's name.
--- a/src/libjobs/jobs.h
+++ b/src/libjobs/jobs.h
@@ -6,4 +6,5 @@
 #include "libcore/shardid.h"
 #include "runtimes.h"
 #include "scheduler.h"
+#include "shardmap.h"
 #include "workerpool.h"
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -83,7 +83,7 @@
     m_hooks.ended(key, { JobOutcome::TimedOut, Duration::zero(), {}, 1 });
     return;
   }
-  if (!isHolderFor(job.request)) {
+  if (!holds(job.request.shard)) {
     m_hooks.ended(key, { JobOutcome::NotHolder, Duration::zero(), {}, 1 });
     return;
   }
@@ -169,17 +169,17 @@
 {
   if (job.request.mayHaveRun)
     return false;
-  retryAfter = std::max(minRetryAfter, expectedWait(job.latestStart, now));
+  retryAfter = std::max(minRetryAfter, expectedWait(job, now));
   if (!m_pool.canEverRun(job.request))
     return true;
   if (!job.request.mayBeReturned)
-    return m_pool.freePlaces(job.request.needs.resources.cpuMillis(), now) == 0;
-  if (m_pool.totalCpuMillis(now) == 0 && m_peerPlaces.empty())
-    return true;
+    return m_pool.freePlaces(job.request.shard,
+                             job.request.needs.resources.cpuMillis(),
+                             now) == 0;
   if (hasPeerFor(job))
     return false;
   const Duration objective = job.objectiveAt - job.arrivedAt;
-  const TimePoint end = now + expectedWait(job.latestStart, now) + job.expected;
+  const TimePoint end = now + expectedWait(job, now) + job.expected;
   return end > job.arrivedAt + scaled(objective, m_settings.refusalFactor);
 }
 
@@ -207,12 +207,13 @@
   }
 }
 
-void
+bool
 Scheduler::setList(const WorkerList& list, TimePoint now)
 {
   m_now = now;
-  m_pool.setList(list, now);
+  const bool isDividedAnew = m_pool.setList(list, now);
   pump(now);
+  return isDividedAnew;
 }
 
 void
@@ -228,8 +229,10 @@
   m_now = now;
   m_pool.releaseShard(shard);
   std::vector<Job*> jobs;
-  for (const auto& [key, job] : m_jobs)
-    jobs.push_back(job.get());
+  for (const auto& [key, job] : m_jobs) {
+    if (job->request.shard == shard)
+      jobs.push_back(job.get());
+  }
   for (Job* job : jobs) {
     for (auto run = m_runs.begin(); run != m_runs.end();) {
       if (run->second.job == job)
@@ -244,14 +247,18 @@
 void
 Scheduler::setPeerPlaces(const VmId& vm, const ShardId& shard, unsigned places)
 {
-  m_peerPlaces[vm] = { shard, places };
+  m_peerPlaces[shard] = { vm, places };
 }
 
-bool
-Scheduler::isHolderFor(const JobRequest& request) const
+void
+Scheduler::forgetPeer(const VmId& vm)
 {
-  return request.quarantine ? holds(request.quarantine->shard)
-                            : m_pool.holdsAny();
+  for (auto peer = m_peerPlaces.begin(); peer != m_peerPlaces.end();) {
+    if (peer->second.holder == vm)
+      peer = m_peerPlaces.erase(peer);
+    else
+      ++peer;
+  }
 }
 
 /// A submitter that had lost the connection for a moment goes on under a new
@@ -351,28 +358,32 @@
 }
 
 unsigned
-Scheduler::sparePlaces(TimePoint now) const
+Scheduler::sparePlaces(const ShardId& shard, TimePoint now) const
 {
   const auto usual = static_cast<std::int64_t>(m_usualCpuMillis);
   const unsigned places =
-    m_pool.freePlaces(std::max<std::int64_t>(usual, 1000), now);
-  const auto waiting = static_cast<unsigned>(waitingTasks());
-  return places > waiting ? places - waiting : 0;
+    m_pool.freePlaces(shard, std::max<std::int64_t>(usual, 1000), now);
+  std::size_t waiting = 0;
+  for (const auto& [key, job] : m_queue)
+    waiting += job->request.shard == shard ? job->pending : 0;
+  return places > waiting ? places - static_cast<unsigned>(waiting) : 0;
 }
 
 Duration
-Scheduler::expectedWait(TimePoint latestStart, TimePoint now) const
+Scheduler::expectedWait(const Job& newcomer, TimePoint now) const
 {
+  const ShardId& shard = newcomer.request.shard;
   double ahead = 0;
   for (const auto& [key, job] : m_queue) {
-    if (std::get<0>(key) > latestStart)
+    if (std::get<0>(key) > newcomer.latestStart)
       break;
-    ahead += double(job->pending) *
-             double(job->request.needs.resources.cpuMillis()) *
-             double(job->expected.count());
+    if (job->request.shard == shard)
+      ahead += double(job->pending) *
+               double(job->request.needs.resources.cpuMillis()) *
+               double(job->expected.count());
   }
   const double total =
-    double(m_pool.totalCpuMillis(now)) * m_settings.usableShare;
+    double(m_pool.totalCpuMillis(shard, now)) * m_settings.usableShare;
   return total > 0 ? Duration(std::int64_t(ahead / total)) : Duration::zero();
 }
 
@@ -528,8 +539,8 @@
   if (peer == m_peerPlaces.end())
     return;
   TasksReturned returned;
-  returned.holder = peer->first;
-  returned.shard = peer->second.shard;
+  returned.holder = peer->second.holder;
+  returned.shard = peer->first;
   for (JobTask& task : job.tasks) {
     const bool isFree = task.state == TaskState::Pending &&
                         !m_pool.isRunning(job.request.taskName(task.index));
@@ -718,8 +729,7 @@
     return;
   }
   if (!job.hasStarted && now + job.expected > job.worthlessAt) {
-    const Duration retryAfter =
-      std::max(minRetryAfter, expectedWait(job.latestStart, now));
+    const Duration retryAfter = std::max(minRetryAfter, expectedWait(job, now));
     finish(job, { JobOutcome::Refused, retryAfter, {}, 1 });
     return;
   }
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -77,7 +77,10 @@
   /// A daemon can't be reached: its jobs end soon unless it submits them again.
   void daemonLost(const VmId& vm, bool wasSilent, TimePoint now);
 
-  void setList(const WorkerList& list, TimePoint now);
+  /// True if the workers are divided into shards anew; the held shards have to
+  /// be released then.
+  bool setList(const WorkerList& list, TimePoint now);
+  std::set<ShardId> shards() const { return m_pool.shards(); }
   void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
   /// Gives a shard up; its jobs move on to the next holder.
   void releaseShard(const ShardId& shard, TimePoint now);
@@ -85,7 +88,7 @@
 
   /// Places that another holder has on a shard, as it told last.
   void setPeerPlaces(const VmId& vm, const ShardId& shard, unsigned places);
-  void forgetPeer(const VmId& vm) { m_peerPlaces.erase(vm); }
+  void forgetPeer(const VmId& vm);
 
   void holdAnswered(const WorkerId& worker,
                     const HoldAnswer& answer,
@@ -105,10 +108,11 @@
   void resume(TimePoint now);
   void tick(TimePoint now);
 
-  /// Free places for a task of the usual size, less what waits for them.
-  unsigned sparePlaces(TimePoint now) const;
-  /// How long a job that comes now would wait for its places.
-  Duration expectedWait(TimePoint latestStart, TimePoint now) const;
+  /// Free places of a shard for a task of the usual size, less what waits for
+  /// them.
+  unsigned sparePlaces(const ShardId& shard, TimePoint now) const;
+  /// How long a job would wait for its places if it came now.
+  Duration expectedWait(const Job& job, TimePoint now) const;
   std::size_t jobCount() const { return m_jobs.size(); }
   std::size_t waitingTasks() const;
   const WorkerPool& pool() const { return m_pool; }
@@ -137,13 +141,12 @@
   void returnTasks(Job& job);
   struct PeerPlaces
   {
-    ShardId shard;
+    VmId holder;
     unsigned places = 0;
   };
-  using Peers = std::map<VmId, PeerPlaces>;
+  using Peers = std::map<ShardId, PeerPlaces>;
   Peers::iterator peerFor(const Job& job);
   bool hasPeerFor(const Job& job) const;
-  bool isHolderFor(const JobRequest& request) const;
   bool attach(const JobRequest& request);
   void taskDone(Job& job, JobTask& task, TimePoint now);
   void taskFailed(Job& job, JobTask& task, TimePoint now);
--- /dev/null
+++ b/src/libjobs/shardmap.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "libworkers/workerrecord.h"
+
+#include "libcore/shardid.h"
+
+#include <map>
+#include <set>
+
+namespace cowslippin {
+
+/// The list of workers as the platform tells it, by id.
+using WorkerList = std::map<WorkerId, WorkerRecord>;
+
+/// Divides each zone's workers into shards of a size that one daemon can hold.
+/// The number of a zone's shards is a power of two and changes only when the
+/// number of its workers has changed a good deal, so that daemons whose lists
+/// differ by a few workers divide them alike.
+class ShardMap
+{
+public:
+  /// Workers that a shard should have at most. A holder spends some 0.1 ms of
+  /// processor time a task; 40 workers run 330 tasks a second, which is a third
+  /// of the smallest machines' 0.12 cores.
+  static constexpr std::size_t workersPerShard = 40;
+
+  /// Takes a list. True if the number of some zone's shards has changed.
+  bool update(const WorkerList& workers);
+
+  ShardId shardOf(const WorkerRecord& worker) const;
+  std::set<ShardId> shards() const;
+
+private:
+  std::map<ZoneName, unsigned> m_counts;
+};
+
+} // namespace cowslippin
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -14,20 +14,23 @@
 {
 }
 
-void
+bool
 WorkerPool::setList(const WorkerList& list, TimePoint now)
 {
   m_list = list;
+  if (m_map.update(list))
+    return true;
   for (auto& [id, entry] : m_entries)
     entry.isListed = m_list.count(id) > 0;
   for (const auto& [id, record] : m_list) {
     const auto found = m_entries.find(id);
     if (found != m_entries.end())
       found->second.lease->setRecord(record);
-    else if (holds(shardOf(record)))
+    else if (holds(m_map.shardOf(record)))
       addWorker(record, now);
   }
   dropUnlisted();
+  return false;
 }
 
 void
@@ -35,7 +38,7 @@
 {
   m_shards[shard] = token;
   for (const auto& [id, record] : m_list) {
-    if (shardOf(record) == shard && m_entries.count(id) == 0)
+    if (m_map.shardOf(record) == shard && m_entries.count(id) == 0)
       addWorker(record, now);
   }
 }
@@ -215,12 +218,14 @@
 }
 
 unsigned
-WorkerPool::freePlaces(std::int64_t cpuMillis, TimePoint now) const
+WorkerPool::freePlaces(const ShardId& shard,
+                       std::int64_t cpuMillis,
+                       TimePoint now) const
 {
   std::int64_t places = 0;
   for (const auto& [id, entry] : m_entries) {
     const WorkerLease& lease = *entry.lease;
-    if (entry.health.isUsable(lease.runCount(), now) &&
+    if (entry.shard == shard && entry.health.isUsable(lease.runCount(), now) &&
         lease.canStart(Resources(cpuMillis, 0, 0)))
       places +=
         lease.freeRoom().cpuMillis() / std::max<std::int64_t>(cpuMillis, 1);
@@ -229,13 +234,13 @@
 }
 
 std::int64_t
-WorkerPool::totalCpuMillis(TimePoint now) const
+WorkerPool::totalCpuMillis(const ShardId& shard, TimePoint now) const
 {
   std::int64_t total = 0;
   for (const auto& [id, entry] : m_entries) {
     const WorkerLease& lease = *entry.lease;
-    if (lease.state() == LeaseState::Held && !lease.record().isDraining() &&
-        !entry.health.isKeptOff(now))
+    if (entry.shard == shard && lease.state() == LeaseState::Held &&
+        !lease.record().isDraining() && !entry.health.isKeptOff(now))
       total += lease.record().capacity().cpuMillis();
   }
   return total;
@@ -264,16 +269,10 @@
   return views;
 }
 
-ShardId
-WorkerPool::shardOf(const WorkerRecord& record)
-{
-  return { record.zone(), 0 };
-}
-
 void
 WorkerPool::addWorker(const WorkerRecord& record, TimePoint now)
 {
-  const ShardId shard = shardOf(record);
+  const ShardId shard = m_map.shardOf(record);
   Entry entry(m_settings.health);
   entry.shard = shard;
   entry.lease = std::make_unique<WorkerLease>(
@@ -375,7 +374,8 @@
                        TimePoint now) const
 {
   const WorkerLease& lease = *entry.lease;
-  if (!entry.isListed || lease.record().service() != request.policy.service)
+  if (!entry.isListed || entry.shard != request.shard ||
+      lease.record().service() != request.policy.service)
     return false;
   if (!lease.canStart(request.needs.resources))
     return false;
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -2,6 +2,7 @@
 
 #include "jobrequest.h"
 #include "libcore/shardid.h"
+#include "shardmap.h"
 
 #include "libworkers/workers.h"
 
@@ -15,9 +16,6 @@
 
 namespace cowslippin {
 
-/// The list of workers as the platform tells it, by id.
-using WorkerList = std::map<WorkerId, WorkerRecord>;
-
 /// The workers of the shards that this daemon holds: their leases, how well
 /// they work, and the choice among them.
 class WorkerPool
@@ -59,15 +57,17 @@
   WorkerPool(Settings settings, Hooks hooks);
 
   /// Takes the platform's list; workers that have come to a held shard are
-  /// claimed, those that are gone are dropped once they run nothing.
-  void setList(const WorkerList& list, TimePoint now);
+  /// claimed, those that are gone are dropped once they run nothing. True if
+  /// the workers are divided into shards anew; the held shards have to be
+  /// released then.
+  bool setList(const WorkerList& list, TimePoint now);
+  std::set<ShardId> shards() const { return m_map.shards(); }
 
   void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
   /// Forgets the shard's workers; what runs there goes on under the next
   /// holder.
   void releaseShard(const ShardId& shard);
   bool holds(const ShardId& shard) const { return m_shards.count(shard) > 0; }
-  bool holdsAny() const { return !m_shards.empty(); }
   /// Whether everything that may run on the shard's workers is known.
   bool isFullyClaimed(const ShardId& shard) const;
 
@@ -113,9 +113,11 @@
   void tick(TimePoint now);
 
   /// Tasks of this size that could be started now.
-  unsigned freePlaces(std::int64_t cpuMillis, TimePoint now) const;
-  /// All that the usable workers have, used or free.
-  std::int64_t totalCpuMillis(TimePoint now) const;
+  unsigned freePlaces(const ShardId& shard,
+                      std::int64_t cpuMillis,
+                      TimePoint now) const;
+  /// All that the usable workers of a shard have, used or free.
+  std::int64_t totalCpuMillis(const ShardId& shard, TimePoint now) const;
   /// The largest free room on any one worker.
   std::int64_t largestFreeCpuMillis() const;
 
@@ -147,7 +149,6 @@
   };
   using Entries = std::map<WorkerId, Entry>;
 
-  static ShardId shardOf(const WorkerRecord& record);
   void addWorker(const WorkerRecord& record, TimePoint now);
   WorkerLease::Hooks leaseHooks(const WorkerId& id);
   void dropUnlisted();
@@ -159,6 +160,7 @@
   const Settings m_settings;
   const Hooks m_hooks;
   WorkerList m_list;
+  ShardMap m_map;
   std::map<ShardId, FencingToken> m_shards;
   Entries m_entries;
 };
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -57,14 +57,15 @@
 toJson(const PeerBeat& beat)
 {
   json shards = json::array();
-  for (const auto& [shard, token] : beat.shards)
-    shards.push_back(json::array({ toJson(shard), token }));
+  for (const auto& [shard, held] : beat.shards)
+    shards.push_back(json::array({ toJson(shard), held.token, held.places }));
   return json::array({ beat.isLeaving,
                        beat.isReady,
                        std::move(shards),
                        beat.highestToken,
-                       beat.places,
-                       beat.configVersion });
+                       beat.configVersion,
+                       beat.isStrained,
+                       beat.slowness });
 }
 
 json
@@ -101,6 +102,7 @@
   return json::array({ toJson(request.key),
                        toJson(request.policy),
                        toJson(request.needs),
+                       toJson(request.shard),
                        request.spec,
                        request.taskPrefix,
                        request.tasks,
@@ -203,10 +205,12 @@
   beat.isLeaving = value.at(0).get<bool>();
   beat.isReady = value.at(1).get<bool>();
   for (const json& shard : value.at(2))
-    beat.shards[readShard(shard.at(0))] = shard.at(1).get<std::uint64_t>();
+    beat.shards[readShard(shard.at(0))] = { shard.at(1).get<std::uint64_t>(),
+                                            shard.at(2).get<unsigned>() };
   beat.highestToken = value.at(3).get<std::uint64_t>();
-  beat.places = value.at(4).get<unsigned>();
-  beat.configVersion = value.at(5).get<std::uint64_t>();
+  beat.configVersion = value.at(4).get<std::uint64_t>();
+  beat.isStrained = value.at(5).get<bool>();
+  beat.slowness = value.at(6).get<int>();
   return beat;
 }
 
@@ -244,19 +248,20 @@
   request.key = readKey(value.at(0));
   request.policy = readPolicy(value.at(1));
   request.needs = readNeeds(value.at(2));
-  request.spec = text(value.at(3));
-  request.taskPrefix = text(value.at(4));
-  request.tasks = value.at(5).get<std::vector<TaskIndex>>();
-  request.firstRun = value.at(6).get<std::uint64_t>();
-  request.age = duration(value.at(7));
-  request.timeLeft = duration(value.at(8));
-  const json& quarantine = value.at(9);
+  request.shard = readShard(value.at(3));
+  request.spec = text(value.at(4));
+  request.taskPrefix = text(value.at(5));
+  request.tasks = value.at(6).get<std::vector<TaskIndex>>();
+  request.firstRun = value.at(7).get<std::uint64_t>();
+  request.age = duration(value.at(8));
+  request.timeLeft = duration(value.at(9));
+  const json& quarantine = value.at(10);
   if (!quarantine.is_null())
     request.quarantine =
       Quarantine{ readShard(quarantine.at(0)), duration(quarantine.at(1)) };
-  request.previousPart = value.at(10).get<std::uint64_t>();
-  request.mayHaveRun = value.at(11).get<bool>();
-  request.mayBeReturned = value.at(12).get<bool>();
+  request.previousPart = value.at(11).get<std::uint64_t>();
+  request.mayHaveRun = value.at(12).get<bool>();
+  request.mayBeReturned = value.at(13).get<bool>();
   return { std::move(request) };
 }
 
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -39,17 +39,31 @@
   std::vector<Address> known;
 };
 
+/// A shard that a daemon holds.
+struct HeldShard
+{
+  std::uint64_t token = 0;
+  /// Places that are free on its workers.
+  unsigned places = 0;
+
+  friend bool operator==(const HeldShard& a, const HeldShard& b)
+  {
+    return a.token == b.token && a.places == b.places;
+  }
+};
+
 /// Sent at short intervals, and at once when the shards or `isLeaving` change.
 struct PeerBeat
 {
   bool isLeaving = false;
   bool isReady = false;
-  /// The shards that the daemon holds and the token of each.
-  std::map<ShardId, std::uint64_t> shards;
+  /// The daemon has too little processor time for what it does.
+  bool isStrained = false;
+  /// How slow its machine is: the logarithm of what a fixed work takes.
+  int slowness = 0;
+  std::map<ShardId, HeldShard> shards;
   /// The highest token that it knows of.
   std::uint64_t highestToken = 0;
-  /// Places that are free at it.
-  unsigned places = 0;
   /// The version of the configuration in force there.
   std::uint64_t configVersion = 0;
 };
--- a/src/libshards/memberview.h
+++ b/src/libshards/memberview.h
@@ -14,6 +14,10 @@
   ZoneName zone;
   /// It is shutting down and gives up what it holds.
   bool isLeaving = false;
+  /// It has too little processor time for what it does.
+  bool isStrained = false;
+  /// How slow its machine is: the logarithm of what a fixed work takes.
+  int slowness = 0;
   /// It has a configuration and a list of workers.
   bool isReady = false;
   /// The shards it holds, each with the token it took them with.
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -2,17 +2,30 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 namespace cowslippin {
 
 namespace {
 
-/// Spreads the shards over the daemons; the lowest takes a shard that is free.
-std::size_t
-rank(const ShardId& shard, const VmId& vm)
+/// Who takes a shard that is free: the one that holds the fewest, then the one
+/// on the fastest machine.
+using Rank = std::tuple<std::size_t, int, std::size_t>;
+
+Rank
+rank(const ShardId& shard, const VmId& vm, std::size_t shards, int slowness)
+{
+  const std::size_t spread =
+    std::hash<std::string>()(shard.toString() + '|' + vm.value());
+  return { shards, slowness, spread };
+}
+
+/// Whether it should hold nothing new, and others may take what it holds.
+bool
+isUnfit(const MemberView& member)
 {
-  return std::hash<std::string>()(shard.toString() + '|' + vm.value());
+  return member.isLeaving || member.isStrained;
 }
 
 } // namespace
@@ -29,14 +42,6 @@
 {
 }
 
-void
-ShardTable::setZones(const std::set<ZoneName>& zones)
-{
-  m_shards.clear();
-  for (const ZoneName& zone : zones)
-    m_shards.emplace(zone, 0);
-}
-
 void
 ShardTable::memberSeen(const MemberView& member, TimePoint now)
 {
@@ -90,7 +95,8 @@
       decisions.release.push_back(shard);
   }
   for (const ShardId& shard : m_shards) {
-    if (m_held.count(shard) == 0 && mayTake(shard, now))
+    const std::size_t own = m_held.size() + decisions.take.size();
+    if (m_held.count(shard) == 0 && mayTake(shard, own, now))
       decisions.take.push_back(shard);
   }
   return decisions;
@@ -111,6 +117,13 @@
   m_keptOffUntil[shard] = now + m_settings.coolOff;
 }
 
+void
+ShardTable::dissolved(const ShardId& shard)
+{
+  m_held.erase(shard);
+  m_fencedAt.erase(shard);
+}
+
 std::optional<VmId>
 ShardTable::holder(const ShardId& shard) const
 {
@@ -183,9 +196,11 @@
 }
 
 bool
-ShardTable::mayTake(const ShardId& shard, TimePoint now) const
+ShardTable::mayTake(const ShardId& shard,
+                    std::size_t ownShards,
+                    TimePoint now) const
 {
-  if (!m_isReady || m_isLeaving || !hasSettled(now))
+  if (!m_isReady || m_isLeaving || m_isStrained || !hasSettled(now))
     return false;
   const auto keptOff = m_keptOffUntil.find(shard);
   if (keptOff != m_keptOffUntil.end() && now < keptOff->second)
@@ -198,7 +213,7 @@
     return !isForeign && hasWaited && !isPlatformBeatFresh(shard, now);
   }
   if (!isForeign)
-    return isFirst(shard, false);
+    return isFirst(shard, ownShards, false);
   if (hasZoneMember(shard.zone()) || holder(shard))
     return false;
   const auto empty = m_zoneEmptySince.find(shard.zone());
@@ -207,19 +222,23 @@
   const bool isInformed =
     m_platformReadAt && now - *m_platformReadAt < m_settings.platformReadLimit;
   return isInformed && now - since >= m_settings.foreignWait &&
-         !isPlatformBeatFresh(shard, now) && isFirst(shard, true);
+         !isPlatformBeatFresh(shard, now) && isFirst(shard, ownShards, true);
 }
 
 bool
-ShardTable::isFirst(const ShardId& shard, bool isForeign) const
+ShardTable::isFirst(const ShardId& shard,
+                    std::size_t ownShards,
+                    bool isForeign) const
 {
-  const std::size_t own = rank(shard, m_self);
+  const Rank own = rank(shard, m_self, ownShards, m_slowness);
   return std::none_of(
     m_members.begin(), m_members.end(), [&](const auto& item) {
       const MemberView& member = item.second;
-      const bool isCandidate = !member.isLeaving && member.isReady &&
+      const bool isCandidate = !isUnfit(member) && member.isReady &&
                                (isForeign || member.zone == shard.zone());
-      return isCandidate && rank(shard, member.id) < own;
+      return isCandidate &&
+             rank(shard, member.id, member.shards.size(), member.slowness) <
+               own;
     });
 }
 
@@ -228,7 +247,7 @@
 {
   return std::any_of(m_members.begin(), m_members.end(), [&](const auto& item) {
     const MemberView& member = item.second;
-    return !member.isLeaving && member.zone == shard.zone() &&
+    return !isUnfit(member) && member.zone == shard.zone() &&
            member.shards.count(shard) > 0;
   });
 }
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -52,8 +52,8 @@
 
   ShardTable(VmId self, ZoneName zone, Settings settings, TimePoint start);
 
-  /// The zones that have workers.
-  void setZones(const std::set<ZoneName>& zones);
+  /// The shards into which the workers are divided.
+  void setShards(const std::set<ShardId>& shards) { m_shards = shards; }
   /// Daemons that exist, whether or not they can be reached.
   void setKnownMembers(std::size_t count) { m_knownMembers = count; }
   void memberSeen(const MemberView& member, TimePoint now);
@@ -66,12 +66,18 @@
   bool needsPlatformReads() const;
   void setReady(bool isReady) { m_isReady = isReady; }
   void setLeaving() { m_isLeaving = true; }
+  /// Whether this daemon has too little processor time for what it does.
+  void setStrained(bool isStrained) { m_isStrained = isStrained; }
+  /// How slow this machine is: the logarithm of what a fixed work takes.
+  void setSlowness(int slowness) { m_slowness = slowness; }
   /// Another daemon has taken a worker of a held shard.
   void fenced(const ShardId& shard, TimePoint now);
 
   Decisions decide(TimePoint now) const;
   void taken(const ShardId& shard, std::uint64_t token);
   void released(const ShardId& shard, TimePoint now);
+  /// The shard's workers are divided anew; it may be taken again at once.
+  void dissolved(const ShardId& shard);
 
   /// Who holds a shard, this daemon included, as far as can be seen.
   std::optional<VmId> holder(const ShardId& shard) const;
@@ -85,8 +91,12 @@
 private:
   bool hasSettled(TimePoint now) const;
   bool mustRelease(const ShardId& shard, TimePoint now) const;
-  bool mayTake(const ShardId& shard, TimePoint now) const;
-  bool isFirst(const ShardId& shard, bool isForeign) const;
+  bool mayTake(const ShardId& shard,
+               std::size_t ownShards,
+               TimePoint now) const;
+  bool isFirst(const ShardId& shard,
+               std::size_t ownShards,
+               bool isForeign) const;
   bool hasZoneClaimant(const ShardId& shard) const;
   bool hasZoneMember(const ZoneName& zone) const;
   bool isPlatformBeatFresh(const ShardId& shard, TimePoint now) const;
@@ -108,6 +118,8 @@
   std::optional<TimePoint> m_platformReadAt;
   bool m_isReady = false;
   bool m_isLeaving = false;
+  bool m_isStrained = false;
+  int m_slowness = 0;
 };
 
 } // namespace cowslippin
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -33,6 +33,7 @@
   request.needs.requiredLabel = "b";
   request.needs.preferredRack = "r1-3";
   request.needs.maxPerWorker = 2;
+  request.shard = ShardId(ZoneName("z1"), 2);
   request.spec = "a \"text\"";
   request.taskPrefix = "0123456789abcdef.0.0.";
   request.tasks = { 0, 2, 5 };
@@ -63,6 +64,7 @@
   EXPECT_EQ(read.needs.requiredLabel, sent.needs.requiredLabel);
   EXPECT_EQ(read.needs.preferredRack, sent.needs.preferredRack);
   EXPECT_EQ(read.needs.maxPerWorker, sent.needs.maxPerWorker);
+  EXPECT_EQ(read.shard, sent.shard);
   EXPECT_EQ(read.spec, sent.spec);
   EXPECT_EQ(read.taskPrefix, sent.taskPrefix);
   EXPECT_EQ(read.tasks, sent.tasks);
@@ -95,16 +97,18 @@
   PeerBeat beat;
   beat.isLeaving = true;
   beat.isReady = true;
-  beat.shards = { { ShardId(ZoneName("z1"), 0), 300243599585797 } };
+  beat.isStrained = true;
+  beat.slowness = 9;
+  beat.shards[ShardId(ZoneName("z1"), 0)] = { 300243599585797, 12 };
   beat.highestToken = 300243599585799;
-  beat.places = 12;
   beat.configVersion = 40;
   const PeerBeat readBeat = throughTheWire(beat);
   EXPECT_EQ(readBeat.isLeaving, beat.isLeaving);
   EXPECT_EQ(readBeat.isReady, beat.isReady);
   EXPECT_EQ(readBeat.shards, beat.shards);
   EXPECT_EQ(readBeat.highestToken, beat.highestToken);
-  EXPECT_EQ(readBeat.places, beat.places);
+  EXPECT_EQ(readBeat.isStrained, beat.isStrained);
+  EXPECT_EQ(readBeat.slowness, beat.slowness);
   EXPECT_EQ(readBeat.configVersion, beat.configVersion);
 }
 
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -22,7 +22,7 @@
     : table(VmId("self"), home, settings, start)
     , now(start)
   {
-    table.setZones({ home, abroad });
+    table.setShards({ homeShard, foreignShard });
     table.setReady(true);
   }
 
@@ -89,7 +89,7 @@
 TEST_F(ShardTableTest, OnlyOneOfAZonesDaemonsTakesAFreeShard)
 {
   ShardTable other(VmId("mate"), home, settings, start);
-  other.setZones({ home });
+  other.setShards({ homeShard });
   other.setReady(true);
   table.memberSeen(member("mate", home), now);
   other.memberSeen(member("self", home), now);
