--- /dev/null
+++ b/tests/jobs/scheduler_test.cpp
@@ -0,0 +1,277 @@
+#include "schedulerfixture.h"
+
+#include <gtest/gtest.h>
+
+namespace cowslippin::testing {
+namespace {
+
+class SchedulerTest : public ::testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    fixture.addWorker("w1");
+    fixture.addWorker("w2");
+    fixture.take();
+  }
+
+  void submit(const JobRequest& request)
+  {
+    fixture.scheduler.submit(request, fixture.now);
+    fixture.settle();
+  }
+
+  SchedulerFixture fixture;
+};
+
+TEST_F(SchedulerTest, StartsAllTasksAndCompletesWhenTheLastIsDone)
+{
+  const JobRequest job = fixture.request("a", 3);
+  submit(job);
+  EXPECT_EQ(fixture.running(), 3u);
+  fixture.end("a.0.0.0", RunEnd::Done);
+  fixture.end("a.0.0.1", RunEnd::Done);
+  EXPECT_EQ(fixture.endOf(job), nullptr);
+  fixture.end("a.0.0.2", RunEnd::Done);
+  ASSERT_NE(fixture.endOf(job), nullptr);
+  EXPECT_EQ(fixture.endOf(job)->outcome, JobOutcome::Completed);
+}
+
+TEST_F(SchedulerTest, TasksWaitForRoomAndNoWorkerIsOverfilled)
+{
+  submit(fixture.request("a", 6));
+  EXPECT_EQ(fixture.running(), 4u) << "two of 6.8 cores on each of 16";
+  fixture.end("a.0.0.0", RunEnd::Done);
+  EXPECT_EQ(fixture.running(), 4u);
+  EXPECT_EQ(fixture.scheduler.waitingTasks(), 1u);
+}
+
+TEST_F(SchedulerTest, AFailedTaskIsTriedOnAnotherWorkerAndThenFailsItsJob)
+{
+  const JobRequest job = fixture.request("a", 1);
+  submit(job);
+  const WorkerId first = fixture.workers[WorkerId("w1")].runCount() > 0
+                           ? WorkerId("w1")
+                           : WorkerId("w2");
+  fixture.end("a.0.0.0", RunEnd::Failed);
+  EXPECT_EQ(fixture.workers[first].runCount(), 0u);
+  EXPECT_EQ(fixture.running(), 1u);
+  fixture.end("a.0.0.0", RunEnd::Failed);
+  ASSERT_NE(fixture.endOf(job), nullptr);
+  EXPECT_EQ(fixture.endOf(job)->outcome, JobOutcome::Failed);
+}
+
+TEST_F(SchedulerTest, WhatCanNeverRunIsRefusedAtOnce)
+{
+  const JobRequest job = fixture.request("a", 1, 17000);
+  submit(job);
+  ASSERT_NE(fixture.endOf(job), nullptr);
+  EXPECT_EQ(fixture.endOf(job)->outcome, JobOutcome::Refused);
+  EXPECT_GT(fixture.endOf(job)->retryAfter, Duration::zero());
+}
+
+TEST_F(SchedulerTest, AJobThatWouldWaitTooLongIsRefusedAndNothingOfItStarts)
+{
+  submit(fixture.request("a", 4, 6800, 1000));
+  for (int i = 0; i < 12; ++i)
+    submit(fixture.request("b" + std::to_string(i), 4, 6800, 100));
+  const JobRequest late = fixture.request("late", 4, 6800, 100);
+  submit(late);
+  ASSERT_NE(fixture.endOf(late), nullptr);
+  EXPECT_EQ(fixture.endOf(late)->outcome, JobOutcome::Refused);
+  for (const auto& [id, worker] : fixture.workers)
+    EXPECT_EQ(worker.starts("late.0.0.0"), 0u);
+}
+
+TEST_F(SchedulerTest, AStartedJobIsNeverRefused)
+{
+  const JobRequest job = fixture.request("a", 8, 6800, 20);
+  submit(job);
+  fixture.pass(3000);
+  const JobEnd* end = fixture.endOf(job);
+  EXPECT_TRUE(!end || end->outcome != JobOutcome::Refused);
+}
+
+TEST_F(SchedulerTest, ACancelledJobsRunsAreStopped)
+{
+  const JobRequest job = fixture.request("a", 3);
+  submit(job);
+  fixture.scheduler.cancel(job.key, fixture.now);
+  fixture.settle();
+  EXPECT_EQ(fixture.running(), 0u);
+  EXPECT_EQ(fixture.endOf(job), nullptr);
+}
+
+TEST_F(SchedulerTest, RunsOfALostSubmitterAreStoppedSoon)
+{
+  submit(fixture.request("a", 2));
+  fixture.scheduler.daemonLost(VmId("gateway"), false, fixture.now);
+  fixture.pass(100);
+  EXPECT_EQ(fixture.running(), 2u);
+  fixture.pass(160);
+  EXPECT_EQ(fixture.running(), 0u);
+}
+
+TEST_F(SchedulerTest, ASubmitterThatIsBackGoesOnUnderItsNewKey)
+{
+  const JobRequest first = fixture.request("a", 2);
+  submit(first);
+  fixture.scheduler.daemonLost(VmId("gateway"), false, fixture.now);
+  JobRequest again = fixture.request("a", 2);
+  again.previousPart = first.key.part();
+  again.mayHaveRun = true;
+  again.quarantine =
+    Quarantine{ SchedulerFixture::shard(), std::chrono::milliseconds(1200) };
+  submit(again);
+  fixture.pass(300);
+  EXPECT_EQ(fixture.running(), 2u);
+  fixture.end("a.0.0.0", RunEnd::Done);
+  fixture.end("a.0.0.1", RunEnd::Done);
+  ASSERT_NE(fixture.endOf(again), nullptr);
+  EXPECT_EQ(fixture.endOf(again)->outcome, JobOutcome::Completed);
+  for (const auto& [id, worker] : fixture.workers)
+    EXPECT_LE(worker.starts("a.0.0.0"), 1u);
+}
+
+TEST_F(SchedulerTest, ANewHolderAdoptsTheRunsThatItFinds)
+{
+  SchedulerFixture next;
+  next.addWorker("w1");
+  next.workers[WorkerId("w1")].start(
+    { 5, RunKey("a.0.0.0", 3), "", 1000 * 1000 + 50000 + 700 }, next.now);
+  next.take();
+  JobRequest job = next.request("a", 2);
+  job.mayHaveRun = true;
+  job.quarantine =
+    Quarantine{ SchedulerFixture::shard(), std::chrono::milliseconds(1200) };
+  next.scheduler.submit(job, next.now);
+  next.settle();
+  next.pass(40);
+  EXPECT_EQ(next.workers[WorkerId("w1")].starts("a.0.0.0"), 1u);
+  EXPECT_EQ(next.running(), 2u) << "the other task was not found and starts";
+  next.end("a.0.0.0", RunEnd::Done);
+  next.end("a.0.0.1", RunEnd::Done);
+  ASSERT_NE(next.endOf(job), nullptr);
+  EXPECT_EQ(next.endOf(job)->outcome, JobOutcome::Completed);
+}
+
+TEST_F(SchedulerTest, ATaskThatMayRunWaitsUntilAllWorkersAnswered)
+{
+  SchedulerFixture next;
+  next.addWorker("w1");
+  next.scheduler.takeShard(SchedulerFixture::shard(), 10, next.now);
+  JobRequest job = next.request("a", 1);
+  job.mayHaveRun = true;
+  job.quarantine =
+    Quarantine{ SchedulerFixture::shard(), std::chrono::milliseconds(1200) };
+  next.scheduler.submit(job, next.now);
+  next.scheduler.tick(next.now);
+  EXPECT_EQ(next.running(), 0u);
+  next.settle();
+  next.pass(40);
+  EXPECT_EQ(next.running(), 1u);
+}
+
+TEST_F(SchedulerTest, AReleasedShardsJobsMoveWithTheirRunsLeftAlone)
+{
+  const JobRequest job = fixture.request("a", 2);
+  submit(job);
+  fixture.end("a.0.0.0", RunEnd::Done);
+  fixture.scheduler.releaseShard(SchedulerFixture::shard(), fixture.now);
+  fixture.settle();
+  EXPECT_EQ(fixture.running(), 1u);
+  ASSERT_NE(fixture.endOf(job), nullptr);
+  EXPECT_EQ(fixture.endOf(job)->outcome, JobOutcome::Moved);
+  EXPECT_EQ(fixture.endOf(job)->done, std::vector<TaskIndex>{ 0 });
+  EXPECT_GT(fixture.endOf(job)->nextRun, 1u);
+}
+
+TEST_F(SchedulerTest, SaysSoWhenItDoesNotHoldTheShard)
+{
+  JobRequest job = fixture.request("a", 1);
+  job.shard = ShardId(ZoneName("z2"), 0);
+  submit(job);
+  ASSERT_NE(fixture.endOf(job), nullptr);
+  EXPECT_EQ(fixture.endOf(job)->outcome, JobOutcome::NotHolder);
+  EXPECT_EQ(fixture.running(), 0u);
+}
+
+TEST_F(SchedulerTest, TasksWithoutRoomAreReturnedForAHolderThatHasSome)
+{
+  const ShardId other(ZoneName("z2"), 0);
+  fixture.scheduler.setPeerPlaces(VmId("peer"), other, 5);
+  submit(fixture.request("a", 6));
+  ASSERT_EQ(fixture.returns.size(), 1u);
+  EXPECT_EQ(fixture.returns[0].holder, VmId("peer"));
+  EXPECT_EQ(fixture.returns[0].shard, other);
+  EXPECT_EQ(fixture.returns[0].tasks.size(), 2u);
+  EXPECT_EQ(fixture.running(), 4u);
+}
+
+TEST_F(SchedulerTest, ATaskThatStandsStillIsStartedElsewhere)
+{
+  submit(fixture.request("a", 1, 6800, 100));
+  ASSERT_EQ(fixture.running(), 1u);
+  fixture.pass(600);
+  unsigned starts = 0;
+  for (const auto& [id, worker] : fixture.workers)
+    starts += worker.starts("a.0.0.0");
+  EXPECT_GE(starts, 2u);
+  EXPECT_EQ(fixture.running(), 1u);
+}
+
+TEST_F(SchedulerTest, StartsNothingWhileSuspendedAndEndsJobsOfOthers)
+{
+  const JobRequest foreign = fixture.request("a", 2);
+  submit(foreign);
+  fixture.scheduler.suspend(fixture.now);
+  fixture.settle();
+  EXPECT_EQ(fixture.running(), 0u);
+  JobRequest own = fixture.request("b", 1);
+  own.key = JobKey(VmId("self"), JobId("b"), 99);
+  submit(own);
+  EXPECT_EQ(fixture.running(), 0u);
+  fixture.scheduler.resume(fixture.now);
+  fixture.settle();
+  EXPECT_EQ(fixture.running(), 1u);
+}
+
+TEST_F(SchedulerTest, AJobWhoseTimeIsOverIsStoppedAndSaysSo)
+{
+  JobRequest job = fixture.request("a", 1, 6800, 1000);
+  job.timeLeft = std::chrono::milliseconds(200);
+  submit(job);
+  fixture.pass(260);
+  ASSERT_NE(fixture.endOf(job), nullptr);
+  EXPECT_EQ(fixture.endOf(job)->outcome, JobOutcome::TimedOut);
+  EXPECT_EQ(fixture.running(), 0u);
+}
+
+TEST(ShardMap, DividesByPowersOfTwoAndChangesOnlyForGood)
+{
+  const auto workers = [](unsigned count) {
+    WorkerList list;
+    for (unsigned i = 0; i < count; ++i) {
+      WorkerRecord::Fields fields;
+      fields.id = WorkerId("w" + std::to_string(i));
+      fields.zone = ZoneName("z1");
+      list[fields.id] = WorkerRecord(fields);
+    }
+    return list;
+  };
+  ShardMap map;
+  EXPECT_FALSE(map.update(workers(40)));
+  EXPECT_EQ(map.shards().size(), 1u);
+  EXPECT_FALSE(map.update(workers(47))) << "not far enough";
+  EXPECT_TRUE(map.update(workers(60)));
+  EXPECT_EQ(map.shards().size(), 2u);
+  EXPECT_FALSE(map.update(workers(36))) << "not far enough";
+  EXPECT_TRUE(map.update(workers(30)));
+  EXPECT_EQ(map.shards().size(), 1u);
+  ShardMap large;
+  large.update(workers(117));
+  EXPECT_EQ(large.shards().size(), 4u);
+}
+
+} // namespace
+} // namespace cowslippin::testing
--- /dev/null
+++ b/tests/jobs/schedulerfixture.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "support/fakeworker.h"
+
+#include "libjobs/jobs.h"
+
+#include <deque>
+#include <map>
+#include <vector>
+
+namespace cowslippin::testing {
+
+/// A scheduler with workers in memory, on a virtual clock. Orders wait until
+/// `settle` delivers them.
+class SchedulerFixture
+{
+public:
+  SchedulerFixture()
+    : scheduler(VmId("self"), Scheduler::Settings(), hooks())
+  {
+  }
+
+  static ShardId shard() { return { ZoneName("z1"), 0 }; }
+
+  void addWorker(const std::string& id, std::int64_t cpu = 16000)
+  {
+    WorkerRecord::Fields fields;
+    fields.id = WorkerId(id);
+    fields.service = ServiceName("booking");
+    fields.zone = ZoneName("z1");
+    fields.capacity = Resources(cpu, 1000, 0);
+    list[fields.id] = WorkerRecord(fields);
+    workers[fields.id];
+    scheduler.setList(list, now);
+  }
+
+  void take()
+  {
+    scheduler.takeShard(shard(), 10, now);
+    settle();
+  }
+
+  JobRequest request(const std::string& job,
+                     unsigned tasks,
+                     std::int64_t cpu = 6800,
+                     int estimateMs = 100)
+  {
+    JobRequest request;
+    request.key = JobKey(VmId("gateway"), JobId(job), ++lastPart);
+    request.policy.queue = "q";
+    request.policy.service = ServiceName("booking");
+    request.policy.maxAttempts = 2;
+    request.policy.stretch = 1.6;
+    request.policy.target = std::chrono::milliseconds(60);
+    request.needs.resources = Resources(cpu, 1, 0);
+    request.needs.estimate = std::chrono::milliseconds(estimateMs);
+    request.taskPrefix = job + ".0.0.";
+    request.timeLeft = std::chrono::seconds(5);
+    request.shard = shard();
+    for (unsigned task = 0; task < tasks; ++task)
+      request.tasks.push_back(task);
+    return request;
+  }
+
+  /// Delivers all orders that wait. Reports that may wait at the worker are
+  /// answered only if there is an end to tell.
+  void settle()
+  {
+    for (int round = 0; round < 20 && !orders.empty(); ++round) {
+      for (const auto& order : std::exchange(orders, {}))
+        order();
+      flush();
+    }
+  }
+
+  /// Ends a run of the task with this name, wherever it is.
+  bool end(const std::string& task, RunEnd how)
+  {
+    for (auto& [id, worker] : workers) {
+      for (const RunKey& key : worker.runs()) {
+        if (key.task() != task)
+          continue;
+        worker.end(key, how);
+        settle();
+        flush();
+        settle();
+        return true;
+      }
+    }
+    return false;
+  }
+
+  unsigned running() const
+  {
+    unsigned count = 0;
+    for (const auto& [id, worker] : workers)
+      count += static_cast<unsigned>(worker.runCount());
+    return count;
+  }
+
+  void pass(int milliseconds)
+  {
+    for (int passed = 0; passed < milliseconds; passed += 20) {
+      now += std::chrono::milliseconds(20);
+      scheduler.tick(now);
+      flush();
+      settle();
+    }
+  }
+
+  const JobEnd* endOf(const JobRequest& request) const
+  {
+    const auto found = ends.find(request.key);
+    return found == ends.end() ? nullptr : &found->second;
+  }
+
+  TimePoint now{ std::chrono::seconds(1000) };
+  std::map<WorkerId, FakeWorker> workers;
+  WorkerList list;
+  std::deque<std::function<void()>> orders;
+  std::map<JobKey, JobEnd> ends;
+  std::vector<TasksReturned> returns;
+  std::uint64_t lastPart = 0;
+  FencingToken lastToken = 10;
+  Scheduler scheduler;
+
+private:
+  struct Parked
+  {
+    WorkerId worker;
+    HoldOrder order;
+    TimePoint sent;
+  };
+
+  Scheduler::Hooks hooks()
+  {
+    Scheduler::Hooks hooks;
+    hooks.sendHold =
+      [this](const WorkerRecord& record, const HoldOrder& order, Duration) {
+        if (order.wait > Duration::zero()) {
+          m_parked.push_back({ record.id(), order, now });
+          return;
+        }
+        orders.push_back([this, id = record.id(), order, sent = now] {
+          scheduler.holdAnswered(id, workers[id].hold(order, now), sent, now);
+        });
+      };
+    hooks.sendStart =
+      [this](const WorkerRecord& record, const StartOrder& order, Duration) {
+        orders.push_back([this, id = record.id(), order] {
+          scheduler.startAnswered(
+            id, order.key, workers[id].start(order, now), now);
+        });
+      };
+    hooks.sendStop =
+      [this](const WorkerRecord& record, const StopOrder& order, Duration) {
+        orders.push_back([this, id = record.id(), order] {
+          scheduler.stopAnswered(
+            id, order.key, workers[id].stop(order, now), now);
+        });
+      };
+    hooks.ended = [this](const JobKey& key, const JobEnd& end) {
+      ends[key] = end;
+    };
+    hooks.returned = [this](const JobKey&, const TasksReturned& returned) {
+      returns.push_back(returned);
+    };
+    hooks.higherToken = [this] { return lastToken += 10; };
+    hooks.fenced = [](const ShardId&) {};
+    return hooks;
+  }
+
+  void flush()
+  {
+    for (const Parked& parked : std::exchange(m_parked, {})) {
+      orders.push_back([this, parked] {
+        scheduler.holdAnswered(parked.worker,
+                               workers[parked.worker].hold(parked.order, now),
+                               parked.sent,
+                               now);
+      });
+    }
+    for (const auto& order : std::exchange(orders, {}))
+      order();
+  }
+
+  std::vector<Parked> m_parked;
+};
+
+} // namespace cowslippin::testing
