Soak: real daemons, a stand-in for store and workers, strikes by signals

Kills, stops, ends, and restarts daemons in overlapping series, loses and delays orders, takes the store away, crashes workers; checks what workers and callers see.

--- a/src/libasynchttp/httpchannel.cpp
+++ b/src/libasynchttp/httpchannel.cpp
@@ -11,9 +11,12 @@
 using boost::system::error_code;
 using net::ip::tcp;
 
-HttpChannel::HttpChannel(net::io_context& context, Address address)
+HttpChannel::HttpChannel(net::io_context& context,
+                         Address address,
+                         std::string host)
   : m_socket(context)
   , m_address(std::move(address))
+  , m_host(host.empty() ? m_address.toString() : std::move(host))
 {
 }
 
@@ -132,8 +135,8 @@
 std::string
 HttpChannel::render(const HttpCallOrder& order) const
 {
-  std::string text = order.method + ' ' + order.target +
-                     " HTTP/1.1\r\nHost: " + m_address.toString() + "\r\n";
+  std::string text =
+    order.method + ' ' + order.target + " HTTP/1.1\r\nHost: " + m_host + "\r\n";
   for (const HttpHeader& header : order.headers)
     text += header.name() + ": " + header.value() + "\r\n";
   if (!order.contentType.empty())
--- a/src/libasynchttp/httpchannel.h
+++ b/src/libasynchttp/httpchannel.h
@@ -55,7 +55,10 @@
   /// Answers longer than this are taken as none, in bytes.
   static constexpr std::uint64_t maxAnswerBytes = std::uint64_t(8) << 20;
 
-  HttpChannel(boost::asio::io_context& context, Address address);
+  /// `host` is what the calls name as their host; empty for the address.
+  HttpChannel(boost::asio::io_context& context,
+              Address address,
+              std::string host = {});
 
   /// Only while `isBusy` is false. `done` is called once, never from within.
   void call(const HttpCallOrder& order, TimePoint deadline, Done done);
@@ -82,6 +85,7 @@
 
   boost::asio::ip::tcp::socket m_socket;
   const Address m_address;
+  const std::string m_host;
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
   std::string m_output;
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,306 @@
+#include "soak.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+namespace cowslippin::testing {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr Duration step = milliseconds(10);
+constexpr Duration resendAfter = milliseconds(1300);
+constexpr unsigned maxTries = 3;
+/// Offsets into the range of ports.
+constexpr std::uint16_t callerPort = 1;
+constexpr std::uint16_t readinessPort = 2;
+constexpr std::uint16_t peerPort = 3;
+constexpr std::uint16_t firstWorker = 10;
+
+LeasedPlatform::Settings
+platformSettings(const Soak::Settings& settings)
+{
+  LeasedPlatform::Settings platform;
+  platform.zones = settings.zones;
+  platform.workersPerZone = settings.workersPerZone;
+  platform.storePort = settings.firstPort;
+  platform.firstWorkerPort =
+    static_cast<std::uint16_t>(settings.firstPort + firstWorker);
+  return platform;
+}
+
+} // namespace
+
+Soak::Soak(Settings settings, std::uint64_t seed)
+  : m_settings(std::move(settings))
+  , m_random(seed)
+  , m_platform(m_context, platformSettings(m_settings), seed)
+{
+  const unsigned count = m_settings.zones * m_settings.daemonsPerZone;
+  for (unsigned i = 0; i < count; ++i) {
+    Daemon daemon;
+    daemon.host = "127.0.1." + std::to_string(i + 1);
+    writeSettings(daemon, i % m_settings.zones);
+    m_daemons.push_back(std::move(daemon));
+  }
+}
+
+Soak::~Soak()
+{
+  // A stopped process can't be reaped.
+  for (Daemon& daemon : m_daemons) {
+    if (daemon.process)
+      daemon.process->signal(SIGCONT);
+  }
+}
+
+Soak::Report
+Soak::run(Duration struckTime, Duration calmTime)
+{
+  const TimePoint start = steadyNow();
+  m_nextJobAt = start + std::chrono::seconds(2);
+  m_nextStrikeAt = start + std::chrono::seconds(3);
+  runUntil(start + std::chrono::seconds(3) + struckTime);
+  m_isStruck = false;
+  // What strikes still hold back ends within seconds; then all must be well.
+  runUntil(steadyNow() + std::chrono::seconds(10));
+  for (auto& [job, caller] : m_callers)
+    caller.isCalm = false;
+  m_report.calmCompleted = 0;
+  const unsigned lastJob = m_lastJob;
+  runUntil(steadyNow() + calmTime);
+  m_report.calmSubmitted = m_lastJob - lastJob;
+  m_nextJobAt = TimePoint::max();
+  runUntil(steadyNow() + std::chrono::seconds(3));
+  m_report.violations = m_platform.violations();
+  return m_report;
+}
+
+void
+Soak::runUntil(TimePoint end)
+{
+  while (steadyNow() < end) {
+    m_context.run_for(step);
+    tick(steadyNow());
+  }
+}
+
+void
+Soak::writeSettings(Daemon& daemon, unsigned zone)
+{
+  const auto at = [&](std::uint16_t offset) {
+    return daemon.host + ':' + std::to_string(m_settings.firstPort + offset);
+  };
+  const json settings = {
+    { "node_name", daemon.host },
+    { "zone", "z" + std::to_string(zone) },
+    { "ip", daemon.host },
+    { "internal_ports", { m_settings.firstPort + peerPort } },
+    { "seeds", json::array() },
+    { "listen_addrs",
+      { { "frontend", at(callerPort) }, { "readiness", at(readinessPort) } } },
+    { "platform",
+      { { "address", "127.0.0.1:" + std::to_string(m_settings.firstPort) } } },
+    { "bounds", { { "grace_s", 6 } } }
+  };
+  daemon.settingsFile =
+    m_settings.folder + "/settings-" + daemon.host + ".json";
+  std::ofstream(daemon.settingsFile) << settings.dump();
+}
+
+void
+Soak::tick(TimePoint now)
+{
+  for (Daemon& daemon : m_daemons) {
+    if (daemon.process && now >= daemon.killAt &&
+        daemon.killAt != TimePoint{}) {
+      daemon.process.reset();
+      daemon.killAt = {};
+      daemon.startAt = now + milliseconds(300);
+    }
+    if (!daemon.process && now >= daemon.startAt)
+      daemon.process = std::make_unique<ChildProcess>(
+        std::vector<std::string>{ "/usr/bin/env",
+                                  "COWSLIPPIN_BOOT=" + daemon.settingsFile,
+                                  m_settings.program,
+                                  "--log-level",
+                                  "error" });
+    if (daemon.process && daemon.continueAt != TimePoint{} &&
+        now >= daemon.continueAt) {
+      daemon.process->signal(SIGCONT);
+      daemon.continueAt = {};
+    }
+  }
+  if (now >= m_storeBackAt)
+    m_platform.setStoreDown(false);
+  if (now >= m_ordersWellAt)
+    m_platform.setOrderFaults(0, 0);
+  if (m_isStruck && now >= m_nextStrikeAt)
+    strike(now);
+  if (now >= m_nextJobAt)
+    submitNew();
+  std::vector<std::pair<TimePoint, std::string>> waiting;
+  for (const auto& [at, job] : std::exchange(m_resends, {})) {
+    if (now >= at)
+      submit(job);
+    else
+      waiting.emplace_back(at, job);
+  }
+  m_resends.insert(m_resends.end(), waiting.begin(), waiting.end());
+  const auto channels = m_channels;
+  for (const auto& channel : channels)
+    channel->expire(now);
+  m_channels.erase(
+    std::remove_if(m_channels.begin(),
+                   m_channels.end(),
+                   [](const auto& channel) { return !channel->isBusy(); }),
+    m_channels.end());
+}
+
+/// Strikes overlap: the next one may come while the last still works.
+void
+Soak::strike(TimePoint now)
+{
+  m_nextStrikeAt = now + milliseconds(300 + below(1500));
+  Daemon& daemon = m_daemons[below(m_daemons.size())];
+  const Duration time = milliseconds(200 + below(3000));
+  const auto note = [&](const std::string& what) {
+    m_report.strikes.push_back(what + " " + daemon.host);
+  };
+  switch (below(7)) {
+    case 0:
+      note("kill");
+      daemon.process.reset();
+      daemon.startAt = now + time;
+      break;
+    case 1:
+      if (!daemon.process)
+        break;
+      note("stop");
+      daemon.process->signal(SIGSTOP);
+      daemon.continueAt = now + time;
+      break;
+    case 2:
+      if (!daemon.process || daemon.killAt != TimePoint{})
+        break;
+      note("term");
+      daemon.process->signal(SIGTERM);
+      daemon.killAt = now + std::chrono::seconds(6);
+      break;
+    case 3:
+      note("store down, not");
+      m_platform.setStoreDown(true);
+      m_storeBackAt = now + time;
+      break;
+    case 4:
+      note("orders lost, not");
+      m_platform.setOrderFaults(0.03, 0.04);
+      m_ordersWellAt = now + time;
+      break;
+    case 5:
+      note("worker crashed, not");
+      m_platform.crashWorker(below(m_platform.workers()));
+      break;
+    default:
+      if (below(4) > 0)
+        break;
+      note("kill all, first");
+      for (Daemon& each : m_daemons) {
+        each.process.reset();
+        each.startAt = now + milliseconds(500);
+      }
+  }
+}
+
+void
+Soak::submitNew()
+{
+  m_nextJobAt =
+    steadyNow() + Duration(std::int64_t(1e6 / m_settings.jobsPerSecond));
+  Caller caller;
+  caller.taskMs =
+    static_cast<unsigned>(below(5) == 0 ? 500 + below(700) : 40 + below(160));
+  caller.cpu = 5000 + std::int64_t(below(4000));
+  caller.tasks = static_cast<unsigned>(1 + below(5));
+  caller.isCalm = !m_isStruck;
+  const std::string job = "job" + std::to_string(++m_lastJob);
+  m_callers[job] = caller;
+  ++m_report.submitted;
+  submit(job);
+}
+
+void
+Soak::submit(const std::string& job)
+{
+  const auto found = m_callers.find(job);
+  if (found == m_callers.end())
+    return;
+  Caller& caller = found->second;
+  ++caller.tries;
+  const std::string& host = m_daemons[below(m_daemons.size())].host;
+  const Duration wait = milliseconds(5 * (2 * caller.taskMs + 60));
+  HttpCallOrder order;
+  order.method = "POST";
+  order.target = "/jobs/" + job;
+  order.headers.emplace_back("X-Cowslippin-Request-Deadline-Ms",
+                             std::to_string(wait.count() / 1000));
+  order.contentType = "application/json";
+  order.body = json{
+    { "spec",
+      std::to_string(caller.taskMs) + ',' + std::to_string(caller.cpu) },
+    { "best_effort", true },
+    { "steps",
+      { { { "count", caller.tasks },
+          { "cpu", caller.cpu },
+          { "estimate_ms", caller.taskMs } } } }
+  }.dump();
+  const auto channel = std::make_shared<HttpChannel>(
+    m_context,
+    Address(host,
+            static_cast<std::uint16_t>(m_settings.firstPort + callerPort)),
+    "jobs.example");
+  m_channels.push_back(channel);
+  channel->call(order, steadyNow() + wait, [this, job](const HttpCallEnd& end) {
+    answered(job, end);
+  });
+}
+
+void
+Soak::answered(const std::string& job, const HttpCallEnd& end)
+{
+  const auto found = m_callers.find(job);
+  if (found == m_callers.end())
+    return;
+  Caller& caller = found->second;
+  const bool isAnswered = end.kind == HttpCallEnd::Kind::Answered;
+  if (isAnswered && end.status == 200) {
+    if (caller.isCalm)
+      ++m_report.calmCompleted;
+    forget(job, m_report.completed);
+  } else if (isAnswered && (end.status == 429 || end.status == 503)) {
+    if (caller.wasOnlyRefused)
+      m_platform.refused(job);
+    forget(job, m_report.refused);
+  } else if (caller.tries < maxTries) {
+    // Nothing was sent, or nothing is known: the same job comes again.
+    caller.wasOnlyRefused =
+      caller.wasOnlyRefused && end.kind == HttpCallEnd::Kind::NotSent;
+    m_resends.emplace_back(steadyNow() + resendAfter, job);
+  } else {
+    forget(job, m_report.other);
+  }
+}
+
+void
+Soak::forget(const std::string& job, unsigned& counter)
+{
+  ++counter;
+  m_callers.erase(job);
+}
+
+} // namespace cowslippin::testing
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "leasedplatform.h"
+#include "support/childprocess.h"
+
+#include "libasynchttp/asynchttp.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cowslippin::testing {
+
+/// Runs the real daemons as processes beside a stand-in for the platform, with
+/// callers, and strikes them at random by signals and through the stand-in. It
+/// ends only processes that it started.
+class Soak
+{
+public:
+  struct Settings
+  {
+    unsigned zones = 2;
+    unsigned daemonsPerZone = 2;
+    unsigned workersPerZone = 4;
+    double jobsPerSecond = 10;
+    std::string program;
+    std::string folder;
+    /// A free range of ports.
+    std::uint16_t firstPort = 0;
+  };
+
+  struct Report
+  {
+    std::vector<std::string> violations;
+    std::vector<std::string> strikes;
+    unsigned submitted = 0;
+    unsigned completed = 0;
+    unsigned refused = 0;
+    unsigned other = 0;
+    /// Of the jobs submitted after the last strike was over.
+    unsigned calmSubmitted = 0;
+    unsigned calmCompleted = 0;
+  };
+
+  Soak(Settings settings, std::uint64_t seed);
+  ~Soak();
+
+  /// Strikes for this long, then leaves all in peace and looks whether jobs are
+  /// served again.
+  Report run(Duration struckTime, Duration calmTime);
+
+private:
+  struct Daemon
+  {
+    std::string host;
+    std::string settingsFile;
+    std::unique_ptr<ChildProcess> process;
+    TimePoint startAt{};
+    TimePoint continueAt{};
+    TimePoint killAt{};
+  };
+  struct Caller
+  {
+    unsigned taskMs = 0;
+    std::int64_t cpu = 0;
+    unsigned tasks = 0;
+    unsigned tries = 0;
+    bool wasOnlyRefused = true;
+    bool isCalm = false;
+  };
+
+  void runUntil(TimePoint end);
+  void writeSettings(Daemon& daemon, unsigned zone);
+  void tick(TimePoint now);
+  void strike(TimePoint now);
+  void submitNew();
+  void submit(const std::string& job);
+  void answered(const std::string& job, const HttpCallEnd& end);
+  void forget(const std::string& job, unsigned& counter);
+  std::size_t below(std::size_t bound)
+  {
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
+  }
+
+  const Settings m_settings;
+  std::mt19937_64 m_random;
+  boost::asio::io_context m_context;
+  LeasedPlatform m_platform;
+  std::vector<Daemon> m_daemons;
+  std::map<std::string, Caller> m_callers;
+  std::vector<std::shared_ptr<HttpChannel>> m_channels;
+  std::vector<std::pair<TimePoint, std::string>> m_resends;
+  TimePoint m_nextJobAt{};
+  TimePoint m_nextStrikeAt{};
+  TimePoint m_storeBackAt{};
+  TimePoint m_ordersWellAt{};
+  bool m_isStruck = true;
+  unsigned m_lastJob = 0;
+  Report m_report;
+};
+
+} // namespace cowslippin::testing
