--- a/src/cowslippin/main.cpp
+++ b/src/cowslippin/main.cpp
@@ -59,12 +59,44 @@
   return static_cast<int>(report.exitCode);
 }
 
+constexpr const char* traceHelp =
+  "Usage: cowslippin trace JOB FILE...\n\n"
+  "prints the lines of daemons' logs that are about a job, in the order of\n"
+  "their times. Each file is the log of one daemon, or of several with a name\n"
+  "before each line.\n";
+
+/// Asks no daemon; reads logs.
+int
+trace(const std::vector<std::string>& arguments)
+{
+  if (arguments.size() < 3 || arguments[1] == "--help") {
+    std::cerr << traceHelp;
+    return static_cast<int>(ExitCode::Usage);
+  }
+  std::vector<TraceLine> lines;
+  for (std::size_t i = 2; i < arguments.size(); ++i) {
+    std::ifstream file(arguments[i]);
+    if (!file) {
+      std::cerr << "cowslippin: cannot read the log '" << arguments[i] << "'\n";
+      return static_cast<int>(ExitCode::Usage);
+    }
+    const auto more = readTrace(file, arguments[i], arguments[1]);
+    lines.insert(lines.end(), more.begin(), more.end());
+  }
+  if (lines.empty())
+    std::cerr << "cowslippin: no line is about job '" << arguments[1] << "'\n";
+  std::cout << renderTrace(std::move(lines));
+  return static_cast<int>(ExitCode::Ok);
+}
+
 } // namespace
 
 int
 main(int argc, char* argv[])
 {
   const std::vector<std::string> arguments(argv + 1, argv + argc);
+  if (!arguments.empty() && arguments[0] == "trace")
+    return trace(arguments);
   const ParseHooks hooks = { readEnvironment, readFile };
   const CommandLineEnd end = parseCommandLine(arguments, hooks);
   return std::visit([](const auto& value) { return finish(value); }, end);
--- a/src/libcli/cli.h
+++ b/src/libcli/cli.h
@@ -10,3 +10,4 @@
 #include "exitcode.h"
 #include "renderer.h"
 #include "transport.h"
+#include "logtrace.h"
--- a/src/libcli/commandspec.cpp
+++ b/src/libcli/commandspec.cpp
@@ -196,6 +196,9 @@
     usage.resize(std::max(usage.size() + 1, usageWidth), ' ');
     out << "  " << usage << spec.summary << '\n';
   }
+  std::string traceUsage = "trace JOB FILE...";
+  traceUsage.resize(usageWidth, ' ');
+  out << "  " << traceUsage << "follow a job through daemons' logs\n";
   writeOptions(out, "Options of every command", globalOptionSpecs());
   out << "\n'cowslippin COMMAND --help' tells more of a command.\n\n"
       << exitCodeHelp;
--- /dev/null
+++ b/src/libcli/logtrace.cpp
@@ -0,0 +1,105 @@
+#include "logtrace.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <istream>
+#include <optional>
+#include <sstream>
+
+namespace cowslippin {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+bool
+isAbout(const ordered_json& line, const std::string& job)
+{
+  const std::string task = line.value("task", ordered_json()).is_string()
+                             ? line["task"].get<std::string>()
+                             : "";
+  return line.value("job", ordered_json()) == job ||
+         task.rfind(job + '.', 0) == 0;
+}
+
+/// The last word before the JSON.
+std::string
+processOf(const std::string& prefix, const std::string& logName)
+{
+  std::istringstream words(prefix);
+  std::string word;
+  std::string last;
+  while (words >> word)
+    last = word;
+  return last.empty() ? logName : last;
+}
+
+std::optional<TraceLine>
+readLine(const std::string& text,
+         const std::string& logName,
+         const std::string& job)
+{
+  const std::size_t begin = text.find('{');
+  if (begin == std::string::npos)
+    return std::nullopt;
+  const ordered_json line =
+    ordered_json::parse(text.substr(begin), nullptr, false);
+  if (!line.is_object() || !line.contains("event") || !isAbout(line, job))
+    return std::nullopt;
+  TraceLine trace;
+  trace.time = line.value("time", "");
+  trace.process = processOf(text.substr(0, begin), logName);
+  trace.event = line.value("event", "");
+  for (const auto& [name, value] : line.items()) {
+    const bool isShown =
+      name != "time" && name != "level" && name != "event" && name != "job";
+    if (!isShown || value == "")
+      continue;
+    trace.fields +=
+      (trace.fields.empty() ? "" : " ") + name + '=' +
+      (value.is_string() ? value.get<std::string>() : value.dump());
+  }
+  return trace;
+}
+
+} // namespace
+
+std::vector<TraceLine>
+readTrace(std::istream& log, const std::string& logName, const std::string& job)
+{
+  std::vector<TraceLine> lines;
+  std::string text;
+  while (std::getline(log, text)) {
+    if (auto line = readLine(text, logName, job))
+      lines.push_back(std::move(*line));
+  }
+  return lines;
+}
+
+std::string
+renderTrace(std::vector<TraceLine> lines)
+{
+  std::stable_sort(
+    lines.begin(), lines.end(), [](const TraceLine& a, const TraceLine& b) {
+      return a.time < b.time;
+    });
+  std::size_t processWidth = 0;
+  std::size_t eventWidth = 0;
+  for (const TraceLine& line : lines) {
+    processWidth = std::max(processWidth, line.process.size());
+    eventWidth = std::max(eventWidth, line.event.size());
+  }
+  std::ostringstream text;
+  for (const TraceLine& line : lines) {
+    std::string process = line.process;
+    std::string event = line.event;
+    process.resize(processWidth, ' ');
+    event.resize(eventWidth, ' ');
+    text << line.time << "  " << process << "  " << event << "  " << line.fields
+         << '\n';
+  }
+  return text.str();
+}
+
+} // namespace cowslippin
