--- /dev/null
+++ b/tests/asynchttp/asynchttp_test.cpp
@@ -0,0 +1,188 @@
+#include "libasynchttp/asynchttp.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <optional>
+
+namespace cowslippin::testing {
+namespace {
+
+namespace net = boost::asio;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A server and its client on one thread.
+class AsyncHttp : public ::testing::Test
+{
+protected:
+  using Transaction = std::shared_ptr<HttpTransaction>;
+
+  AsyncHttp()
+    : server(
+        context,
+        AsyncHttpServer::Settings(),
+        [this](const HttpRequest& request, const Transaction& transaction) {
+          handle(request, transaction);
+        })
+  {
+    net::ip::tcp::acceptor probe(context,
+                                 { net::ip::make_address("127.0.0.1"), 0 });
+    address = Address("127.0.0.1", probe.local_endpoint().port());
+    probe.close();
+    EXPECT_EQ(server.listen(address), std::nullopt);
+  }
+
+  virtual void handle(const HttpRequest& request,
+                      const Transaction& transaction)
+  {
+    requests.push_back(request);
+    if (request.path() == "/wait") {
+      waiting = transaction;
+      transaction->onClientGone([this] { ++gone; });
+    } else {
+      transaction->answer(HttpReply::json(200, request.body()));
+    }
+  }
+
+  template<class Condition>
+  void await(Condition condition)
+  {
+    const TimePoint limit = steadyNow() + seconds(20);
+    while (!condition()) {
+      ASSERT_LT(steadyNow(), limit);
+      context.run_one_for(milliseconds(10));
+      context.restart();
+    }
+  }
+
+  HttpCallEnd call(HttpChannelPool& pool,
+                   const std::string& path,
+                   const std::string& body)
+  {
+    std::optional<HttpCallEnd> end;
+    HttpCallOrder order;
+    order.method = "POST";
+    order.target = path;
+    order.body = body;
+    pool.call(order, steadyNow() + seconds(20), [&](const HttpCallEnd& value) {
+      end = value;
+    });
+    await([&] { return end.has_value(); });
+    return *end;
+  }
+
+  net::io_context context;
+  AsyncHttpServer server;
+  Address address;
+  std::vector<HttpRequest> requests;
+  Transaction waiting;
+  int gone = 0;
+};
+
+TEST_F(AsyncHttp, AnswersAndKeepsTheConnection)
+{
+  HttpChannelPool pool(context, address, 4);
+  EXPECT_EQ(call(pool, "/a", "one").body, "one");
+  EXPECT_EQ(call(pool, "/b", "two").body, "two");
+  EXPECT_EQ(pool.size(), 1u);
+  EXPECT_EQ(server.connections(), 1u);
+  EXPECT_EQ(requests[1].path(), "/b");
+}
+
+TEST_F(AsyncHttp, AWaitingRequestIsAnsweredLater)
+{
+  HttpChannelPool pool(context, address, 4);
+  std::optional<HttpCallEnd> end;
+  HttpCallOrder order;
+  order.target = "/wait";
+  pool.call(order, steadyNow() + seconds(20), [&](const HttpCallEnd& value) {
+    end = value;
+  });
+  await([&] { return waiting != nullptr; });
+  EXPECT_EQ(server.waiting(), 1u);
+  EXPECT_EQ(call(pool, "/other", "x").body, "x") << "on another connection";
+  waiting->answer(HttpReply::json(503, "later"));
+  await([&] { return end.has_value(); });
+  EXPECT_EQ(end->status, 503);
+  EXPECT_EQ(end->body, "later");
+  await([&] { return server.waiting() == 0; });
+}
+
+TEST_F(AsyncHttp, TellsThatAWaitingClientHasGone)
+{
+  HttpChannelPool pool(context, address, 4);
+  HttpCallOrder order;
+  order.target = "/wait";
+  std::optional<HttpCallEnd> end;
+  pool.call(order,
+            steadyNow() + milliseconds(1),
+            [&](const HttpCallEnd& value) { end = value; });
+  await([&] { return waiting != nullptr; });
+  await([&] {
+    pool.expire(steadyNow());
+    return end.has_value();
+  });
+  EXPECT_EQ(end->kind, HttpCallEnd::Kind::Unanswered);
+  await([&] { return gone == 1; });
+  waiting->answer(HttpReply::json(200, "nobody reads this"));
+  EXPECT_EQ(server.waiting(), 0u);
+}
+
+TEST_F(AsyncHttp, WhatCouldNotBeConnectedWasNotSent)
+{
+  server.stop();
+  HttpChannelPool pool(context, address, 4);
+  EXPECT_EQ(call(pool, "/a", "").kind, HttpCallEnd::Kind::NotSent);
+}
+
+TEST_F(AsyncHttp, ClosesAfterAnswersWhenItIsToEnd)
+{
+  HttpChannelPool pool(context, address, 4);
+  server.closeAfterAnswers();
+  EXPECT_EQ(call(pool, "/a", "one").body, "one");
+  pool.expire(steadyNow());
+  EXPECT_EQ(pool.size(), 0u);
+  EXPECT_EQ(call(pool, "/b", "two").body, "two") << "on a new connection";
+}
+
+TEST_F(AsyncHttp, StoppingClosesIdleConnectionsAndLetsOthersBeAnswered)
+{
+  HttpChannelPool pool(context, address, 4);
+  std::optional<HttpCallEnd> end;
+  HttpCallOrder order;
+  order.target = "/wait";
+  pool.call(order, steadyNow() + seconds(20), [&](const HttpCallEnd& value) {
+    end = value;
+  });
+  await([&] { return waiting != nullptr; });
+  server.stop();
+  waiting->answer(HttpReply::json(200, "done"));
+  await([&] { return end.has_value(); });
+  EXPECT_EQ(end->body, "done");
+}
+
+TEST_F(AsyncHttp, ATooLargeRequestIsRefused)
+{
+  HttpChannelPool pool(context, address, 4);
+  const HttpCallEnd end = call(pool, "/a", std::string(300 * 1024, 'x'));
+  // The server may close before the whole body was written.
+  const bool isRefused =
+    end.kind == HttpCallEnd::Kind::Unanswered || end.status == 413;
+  EXPECT_TRUE(isRefused);
+  EXPECT_TRUE(requests.empty());
+}
+
+TEST_F(AsyncHttp, MoreCallsThanAllowedAreNotSent)
+{
+  HttpChannelPool pool(context, address, 1);
+  HttpCallOrder order;
+  order.target = "/wait";
+  pool.call(order, steadyNow() + seconds(20), [](const HttpCallEnd&) {});
+  EXPECT_EQ(call(pool, "/a", "").kind, HttpCallEnd::Kind::NotSent);
+}
+
+} // namespace
+} // namespace cowslippin::testing
