--- /dev/null
+++ b/tests/entry/gateway_test.cpp
@@ -0,0 +1,257 @@
+#include "libentry/gateway.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace cowslippin::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+const VmId self("self");
+const VmId first("holder-1");
+const VmId second("holder-2");
+const ShardId home(ZoneName("z1"), 0);
+const ShardId abroad(ZoneName("z2"), 0);
+
+class GatewayTest : public ::testing::Test
+{
+protected:
+  GatewayTest()
+    : gateway(self, Gateway::Settings(), hooks())
+  {
+    holders[home] = first;
+  }
+
+  Gateway::Hooks hooks()
+  {
+    Gateway::Hooks hooks;
+    hooks.holder = [this](const ShardId& shard) -> std::optional<VmId> {
+      const auto found = holders.find(shard);
+      return found == holders.end() ? std::nullopt
+                                    : std::make_optional(found->second);
+    };
+    hooks.bestHolder = [this]() -> std::optional<std::pair<VmId, ShardId>> {
+      if (holders.empty())
+        return std::nullopt;
+      return std::make_pair(holders.begin()->second, holders.begin()->first);
+    };
+    hooks.submit = [this](const VmId& vm, const JobRequest& request) {
+      sent.emplace_back(vm, request);
+      return true;
+    };
+    hooks.cancel = [this](const VmId& vm, const JobKey& key) {
+      cancelled.emplace_back(vm, key);
+    };
+    return hooks;
+  }
+
+  Gateway::Ticket submit(const std::string& job, unsigned tasks = 3)
+  {
+    JobSubmission submission;
+    submission.job = JobId(job);
+    submission.taskPrefix = job + ".0.0.";
+    submission.taskCount = tasks;
+    submission.needs.estimate = milliseconds(100);
+    submission.policy.target = milliseconds(60);
+    submission.timeLeft = std::chrono::seconds(5);
+    return gateway.submit(
+      submission,
+      [this](const JobAnswer& answer) { answers.push_back(answer); },
+      now);
+  }
+
+  void end(std::size_t index, JobOutcome outcome)
+  {
+    JobEnd end;
+    end.outcome = outcome;
+    gateway.ended(sent[index].first, sent[index].second.key, end, now);
+  }
+
+  void returnTasks(std::size_t index, std::vector<TaskIndex> tasks)
+  {
+    TasksReturned returned;
+    returned.tasks = std::move(tasks);
+    returned.holder = second;
+    returned.shard = abroad;
+    returned.nextRun = 4;
+    gateway.returned(sent[index].first, sent[index].second.key, returned, now);
+  }
+
+  TimePoint now{ std::chrono::seconds(100) };
+  std::map<ShardId, VmId> holders;
+  std::vector<std::pair<VmId, JobRequest>> sent;
+  std::vector<std::pair<VmId, JobKey>> cancelled;
+  std::vector<JobAnswer> answers;
+  Gateway gateway;
+};
+
+TEST_F(GatewayTest, HandsAJobToTheHolderAndAnswersItsEnd)
+{
+  submit("a");
+  ASSERT_EQ(sent.size(), 1u);
+  EXPECT_EQ(sent[0].first, first);
+  EXPECT_EQ(sent[0].second.tasks, (std::vector<TaskIndex>{ 0, 1, 2 }));
+  EXPECT_FALSE(sent[0].second.mayHaveRun);
+  end(0, JobOutcome::Completed);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::Completed);
+  EXPECT_EQ(gateway.waiting(), 0u);
+}
+
+TEST_F(GatewayTest, AJobThatNobodyStartedIsRefusedAsNotRun)
+{
+  submit("a");
+  end(0, JobOutcome::Refused);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::NotRun);
+}
+
+TEST_F(GatewayTest, AJobWhoseHolderWasLostIsNeverCalledNotRun)
+{
+  submit("a");
+  gateway.daemonLost(first, now);
+  holders[home] = second;
+  gateway.tick(now);
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_TRUE(sent[1].second.mayHaveRun);
+  ASSERT_TRUE(sent[1].second.quarantine);
+  EXPECT_EQ(sent[1].second.quarantine->shard, home);
+  end(1, JobOutcome::Refused);
+  for (const JobAnswer& answer : answers)
+    EXPECT_NE(answer.kind, JobAnswer::Kind::NotRun);
+}
+
+TEST_F(GatewayTest, ALostPartStartsElsewhereOnlyWhenItsRunsAreSurelyOver)
+{
+  submit("a");
+  gateway.daemonLost(first, now);
+  holders.erase(home);
+  holders[abroad] = second;
+  now += milliseconds(1200);
+  gateway.tick(now);
+  EXPECT_EQ(sent.size(), 1u);
+  now += milliseconds(100);
+  gateway.tick(now);
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].first, second);
+  EXPECT_FALSE(sent[1].second.quarantine);
+}
+
+TEST_F(GatewayTest, ReturnedTasksGoToTheNamedHolderAndBothPartsMustEnd)
+{
+  submit("a");
+  returnTasks(0, { 1, 2 });
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].first, second);
+  EXPECT_EQ(sent[1].second.tasks, (std::vector<TaskIndex>{ 1, 2 }));
+  EXPECT_EQ(sent[1].second.firstRun, 4u);
+  EXPECT_FALSE(sent[1].second.mayBeReturned);
+  EXPECT_FALSE(sent[1].second.mayHaveRun) << "it may still be refused";
+  end(0, JobOutcome::Completed);
+  EXPECT_TRUE(answers.empty());
+  end(1, JobOutcome::Completed);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::Completed);
+}
+
+TEST_F(GatewayTest, APartThatTheNamedHolderRefusesGoesHomeAndIsNotCalledNotRun)
+{
+  submit("a");
+  returnTasks(0, { 2 });
+  end(1, JobOutcome::Refused);
+  ASSERT_EQ(sent.size(), 3u);
+  EXPECT_EQ(sent[2].first, first);
+  EXPECT_TRUE(sent[2].second.mayHaveRun);
+  EXPECT_TRUE(answers.empty());
+}
+
+TEST_F(GatewayTest, AFailedPartFailsTheJobAndTheOthersAreCancelled)
+{
+  submit("a");
+  returnTasks(0, { 2 });
+  end(1, JobOutcome::Failed);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::Failed);
+  ASSERT_FALSE(cancelled.empty());
+  EXPECT_EQ(cancelled[0].first, first);
+}
+
+TEST_F(GatewayTest, WhatIsSaidOfAnEarlierHandingOverIsNotHeeded)
+{
+  submit("a");
+  gateway.daemonLost(first, now);
+  gateway.tick(now);
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].second.previousPart, sent[0].second.key.part());
+  end(0, JobOutcome::Completed);
+  returnTasks(0, { 1 });
+  EXPECT_TRUE(answers.empty());
+  EXPECT_EQ(sent.size(), 2u);
+}
+
+TEST_F(GatewayTest, AMovedPartGoesOnWithWhatIsNotDone)
+{
+  submit("a");
+  holders[home] = second;
+  JobEnd moved;
+  moved.outcome = JobOutcome::Moved;
+  moved.done = { 0, 2 };
+  moved.nextRun = 12;
+  gateway.ended(first, sent[0].second.key, moved, now);
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].second.tasks, std::vector<TaskIndex>{ 1 });
+  EXPECT_EQ(sent[1].second.firstRun, 12u);
+  EXPECT_TRUE(sent[1].second.quarantine);
+}
+
+TEST_F(GatewayTest, TheSameJobAgainIsJoinedAndNotBegunTwice)
+{
+  submit("a");
+  submit("a");
+  EXPECT_EQ(sent.size(), 1u);
+  end(0, JobOutcome::Completed);
+  EXPECT_EQ(answers.size(), 2u);
+}
+
+TEST_F(GatewayTest, TheLastCallerToLeaveCancelsTheJob)
+{
+  const Gateway::Ticket one = submit("a");
+  const Gateway::Ticket two = submit("a");
+  gateway.callerGone(one, now);
+  EXPECT_TRUE(cancelled.empty());
+  gateway.callerGone(two, now);
+  ASSERT_EQ(cancelled.size(), 1u);
+  EXPECT_EQ(cancelled[0].second, sent[0].second.key);
+  EXPECT_EQ(gateway.waiting(), 0u);
+}
+
+TEST_F(GatewayTest, WithoutAnyHolderAJobIsRefusedWithinAQuarterOfItsIdealTime)
+{
+  holders.clear();
+  submit("a");
+  now += milliseconds(20);
+  gateway.tick(now);
+  EXPECT_TRUE(answers.empty());
+  now += milliseconds(20);
+  gateway.tick(now);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::NotRun);
+  EXPECT_GT(answers[0].retryAfter, Duration::zero());
+}
+
+TEST_F(GatewayTest, AJobWhoseTimeIsOverIsCancelledAndItsOutcomeUnknown)
+{
+  submit("a");
+  now += std::chrono::seconds(6);
+  gateway.tick(now);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::Unknown);
+  EXPECT_EQ(cancelled.size(), 1u);
+}
+
+} // namespace
+} // namespace cowslippin::testing
