--- a/src/libasynchttp/asynchttpserver.cpp
+++ b/src/libasynchttp/asynchttpserver.cpp
@@ -49,7 +49,6 @@
   Session(tcp::socket socket, std::weak_ptr<AsyncHttpServer*> server)
     : m_socket(std::move(socket))
     , m_server(std::move(server))
-    , m_buffer()
   {
     m_buffer.reserve(initialBufferBytes);
   }
--- a/src/libcli/cli.h
+++ b/src/libcli/cli.h
@@ -8,6 +8,6 @@
 #include "commandline.h"
 #include "commandrunner.h"
 #include "exitcode.h"
+#include "logtrace.h"
 #include "renderer.h"
 #include "transport.h"
-#include "logtrace.h"
--- a/src/libcli/logtrace.cpp
+++ b/src/libcli/logtrace.cpp
@@ -54,7 +54,9 @@
   for (const auto& [name, value] : line.items()) {
     const bool isShown =
       name != "time" && name != "level" && name != "event" && name != "job";
-    if (!isShown || value == "")
+    const bool isEmptyText =
+      value.is_string() && value.get_ref<const std::string&>().empty();
+    if (!isShown || isEmptyText)
       continue;
     trace.fields +=
       (trace.fields.empty() ? "" : " ") + name + '=' +
--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -553,7 +553,7 @@
 std::optional<VmId>
 EntryCore::reachableHolder(const ShardId& shard) const
 {
-  const auto holder = m_shards.holder(shard);
+  auto holder = m_shards.holder(shard);
   if (holder && *holder != m_settings.vm && !m_links.isUp(*holder))
     return std::nullopt;
   return holder;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -36,7 +36,7 @@
 
 Scheduler::Scheduler(VmId self, Settings settings, Hooks hooks)
   : m_self(std::move(self))
-  , m_settings(std::move(settings))
+  , m_settings(settings)
   , m_hooks(std::move(hooks))
   , m_pool(m_settings.pool, poolHooks())
 {
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -9,7 +9,7 @@
 namespace cowslippin {
 
 WorkerPool::WorkerPool(Settings settings, Hooks hooks)
-  : m_settings(std::move(settings))
+  : m_settings(settings)
   , m_hooks(std::move(hooks))
 {
 }
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -195,16 +195,14 @@
 }
 
 void
-Simulation::onNode(std::size_t index, unsigned life, Action action)
+Simulation::onNode(std::size_t index, unsigned life, const Action& action)
 {
   Node& node = m_nodes[index];
   if (!node.isAlive || node.life != life)
     return;
   if (node.isFrozen)
     node.waiting.push_back(
-      [this, index, life, action = std::move(action)]() mutable {
-        onNode(index, life, std::move(action));
-      });
+      [this, index, life, action] { onNode(index, life, action); });
   else
     action();
 }
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -129,7 +129,7 @@
   };
 
   void at(Duration delay, Action action);
-  void onNode(std::size_t node, unsigned life, Action action);
+  void onNode(std::size_t node, unsigned life, const Action& action);
   void startNode(std::size_t node);
   void tickNode(std::size_t node, unsigned life);
   EntryCore::Ports ports(std::size_t node);
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -54,6 +54,9 @@
   options.add_options()("first-port",
                         po::value<std::uint16_t>()->default_value(21000),
                         "the first of 100 free ports");
+  options.add_options()("log-folder",
+                        po::value<std::string>()->default_value(""),
+                        "an existing folder for the daemons' logs");
   po::variables_map values;
   po::store(po::parse_command_line(count, arguments, options), values);
   if (values.count("help") > 0) {
@@ -68,6 +71,7 @@
   settings.folder = folder;
   settings.daemonsPerZone = values["daemons-per-zone"].as<unsigned>();
   settings.firstPort = values["first-port"].as<std::uint16_t>();
+  settings.logFolder = values["log-folder"].as<std::string>();
   unsigned failed = 0;
   const unsigned first = values["first-seed"].as<unsigned>();
   for (unsigned i = 0; i < values["seeds"].as<unsigned>(); ++i) {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -54,8 +54,7 @@
 {
   // A stopped process can't be reaped.
   for (Daemon& daemon : m_daemons) {
-    if (daemon.process)
-      daemon.process->signal(SIGCONT);
+    endProcess(daemon);
   }
 }
 
@@ -119,17 +118,12 @@
   for (Daemon& daemon : m_daemons) {
     if (daemon.process && now >= daemon.killAt &&
         daemon.killAt != TimePoint{}) {
-      daemon.process.reset();
+      endProcess(daemon);
       daemon.killAt = {};
       daemon.startAt = now + milliseconds(300);
     }
     if (!daemon.process && now >= daemon.startAt)
-      daemon.process = std::make_unique<ChildProcess>(
-        std::vector<std::string>{ "/usr/bin/env",
-                                  "COWSLIPPIN_BOOT=" + daemon.settingsFile,
-                                  m_settings.program,
-                                  "--log-level",
-                                  "error" });
+      startProcess(daemon);
     if (daemon.process && daemon.continueAt != TimePoint{} &&
         now >= daemon.continueAt) {
       daemon.process->signal(SIGCONT);
@@ -162,6 +156,35 @@
     m_channels.end());
 }
 
+void
+Soak::startProcess(Daemon& daemon)
+{
+  daemon.process = std::make_unique<ChildProcess>(std::vector<std::string>{
+    "/usr/bin/env",
+    "COWSLIPPIN_BOOT=" + daemon.settingsFile,
+    m_settings.program,
+    "--log-level",
+    m_settings.logFolder.empty() ? "error" : "info" });
+}
+
+void
+Soak::endProcess(Daemon& daemon)
+{
+  if (!daemon.process)
+    return;
+  daemon.process->signal(SIGKILL);
+  daemon.process->signal(SIGCONT);
+  daemon.process->wait();
+  if (!m_settings.logFolder.empty()) {
+    std::ofstream log(m_settings.logFolder + '/' + daemon.host + ".log",
+                      std::ios::app);
+    for (const std::string& line : daemon.process->lines())
+      log << line << '\n';
+  }
+  daemon.process.reset();
+  daemon.continueAt = {};
+}
+
 /// Strikes overlap: the next one may come while the last still works.
 void
 Soak::strike(TimePoint now)
@@ -175,7 +198,7 @@
   switch (below(7)) {
     case 0:
       note("kill");
-      daemon.process.reset();
+      endProcess(daemon);
       daemon.startAt = now + time;
       break;
     case 1:
@@ -211,7 +234,7 @@
         break;
       note("kill all, first");
       for (Daemon& each : m_daemons) {
-        each.process.reset();
+        endProcess(each);
         each.startAt = now + milliseconds(500);
       }
   }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -31,6 +31,8 @@
     std::string folder;
     /// A free range of ports.
     std::uint16_t firstPort = 0;
+    /// Where the daemons' logs are left; nowhere if empty.
+    std::string logFolder;
   };
 
   struct Report
@@ -80,6 +82,9 @@
   void submitNew();
   void submit(const std::string& job);
   void answered(const std::string& job, const HttpCallEnd& end);
+  void startProcess(Daemon& daemon);
+  /// Ends a process that this soak started.
+  void endProcess(Daemon& daemon);
   void forget(const std::string& job, unsigned& counter);
   std::size_t below(std::size_t bound)
   {
