A takeover trusts its list of workers only if the last holder had the same

Ruled out: load; the logs show the takeover with the older list. Change: holders tell a digest of their shard's workers in their heartbeats; with another list a task that may run waits until every run is surely over. Test: ATaskThatMayRunOnAWorkerThatIsNotListedHereWaitsToTheEnd, red without the check.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -101,6 +101,7 @@
     logEvent(
       LogLevel::Info, "shard-dissolved", { { "shard", shard.toString() } });
     m_shards.dissolved(shard);
+    m_holdersWorkers.erase(shard);
     m_scheduler.releaseShard(shard, now);
   }
 }
@@ -405,7 +406,9 @@
   beat.isLeaving = isLeaving();
   beat.isReady = m_hasWorkers && m_routing->version() > 0;
   for (const auto& [shard, token] : m_shards.held())
-    beat.shards[shard] = { token, m_scheduler.sparePlaces(shard, now) };
+    beat.shards[shard] = { token,
+                           m_scheduler.sparePlaces(shard, now),
+                           m_scheduler.digest(shard) };
   beat.isStrained = m_isStrained;
   beat.slowness = m_settings.slowness;
   beat.highestToken = m_lastToken;
@@ -435,7 +438,7 @@
                { "token", token },
                { "peers", m_links.up().size() } });
     m_shards.taken(shard, token);
-    m_scheduler.takeShard(shard, token, now);
+    m_scheduler.takeShard(shard, token, now, lastHoldersWorkers(shard));
     m_ports.publishHolder(shard, token);
   }
   if (!decisions.release.empty() || !decisions.take.empty())
@@ -489,6 +492,7 @@
   for (const auto& [shard, held] : beat.shards) {
     view.shards[shard] = held.token;
     peer.places[shard] = held.places;
+    m_holdersWorkers[shard] = held.workers;
   }
   m_shards.memberSeen(view, now);
   m_scheduler.forgetPeer(vm);
@@ -537,6 +541,16 @@
   m_links.send(key.submitter(), PeerTasksReturned{ key, returned });
 }
 
+/// What the last other holder told of a shard's workers.
+std::optional<ShardDigest>
+EntryCore::lastHoldersWorkers(const ShardId& shard) const
+{
+  const auto workers = m_holdersWorkers.find(shard);
+  if (workers == m_holdersWorkers.end())
+    return std::nullopt;
+  return workers->second;
+}
+
 FencingToken
 EntryCore::nextToken(std::uint64_t margin)
 {
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -187,6 +187,7 @@
   std::optional<std::pair<VmId, ShardId>> bestHolder();
   unsigned placesOf(const std::pair<VmId, ShardId>& holder) const;
   unsigned sparePlaces(TimePoint now) const;
+  std::optional<ShardDigest> lastHoldersWorkers(const ShardId& shard) const;
   void noticeStrain(TimePoint now);
   void dissolveShards(TimePoint now);
   bool submitTo(const VmId& vm, const JobRequest& request);
@@ -210,6 +211,8 @@
     TimePoint configSentAt{};
   };
   std::map<VmId, Peer> m_peers;
+  /// By shard, as its last other holder told.
+  std::map<ShardId, ShardDigest> m_holdersWorkers;
   FencingToken m_lastToken = 0;
   std::set<ShardId> m_fenced;
   TimePoint m_lastBeatAt{};
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -217,10 +217,13 @@
 }
 
 void
-Scheduler::takeShard(const ShardId& shard, FencingToken token, TimePoint now)
+Scheduler::takeShard(const ShardId& shard,
+                     FencingToken token,
+                     TimePoint now,
+                     std::optional<ShardDigest> lastHoldersWorkers)
 {
   m_now = now;
-  m_pool.takeShard(shard, token, now);
+  m_pool.takeShard(shard, token, now, lastHoldersWorkers);
 }
 
 void
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -81,7 +81,16 @@
   /// be released then.
   bool setList(const WorkerList& list, TimePoint now);
   std::set<ShardId> shards() const { return m_pool.shards(); }
-  void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
+  /// `lastHoldersWorkers` is what its last holder told of the shard's workers,
+  /// if that is known.
+  void takeShard(const ShardId& shard,
+                 FencingToken token,
+                 TimePoint now,
+                 std::optional<ShardDigest> lastHoldersWorkers);
+  ShardDigest digest(const ShardId& shard) const
+  {
+    return m_pool.digest(shard);
+  }
   /// Gives a shard up; its jobs move on to the next holder.
   void releaseShard(const ShardId& shard, TimePoint now);
   bool holds(const ShardId& shard) const { return m_pool.holds(shard); }
--- a/src/libjobs/shardmap.cpp
+++ b/src/libjobs/shardmap.cpp
@@ -56,6 +56,17 @@
   return { worker.zone(), static_cast<unsigned>(hash % count->second) };
 }
 
+ShardDigest
+ShardMap::digest(const WorkerList& workers, const ShardId& shard) const
+{
+  ShardDigest digest = 0;
+  for (const auto& [id, worker] : workers) {
+    if (shardOf(worker) == shard)
+      digest += std::hash<std::string>()(id.value());
+  }
+  return digest;
+}
+
 std::set<ShardId>
 ShardMap::shards() const
 {
--- a/src/libjobs/shardmap.h
+++ b/src/libjobs/shardmap.h
@@ -4,6 +4,7 @@
 
 #include "libcore/shardid.h"
 
+#include <cstdint>
 #include <map>
 #include <set>
 
@@ -12,6 +13,10 @@
 /// The list of workers as the platform tells it, by id.
 using WorkerList = std::map<WorkerId, WorkerRecord>;
 
+/// Stands for the set of a shard's workers: lists with the same workers have
+/// the same.
+using ShardDigest = std::uint64_t;
+
 /// Divides each zone's workers into shards of a size that one daemon can hold.
 /// The number of a zone's shards is a power of two and changes only when the
 /// number of its workers has changed a good deal, so that daemons whose lists
@@ -28,6 +33,7 @@
   bool update(const WorkerList& workers);
 
   ShardId shardOf(const WorkerRecord& worker) const;
+  ShardDigest digest(const WorkerList& workers, const ShardId& shard) const;
   std::set<ShardId> shards() const;
 
 private:
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -34,9 +34,15 @@
 }
 
 void
-WorkerPool::takeShard(const ShardId& shard, FencingToken token, TimePoint now)
+WorkerPool::takeShard(const ShardId& shard,
+                      FencingToken token,
+                      TimePoint now,
+                      std::optional<ShardDigest> lastHoldersWorkers)
 {
   m_shards[shard] = token;
+  m_expectedDigests.erase(shard);
+  if (lastHoldersWorkers)
+    m_expectedDigests[shard] = *lastHoldersWorkers;
   for (const auto& [id, record] : m_list) {
     if (m_map.shardOf(record) == shard && m_entries.count(id) == 0)
       addWorker(record, now);
@@ -58,6 +64,9 @@
 bool
 WorkerPool::isFullyClaimed(const ShardId& shard) const
 {
+  const auto expected = m_expectedDigests.find(shard);
+  if (expected != m_expectedDigests.end() && expected->second != digest(shard))
+    return false;
   return std::all_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
     return item.second.shard != shard ||
            item.second.lease->state() == LeaseState::Held;
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -63,12 +63,22 @@
   bool setList(const WorkerList& list, TimePoint now);
   std::set<ShardId> shards() const { return m_map.shards(); }
 
-  void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
+  /// `lastHoldersWorkers` is what its last holder told of the shard's workers,
+  /// if that is known.
+  void takeShard(const ShardId& shard,
+                 FencingToken token,
+                 TimePoint now,
+                 std::optional<ShardDigest> lastHoldersWorkers);
+  ShardDigest digest(const ShardId& shard) const
+  {
+    return m_map.digest(m_list, shard);
+  }
   /// Forgets the shard's workers; what runs there goes on under the next
   /// holder.
   void releaseShard(const ShardId& shard);
   bool holds(const ShardId& shard) const { return m_shards.count(shard) > 0; }
-  /// Whether everything that may run on the shard's workers is known.
+  /// Whether everything that may run on the shard's workers is known: all have
+  /// answered, and the last holder had no others.
   bool isFullyClaimed(const ShardId& shard) const;
 
   /// The worker that a task should go to, or nothing if none has room. The
@@ -162,6 +172,8 @@
   WorkerList m_list;
   ShardMap m_map;
   std::map<ShardId, FencingToken> m_shards;
+  /// What the last holder had, until it is the same here.
+  std::map<ShardId, ShardDigest> m_expectedDigests;
   Entries m_entries;
 };
 
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -58,7 +58,8 @@
 {
   json shards = json::array();
   for (const auto& [shard, held] : beat.shards)
-    shards.push_back(json::array({ toJson(shard), held.token, held.places }));
+    shards.push_back(
+      json::array({ toJson(shard), held.token, held.places, held.workers }));
   return json::array({ beat.isLeaving,
                        beat.isReady,
                        std::move(shards),
@@ -206,7 +207,8 @@
   beat.isReady = value.at(1).get<bool>();
   for (const json& shard : value.at(2))
     beat.shards[readShard(shard.at(0))] = { shard.at(1).get<std::uint64_t>(),
-                                            shard.at(2).get<unsigned>() };
+                                            shard.at(2).get<unsigned>(),
+                                            shard.at(3).get<ShardDigest>() };
   beat.highestToken = value.at(3).get<std::uint64_t>();
   beat.configVersion = value.at(4).get<std::uint64_t>();
   beat.isStrained = value.at(5).get<bool>();
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -45,10 +45,12 @@
   std::uint64_t token = 0;
   /// Places that are free on its workers.
   unsigned places = 0;
+  /// Which workers its holder knows of.
+  ShardDigest workers = 0;
 
   friend bool operator==(const HeldShard& a, const HeldShard& b)
   {
-    return a.token == b.token && a.places == b.places;
+    return a.token == b.token && a.places == b.places && a.workers == b.workers;
   }
 };
 
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -159,7 +159,8 @@
 {
   SchedulerFixture next;
   next.addWorker("w1");
-  next.scheduler.takeShard(SchedulerFixture::shard(), 10, next.now);
+  next.scheduler.takeShard(
+    SchedulerFixture::shard(), 10, next.now, std::nullopt);
   JobRequest job = next.request("a", 1);
   job.mayHaveRun = true;
   job.quarantine =
@@ -172,6 +173,26 @@
   EXPECT_EQ(next.running(), 1u);
 }
 
+TEST_F(SchedulerTest, ATaskThatMayRunOnAWorkerThatIsNotListedHereWaitsToTheEnd)
+{
+  SchedulerFixture next;
+  next.addWorker("w1");
+  const ShardDigest other =
+    next.scheduler.digest(SchedulerFixture::shard()) + 1;
+  next.scheduler.takeShard(SchedulerFixture::shard(), 10, next.now, other);
+  next.settle();
+  JobRequest job = next.request("a", 1);
+  job.mayHaveRun = true;
+  job.quarantine =
+    Quarantine{ SchedulerFixture::shard(), std::chrono::milliseconds(1200) };
+  next.scheduler.submit(job, next.now);
+  next.pass(1100);
+  EXPECT_EQ(next.workers[WorkerId("w1")].starts("a.0.0.0"), 0u)
+    << "its last holder had other workers";
+  next.pass(200);
+  EXPECT_EQ(next.running(), 1u);
+}
+
 TEST_F(SchedulerTest, AReleasedShardsJobsMoveWithTheirRunsLeftAlone)
 {
   const JobRequest job = fixture.request("a", 2);
--- a/tests/jobs/schedulerfixture.h
+++ b/tests/jobs/schedulerfixture.h
@@ -36,7 +36,7 @@
 
   void take()
   {
-    scheduler.takeShard(shard(), 10, now);
+    scheduler.takeShard(shard(), 10, now, std::nullopt);
     settle();
   }
 
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -99,7 +99,7 @@
   beat.isReady = true;
   beat.isStrained = true;
   beat.slowness = 9;
-  beat.shards[ShardId(ZoneName("z1"), 0)] = { 300243599585797, 12 };
+  beat.shards[ShardId(ZoneName("z1"), 0)] = { 300243599585797, 12, 77 };
   beat.highestToken = 300243599585799;
   beat.configVersion = 40;
   const PeerBeat readBeat = throughTheWire(beat);
