--- a/tests/asynchttp/asynchttp_test.cpp
+++ b/tests/asynchttp/asynchttp_test.cpp
@@ -167,7 +167,7 @@
 TEST_F(AsyncHttp, ATooLargeRequestIsRefused)
 {
   HttpChannelPool pool(context, address, 4);
-  const HttpCallEnd end = call(pool, "/a", std::string(300 * 1024, 'x'));
+  const HttpCallEnd end = call(pool, "/a", std::string(300000, 'x'));
   // The server may close before the whole body was written.
   const bool isRefused =
     end.kind == HttpCallEnd::Kind::Unanswered || end.status == 413;
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -327,7 +327,7 @@
       m_nodes[node].core->peerDown(m_nodes[other].id, PeerLoss::Closed);
     }
   };
-  links.post = [this, node, life = m_nodes[node].life](Action action) {
+  links.post = [this, node, life = m_nodes[node].life](const Action& action) {
     at(Duration::zero(),
        [this, node, life, action] { onNode(node, life, action); });
   };
@@ -508,7 +508,7 @@
                       const WorkerRecord& record,
                       const HoldOrder& hold,
                       Duration timeout,
-                      std::function<void(const HoldAnswer&)> done)
+                      const std::function<void(const HoldAnswer&)>& done)
 {
   const auto isAnswered = std::make_shared<bool>(false);
   const unsigned life = m_nodes[node].life;
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -155,7 +155,7 @@
                  const WorkerRecord& record,
                  const HoldOrder& order,
                  Duration timeout,
-                 std::function<void(const HoldAnswer&)> done);
+                 const std::function<void(const HoldAnswer&)>& done);
   OrderAnswer carryOutStart(Worker& worker, const StartOrder& order);
   OrderAnswer carryOutStop(Worker& worker, const StopOrder& order);
   void endRun(const WorkerId& id, unsigned life, const RunKey& key, RunEnd end);
--- a/tests/soak/leasedplatform.cpp
+++ b/tests/soak/leasedplatform.cpp
@@ -263,8 +263,10 @@
     reply.body = bigEndian(records.size(), 8) + bigEndian(0, 8);
     for (std::size_t i = read.from; i < records.size(); ++i) {
       const auto& [key, value] = records[i];
-      reply.body += bigEndian(1 + key.size() + value.size(), 4) +
-                    static_cast<char>(key.size()) + key + value;
+      reply.body += bigEndian(1 + key.size() + value.size(), 4);
+      reply.body += static_cast<char>(key.size());
+      reply.body += key;
+      reply.body += value;
     }
     read.transaction->answer(HttpReply(reply));
   }
@@ -434,7 +436,7 @@
 }
 
 void
-LeasedPlatform::after(Duration delay, std::function<void()> action)
+LeasedPlatform::after(Duration delay, const std::function<void()>& action)
 {
   const auto timer =
     std::make_shared<boost::asio::steady_timer>(m_context, delay);
--- a/tests/soak/leasedplatform.h
+++ b/tests/soak/leasedplatform.h
@@ -108,7 +108,7 @@
   void answerHolds(Worker& worker, TimePoint now);
   void answerHold(Worker& worker, const WaitingHold& hold, TimePoint now);
   void check(const Worker& worker, const RunKey& started);
-  void after(Duration delay, std::function<void()> action);
+  void after(Duration delay, const std::function<void()>& action);
   void publishWorker(const Worker& worker);
   double chance() { return std::uniform_real_distribution<>(0, 1)(m_random); }
 
