--- a/tests/asynchttp/asynchttp_test.cpp
+++ b/tests/asynchttp/asynchttp_test.cpp
@@ -131,6 +131,19 @@
   EXPECT_EQ(server.waiting(), 0u);
 }
 
+TEST_F(AsyncHttp, TellsThatAClientHadGoneBeforeItsRequestWasRead)
+{
+  net::io_context other;
+  net::ip::tcp::socket client(other);
+  client.connect({ net::ip::make_address(address.host()), address.port() });
+  net::write(client,
+             net::buffer(std::string("POST /wait HTTP/1.1\r\nHost: x\r\n"
+                                     "Content-Length: 2\r\n\r\n{}")));
+  client.close();
+  await([&] { return waiting != nullptr; });
+  await([&] { return gone == 1; });
+}
+
 TEST_F(AsyncHttp, WhatCouldNotBeConnectedWasNotSent)
 {
   server.stop();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -156,6 +156,17 @@
     m_channels.end());
 }
 
+void
+Soak::note(const std::string& line)
+{
+  if (m_settings.logFolder.empty())
+    return;
+  const auto now = std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+  std::ofstream(m_settings.logFolder + "/callers.log", std::ios::app)
+    << now.count() << ' ' << line << '\n';
+}
+
 void
 Soak::startProcess(Daemon& daemon)
 {
@@ -267,6 +278,7 @@
   ++caller.tries;
   const std::string& host = m_daemons[below(m_daemons.size())].host;
   const Duration wait = milliseconds(5 * (2 * caller.taskMs + 60));
+  note(job + " try " + std::to_string(caller.tries) + " at " + host);
   HttpCallOrder order;
   order.method = "POST";
   order.target = "/jobs/" + job;
@@ -300,6 +312,8 @@
   if (found == m_callers.end())
     return;
   Caller& caller = found->second;
+  note(job + " end " + std::to_string(static_cast<int>(end.kind)) + " status " +
+       std::to_string(end.status));
   const bool isAnswered = end.kind == HttpCallEnd::Kind::Answered;
   if (isAnswered && end.status == 200) {
     if (caller.isCalm)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -82,6 +82,8 @@
   void submitNew();
   void submit(const std::string& job);
   void answered(const std::string& job, const HttpCallEnd& end);
+  /// A line of this soak's own log, beside those of the daemons.
+  void note(const std::string& line);
   void startProcess(Daemon& daemon);
   /// Ends a process that this soak started.
   void endProcess(Daemon& daemon);
