A test's child processes inherit none of its connections

Ruled out: the server misses a close that came before the request (a unit test, and six tries against a stopped daemon by hand: all noticed). Test: InheritsNothingButItsStandardStreams, red before.

--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -21,6 +21,17 @@
                                     acceptor.local_endpoint().port() % 10000);
 }
 
+TEST(ChildProcess, InheritsNothingButItsStandardStreams)
+{
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor open(
+    context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+  ChildProcess child(
+    { "/bin/sh", "-c", "echo open: $(ls /proc/self/fd | tr '\\n' ' ')" });
+  // The fourth is the folder that ls reads.
+  EXPECT_EQ(child.waitForLine("open: "), "open: 0 1 2 3");
+}
+
 class SoakSeed : public ::testing::TestWithParam<int>
 {};
 
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -87,6 +87,9 @@
   posix_spawn_file_actions_init(&actions);
   posix_spawnattr_init(&attributes);
   posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+  // A connection that the child holds too isn't closed when this process closes
+  // it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   resetSignals(attributes);
   std::vector<char*> argv = toArgv(arguments);
   const int error =
