Strained daemons still take a shard that nobody holds

Change: strain ranks a daemon last, and a strained holder gives way only to one that isn't. Test: WhereAllAreStrainedOneStillTakesAFreeShard, red before.

--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -9,23 +9,20 @@
 
 namespace {
 
-/// Who takes a shard that is free: the one that holds the fewest, then the one
-/// on the fastest machine.
-using Rank = std::tuple<std::size_t, int, std::size_t>;
+/// Who takes a shard that is free: one that isn't strained if there is any,
+/// then the one that holds the fewest, then the one on the fastest machine.
+using Rank = std::tuple<bool, std::size_t, int, std::size_t>;
 
 Rank
-rank(const ShardId& shard, const VmId& vm, std::size_t shards, int slowness)
+rank(const ShardId& shard,
+     const VmId& vm,
+     bool isStrained,
+     std::size_t shards,
+     int slowness)
 {
   const std::size_t spread =
     std::hash<std::string>()(shard.toString() + '|' + vm.value());
-  return { shards, slowness, spread };
-}
-
-/// Whether it should hold nothing new, and others may take what it holds.
-bool
-isUnfit(const MemberView& member)
-{
-  return member.isLeaving || member.isStrained;
+  return { isStrained, shards, slowness, spread };
 }
 
 } // namespace
@@ -200,7 +197,7 @@
                     std::size_t ownShards,
                     TimePoint now) const
 {
-  if (!m_isReady || m_isLeaving || m_isStrained || !hasSettled(now))
+  if (!m_isReady || m_isLeaving || !hasSettled(now))
     return false;
   const auto keptOff = m_keptOffUntil.find(shard);
   if (keptOff != m_keptOffUntil.end() && now < keptOff->second)
@@ -230,15 +227,17 @@
                     std::size_t ownShards,
                     bool isForeign) const
 {
-  const Rank own = rank(shard, m_self, ownShards, m_slowness);
+  const Rank own = rank(shard, m_self, m_isStrained, ownShards, m_slowness);
   return std::none_of(
     m_members.begin(), m_members.end(), [&](const auto& item) {
       const MemberView& member = item.second;
-      const bool isCandidate = !isUnfit(member) && member.isReady &&
+      const bool isCandidate = !member.isLeaving && member.isReady &&
                                (isForeign || member.zone == shard.zone());
-      return isCandidate &&
-             rank(shard, member.id, member.shards.size(), member.slowness) <
-               own;
+      return isCandidate && rank(shard,
+                                 member.id,
+                                 member.isStrained,
+                                 member.shards.size(),
+                                 member.slowness) < own;
     });
 }
 
@@ -247,7 +246,10 @@
 {
   return std::any_of(m_members.begin(), m_members.end(), [&](const auto& item) {
     const MemberView& member = item.second;
-    return !isUnfit(member) && member.zone == shard.zone() &&
+    // One that is strained gives way to one that isn't.
+    const bool givesWay =
+      member.isLeaving || (member.isStrained && !m_isStrained);
+    return !givesWay && member.zone == shard.zone() &&
            member.shards.count(shard) > 0;
   });
 }
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -193,6 +193,38 @@
   EXPECT_FALSE(takes(foreignShard)) << "its holder lives";
 }
 
+TEST_F(ShardTableTest, AStrainedHolderGivesWayToOneThatIsNot)
+{
+  table.setKnownMembers(1);
+  MemberView mate = member("mate", home, { { homeShard, 5 } });
+  mate.isStrained = true;
+  table.memberSeen(mate, now);
+  pass(seconds(1));
+  EXPECT_TRUE(takes(homeShard));
+  table.setStrained(true);
+  EXPECT_FALSE(takes(homeShard)) << "it would be no better";
+}
+
+TEST_F(ShardTableTest, WhereAllAreStrainedOneStillTakesAFreeShard)
+{
+  table.setKnownMembers(1);
+  MemberView mate = member("mate", home);
+  mate.isStrained = true;
+  ShardTable other(VmId("mate"), home, settings, start);
+  other.setShards({ homeShard });
+  other.setReady(true);
+  other.setStrained(true);
+  other.setKnownMembers(1);
+  MemberView self = member("self", home);
+  self.isStrained = true;
+  table.setStrained(true);
+  table.memberSeen(mate, now);
+  other.memberSeen(self, now);
+  pass(seconds(1));
+  const bool otherTakes = !other.decide(now).take.empty();
+  EXPECT_NE(takes(homeShard), otherTakes);
+}
+
 TEST_F(ShardTableTest, TakesNothingBeforeItIsReadyOrWhenItLeaves)
 {
   table.setKnownMembers(1);
