--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -156,10 +156,10 @@
 
 TEST(PeerCodec, ACutMessageIsAProblem)
 {
-  const auto bytes = encodePeerMessage(PeerSubmit{ request() });
+  const auto message = encodePeerMessage(PeerSubmit{ request() });
+  const std::string bytes(message.begin(), message.end());
   for (std::size_t length = 0; length < bytes.size(); ++length) {
-    const Result<PeerMessage> read =
-      decodePeerMessage(std::string(bytes.begin(), bytes.begin() + length));
+    const Result<PeerMessage> read = decodePeerMessage(bytes.substr(0, length));
     EXPECT_FALSE(read.has_value()) << length;
   }
 }
