--- a/src/libasynchttp/asynchttpserver.cpp
+++ b/src/libasynchttp/asynchttpserver.cpp
@@ -63,13 +63,11 @@
     m_parser.emplace();
     m_parser->header_limit((*server)->m_settings.maxHeaderBytes);
     m_parser->body_limit((*server)->m_settings.maxBodyBytes);
-    m_isReading = true;
     http::async_read(
       m_socket,
       m_buffer,
       *m_parser,
       [self = shared_from_this()](error_code error, std::size_t) {
-        self->m_isReading = false;
         self->readDone(error);
       });
   }
@@ -217,7 +215,6 @@
   std::string m_output;
   std::function<void()> m_gone;
   bool m_keepAlive = true;
-  bool m_isReading = false;
   bool m_isWaiting = false;
   bool m_isAnswered = false;
   bool m_isWatching = false;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -131,6 +131,25 @@
   return job;
 }
 
+/// Takes a run of the task that is on a held worker into the job. False if
+/// there is none.
+bool
+Scheduler::adoptRun(Job& job, std::size_t position, TimePoint now)
+{
+  JobTask& task = job.tasks[position];
+  const auto run =
+    m_pool.adopt(job.request.taskName(task.index), job.request.needs.resources);
+  if (!run)
+    return false;
+  task.worker = run->first;
+  task.run = run->second.run();
+  task.nextRun = std::max(task.nextRun, task.run + 1);
+  task.startedAt = now;
+  task.progressAt = now;
+  m_runs[run->second] = { &job, position };
+  return true;
+}
+
 /// Takes over the runs of a job that a lost daemon left on workers that are now
 /// held here.
 void
@@ -149,14 +168,8 @@
       ++job.done;
       continue;
     }
-    if (const auto run = m_pool.adopt(name, job.request.needs.resources)) {
+    if (adoptRun(job, i, now)) {
       leavePending(job, task, TaskState::Running);
-      task.worker = run->first;
-      task.run = run->second.run();
-      task.nextRun = std::max(task.nextRun, task.run + 1);
-      task.startedAt = now;
-      task.progressAt = now;
-      m_runs[run->second] = { &job, i };
     } else if (quarantine) {
       leavePending(job, task, TaskState::Quarantined);
       task.quarantinedUntil = until;
@@ -753,14 +766,8 @@
     if (task.state != TaskState::Quarantined)
       continue;
     const std::string name = job.request.taskName(task.index);
-    if (const auto run = m_pool.adopt(name, job.request.needs.resources)) {
+    if (adoptRun(job, i, now)) {
       task.state = TaskState::Running;
-      task.worker = run->first;
-      task.run = run->second.run();
-      task.nextRun = std::max(task.nextRun, task.run + 1);
-      task.startedAt = now;
-      task.progressAt = now;
-      m_runs[run->second] = { &job, i };
     } else if (m_strayDone.erase(name) > 0) {
       const bool isLast = job.done + job.returned + 1 == job.tasks.size();
       taskDone(job, task, now);
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -137,6 +137,7 @@
 
   WorkerPool::Hooks poolHooks();
   std::unique_ptr<Job> makeJob(JobRequest request, TimePoint now) const;
+  bool adoptRun(Job& job, std::size_t position, TimePoint now);
   void findRuns(Job& job, TimePoint now);
   bool mustRefuse(const Job& job, TimePoint now, Duration& retryAfter) const;
   void quarantineForwarded(JobTask& task, std::uint64_t nextRun, TimePoint now);
