The scheduler's queue, the places told by others and its log lines apart

Change: JobQueue, PeerPlaces, job.cpp (a new job, runs a worker, what is told when it moves) and joblog.cpp are on their own, the first two with tests; WorkerOrders is the one set of order hooks. taskDone and taskFailed lose a parameter that they ignored. What is decided is unchanged.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -222,7 +222,7 @@
 EntryCore::schedulerHooks()
 {
   Scheduler::Hooks hooks;
-  hooks.sendHold = [this](const WorkerRecord& worker,
+  hooks.orders.hold = [this](const WorkerRecord& worker,
                           const HoldOrder& order,
                           Duration timeout) {
     const TimePoint sent = m_clocks.steady();
@@ -233,7 +233,7 @@
                    m_scheduler.holdAnswered(id, answer, sent, observeTime());
                  });
   };
-  hooks.sendStart = [this](const WorkerRecord& worker,
+  hooks.orders.start = [this](const WorkerRecord& worker,
                            const StartOrder& order,
                            Duration timeout) {
     m_ports.start(
@@ -244,7 +244,7 @@
         m_scheduler.startAnswered(id, key, answer, observeTime());
       });
   };
-  hooks.sendStop = [this](const WorkerRecord& worker,
+  hooks.orders.stop = [this](const WorkerRecord& worker,
                           const StopOrder& order,
                           Duration timeout) {
     m_ports.stop(worker,
--- /dev/null
+++ b/src/libjobs/job.cpp
@@ -0,0 +1,69 @@
+#include "job.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowslippin {
+
+Duration
+scaled(Duration duration, double factor)
+{
+  return Duration(std::int64_t(double(duration.count()) * factor));
+}
+
+std::unique_ptr<Job>
+makeJob(JobRequest request,
+        Duration expected,
+        double worthlessFactor,
+        TimePoint now)
+{
+  auto job = std::make_unique<Job>();
+  const QueuePolicy& policy = request.policy;
+  job->arrivedAt = now - request.age;
+  job->expiresAt = now + request.timeLeft;
+  job->expected = expected;
+  const Duration objective =
+    scaled(job->expected, policy.stretch) + policy.target;
+  job->objectiveAt = job->arrivedAt + objective;
+  job->worthlessAt = job->arrivedAt + scaled(objective, worthlessFactor);
+  job->latestStart = job->objectiveAt - job->expected;
+  job->hasStarted = request.mayHaveRun;
+  for (const TaskIndex index : request.tasks) {
+    JobTask task;
+    task.index = index;
+    task.nextRun = request.firstRun;
+    job->tasks.push_back(task);
+  }
+  job->pending = job->tasks.size();
+  job->request = std::move(request);
+  return job;
+}
+
+std::map<WorkerId, unsigned>
+runsPerWorker(const Job& job)
+{
+  std::map<WorkerId, unsigned> runs;
+  if (job.request.needs.maxPerWorker == 0)
+    return runs;
+  for (const JobTask& task : job.tasks) {
+    if (task.state == TaskState::Running)
+      ++runs[task.worker];
+  }
+  return runs;
+}
+
+JobEnd
+movedEnd(const Job& job)
+{
+  JobEnd end;
+  end.outcome = JobOutcome::Moved;
+  end.nextRun = job.request.firstRun;
+  for (const JobTask& task : job.tasks) {
+    if (task.state == TaskState::Done)
+      end.done.push_back(task.index);
+    end.nextRun = std::max(end.nextRun, task.nextRun + staleRunStep);
+  }
+  return end;
+}
+
+} // namespace cowslippin
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "jobend.h"
 #include "jobrequest.h"
 
 #include "libworkers/runkey.h"
 
+#include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -71,4 +74,29 @@
   bool isOver() const { return done + returned == tasks.size(); }
 };
 
+/// Added to a run's number when another daemon may have started the task under
+/// higher numbers: more than it can have used.
+constexpr std::uint64_t staleRunStep = 8;
+
+Duration
+scaled(Duration duration, double factor);
+
+/// A job that has just come, all of its tasks pending. An answer later than
+/// `worthlessFactor` times its objective is worth nothing.
+std::unique_ptr<Job>
+makeJob(JobRequest request,
+        Duration expected,
+        double worthlessFactor,
+        TimePoint now);
+
+/// How many of the job's tasks run on each worker, if that is limited; else
+/// nothing.
+std::map<WorkerId, unsigned>
+runsPerWorker(const Job& job);
+
+/// What the submitter is told when the job has to go on elsewhere: what is
+/// done, and which run numbers are free.
+JobEnd
+movedEnd(const Job& job);
+
 } // namespace cowslippin
--- /dev/null
+++ b/src/libjobs/joblog.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "job.h"
+#include "jobend.h"
+
+#include "libworkers/workerorder.h"
+
+namespace cowslippin {
+
+/// The lines that the scheduler logs. Each has the job's id as `job`; times are
+/// in milliseconds.
+
+/// A decision on a whole job: accepted, refused, ended and the like. `end` may
+/// be null.
+void
+logJob(const char* event, const Job& job, const JobEnd* end, TimePoint now);
+
+/// A start was sent to the task's worker.
+void
+logTaskStarted(const Job& job, const JobTask& task, TimePoint now);
+
+/// Tasks went back to the submitter, to be handed to another holder.
+void
+logTasksReturned(const Job& job, const TasksReturned& returned);
+
+/// A run ended, but not done.
+void
+logRunEnded(const Job& job, const JobTask& task, RunEnd end, TimePoint now);
+
+void
+logStartRejected(const Job& job, const JobTask& task, OrderFailure failure);
+
+/// A run is stopped, as it has made no progress.
+void
+logRunStalled(const Job& job, const JobTask& task, TimePoint now);
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libjobs/peerplaces.cpp
@@ -0,0 +1,53 @@
+#include "peerplaces.h"
+
+namespace cowslippin {
+
+namespace {
+
+/// Places of a shard that its holder keeps for jobs of its own.
+constexpr unsigned holdersReserve = 1;
+
+} // namespace
+
+void
+PeerPlaces::set(const VmId& holder, const ShardId& shard, unsigned places)
+{
+  m_places[shard] = { holder, places };
+}
+
+void
+PeerPlaces::forget(const VmId& holder)
+{
+  for (auto places = m_places.begin(); places != m_places.end();) {
+    if (places->second.holder == holder)
+      places = m_places.erase(places);
+    else
+      ++places;
+  }
+}
+
+std::optional<PeerPlaces::Offer>
+PeerPlaces::best() const
+{
+  std::optional<Offer> best;
+  unsigned most = holdersReserve;
+  for (const auto& [shard, places] : m_places) {
+    if (places.count > most) {
+      most = places.count;
+      best = Offer{ places.holder, shard, places.count };
+    }
+  }
+  return best;
+}
+
+bool
+PeerPlaces::take(const ShardId& shard)
+{
+  const auto found = m_places.find(shard);
+  if (found == m_places.end() || found->second.count <= holdersReserve)
+    return false;
+  --found->second.count;
+  return true;
+}
+
+} // namespace cowslippin
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -1,6 +1,6 @@
 #include "scheduler.h"
 
-#include "libobserve/observe.h"
+#include "joblog.h"
 
 #include <algorithm>
 #include <utility>
@@ -9,28 +9,10 @@
 
 namespace {
 
-/// Added to a run's number when a worker finds it too low: another daemon has
-/// started the task there before.
-constexpr std::uint64_t staleRunStep = 8;
 /// Weight of the newest task in the mean of what tasks need.
 constexpr double sizeWeight = 0.05;
 /// A caller that is refused is told to come back after this long at least.
 constexpr Duration minRetryAfter = std::chrono::milliseconds(200);
-/// Places that another daemon keeps for jobs of its own.
-constexpr unsigned peerReserve = 1;
-
-Duration
-scaled(Duration duration, double factor)
-{
-  return Duration(std::int64_t(double(duration.count()) * factor));
-}
-
-std::int64_t
-milliseconds(Duration duration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-    .count();
-}
 
 } // namespace
 
@@ -46,9 +28,7 @@
 Scheduler::poolHooks()
 {
   WorkerPool::Hooks hooks;
-  hooks.sendHold = m_hooks.sendHold;
-  hooks.sendStart = m_hooks.sendStart;
-  hooks.sendStop = m_hooks.sendStop;
+  hooks.orders = m_hooks.orders;
   hooks.higherToken = m_hooks.higherToken;
   hooks.fenced = m_hooks.fenced;
   hooks.runEnded = [this](const WorkerId& worker,
@@ -77,7 +57,10 @@
     return;
   }
   const JobKey key = request.key;
-  auto owned = makeJob(std::move(request), now);
+  const Duration expected =
+    m_runTimes.expected(request.policy.queue, request.needs.estimate);
+  auto owned =
+    makeJob(std::move(request), expected, m_settings.worthlessFactor, now);
   Job& job = *owned;
   if (job.expiresAt <= now) {
     m_hooks.ended(key, { JobOutcome::TimedOut, Duration::zero(), {}, 1 });
@@ -90,47 +73,21 @@
   Duration retryAfter = Duration::zero();
   if (mustRefuse(job, now, retryAfter)) {
     const JobEnd end{ JobOutcome::Refused, retryAfter, {}, 1 };
-    logJob("job-refused", job, &end);
+    logJob("job-refused", job, &end, m_now);
     m_hooks.ended(key, end);
     return;
   }
   m_jobs.emplace(key, std::move(owned));
-  logJob("job-accepted", job, nullptr);
+  logJob("job-accepted", job, nullptr, m_now);
   findRuns(job, now);
   if (job.isOver()) {
     finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
     return;
   }
-  enqueue(job);
+  m_queue.add(job);
   pump(now);
 }
 
-std::unique_ptr<Job>
-Scheduler::makeJob(JobRequest request, TimePoint now) const
-{
-  auto job = std::make_unique<Job>();
-  const QueuePolicy& policy = request.policy;
-  job->arrivedAt = now - request.age;
-  job->expiresAt = now + request.timeLeft;
-  job->expected = m_runTimes.expected(policy.queue, request.needs.estimate);
-  const Duration objective =
-    scaled(job->expected, policy.stretch) + policy.target;
-  job->objectiveAt = job->arrivedAt + objective;
-  job->worthlessAt =
-    job->arrivedAt + scaled(objective, m_settings.worthlessFactor);
-  job->latestStart = job->objectiveAt - job->expected;
-  job->hasStarted = request.mayHaveRun;
-  for (const TaskIndex index : request.tasks) {
-    JobTask task;
-    task.index = index;
-    task.nextRun = request.firstRun;
-    job->tasks.push_back(task);
-  }
-  job->pending = job->tasks.size();
-  job->request = std::move(request);
-  return job;
-}
-
 /// Takes a run of the task that is on a held worker into the job. False if
 /// there is none.
 bool
@@ -189,7 +146,7 @@
     return m_pool.freePlaces(job.request.shard,
                              job.request.needs.resources.cpuMillis(),
                              now) == 0;
-  if (hasPeerFor(job))
+  if (canReturn(job))
     return false;
   const Duration objective = job.objectiveAt - job.arrivedAt;
   const TimePoint end = now + expectedWait(job, now) + job.expected;
@@ -203,7 +160,7 @@
   const auto found = m_jobs.find(key);
   if (found == m_jobs.end())
     return;
-  logJob("job-cancelled", *found->second, nullptr);
+  logJob("job-cancelled", *found->second, nullptr, m_now);
   drop(*found->second);
   pump(now);
 }
@@ -260,23 +217,6 @@
   }
 }
 
-void
-Scheduler::setPeerPlaces(const VmId& vm, const ShardId& shard, unsigned places)
-{
-  m_peerPlaces[shard] = { vm, places };
-}
-
-void
-Scheduler::forgetPeer(const VmId& vm)
-{
-  for (auto peer = m_peerPlaces.begin(); peer != m_peerPlaces.end();) {
-    if (peer->second.holder == vm)
-      peer = m_peerPlaces.erase(peer);
-    else
-      ++peer;
-  }
-}
-
 /// A submitter that had lost the connection for a moment goes on under a new
 /// key. Tasks that it has again were returned without its knowledge. False if
 /// nothing of it is here.
@@ -379,9 +319,7 @@
   const auto usual = static_cast<std::int64_t>(m_usualCpuMillis);
   const unsigned places =
     m_pool.freePlaces(shard, std::max<std::int64_t>(usual, 1000), now);
-  std::size_t waiting = 0;
-  for (const auto& [key, job] : m_queue)
-    waiting += job->request.shard == shard ? job->pending : 0;
+  const std::size_t waiting = m_queue.waitingTasks(shard);
   return places > waiting ? places - static_cast<unsigned>(waiting) : 0;
 }
 
@@ -389,53 +327,18 @@
 Scheduler::expectedWait(const Job& newcomer, TimePoint now) const
 {
   const ShardId& shard = newcomer.request.shard;
-  double ahead = 0;
-  for (const auto& [key, job] : m_queue) {
-    if (std::get<0>(key) > newcomer.latestStart)
-      break;
-    if (job->request.shard == shard)
-      ahead += double(job->pending) *
-               double(job->request.needs.resources.cpuMillis()) *
-               double(job->expected.count());
-  }
+  const double ahead = m_queue.workBefore(shard, newcomer.latestStart);
   const double total =
     double(m_pool.totalCpuMillis(shard, now)) * m_settings.usableShare;
   return total > 0 ? Duration(std::int64_t(ahead / total)) : Duration::zero();
 }
 
-std::size_t
-Scheduler::waitingTasks() const
-{
-  std::size_t count = 0;
-  for (const auto& [key, job] : m_queue)
-    count += job->pending;
-  return count;
-}
-
-void
-Scheduler::enqueue(Job& job)
-{
-  if (job.pending == 0 || job.sequence != 0)
-    return;
-  job.sequence = ++m_lastSequence;
-  m_queue.emplace(QueueKey(job.latestStart, job.sequence), &job);
-}
-
-void
-Scheduler::dequeue(Job& job)
-{
-  if (job.sequence == 0)
-    return;
-  m_queue.erase(QueueKey(job.latestStart, job.sequence));
-  job.sequence = 0;
-}
-
 void
 Scheduler::setPending(Job& job, JobTask& task)
 {
   task.state = TaskState::Pending;
   ++job.pending;
-  enqueue(job);
+  m_queue.add(job);
 }
 
 void
@@ -444,7 +347,7 @@
   task.state = state;
   --job.pending;
   if (job.pending == 0)
-    dequeue(job);
+    m_queue.remove(job);
 }
 
 void
@@ -453,11 +356,8 @@
   if (m_isPumping || m_isSuspended)
     return;
   m_isPumping = true;
-  std::vector<Job*> jobs;
-  for (const auto& [key, job] : m_queue)
-    jobs.push_back(job);
   std::int64_t room = m_pool.largestFreeCpuMillis();
-  for (Job* job : jobs) {
+  for (Job* job : m_queue.jobs()) {
     if (job->request.needs.resources.cpuMillis() <= room) {
       pumpJob(*job, now);
       room = m_pool.largestFreeCpuMillis();
@@ -487,14 +387,8 @@
   // A run of the same task that another submitter left is still being stopped.
   if (m_pool.isRunning(name))
     return true;
-  std::map<WorkerId, unsigned> perWorker;
-  if (job.request.needs.maxPerWorker > 0) {
-    for (const JobTask& other : job.tasks) {
-      if (other.state == TaskState::Running)
-        ++perWorker[other.worker];
-    }
-  }
-  const auto worker = m_pool.choose(job.request, task.avoided, perWorker, now);
+  const auto worker =
+    m_pool.choose(job.request, task.avoided, runsPerWorker(job), now);
   if (!worker)
     return false;
   const RunKey key(name, task.nextRun++);
@@ -506,63 +400,44 @@
   task.percent = 0;
   job.hasStarted = true;
   m_runs[key] = { &job, position };
-  const auto& resources = job.request.needs.resources;
-  m_usualCpuMillis = m_usualCpuMillis == 0
-                       ? double(resources.cpuMillis())
-                       : m_usualCpuMillis * (1 - sizeWeight) +
-                           double(resources.cpuMillis()) * sizeWeight;
-  logEvent(LogLevel::Info,
-           "task-started",
-           { { "job", job.request.key.job() },
-             { "task", task.index },
-             { "run", key.run() },
-             { "worker", *worker },
-             { "waitedMs", milliseconds(now - job.arrivedAt) } });
-  m_pool.start(*worker, key, resources, job.request.spec, now);
+  noteSize(job.request.needs.resources);
+  logTaskStarted(job, task, now);
+  m_pool.start(
+    *worker, key, job.request.needs.resources, job.request.spec, now);
   return true;
 }
 
-Scheduler::Peers::iterator
-Scheduler::peerFor(const Job& job)
+void
+Scheduler::noteSize(const Resources& resources)
 {
-  auto best = m_peerPlaces.end();
-  if (!job.request.mayBeReturned)
-    return best;
-  unsigned most = peerReserve;
-  for (auto peer = m_peerPlaces.begin(); peer != m_peerPlaces.end(); ++peer) {
-    if (peer->second.places > most) {
-      most = peer->second.places;
-      best = peer;
-    }
-  }
-  return best;
+  const auto size = double(resources.cpuMillis());
+  m_usualCpuMillis =
+    m_usualCpuMillis == 0
+      ? size
+      : m_usualCpuMillis * (1 - sizeWeight) + size * sizeWeight;
 }
 
+/// Whether some of the job's tasks can be handed to another holder.
 bool
-Scheduler::hasPeerFor(const Job& job) const
+Scheduler::canReturn(const Job& job) const
 {
-  return job.request.mayBeReturned &&
-         std::any_of(
-           m_peerPlaces.begin(), m_peerPlaces.end(), [](const auto& peer) {
-             return peer.second.places > peerReserve;
-           });
+  return job.request.mayBeReturned && m_peerPlaces.best();
 }
 
 void
 Scheduler::returnTasks(Job& job)
 {
-  const auto peer = peerFor(job);
-  if (peer == m_peerPlaces.end())
+  if (!canReturn(job))
     return;
+  const PeerPlaces::Offer offer = *m_peerPlaces.best();
   TasksReturned returned;
-  returned.holder = peer->second.holder;
-  returned.shard = peer->first;
+  returned.holder = offer.holder;
+  returned.shard = offer.shard;
   for (JobTask& task : job.tasks) {
     const bool isFree = task.state == TaskState::Pending &&
                         !m_pool.isRunning(job.request.taskName(task.index));
-    if (!isFree || peer->second.places <= peerReserve)
+    if (!isFree || !m_peerPlaces.take(offer.shard))
       continue;
-    --peer->second.places;
     returned.tasks.push_back(task.index);
     returned.nextRun = std::max(returned.nextRun, task.nextRun);
     leavePending(job, task, TaskState::Returned);
@@ -571,18 +446,14 @@
   if (returned.tasks.empty())
     return;
   job.hasStarted = true;
-  logEvent(LogLevel::Info,
-           "tasks-returned",
-           { { "job", job.request.key.job() },
-             { "tasks", returned.tasks.size() },
-             { "holder", returned.holder } });
+  logTasksReturned(job, returned);
   m_hooks.returned(job.request.key, returned);
   if (job.isOver())
     finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
 }
 
 void
-Scheduler::taskDone(Job& job, JobTask& task, TimePoint)
+Scheduler::taskDone(Job& job, JobTask& task)
 {
   task.state = TaskState::Done;
   ++job.done;
@@ -591,7 +462,7 @@
 }
 
 void
-Scheduler::taskFailed(Job& job, JobTask& task, TimePoint)
+Scheduler::taskFailed(Job& job, JobTask& task)
 {
   ++task.failures;
   task.avoided.insert(task.worker);
@@ -610,22 +481,14 @@
   Job& job = *found->second.job;
   JobTask& task = job.tasks[found->second.task];
   m_runs.erase(found);
-  if (end != RunEnd::Done) {
-    logEvent(LogLevel::Info,
-             "run-ended",
-             { { "job", job.request.key.job() },
-               { "task", task.index },
-               { "run", key.run() },
-               { "worker", worker },
-               { "end", toString(end) },
-               { "ranMs", milliseconds(m_now - task.startedAt) } });
-  }
+  if (end != RunEnd::Done)
+    logRunEnded(job, task, end, m_now);
   if (end == RunEnd::Done) {
     learn(job, task, worker);
-    taskDone(job, task, m_now);
+    taskDone(job, task);
   } else if (end == RunEnd::Failed) {
     m_pool.runFailed(worker, m_now);
-    taskFailed(job, task, m_now);
+    taskFailed(job, task);
   } else {
     setPending(job, task);
   }
@@ -642,17 +505,11 @@
   Job& job = *found->second.job;
   JobTask& task = job.tasks[found->second.task];
   m_runs.erase(found);
-  logEvent(LogLevel::Warning,
-           "start-rejected",
-           { { "job", job.request.key.job() },
-             { "task", task.index },
-             { "run", key.run() },
-             { "worker", worker },
-             { "reason", toString(failure) } });
+  logStartRejected(job, task, failure);
   if (failure == OrderFailure::StaleRun)
     task.nextRun += staleRunStep;
   if (failure == OrderFailure::Invalid) {
-    taskFailed(job, task, m_now);
+    taskFailed(job, task);
     return;
   }
   if (failure != OrderFailure::StaleRun)
@@ -687,7 +544,7 @@
 Scheduler::finish(Job& job, const JobEnd& end)
 {
   const JobKey key = job.request.key;
-  logJob("job-ended", job, &end);
+  logJob("job-ended", job, &end, m_now);
   drop(job);
   m_hooks.ended(key, end);
 }
@@ -695,7 +552,7 @@
 void
 Scheduler::drop(Job& job)
 {
-  dequeue(job);
+  m_queue.remove(job);
   const JobKey key = job.request.key;
   std::vector<std::pair<WorkerId, RunKey>> runs;
   for (const JobTask& task : job.tasks) {
@@ -708,20 +565,6 @@
   m_jobs.erase(key);
 }
 
-JobEnd
-Scheduler::movedEnd(const Job& job) const
-{
-  JobEnd end;
-  end.outcome = JobOutcome::Moved;
-  end.nextRun = job.request.firstRun;
-  for (const JobTask& task : job.tasks) {
-    if (task.state == TaskState::Done)
-      end.done.push_back(task.index);
-    end.nextRun = std::max(end.nextRun, task.nextRun + staleRunStep);
-  }
-  return end;
-}
-
 void
 Scheduler::tickJobs(TimePoint now)
 {
@@ -736,7 +579,7 @@
 Scheduler::tickJob(Job& job, TimePoint now)
 {
   if (job.dropAt && now >= *job.dropAt) {
-    logJob("job-abandoned", job, nullptr);
+    logJob("job-abandoned", job, nullptr, m_now);
     drop(job);
     return;
   }
@@ -770,7 +613,7 @@
       task.state = TaskState::Running;
     } else if (m_strayDone.erase(name) > 0) {
       const bool isLast = job.done + job.returned + 1 == job.tasks.size();
-      taskDone(job, task, now);
+      taskDone(job, task);
       if (isLast)
         return false;
     } else if (isKnown || now >= task.quarantinedUntil) {
@@ -788,15 +631,7 @@
       continue;
     ++task.restarts;
     task.avoided.insert(task.worker);
-    logEvent(LogLevel::Info,
-             "run-stalled",
-             { { "job", job.request.key.job() },
-               { "task", task.index },
-               { "run", task.run },
-               { "worker", task.worker },
-               { "percent", task.percent },
-               { "ranMs", milliseconds(now - task.startedAt) },
-               { "expectedMs", milliseconds(job.expected) } });
+    logRunStalled(job, task, now);
     m_pool.workerStalled(task.worker, now);
     m_pool.stop(
       task.worker, RunKey(job.request.taskName(task.index), task.run), now);
@@ -813,20 +648,4 @@
          scaled(job.expected, m_settings.stallFactor) + m_settings.stallMargin;
 }
 
-void
-Scheduler::logJob(const char* event, const Job& job, const JobEnd* end) const
-{
-  const JobRequest& request = job.request;
-  logEvent(LogLevel::Info,
-           event,
-           { { "job", request.key.job() },
-             { "queue", request.policy.queue },
-             { "submitter", request.key.submitter() },
-             { "tasks", job.tasks.size() },
-             { "done", job.done },
-             { "ageMs", milliseconds(m_now - job.arrivedAt) },
-             { "outcome", end ? toString(end->outcome) : "" },
-             { "retryAfterMs", end ? milliseconds(end->retryAfter) : 0 } });
-}
-
 } // namespace cowslippin
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -2,6 +2,8 @@
 
 #include "job.h"
 #include "jobend.h"
+#include "jobqueue.h"
+#include "peerplaces.h"
 #include "runtimes.h"
 #include "workerpool.h"
 
@@ -10,7 +12,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -54,12 +55,7 @@
   /// None may be empty.
   struct Hooks
   {
-    std::function<void(const WorkerRecord&, const HoldOrder&, Duration)>
-      sendHold;
-    std::function<void(const WorkerRecord&, const StartOrder&, Duration)>
-      sendStart;
-    std::function<void(const WorkerRecord&, const StopOrder&, Duration)>
-      sendStop;
+    WorkerOrders orders;
     /// Tells the submitter. Nothing more comes of this job.
     std::function<void(const JobKey&, const JobEnd&)> ended;
     /// Returns tasks to the submitter, with where to hand them.
@@ -96,8 +92,11 @@
   bool holds(const ShardId& shard) const { return m_pool.holds(shard); }
 
   /// Places that another holder has on a shard, as it told last.
-  void setPeerPlaces(const VmId& vm, const ShardId& shard, unsigned places);
-  void forgetPeer(const VmId& vm);
+  void setPeerPlaces(const VmId& vm, const ShardId& shard, unsigned places)
+  {
+    m_peerPlaces.set(vm, shard, places);
+  }
+  void forgetPeer(const VmId& vm) { m_peerPlaces.forget(vm); }
 
   void holdAnswered(const WorkerId& worker,
                     const HoldAnswer& answer,
@@ -123,12 +122,10 @@
   /// How long a job would wait for its places if it came now.
   Duration expectedWait(const Job& job, TimePoint now) const;
   std::size_t jobCount() const { return m_jobs.size(); }
-  std::size_t waitingTasks() const;
+  std::size_t waitingTasks() const { return m_queue.waitingTasks(); }
   const WorkerPool& pool() const { return m_pool; }
 
 private:
-  using QueueKey = std::tuple<TimePoint, std::uint64_t>;
-  using Queue = std::map<QueueKey, Job*>;
   struct RunOwner
   {
     Job* job = nullptr;
@@ -136,30 +133,21 @@
   };
 
   WorkerPool::Hooks poolHooks();
-  std::unique_ptr<Job> makeJob(JobRequest request, TimePoint now) const;
   bool adoptRun(Job& job, std::size_t position, TimePoint now);
   void findRuns(Job& job, TimePoint now);
   bool mustRefuse(const Job& job, TimePoint now, Duration& retryAfter) const;
   void quarantineForwarded(JobTask& task, std::uint64_t nextRun, TimePoint now);
-  void enqueue(Job& job);
-  void dequeue(Job& job);
   void setPending(Job& job, JobTask& task);
   void leavePending(Job& job, JobTask& task, TaskState state);
   void pump(TimePoint now);
   void pumpJob(Job& job, TimePoint now);
   bool startTask(Job& job, std::size_t position, TimePoint now);
   void returnTasks(Job& job);
-  struct PeerPlaces
-  {
-    VmId holder;
-    unsigned places = 0;
-  };
-  using Peers = std::map<ShardId, PeerPlaces>;
-  Peers::iterator peerFor(const Job& job);
-  bool hasPeerFor(const Job& job) const;
+  void noteSize(const Resources& resources);
+  bool canReturn(const Job& job) const;
   bool attach(const JobRequest& request);
-  void taskDone(Job& job, JobTask& task, TimePoint now);
-  void taskFailed(Job& job, JobTask& task, TimePoint now);
+  void taskDone(Job& job, JobTask& task);
+  void taskFailed(Job& job, JobTask& task);
   void runEnded(const WorkerId& worker, const RunKey& key, RunEnd end);
   void startRejected(const WorkerId& worker,
                      const RunKey& key,
@@ -169,13 +157,11 @@
   void finish(Job& job, const JobEnd& end);
   /// Ends what a job has under way and forgets it.
   void drop(Job& job);
-  JobEnd movedEnd(const Job& job) const;
   void tickJobs(TimePoint now);
   void tickJob(Job& job, TimePoint now);
   bool endQuarantine(Job& job, TimePoint now);
   void checkProgress(Job& job, TimePoint now);
   bool isStalled(const Job& job, const JobTask& task, TimePoint now) const;
-  void logJob(const char* event, const Job& job, const JobEnd* end) const;
 
   const VmId m_self;
   const Settings m_settings;
@@ -183,10 +169,9 @@
   WorkerPool m_pool;
   RunTimes m_runTimes;
   std::map<JobKey, std::unique_ptr<Job>> m_jobs;
-  Queue m_queue;
+  JobQueue m_queue;
   std::map<RunKey, RunOwner> m_runs;
-  std::uint64_t m_lastSequence = 0;
-  Peers m_peerPlaces;
+  PeerPlaces m_peerPlaces;
   /// Tasks that were found done without a job that had asked.
   std::unordered_map<std::string, TimePoint> m_strayDone;
   /// Moving mean of what a task needs.
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -295,13 +295,13 @@
 {
   WorkerLease::Hooks hooks;
   hooks.sendHold = [this, id](const HoldOrder& order, Duration timeout) {
-    m_hooks.sendHold(m_entries.at(id).lease->record(), order, timeout);
+    m_hooks.orders.hold(m_entries.at(id).lease->record(), order, timeout);
   };
   hooks.sendStart = [this, id](const StartOrder& order, Duration timeout) {
-    m_hooks.sendStart(m_entries.at(id).lease->record(), order, timeout);
+    m_hooks.orders.start(m_entries.at(id).lease->record(), order, timeout);
   };
   hooks.sendStop = [this, id](const StopOrder& order, Duration timeout) {
-    m_hooks.sendStop(m_entries.at(id).lease->record(), order, timeout);
+    m_hooks.orders.stop(m_entries.at(id).lease->record(), order, timeout);
   };
   hooks.runEnded = [this, id](const RunKey& key, RunEnd end) {
     m_hooks.runEnded(id, key, end);
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -3,6 +3,7 @@
 #include "jobrequest.h"
 #include "libcore/shardid.h"
 #include "shardmap.h"
+#include "workerorders.h"
 
 #include "libworkers/workers.h"
 
@@ -36,12 +37,7 @@
   /// `start` and `stop`, but not what adds or drops workers.
   struct Hooks
   {
-    std::function<void(const WorkerRecord&, const HoldOrder&, Duration)>
-      sendHold;
-    std::function<void(const WorkerRecord&, const StartOrder&, Duration)>
-      sendStart;
-    std::function<void(const WorkerRecord&, const StopOrder&, Duration)>
-      sendStop;
+    WorkerOrders orders;
     std::function<void(const WorkerId&, const RunKey&, RunEnd)> runEnded;
     std::function<void(const WorkerId&, const RunKey&, OrderFailure)>
       startRejected;
--- a/tests/jobs/schedulerfixture.h
+++ b/tests/jobs/schedulerfixture.h
@@ -135,7 +135,7 @@
   Scheduler::Hooks hooks()
   {
     Scheduler::Hooks hooks;
-    hooks.sendHold =
+    hooks.orders.hold =
       [this](const WorkerRecord& record, const HoldOrder& order, Duration) {
         if (order.wait > Duration::zero()) {
           m_parked.push_back({ record.id(), order, now });
@@ -145,14 +145,14 @@
           scheduler.holdAnswered(id, workers[id].hold(order, now), sent, now);
         });
       };
-    hooks.sendStart =
+    hooks.orders.start =
       [this](const WorkerRecord& record, const StartOrder& order, Duration) {
         orders.push_back([this, id = record.id(), order] {
           scheduler.startAnswered(
             id, order.key, workers[id].start(order, now), now);
         });
       };
-    hooks.sendStop =
+    hooks.orders.stop =
       [this](const WorkerRecord& record, const StopOrder& order, Duration) {
         orders.push_back([this, id = record.id(), order] {
           scheduler.stopAnswered(
