An answer to an earlier claim tells nothing of a worker

Workers were taken away, so the shards were divided anew: the daemon dissolved its shard and took it again 6 ms later. The report that the old lease had asked for came then, from before the last start, and the new lease took it as the answer to its claim: it counted a worker as empty that had a task, and started three more. The same could happen on a claim after being fenced.

Ruled out: another holder (one token in the log), a lost answer of a start (the run was found 18 ms later by the claim's own answer).

Change: an answer is told with the order's token and time (SentHold); one with another token than the lease's is ignored, but for a worker's other life. A claim no longer waits for a report that is under way.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -223,19 +223,19 @@
 {
   Scheduler::Hooks hooks;
   hooks.orders.hold = [this](const WorkerRecord& worker,
-                          const HoldOrder& order,
-                          Duration timeout) {
-    const TimePoint sent = m_clocks.steady();
+                             const HoldOrder& order,
+                             Duration timeout) {
+    const SentHold sent{ order.token, m_clocks.steady() };
     m_ports.hold(worker,
                  order,
                  timeout,
                  [this, id = worker.id(), sent](const auto& answer) {
-                   m_scheduler.holdAnswered(id, answer, sent, observeTime());
+                   m_scheduler.holdAnswered(id, sent, answer, observeTime());
                  });
   };
   hooks.orders.start = [this](const WorkerRecord& worker,
-                           const StartOrder& order,
-                           Duration timeout) {
+                              const StartOrder& order,
+                              Duration timeout) {
     m_ports.start(
       worker,
       order,
@@ -245,8 +245,8 @@
       });
   };
   hooks.orders.stop = [this](const WorkerRecord& worker,
-                          const StopOrder& order,
-                          Duration timeout) {
+                             const StopOrder& order,
+                             Duration timeout) {
     m_ports.stop(worker,
                  order,
                  timeout,
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -245,12 +245,12 @@
 
 void
 Scheduler::holdAnswered(const WorkerId& worker,
+                        const SentHold& sent,
                         const HoldAnswer& answer,
-                        TimePoint sent,
                         TimePoint now)
 {
   m_now = now;
-  m_pool.holdAnswered(worker, answer, sent, now);
+  m_pool.holdAnswered(worker, sent, answer, now);
   pump(now);
 }
 
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -99,8 +99,8 @@
   void forgetPeer(const VmId& vm) { m_peerPlaces.forget(vm); }
 
   void holdAnswered(const WorkerId& worker,
+                    const SentHold& sent,
                     const HoldAnswer& answer,
-                    TimePoint sent,
                     TimePoint now);
   void startAnswered(const WorkerId& worker,
                      const RunKey& key,
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -158,14 +158,14 @@
 
 void
 WorkerPool::holdAnswered(const WorkerId& worker,
+                         const SentHold& sent,
                          const HoldAnswer& answer,
-                         TimePoint sent,
                          TimePoint now)
 {
   const auto found = m_entries.find(worker);
   if (found == m_entries.end())
     return;
-  found->second.lease->holdAnswered(answer, sent, now);
+  found->second.lease->holdAnswered(sent, answer, now);
 }
 
 void
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -102,8 +102,8 @@
   bool isRunning(const std::string& task) const;
 
   void holdAnswered(const WorkerId& worker,
+                    const SentHold& sent,
                     const HoldAnswer& answer,
-                    TimePoint sent,
                     TimePoint now);
   void startAnswered(const WorkerId& worker,
                      const RunKey& key,
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -23,6 +23,13 @@
     .count();
 }
 
+bool
+tellsOfAnotherLife(const HoldAnswer& answer)
+{
+  const auto* failure = std::get_if<OrderFailure>(&answer);
+  return failure != nullptr && *failure == OrderFailure::OtherLife;
+}
+
 } // namespace
 
 const char*
@@ -57,8 +64,7 @@
   m_unanswered = 0;
   setState(LeaseState::Claiming);
   m_nextHoldAt = now;
-  if (!m_isHoldUnderWay)
-    sendHold(Duration::zero(), now);
+  sendHold(Duration::zero(), now);
 }
 
 void
@@ -103,16 +109,18 @@
 }
 
 void
-WorkerLease::holdAnswered(const HoldAnswer& answer,
-                          TimePoint sent,
+WorkerLease::holdAnswered(const SentHold& sent,
+                          const HoldAnswer& answer,
                           TimePoint now)
 {
+  if (sent.token != m_token && !tellsOfAnotherLife(answer))
+    return;
   m_isHoldUnderWay = false;
   if (const auto* failure = std::get_if<OrderFailure>(&answer)) {
     holdFailed(*failure, now);
     return;
   }
-  applyReport(std::get<HoldReport>(answer), sent, now);
+  applyReport(std::get<HoldReport>(answer), sent.at, now);
 }
 
 void
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -104,7 +104,11 @@
   std::optional<RunKey> adopt(const std::string& task,
                               const Resources& resources);
 
-  void holdAnswered(const HoldAnswer& answer, TimePoint sent, TimePoint now);
+  /// What answers an order of an earlier claim is ignored: the worker may have
+  /// got runs since that only the answer to the new claim tells of.
+  void holdAnswered(const SentHold& sent,
+                    const HoldAnswer& answer,
+                    TimePoint now);
   void startAnswered(const RunKey& key,
                      const OrderAnswer& answer,
                      TimePoint now);
--- a/src/libworkers/workerorder.h
+++ b/src/libworkers/workerorder.h
@@ -28,6 +28,13 @@
   Duration wait = Duration::zero();
 };
 
+/// Which order of holding a worker's answer belongs to.
+struct SentHold
+{
+  FencingToken token = 0;
+  TimePoint at{};
+};
+
 /// Starts one run.
 struct StartOrder
 {
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -46,6 +46,23 @@
   EXPECT_EQ(fixture.scheduler.waitingTasks(), 1u);
 }
 
+TEST_F(SchedulerTest, AReportToAnEarlierLeaseOfAWorkerFillsNoWorkerTwice)
+{
+  const SentHold earlier{ 10, fixture.now };
+  const HoldAnswer beforeTheStarts = fixture.workers[WorkerId("w1")].hold(
+    { 10, std::nullopt, 0, {} }, earlier.at);
+  submit(fixture.request("a", 4));
+  ASSERT_EQ(fixture.running(), 4u);
+  fixture.scheduler.releaseShard(SchedulerFixture::shard(), fixture.now);
+  fixture.scheduler.takeShard(
+    SchedulerFixture::shard(), 20, fixture.now, std::nullopt);
+  for (const char* worker : { "w1", "w2" })
+    fixture.scheduler.holdAnswered(
+      WorkerId(worker), earlier, beforeTheStarts, fixture.now);
+  submit(fixture.request("b", 4));
+  EXPECT_EQ(fixture.running(), 4u);
+}
+
 TEST_F(SchedulerTest, AFailedTaskIsTriedOnAnotherWorkerAndThenFailsItsJob)
 {
   const JobRequest job = fixture.request("a", 1);
--- a/tests/jobs/schedulerfixture.h
+++ b/tests/jobs/schedulerfixture.h
@@ -142,7 +142,8 @@
           return;
         }
         orders.push_back([this, id = record.id(), order, sent = now] {
-          scheduler.holdAnswered(id, workers[id].hold(order, now), sent, now);
+          scheduler.holdAnswered(
+            id, { order.token, sent }, workers[id].hold(order, now), now);
         });
       };
     hooks.orders.start =
@@ -175,8 +176,8 @@
     for (const Parked& parked : std::exchange(m_parked, {})) {
       orders.push_back([this, parked] {
         scheduler.holdAnswered(parked.worker,
+                               { parked.order.token, parked.sent },
                                workers[parked.worker].hold(parked.order, now),
-                               parked.sent,
                                now);
       });
     }
--- a/tests/workers/leasefixture.h
+++ b/tests/workers/leasefixture.h
@@ -91,14 +91,15 @@
   {
     WorkerLease::Hooks hooks;
     hooks.sendHold = [this](const HoldOrder& order, Duration) {
-      orders.push_back([this, order, sent = now](Delivery delivery) {
+      const SentHold sent{ order.token, now };
+      orders.push_back([this, order, sent](Delivery delivery) {
         const auto carryOut = [this, order] { return worker.hold(order, now); };
         HoldAnswer answer = OrderFailure::Unanswered;
         if (delivery == Delivery::Normal)
           answer = carryOut();
         else
           dispose(delivery, carryOut);
-        lease.holdAnswered(answer, sent, now);
+        lease.holdAnswered(sent, answer, now);
       });
     };
     hooks.sendStart = [this](const StartOrder& order, Duration) {
--- a/tests/workers/workerlease_test.cpp
+++ b/tests/workers/workerlease_test.cpp
@@ -70,8 +70,8 @@
   fixture.deliver(GetParam().stop, 1);
   // The report that was under way is answered first, then those after it.
   fixture.lease.holdAnswered(
+    { 10, fixture.now },
     fixture.worker.hold({ 10, std::nullopt, 0, {} }, fixture.now),
-    fixture.now,
     fixture.now);
   for (int step = 0; step < 80; ++step) {
     fixture.pass(20);
@@ -182,7 +182,7 @@
   fixture.start(run1);
   fixture.deliver(Delivery::Normal, 1);
   fixture.lease.holdAnswered(
-    OrderFailure::Unanswered, fixture.now, fixture.now);
+    { 10, fixture.now }, OrderFailure::Unanswered, fixture.now);
   while (fixture.ended.empty() &&
          fixture.now < fixture.lease.lapsedBy() + std::chrono::seconds(5)) {
     fixture.pass(20);
@@ -197,12 +197,27 @@
   EXPECT_TRUE(fixture.lease.canStart(task));
 }
 
+TEST(WorkerLease, AnAnswerToAnEarlierClaimTellsNothingOfTheWorker)
+{
+  LeaseFixture fixture;
+  fixture.claim();
+  ASSERT_EQ(fixture.orders.size(), 1u) << "a report that may wait";
+  fixture.lease.claim(20, fixture.now);
+  fixture.deliver(Delivery::Normal, 1);
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Claiming);
+  EXPECT_FALSE(fixture.lease.canStart(task));
+  fixture.deliver(Delivery::Normal, 1);
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Held);
+  EXPECT_EQ(fixture.worker.highestToken(), 20u);
+}
+
 TEST(WorkerLease, AnotherLifeOfTheWorkerEndsItsRuns)
 {
   LeaseFixture fixture;
   fixture.claim();
   fixture.start(run1);
-  fixture.lease.holdAnswered(OrderFailure::OtherLife, fixture.now, fixture.now);
+  fixture.lease.holdAnswered(
+    { 10, fixture.now }, OrderFailure::OtherLife, fixture.now);
   ASSERT_EQ(fixture.ended.size(), 1u);
   EXPECT_EQ(fixture.ended[0].second, RunEnd::Lost);
   EXPECT_EQ(fixture.lease.state(), LeaseState::Ended);
