Where a caller's job goes is logged; tokens, strain and reports apart

Change: job-placed tells holder, shard, free places there and the age of that word. What is decided is unchanged.

--- a/src/libcli/callbuilder.cpp
+++ b/src/libcli/callbuilder.cpp
@@ -18,8 +18,7 @@
 std::string
 inMilliseconds(Duration duration)
 {
-  return std::to_string(
-    std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+  return std::to_string(toMilliseconds(duration));
 }
 
 HttpCall
--- a/src/libcli/transport.cpp
+++ b/src/libcli/transport.cpp
@@ -16,10 +16,9 @@
 constexpr Duration maxConnectTime = std::chrono::seconds(3);
 
 cxxtools::Milliseconds
-toMilliseconds(Duration duration)
+toCxxtools(Duration duration)
 {
-  return cxxtools::Milliseconds(
-    std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+  return cxxtools::Milliseconds(toMilliseconds(duration));
 }
 
 std::string
@@ -38,7 +37,7 @@
 {
   try {
     cxxtools::net::TcpSocket socket;
-    socket.setTimeout(toMilliseconds(std::min(timeout, maxConnectTime)));
+    socket.setTimeout(toCxxtools(std::min(timeout, maxConnectTime)));
     socket.connect(daemon.host(), daemon.port());
     return std::nullopt;
   } catch (const std::exception& error) {
@@ -85,7 +84,7 @@
   }
   try {
     cxxtools::http::Client client(daemon.host(), daemon.port());
-    client.execute(toRequest(call), toMilliseconds(timeout));
+    client.execute(toRequest(call), toCxxtools(timeout));
     client.readBody();
     return toReply(client);
   } catch (const std::exception& error) {
--- a/src/libcore/clock.h
+++ b/src/libcore/clock.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 namespace cowslippin {
@@ -14,6 +15,14 @@
 /// Reads the time. Tests put a virtual clock in its place.
 using Clock = std::function<TimePoint()>;
 
+/// Whole milliseconds, rounded towards zero.
+inline std::int64_t
+toMilliseconds(Duration duration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+    .count();
+}
+
 /// Reads the machine's monotonic clock.
 inline TimePoint
 steadyNow()
--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -11,34 +11,14 @@
 
 namespace {
 
-/// Tokens are the time of day in milliseconds since 2024 times this, and a
-/// random rest, so that two daemons don't make the same one. They stay below
-/// 2^53, which any JSON reader takes exactly.
-constexpr std::uint64_t tokensPerMs = 4096;
-constexpr std::int64_t tokenEpochMs = 1704067200000;
-/// Weight of the newest tick in the mean lateness; it spans some 300 ms.
-constexpr double latenessWeight = 0.07;
-/// Above the highest token that is known of.
-constexpr std::uint64_t usualMargin = tokensPerMs;
-/// After a worker has refused a token: somebody's time of day is ahead.
-constexpr std::uint64_t fencedMargin = 3000 * tokensPerMs;
 /// How long a configuration is left to arrive from the platform before a peer
 /// that is behind is sent it.
 constexpr Duration configHeadStart = std::chrono::milliseconds(400);
-/// Between two sendings of a configuration to the same peer.
-constexpr Duration configResend = std::chrono::milliseconds(1000);
 /// Between two messages about free places to other holders.
 constexpr Duration placesInterval = std::chrono::milliseconds(30);
 /// How much earlier than the platform kills it a daemon exits by itself.
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 
-std::int64_t
-milliseconds(Duration duration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-    .count();
-}
-
 } // namespace
 
 EntryCore::EntryCore(Settings settings, Ports ports, Links links, Clocks clocks)
@@ -53,6 +33,8 @@
   , m_scheduler(m_settings.vm, m_settings.scheduler, schedulerHooks())
   , m_gateway(m_settings.vm, m_settings.gateway, gatewayHooks())
   , m_routing(std::make_shared<RoutingTable>())
+  , m_tokens(m_clocks.timeOfDay, m_clocks.processNumber)
+  , m_strain(m_settings.strain)
   , m_lastBootTime(m_clocks.sinceBoot())
 {
   m_shards.setSlowness(m_settings.slowness);
@@ -101,7 +83,7 @@
     logEvent(
       LogLevel::Info, "shard-dissolved", { { "shard", shard.toString() } });
     m_shards.dissolved(shard);
-    m_holdersWorkers.erase(shard);
+    m_reports.forgetWorkers(shard);
     m_scheduler.releaseShard(shard, now);
   }
 }
@@ -116,7 +98,7 @@
 EntryCore::holdersRead(FencingToken highest)
 {
   m_shards.platformRead(observeTime());
-  m_lastToken = std::max(m_lastToken, highest);
+  m_tokens.seen(highest);
 }
 
 bool
@@ -260,7 +242,7 @@
   hooks.returned = [this](const JobKey& key, const TasksReturned& returned) {
     tasksReturned(key, returned);
   };
-  hooks.higherToken = [this] { return nextToken(fencedMargin); };
+  hooks.higherToken = [this] { return m_tokens.nextAfterRefusal(); };
   hooks.fenced = [this](const ShardId& shard) { m_fenced.insert(shard); };
   return hooks;
 }
@@ -286,7 +268,7 @@
 EntryCore::peerUp(const PeerHello& hello)
 {
   const TimePoint now = observeTime();
-  m_peers[hello.vm].zone = hello.zone;
+  m_reports.setZone(hello.vm, hello.zone);
   m_links.send(hello.vm, makeBeat(now));
 }
 
@@ -308,7 +290,7 @@
 EntryCore::pauseNoticed(TimePoint now, Duration gap)
 {
   logEvent(
-    LogLevel::Warning, "pause-noticed", { { "gapMs", milliseconds(gap) } });
+    LogLevel::Warning, "pause-noticed", { { "gapMs", toMilliseconds(gap) } });
   m_resumeAt = now + m_settings.wakeTime;
   m_scheduler.suspend(now);
   m_links.dropAll();
@@ -334,7 +316,7 @@
   if (now - m_lastPlatformBeatAt >= m_settings.platformBeatInterval) {
     m_lastPlatformBeatAt = now;
     for (const auto& [shard, token] : m_shards.held())
-      m_ports.publishHolder(shard, m_lastToken);
+      m_ports.publishHolder(shard, m_tokens.highest());
   }
   checkLeaving(now);
 }
@@ -382,21 +364,11 @@
 void
 EntryCore::noticeStrain(TimePoint now)
 {
-  if (m_lastTickAt) {
-    const double late =
-      double((now - *m_lastTickAt - m_settings.tickInterval).count());
-    m_lateness = m_lateness * (1 - latenessWeight) + late * latenessWeight;
-  }
-  m_lastTickAt = now;
-  const auto limit =
-    m_isStrained ? m_settings.calmLateness : m_settings.strainLateness;
-  const bool isStrained = m_lateness > double(limit.count());
-  if (isStrained != m_isStrained)
+  if (m_strain.ticked(now))
     logEvent(LogLevel::Info,
-             isStrained ? "strained" : "strain-over",
-             { { "latenessMs", m_lateness / 1000 } });
-  m_isStrained = isStrained;
-  m_shards.setStrained(isStrained);
+             m_strain.isStrained() ? "strained" : "strain-over",
+             { { "latenessMs", toMilliseconds(m_strain.lateness()) } });
+  m_shards.setStrained(m_strain.isStrained());
 }
 
 PeerBeat
@@ -409,9 +381,9 @@
     beat.shards[shard] = { token,
                            m_scheduler.sparePlaces(shard, now),
                            m_scheduler.digest(shard) };
-  beat.isStrained = m_isStrained;
+  beat.isStrained = m_strain.isStrained();
   beat.slowness = m_settings.slowness;
-  beat.highestToken = m_lastToken;
+  beat.highestToken = m_tokens.highest();
   beat.configVersion = m_routing->version();
   return beat;
 }
@@ -431,14 +403,15 @@
     m_scheduler.releaseShard(shard, now);
   }
   for (const ShardId& shard : decisions.take) {
-    const FencingToken token = nextToken(usualMargin);
+    const FencingToken token = m_tokens.next();
     logEvent(LogLevel::Info,
              "shard-taken",
              { { "shard", shard.toString() },
                { "token", token },
                { "peers", m_links.up().size() } });
     m_shards.taken(shard, token);
-    m_scheduler.takeShard(shard, token, now, lastHoldersWorkers(shard));
+    m_scheduler.takeShard(
+      shard, token, now, m_reports.lastHoldersWorkers(shard));
     m_ports.publishHolder(shard, token);
   }
   if (!decisions.release.empty() || !decisions.take.empty())
@@ -479,21 +452,17 @@
 void
 EntryCore::beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now)
 {
-  Peer& peer = m_peers[vm];
-  peer.places.clear();
-  m_lastToken = std::max(m_lastToken, beat.highestToken);
+  m_reports.received(vm, beat, now);
+  m_tokens.seen(beat.highestToken);
   MemberView view;
   view.id = vm;
-  view.zone = peer.zone;
+  view.zone = m_reports.zone(vm);
   view.isLeaving = beat.isLeaving;
   view.isReady = beat.isReady;
   view.isStrained = beat.isStrained;
   view.slowness = beat.slowness;
-  for (const auto& [shard, held] : beat.shards) {
+  for (const auto& [shard, held] : beat.shards)
     view.shards[shard] = held.token;
-    peer.places[shard] = held.places;
-    m_holdersWorkers[shard] = held.workers;
-  }
   m_shards.memberSeen(view, now);
   m_scheduler.forgetPeer(vm);
   if (!beat.isLeaving) {
@@ -502,10 +471,8 @@
   }
   const bool isBehind = beat.configVersion < m_routing->version();
   if (isBehind && now - m_configuredAt >= configHeadStart &&
-      now - peer.configSentAt >= configResend) {
-    peer.configSentAt = now;
+      m_reports.mayConfigure(vm, now))
     m_links.send(vm, PeerConfig{ m_routing->version(), m_configurationBody });
-  }
 }
 
 void
@@ -541,29 +508,6 @@
   m_links.send(key.submitter(), PeerTasksReturned{ key, returned });
 }
 
-/// What the last other holder told of a shard's workers.
-std::optional<ShardDigest>
-EntryCore::lastHoldersWorkers(const ShardId& shard) const
-{
-  const auto workers = m_holdersWorkers.find(shard);
-  if (workers == m_holdersWorkers.end())
-    return std::nullopt;
-  return workers->second;
-}
-
-FencingToken
-EntryCore::nextToken(std::uint64_t margin)
-{
-  const std::int64_t sinceEpoch = m_clocks.timeOfDay() - tokenEpochMs;
-  const auto fromClock =
-    static_cast<std::uint64_t>(std::max<std::int64_t>(sinceEpoch, 1)) *
-    tokensPerMs;
-  const std::uint64_t next = std::max(fromClock, m_lastToken + margin);
-  m_lastToken =
-    next / tokensPerMs * tokensPerMs + m_clocks.processNumber % tokensPerMs;
-  return m_lastToken;
-}
-
 std::optional<VmId>
 EntryCore::reachableHolder(const ShardId& shard) const
 {
@@ -575,9 +519,10 @@
 
 /// Of two shards of this zone the one with more room, so that what isn't quite
 /// up to date doesn't send everything to one. Another zone's if there is none.
-std::optional<std::pair<VmId, ShardId>>
+std::optional<HolderChoice>
 EntryCore::bestHolder()
 {
+  const TimePoint now = m_clocks.steady();
   std::vector<std::pair<VmId, ShardId>> home;
   std::vector<std::pair<VmId, ShardId>> abroad;
   for (const ShardId& shard : m_shards.shards()) {
@@ -585,26 +530,33 @@
       (shard.zone() == m_settings.zone ? home : abroad)
         .emplace_back(*holder, shard);
   }
-  const auto& choice = home.empty() ? abroad : home;
-  if (choice.empty())
+  const auto& holders = home.empty() ? abroad : home;
+  if (holders.empty())
     return std::nullopt;
-  const std::size_t first = m_nextChoice++ % choice.size();
-  const std::size_t second =
-    (first + 1 + m_nextChoice / choice.size() % choice.size()) % choice.size();
-  return placesOf(choice[first]) >= placesOf(choice[second]) ? choice[first]
-                                                             : choice[second];
-}
-
-unsigned
-EntryCore::placesOf(const std::pair<VmId, ShardId>& holder) const
-{
-  if (holder.first == m_settings.vm)
-    return m_scheduler.sparePlaces(holder.second, m_clocks.steady());
-  const auto peer = m_peers.find(holder.first);
-  if (peer == m_peers.end())
-    return 0;
-  const auto places = peer->second.places.find(holder.second);
-  return places == peer->second.places.end() ? 0 : places->second;
+  const std::size_t count = holders.size();
+  const auto& one = holders[m_nextChoice++ % count];
+  const auto& other =
+    holders[(m_nextChoice + m_nextChoice / count % count) % count];
+  const HolderChoice first = choiceOf(one.first, one.second, now);
+  const HolderChoice second = choiceOf(other.first, other.second, now);
+  return first.places >= second.places ? first : second;
+}
+
+HolderChoice
+EntryCore::choiceOf(const VmId& holder,
+                    const ShardId& shard,
+                    TimePoint now) const
+{
+  HolderChoice choice;
+  choice.holder = holder;
+  choice.shard = shard;
+  if (holder == m_settings.vm) {
+    choice.places = m_scheduler.sparePlaces(shard, now);
+  } else {
+    choice.places = m_reports.places(holder, shard);
+    choice.age = m_reports.age(holder, now).value_or(Duration::zero());
+  }
+  return choice;
 }
 
 bool
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "gateway.h"
+#include "peerreports.h"
 #include "routingtable.h"
+#include "strainmeter.h"
+#include "tokensource.h"
 
 #include "libjobs/jobs.h"
 #include "libpeers/peermessage.h"
@@ -32,13 +35,8 @@
     Duration grace = std::chrono::seconds(6);
     /// How slow this machine is: the logarithm of what a fixed work takes.
     int slowness = 0;
-    /// Time between two ticks.
-    Duration tickInterval = std::chrono::milliseconds(20);
-    /// Mean lateness of ticks from which this daemon gives its shards to
-    /// others, and below which it takes some again. The silence limit between
-    /// daemons is 450 ms, heartbeats come each 140 ms.
-    Duration strainLateness = std::chrono::milliseconds(60);
-    Duration calmLateness = std::chrono::milliseconds(15);
+    /// A strained daemon gives its shards to others.
+    StrainMeter::Settings strain;
     Scheduler::Settings scheduler;
     ShardTable::Settings shards;
     Gateway::Settings gateway;
@@ -182,12 +180,12 @@
   void beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now);
   void jobEnded(const JobKey& key, const JobEnd& end);
   void tasksReturned(const JobKey& key, const TasksReturned& returned);
-  FencingToken nextToken(std::uint64_t margin);
   std::optional<VmId> reachableHolder(const ShardId& shard) const;
-  std::optional<std::pair<VmId, ShardId>> bestHolder();
-  unsigned placesOf(const std::pair<VmId, ShardId>& holder) const;
+  std::optional<HolderChoice> bestHolder();
+  HolderChoice choiceOf(const VmId& holder,
+                        const ShardId& shard,
+                        TimePoint now) const;
   unsigned sparePlaces(TimePoint now) const;
-  std::optional<ShardDigest> lastHoldersWorkers(const ShardId& shard) const;
   void noticeStrain(TimePoint now);
   void dissolveShards(TimePoint now);
   bool submitTo(const VmId& vm, const JobRequest& request);
@@ -204,16 +202,9 @@
   std::string m_configurationBody;
   TimePoint m_configuredAt{};
   bool m_hasWorkers = false;
-  struct Peer
-  {
-    ZoneName zone;
-    std::map<ShardId, unsigned> places;
-    TimePoint configSentAt{};
-  };
-  std::map<VmId, Peer> m_peers;
-  /// By shard, as its last other holder told.
-  std::map<ShardId, ShardDigest> m_holdersWorkers;
-  FencingToken m_lastToken = 0;
+  PeerReports m_reports;
+  TokenSource m_tokens;
+  StrainMeter m_strain;
   std::set<ShardId> m_fenced;
   TimePoint m_lastBeatAt{};
   TimePoint m_lastHolderBeatAt{};
@@ -221,10 +212,6 @@
   TimePoint m_lastPlatformBeatAt{};
   std::chrono::nanoseconds m_lastBootTime{};
   std::optional<TimePoint> m_resumeAt;
-  std::optional<TimePoint> m_lastTickAt;
-  /// Moving mean, in microseconds.
-  double m_lateness = 0;
-  bool m_isStrained = false;
   std::size_t m_nextChoice = 0;
   std::optional<TimePoint> m_leaveAt;
   std::function<void()> m_left;
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -243,7 +243,18 @@
 {
   part.isSuggested = false;
   const auto best = m_hooks.bestHolder();
-  return best && handTo(entry, part, best->first, best->second, now);
+  if (!best || !handTo(entry, part, best->holder, best->shard, now))
+    return false;
+  logEvent(LogLevel::Info,
+           "job-placed",
+           { { "job", entry.submission.job },
+             { "tasks", part.tasks.size() },
+             { "holder", best->holder },
+             { "shard", best->shard.toString() },
+             { "places", best->places },
+             { "placesAgeMs", toMilliseconds(best->age) },
+             { "ageMs", toMilliseconds(now - entry.arrivedAt) } });
+  return true;
 }
 
 /// A part whose daemon was lost goes to the next holder of the same workers,
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -46,6 +46,16 @@
   std::string reason;
 };
 
+/// A shard of workers that a job could go to, with what is known of it.
+struct HolderChoice
+{
+  VmId holder;
+  ShardId shard;
+  /// Free places, and how long ago the holder told of them.
+  unsigned places = 0;
+  Duration age = Duration::zero();
+};
+
 /// The jobs whose callers wait at this daemon. It finds the daemon that holds
 /// workers for each, and another one when that is lost, and makes sure that no
 /// task runs twice at the same time on the way. It does no input or output and
@@ -71,8 +81,8 @@
     /// Who holds a shard, if that daemon can be reached.
     std::function<std::optional<VmId>(const ShardId&)> holder;
     /// A holder for a new job: one of this zone if there is any, with room if
-    /// there is any, and its shard.
-    std::function<std::optional<std::pair<VmId, ShardId>>()> bestHolder;
+    /// there is any.
+    std::function<std::optional<HolderChoice>()> bestHolder;
     /// Hands a job to a daemon, this one included. False if it can't be
     /// reached.
     std::function<bool(const VmId&, const JobRequest&)> submit;
--- /dev/null
+++ b/src/libentry/strainmeter.cpp
@@ -0,0 +1,33 @@
+#include "strainmeter.h"
+
+namespace cowslippin {
+
+namespace {
+
+/// Weight of the newest tick in the mean lateness; it spans some 300 ms.
+constexpr double newestWeight = 0.07;
+
+} // namespace
+
+StrainMeter::StrainMeter(Settings settings)
+  : m_settings(settings)
+{
+}
+
+bool
+StrainMeter::ticked(TimePoint now)
+{
+  if (m_lastTickAt) {
+    const Duration late = now - *m_lastTickAt - m_settings.tickInterval;
+    const double mean = double(m_lateness.count()) * (1 - newestWeight) +
+                        double(late.count()) * newestWeight;
+    m_lateness = Duration(static_cast<Duration::rep>(mean));
+  }
+  m_lastTickAt = now;
+  const bool was = m_isStrained;
+  m_isStrained =
+    m_lateness > (was ? m_settings.calmLateness : m_settings.strainLateness);
+  return m_isStrained != was;
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libentry/tokensource.cpp
@@ -0,0 +1,59 @@
+#include "tokensource.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+/// Tokens are the time of day in milliseconds since 2024 times this, and a
+/// rest of the process's own, so that two daemons don't make the same one. They
+/// stay below 2^53, which any JSON reader takes exactly.
+constexpr std::uint64_t tokensPerMs = 4096;
+constexpr std::int64_t tokenEpochMs = 1704067200000;
+/// Above the highest token that is known of.
+constexpr std::uint64_t usualMargin = tokensPerMs;
+/// Three seconds, more than clocks of the machines differ by.
+constexpr std::uint64_t refusalMargin = 3000 * tokensPerMs;
+
+} // namespace
+
+TokenSource::TokenSource(std::function<std::int64_t()> timeOfDay,
+                         std::uint64_t processNumber)
+  : m_timeOfDay(std::move(timeOfDay))
+  , m_processNumber(processNumber)
+{
+}
+
+void
+TokenSource::seen(FencingToken token)
+{
+  m_highest = std::max(m_highest, token);
+}
+
+FencingToken
+TokenSource::next()
+{
+  return above(usualMargin);
+}
+
+FencingToken
+TokenSource::nextAfterRefusal()
+{
+  return above(refusalMargin);
+}
+
+FencingToken
+TokenSource::above(std::uint64_t margin)
+{
+  const std::int64_t sinceEpoch = m_timeOfDay() - tokenEpochMs;
+  const auto fromClock =
+    static_cast<std::uint64_t>(std::max<std::int64_t>(sinceEpoch, 1)) *
+    tokensPerMs;
+  const std::uint64_t next = std::max(fromClock, m_highest + margin);
+  m_highest = next / tokensPerMs * tokensPerMs + m_processNumber % tokensPerMs;
+  return m_highest;
+}
+
+} // namespace cowslippin
--- a/src/libhttp/httpserver.cpp
+++ b/src/libhttp/httpserver.cpp
@@ -23,7 +23,7 @@
 constexpr char anyUrl[] = ".*";
 
 cxxtools::Milliseconds
-toMilliseconds(Duration duration)
+toCxxtools(Duration duration)
 {
   const auto whole = std::chrono::ceil<std::chrono::milliseconds>(duration);
   return cxxtools::Milliseconds(static_cast<double>(whole.count()));
@@ -94,8 +94,8 @@
   {
     m_server->minThreads(m_settings.minThreads);
     m_server->maxThreads(m_settings.maxThreads);
-    m_server->readTimeout(toMilliseconds(m_settings.readTimeout));
-    m_server->keepAliveTimeout(toMilliseconds(m_settings.keepAliveTimeout));
+    m_server->readTimeout(toCxxtools(m_settings.readTimeout));
+    m_server->keepAliveTimeout(toCxxtools(m_settings.keepAliveTimeout));
     m_server->addService(cxxtools::Regex(anyUrl), m_service);
   }
 
--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -4,17 +4,6 @@
 
 namespace cowslippin {
 
-namespace {
-
-std::int64_t
-milliseconds(Duration duration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-    .count();
-}
-
-} // namespace
-
 void
 logJob(const char* event, const Job& job, const JobEnd* end, TimePoint now)
 {
@@ -26,9 +15,9 @@
              { "submitter", request.key.submitter() },
              { "tasks", job.tasks.size() },
              { "done", job.done },
-             { "ageMs", milliseconds(now - job.arrivedAt) },
+             { "ageMs", toMilliseconds(now - job.arrivedAt) },
              { "outcome", end ? toString(end->outcome) : "" },
-             { "retryAfterMs", end ? milliseconds(end->retryAfter) : 0 } });
+             { "retryAfterMs", end ? toMilliseconds(end->retryAfter) : 0 } });
 }
 
 void
@@ -40,7 +29,7 @@
              { "task", task.index },
              { "run", task.run },
              { "worker", task.worker },
-             { "waitedMs", milliseconds(now - job.arrivedAt) } });
+             { "waitedMs", toMilliseconds(now - job.arrivedAt) } });
 }
 
 void
@@ -63,7 +52,7 @@
              { "run", task.run },
              { "worker", task.worker },
              { "end", toString(end) },
-             { "ranMs", milliseconds(now - task.startedAt) } });
+             { "ranMs", toMilliseconds(now - task.startedAt) } });
 }
 
 void
@@ -88,8 +77,8 @@
              { "run", task.run },
              { "worker", task.worker },
              { "percent", task.percent },
-             { "ranMs", milliseconds(now - task.startedAt) },
-             { "expectedMs", milliseconds(job.expected) } });
+             { "ranMs", toMilliseconds(now - task.startedAt) },
+             { "expectedMs", toMilliseconds(job.expected) } });
 }
 
 } // namespace cowslippin
--- a/src/libplatform/platformconnection.cpp
+++ b/src/libplatform/platformconnection.cpp
@@ -37,7 +37,7 @@
 constexpr char vmHeader[] = "Cowslippin-Vm";
 
 cxxtools::Milliseconds
-toMilliseconds(Duration duration)
+toCxxtools(Duration duration)
 {
   const auto rounded = std::chrono::ceil<milliseconds>(duration);
   return cxxtools::Milliseconds(static_cast<double>(rounded.count()));
@@ -234,7 +234,7 @@
     if (left <= Duration::zero()) {
       throw std::runtime_error("timed out");
     }
-    m_selector.wait(toMilliseconds(std::min(left, longestWait)));
+    m_selector.wait(toCxxtools(std::min(left, longestWait)));
     if (m_isCancelled) {
       throw std::runtime_error("cancelled");
     }
--- a/src/libprotocol/websockettransport.cpp
+++ b/src/libprotocol/websockettransport.cpp
@@ -14,13 +14,6 @@
 
 constexpr int listenBacklog = 256;
 
-long
-milliseconds(Duration duration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-    .count();
-}
-
 Problem
 cannotListen(const Address& address, const std::string& reason)
 {
@@ -153,8 +146,10 @@
 WebSocketTransport::setUp(WebSocketClient& client)
 {
   client.init_asio(&m_context);
-  client.set_open_handshake_timeout(milliseconds(m_settings.handshakeTimeout));
-  client.set_close_handshake_timeout(milliseconds(m_settings.handshakeTimeout));
+  client.set_open_handshake_timeout(
+    toMilliseconds(m_settings.handshakeTimeout));
+  client.set_close_handshake_timeout(
+    toMilliseconds(m_settings.handshakeTimeout));
   client.set_max_message_size(m_settings.maxMessageBytes);
 }
 
@@ -162,8 +157,10 @@
 WebSocketTransport::setUp(WebSocketServer& server)
 {
   server.init_asio(&m_context);
-  server.set_open_handshake_timeout(milliseconds(m_settings.handshakeTimeout));
-  server.set_close_handshake_timeout(milliseconds(m_settings.handshakeTimeout));
+  server.set_open_handshake_timeout(
+    toMilliseconds(m_settings.handshakeTimeout));
+  server.set_close_handshake_timeout(
+    toMilliseconds(m_settings.handshakeTimeout));
   server.set_max_message_size(m_settings.maxMessageBytes);
   server.set_reuse_addr(true);
   server.set_listen_backlog(listenBacklog);
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -8,21 +8,6 @@
 
 namespace {
 
-std::int64_t
-milliseconds(TimePoint time)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-           time.time_since_epoch())
-    .count();
-}
-
-std::int64_t
-milliseconds(Duration duration)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-    .count();
-}
-
 bool
 tellsOfAnotherLife(const HoldAnswer& answer)
 {
@@ -264,7 +249,7 @@
                          TimePoint sent,
                          TimePoint now)
 {
-  m_clockOffsetMs = report.clockMs - milliseconds(now);
+  m_clockOffsetMs = report.clockMs - toMilliseconds(now.time_since_epoch());
   m_unanswered = 0;
   applyEnds(report);
   applyActive(report, now);
@@ -337,7 +322,7 @@
     return true;
   // A start is ignored from its deadline on. The margin covers a start that
   // was carried out at that moment and isn't in this report.
-  const std::int64_t margin = milliseconds(m_settings.lapseMargin);
+  const std::int64_t margin = toMilliseconds(m_settings.lapseMargin);
   return run.startDeadlineMs > 0 && clockMs > run.startDeadlineMs + margin;
 }
 
@@ -391,8 +376,8 @@
 WorkerLease::deadline(TimePoint now)
 {
   m_renewedAt = now;
-  return milliseconds(now) + m_clockOffsetMs.value_or(0) +
-         milliseconds(m_settings.leaseTime);
+  return toMilliseconds(now.time_since_epoch()) + m_clockOffsetMs.value_or(0) +
+         toMilliseconds(m_settings.leaseTime);
 }
 
 } // namespace cowslippin
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -34,10 +34,13 @@
       return found == holders.end() ? std::nullopt
                                     : std::make_optional(found->second);
     };
-    hooks.bestHolder = [this]() -> std::optional<std::pair<VmId, ShardId>> {
+    hooks.bestHolder = [this]() -> std::optional<HolderChoice> {
       if (holders.empty())
         return std::nullopt;
-      return std::make_pair(holders.begin()->second, holders.begin()->first);
+      HolderChoice choice;
+      choice.holder = holders.begin()->second;
+      choice.shard = holders.begin()->first;
+      return choice;
     };
     hooks.submit = [this](const VmId& vm, const JobRequest& request) {
       sent.emplace_back(vm, request);
--- /dev/null
+++ b/tests/entry/tokensource_test.cpp
@@ -0,0 +1,61 @@
+#include "libentry/tokensource.h"
+
+#include <gtest/gtest.h>
+
+namespace cowslippin::testing {
+namespace {
+
+class TokenSourceTest : public ::testing::Test
+{
+protected:
+  TokenSource source(std::uint64_t processNumber = 7)
+  {
+    return TokenSource([this] { return timeOfDay; }, processNumber);
+  }
+
+  std::int64_t timeOfDay = 1800000000000;
+};
+
+TEST_F(TokenSourceTest, EachIsHigherThanTheLastAndThanWhatWasSeen)
+{
+  TokenSource tokens = source();
+  const FencingToken first = tokens.next();
+  const FencingToken second = tokens.next();
+  EXPECT_GT(second, first);
+  tokens.seen(second + 1000000);
+  EXPECT_GT(tokens.next(), second + 1000000);
+}
+
+TEST_F(TokenSourceTest, TwoProcessesMakeDifferentOnesAtTheSameTime)
+{
+  EXPECT_NE(source(7).next(), source(8).next());
+}
+
+TEST_F(TokenSourceTest, ALaterProcessIsAheadOfAnEarlierOneThatItHasNotHeardOf)
+{
+  const FencingToken earlier = source().next();
+  timeOfDay += 5;
+  EXPECT_GT(source(1).next(), earlier);
+}
+
+TEST_F(TokenSourceTest, AfterARefusalItIsAheadOfAClockTwoSecondsAhead)
+{
+  TokenSource tokens = source();
+  tokens.next();
+  timeOfDay += 2000;
+  const FencingToken refusedFor = source(9).next();
+  timeOfDay -= 2000;
+  EXPECT_GT(tokens.nextAfterRefusal(), refusedFor);
+}
+
+TEST_F(TokenSourceTest, AClockThatIsSetBackLowersNothing)
+{
+  TokenSource tokens = source();
+  const FencingToken first = tokens.next();
+  timeOfDay = 0;
+  EXPECT_GT(tokens.next(), first);
+  EXPECT_LT(tokens.highest(), FencingToken{ 1 } << 53);
+}
+
+} // namespace
+} // namespace cowslippin::testing
