A run that stands still counts once against its task's restarts

A tick each 20 ms counted a restart until the stop was answered, so that one slow stop used up all three, and a later run that stood still was left alone.

Change: a task knows that its run is being stopped.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -34,8 +34,10 @@
   TaskState state = TaskState::Pending;
   std::uint64_t nextRun = 1;
   unsigned failures = 0;
-  /// Runs that were stopped because they made no progress.
+  /// Runs that were stopped because they made no progress, and whether the
+  /// present one is among them.
   unsigned restarts = 0;
+  bool isBeingStopped = false;
   WorkerId worker;
   std::uint64_t run = 0;
   TimePoint startedAt{};
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -398,6 +398,7 @@
   task.startedAt = now;
   task.progressAt = now;
   task.percent = 0;
+  task.isBeingStopped = false;
   job.hasStarted = true;
   m_runs[key] = { &job, position };
   noteSize(job.request.needs.resources);
@@ -630,6 +631,7 @@
     if (task.state != TaskState::Running || !isStalled(job, task, now))
       continue;
     ++task.restarts;
+    task.isBeingStopped = true;
     task.avoided.insert(task.worker);
     logRunStalled(job, task, now);
     m_pool.workerStalled(task.worker, now);
@@ -641,7 +643,7 @@
 bool
 Scheduler::isStalled(const Job& job, const JobTask& task, TimePoint now) const
 {
-  if (task.restarts >= m_settings.maxRestarts)
+  if (task.isBeingStopped || task.restarts >= m_settings.maxRestarts)
     return false;
   const Duration quiet = now - task.progressAt;
   return quiet >
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -63,6 +63,36 @@
   EXPECT_EQ(fixture.running(), 4u);
 }
 
+/// The number of the run of a task that is at work; 0 if none is.
+std::uint64_t
+runAtWork(const SchedulerFixture& fixture, const std::string& task)
+{
+  for (const auto& [id, worker] : fixture.workers) {
+    for (const RunKey& key : worker.runs()) {
+      if (key.task() == task)
+        return key.run();
+    }
+  }
+  return 0;
+}
+
+TEST_F(SchedulerTest, ARunThatStandsStillIsStartedAnewAlsoIfItsStopTakesLong)
+{
+  fixture.addWorker("w3");
+  fixture.settle();
+  submit(fixture.request("a", 1));
+  ASSERT_EQ(runAtWork(fixture, "a.0.0.0"), 1u);
+  fixture.pass(340);
+  for (int tick = 0; tick < 4; ++tick) {
+    fixture.now += std::chrono::milliseconds(10);
+    fixture.scheduler.tick(fixture.now);
+  }
+  fixture.pass(60);
+  EXPECT_EQ(runAtWork(fixture, "a.0.0.0"), 2u);
+  fixture.pass(460);
+  EXPECT_EQ(runAtWork(fixture, "a.0.0.0"), 3u);
+}
+
 TEST_F(SchedulerTest, AFailedTaskIsTriedOnAnotherWorkerAndThenFailsItsJob)
 {
   const JobRequest job = fixture.request("a", 1);
