The soak harms connections through loopback proxies

Cause: the soak struck by signals and through the stand-in only; connections that are delayed, cut one way or silenced were not met by real processes.

--- a/src/libpeers/peerlinks.cpp
+++ b/src/libpeers/peerlinks.cpp
@@ -37,9 +37,9 @@
                      Settings settings,
                      Hooks hooks)
   : m_self(std::move(self))
-  , m_settings(settings)
+  , m_settings(std::move(settings))
   , m_hooks(std::move(hooks))
-  , m_transport(context, transportSettings(settings), transportHooks())
+  , m_transport(context, transportSettings(m_settings), transportHooks())
   , m_startedAt(steadyNow())
 {
 }
@@ -47,7 +47,11 @@
 std::optional<Problem>
 PeerLinks::listen()
 {
-  const Result<Address> address = m_transport.listen(m_self.address);
+  const std::string& host = m_settings.listenHost.empty()
+                              ? m_self.address.host()
+                              : m_settings.listenHost;
+  const Result<Address> address =
+    m_transport.listen(Address(host, m_self.address.port()));
   if (!address)
     return address.error();
   return std::nullopt;
--- a/src/libpeers/peerlinks.h
+++ b/src/libpeers/peerlinks.h
@@ -31,6 +31,9 @@
     Duration connectTimeout = std::chrono::milliseconds(600);
     Duration reconnectMin = std::chrono::milliseconds(150);
     Duration reconnectMax = std::chrono::milliseconds(1200);
+    /// Where to listen, if not at the host that others connect to: that may be
+    /// the address of a relay.
+    std::string listenHost;
     /// A daemon that could not be reached for so long is forgotten unless the
     /// platform still lists it.
     Duration forgetAfter = std::chrono::seconds(30);
--- a/tests/soak/leasedplatform.cpp
+++ b/tests/soak/leasedplatform.cpp
@@ -452,7 +452,9 @@
   put("keyed.servers",
       worker.id,
       json{ { "backend", "booking" },
-            { "address", worker.address.toString() },
+            { "address",
+              Address(m_settings.listedWorkerHost, worker.address.port())
+                .toString() },
             { "zone", worker.zone },
             { "state", "ready" },
             { "capacity", { { "cpu", worker.cpu }, { "mem_mb", 32768 } } },
--- a/tests/soak/leasedplatform.h
+++ b/tests/soak/leasedplatform.h
@@ -29,6 +29,8 @@
     std::uint16_t storePort = 0;
     /// Workers listen from this port on.
     std::uint16_t firstWorkerPort = 0;
+    /// Where the list of workers says that they are.
+    std::string listedWorkerHost = "127.0.0.1";
   };
 
   LeasedPlatform(boost::asio::io_context& context,
@@ -42,6 +44,11 @@
   /// A worker loses all that runs there and comes back under a new id.
   void crashWorker(std::size_t index);
   std::size_t workers() const { return m_workers.size(); }
+  /// Where a worker listens.
+  const Address& workerAddress(std::size_t index) const
+  {
+    return m_workers[index].address;
+  }
 
   /// Jobs that were refused to their callers for good: none of their tasks may
   /// run, before or after.
--- /dev/null
+++ b/tests/soak/loopbackproxy.cpp
@@ -0,0 +1,171 @@
+#include "loopbackproxy.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace cowslippin::testing {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+tcp::endpoint
+endpointOf(const Address& address)
+{
+  return { boost::asio::ip::make_address(address.host()), address.port() };
+}
+
+} // namespace
+
+LoopbackProxy::LoopbackProxy(boost::asio::io_context& context,
+                             const Address& listen,
+                             const Address& target)
+  : m_context(context)
+  , m_target(endpointOf(target))
+  , m_acceptor(context, endpointOf(listen))
+{
+  accept();
+}
+
+LoopbackProxy::~LoopbackProxy()
+{
+  reset();
+}
+
+Address
+LoopbackProxy::address() const
+{
+  const tcp::endpoint endpoint = m_acceptor.local_endpoint();
+  return { endpoint.address().to_string(), endpoint.port() };
+}
+
+void
+LoopbackProxy::setFaults(Fault towards, Fault back)
+{
+  m_faults = { towards, back };
+}
+
+void
+LoopbackProxy::reset()
+{
+  for (const LinkPtr& link : std::exchange(m_links, {}))
+    abort(*link);
+}
+
+void
+LoopbackProxy::tick(TimePoint now)
+{
+  const auto links = m_links;
+  for (const LinkPtr& link : links) {
+    for (const std::size_t direction : { 0, 1 })
+      pass(link, direction, now);
+  }
+  m_links.erase(std::remove_if(m_links.begin(),
+                               m_links.end(),
+                               [](const LinkPtr& link) {
+                                 return link->isOver ||
+                                        (link->pipes[0].hasEnded &&
+                                         link->pipes[1].hasEnded);
+                               }),
+                m_links.end());
+}
+
+void
+LoopbackProxy::accept()
+{
+  const auto link = std::make_shared<Link>(m_context);
+  m_acceptor.async_accept(link->sockets[0], [this, link](error_code error) {
+    if (error == boost::asio::error::operation_aborted)
+      return;
+    if (!error)
+      accepted(link);
+    accept();
+  });
+}
+
+/// A target that refuses is told to the caller as a reset.
+void
+LoopbackProxy::accepted(const LinkPtr& link)
+{
+  m_links.push_back(link);
+  link->sockets[1].async_connect(m_target, [this, link](error_code error) {
+    if (error || link->isOver) {
+      abort(*link);
+      return;
+    }
+    for (const std::size_t direction : { 0, 1 }) {
+      link->sockets[direction].set_option(tcp::no_delay(true));
+      read(link, direction);
+    }
+  });
+}
+
+void
+LoopbackProxy::read(const LinkPtr& link, std::size_t direction)
+{
+  Pipe& pipe = link->pipes[direction];
+  link->sockets[direction].async_read_some(
+    boost::asio::buffer(pipe.buffer),
+    [this, link, direction](error_code error, std::size_t count) {
+      if (link->isOver)
+        return;
+      if (error && error != boost::asio::error::eof) {
+        abort(*link);
+        return;
+      }
+      Pipe& read = link->pipes[direction];
+      const TimePoint now = steadyNow();
+      read.held.push_back({ now + m_faults[direction].delay,
+                            std::string(read.buffer.data(), count) });
+      pass(link, direction, now);
+      if (!error)
+        this->read(link, direction);
+    });
+}
+
+void
+LoopbackProxy::pass(const LinkPtr& link, std::size_t direction, TimePoint now)
+{
+  Pipe& pipe = link->pipes[direction];
+  if (link->isOver || pipe.isWriting || pipe.held.empty() ||
+      m_faults[direction].isSilent || pipe.held.front().dueAt > now)
+    return;
+  Socket& to = link->sockets[1 - direction];
+  if (pipe.held.front().bytes.empty()) {
+    error_code ignored; // The other side may have closed before.
+    to.shutdown(tcp::socket::shutdown_send, ignored);
+    pipe.held.pop_front();
+    pipe.hasEnded = true;
+    return;
+  }
+  pipe.isWriting = true;
+  boost::asio::async_write(
+    to,
+    boost::asio::buffer(pipe.held.front().bytes),
+    [this, link, direction](error_code error, std::size_t) {
+      Pipe& written = link->pipes[direction];
+      written.isWriting = false;
+      if (error || link->isOver) {
+        abort(*link);
+        return;
+      }
+      written.held.pop_front();
+      pass(link, direction, steadyNow());
+    });
+}
+
+void
+LoopbackProxy::abort(Link& link)
+{
+  link.isOver = true;
+  for (Socket& socket : link.sockets) {
+    error_code ignored; // It may never have been open.
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+  }
+}
+
+} // namespace cowslippin::testing
--- /dev/null
+++ b/tests/soak/loopbackproxy.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "libcore/core.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cowslippin::testing {
+
+/// Relays TCP connections on loopback and does to them what networks do. Bytes
+/// that a fault holds back are delivered after it, as TCP's retransmissions do.
+/// One thread.
+class LoopbackProxy
+{
+public:
+  /// What happens to the bytes of one direction.
+  struct Fault
+  {
+    Duration delay = Duration::zero();
+    /// Nothing passes until the fault is over.
+    bool isSilent = false;
+  };
+
+  /// Begins to listen. Throws boost::system::system_error if it can't.
+  LoopbackProxy(boost::asio::io_context& context,
+                const Address& listen,
+                const Address& target);
+  ~LoopbackProxy();
+
+  /// `towards` holds for bytes to the target, `back` for those from it; for
+  /// connections that are open and for new ones.
+  void setFaults(Fault towards, Fault back);
+  /// Resets every connection.
+  void reset();
+  /// Passes on what is due; to be called every 10 ms or so.
+  void tick(TimePoint now);
+
+  /// Where it listens, with the port that the system chose if it was 0.
+  Address address() const;
+
+private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  struct Chunk
+  {
+    TimePoint dueAt{};
+    /// Empty for the end of the stream.
+    std::string bytes;
+  };
+  /// One direction of a connection.
+  struct Pipe
+  {
+    std::deque<Chunk> held;
+    std::array<char, 16384> buffer{};
+    bool isWriting = false;
+    bool hasEnded = false;
+  };
+  struct Link
+  {
+    explicit Link(boost::asio::io_context& context)
+      : sockets{ Socket(context), Socket(context) }
+    {
+    }
+
+    /// The caller's, then the target's.
+    std::array<Socket, 2> sockets;
+    /// Towards the target, then back.
+    std::array<Pipe, 2> pipes;
+    bool isOver = false;
+  };
+  using LinkPtr = std::shared_ptr<Link>;
+
+  void accept();
+  void accepted(const LinkPtr& link);
+  void read(const LinkPtr& link, std::size_t direction);
+  void pass(const LinkPtr& link, std::size_t direction, TimePoint now);
+  static void abort(Link& link);
+
+  boost::asio::io_context& m_context;
+  const boost::asio::ip::tcp::endpoint m_target;
+  boost::asio::ip::tcp::acceptor m_acceptor;
+  std::array<Fault, 2> m_faults;
+  std::vector<LinkPtr> m_links;
+};
+
+} // namespace cowslippin::testing
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -51,6 +51,9 @@
   options.add_options()("daemons-per-zone",
                         po::value<unsigned>()->default_value(2),
                         "daemons in each of two zones");
+  options.add_options()("strike-links",
+                        po::value<bool>()->default_value(true),
+                        "whether connections are struck, too");
   options.add_options()("first-port",
                         po::value<std::uint16_t>()->default_value(21000),
                         "the first of 100 free ports");
@@ -71,6 +74,7 @@
   settings.folder = folder;
   settings.daemonsPerZone = values["daemons-per-zone"].as<unsigned>();
   settings.firstPort = values["first-port"].as<std::uint16_t>();
+  settings.strikesLinks = values["strike-links"].as<bool>();
   settings.logFolder = values["log-folder"].as<std::string>();
   unsigned failed = 0;
   const unsigned first = values["first-seed"].as<unsigned>();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -17,10 +17,12 @@
 constexpr Duration resendAfter = milliseconds(1300);
 constexpr unsigned maxTries = 3;
 /// Offsets into the range of ports.
+constexpr std::uint16_t storePort = 0;
 constexpr std::uint16_t callerPort = 1;
 constexpr std::uint16_t readinessPort = 2;
 constexpr std::uint16_t peerPort = 3;
 constexpr std::uint16_t firstWorker = 10;
+constexpr const char* workerProxyHost = "127.0.3.1";
 
 LeasedPlatform::Settings
 platformSettings(const Soak::Settings& settings)
@@ -31,6 +33,7 @@
   platform.storePort = settings.firstPort;
   platform.firstWorkerPort =
     static_cast<std::uint16_t>(settings.firstPort + firstWorker);
+  platform.listedWorkerHost = workerProxyHost;
   return platform;
 }
 
@@ -39,15 +42,23 @@
 Soak::Soak(Settings settings, std::uint64_t seed)
   : m_settings(std::move(settings))
   , m_random(seed)
+  , m_linkRandom(seed + 1)
   , m_platform(m_context, platformSettings(m_settings), seed)
 {
   const unsigned count = m_settings.zones * m_settings.daemonsPerZone;
   for (unsigned i = 0; i < count; ++i) {
     Daemon daemon;
     daemon.host = "127.0.1." + std::to_string(i + 1);
+    daemon.listenHost = "127.0.2." + std::to_string(i + 1);
+    addProxies(daemon);
     writeSettings(daemon, i % m_settings.zones);
     m_daemons.push_back(std::move(daemon));
   }
+  for (std::size_t i = 0; i < m_platform.workers(); ++i) {
+    const Address& worker = m_platform.workerAddress(i);
+    m_workerLinks.push_back(std::make_unique<LoopbackProxy>(
+      m_context, Address(workerProxyHost, worker.port()), worker));
+  }
 }
 
 Soak::~Soak()
@@ -64,6 +75,7 @@
   const TimePoint start = steadyNow();
   m_nextJobAt = start + std::chrono::seconds(2);
   m_nextStrikeAt = start + std::chrono::seconds(3);
+  m_nextLinkStrikeAt = m_nextStrikeAt;
   runUntil(start + std::chrono::seconds(3) + struckTime);
   m_isStruck = false;
   // What strikes still hold back ends within seconds; then all must be well.
@@ -89,11 +101,104 @@
   }
 }
 
+void
+Soak::addProxies(Daemon& daemon)
+{
+  const auto relay = [&](std::uint16_t offset, const std::string& target) {
+    const auto port = static_cast<std::uint16_t>(m_settings.firstPort + offset);
+    return std::make_unique<LoopbackProxy>(
+      m_context, Address(daemon.host, port), Address(target, port));
+  };
+  daemon.callers = relay(callerPort, daemon.listenHost);
+  daemon.peers = relay(peerPort, daemon.listenHost);
+  daemon.store = relay(storePort, "127.0.0.1");
+}
+
+void
+Soak::tickProxies(TimePoint now)
+{
+  for (auto harmed = m_harmed.begin(); harmed != m_harmed.end();) {
+    if (now < harmed->second) {
+      ++harmed;
+      continue;
+    }
+    harmed->first->setFaults({}, {});
+    harmed = m_harmed.erase(harmed);
+  }
+  for (const Daemon& daemon : m_daemons) {
+    daemon.callers->tick(now);
+    daemon.peers->tick(now);
+    daemon.store->tick(now);
+  }
+  for (const auto& link : m_workerLinks)
+    link->tick(now);
+}
+
+void
+Soak::strikeLink(TimePoint now)
+{
+  m_nextLinkStrikeAt = now + milliseconds(200 + below(1200, m_linkRandom));
+  const Daemon& daemon = m_daemons[below(m_daemons.size(), m_linkRandom)];
+  switch (below(4, m_linkRandom)) {
+    case 0:
+      harm(*daemon.callers, "callers of " + daemon.host, true);
+      break;
+    case 1:
+      harm(*daemon.peers, "peers of " + daemon.host, false);
+      break;
+    case 2:
+      harm(*daemon.store, "store of " + daemon.host, false);
+      break;
+    default: {
+      const std::size_t worker = below(m_workerLinks.size(), m_linkRandom);
+      harm(*m_workerLinks[worker], "worker " + std::to_string(worker), false);
+    }
+  }
+}
+
+/// A caller's request is never held back for so long that the caller has asked
+/// elsewhere meanwhile: then it would be two requests.
+void
+Soak::harm(LoopbackProxy& proxy, const std::string& name, bool isCallers)
+{
+  const auto time = milliseconds(200 + below(2800, m_linkRandom));
+  LoopbackProxy::Fault slow;
+  slow.delay = milliseconds(20 + below(400, m_linkRandom));
+  LoopbackProxy::Fault silent;
+  silent.isSilent = true;
+  const char* kind = "reset";
+  switch (below(isCallers ? 3 : 5, m_linkRandom)) {
+    case 0:
+      proxy.reset();
+      break;
+    case 1:
+      kind = "delay";
+      proxy.setFaults(slow, slow);
+      break;
+    case 2:
+      kind = "cut back";
+      proxy.setFaults({}, silent);
+      break;
+    case 3:
+      kind = "cut towards";
+      proxy.setFaults(silent, {});
+      break;
+    default:
+      kind = "silence";
+      proxy.setFaults(silent, silent);
+  }
+  m_harmed[&proxy] = steadyNow() + time;
+  const std::string strike = std::string(kind) + ", " + name;
+  m_report.strikes.push_back(strike);
+  note("strike " + strike + " ms " + std::to_string(time.count()));
+}
+
 void
 Soak::writeSettings(Daemon& daemon, unsigned zone)
 {
   const auto at = [&](std::uint16_t offset) {
-    return daemon.host + ':' + std::to_string(m_settings.firstPort + offset);
+    return daemon.listenHost + ':' +
+           std::to_string(m_settings.firstPort + offset);
   };
   const json settings = {
     { "node_name", daemon.host },
@@ -103,8 +208,7 @@
     { "seeds", json::array() },
     { "listen_addrs",
       { { "frontend", at(callerPort) }, { "readiness", at(readinessPort) } } },
-    { "platform",
-      { { "address", "127.0.0.1:" + std::to_string(m_settings.firstPort) } } },
+    { "platform", { { "address", daemon.store->address().toString() } } },
     { "bounds", { { "grace_s", 6 } } }
   };
   daemon.settingsFile =
@@ -136,6 +240,9 @@
     m_platform.setOrderFaults(0, 0);
   if (m_isStruck && now >= m_nextStrikeAt)
     strike(now);
+  if (m_isStruck && m_settings.strikesLinks && now >= m_nextLinkStrikeAt)
+    strikeLink(now);
+  tickProxies(now);
   if (now >= m_nextJobAt)
     submitNew();
   std::vector<std::pair<TimePoint, std::string>> waiting;
@@ -174,6 +281,8 @@
     "/usr/bin/env",
     "COWSLIPPIN_BOOT=" + daemon.settingsFile,
     m_settings.program,
+    "--peer-listen-host",
+    daemon.listenHost,
     "--log-level",
     m_settings.logFolder.empty() ? "error" : "info" });
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "leasedplatform.h"
+#include "loopbackproxy.h"
 #include "support/childprocess.h"
 
 #include "libasynchttp/asynchttp.h"
@@ -16,8 +17,9 @@
 namespace cowslippin::testing {
 
 /// Runs the real daemons as processes beside a stand-in for the platform, with
-/// callers, and strikes them at random by signals and through the stand-in. It
-/// ends only processes that it started.
+/// callers, and strikes them at random: by signals, through the stand-in, and
+/// on every connection, as all of them go through proxies. It ends only
+/// processes that it started.
 class Soak
 {
 public:
@@ -31,6 +33,8 @@
     std::string folder;
     /// A free range of ports.
     std::uint16_t firstPort = 0;
+    /// Whether connections are struck, too.
+    bool strikesLinks = true;
     /// Where the daemons' logs are left; nowhere if empty.
     std::string logFolder;
   };
@@ -58,7 +62,13 @@
 private:
   struct Daemon
   {
+    /// Where others connect, and where it listens.
     std::string host;
+    std::string listenHost;
+    /// Callers to it, other daemons to it, and it to the store.
+    std::unique_ptr<LoopbackProxy> callers;
+    std::unique_ptr<LoopbackProxy> peers;
+    std::unique_ptr<LoopbackProxy> store;
     std::string settingsFile;
     std::unique_ptr<ChildProcess> process;
     TimePoint startAt{};
@@ -79,6 +89,10 @@
   void writeSettings(Daemon& daemon, unsigned zone);
   void tick(TimePoint now);
   void strike(TimePoint now);
+  void addProxies(Daemon& daemon);
+  void tickProxies(TimePoint now);
+  void strikeLink(TimePoint now);
+  void harm(LoopbackProxy& proxy, const std::string& name, bool isCallers);
   void submitNew();
   void submit(const std::string& job);
   void answered(const std::string& job, const HttpCallEnd& end);
@@ -88,21 +102,27 @@
   /// Ends a process that this soak started.
   void endProcess(Daemon& daemon);
   void forget(const std::string& job, unsigned& counter);
-  std::size_t below(std::size_t bound)
+  std::size_t below(std::size_t bound) { return below(bound, m_random); }
+  static std::size_t below(std::size_t bound, std::mt19937_64& random)
   {
-    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(m_random);
+    return std::uniform_int_distribution<std::size_t>(0, bound - 1)(random);
   }
 
   const Settings m_settings;
   std::mt19937_64 m_random;
+  /// Of its own, so that a seed strikes processes as it did before.
+  std::mt19937_64 m_linkRandom;
   boost::asio::io_context m_context;
   LeasedPlatform m_platform;
   std::vector<Daemon> m_daemons;
+  std::vector<std::unique_ptr<LoopbackProxy>> m_workerLinks;
+  std::map<LoopbackProxy*, TimePoint> m_harmed;
   std::map<std::string, Caller> m_callers;
   std::vector<std::shared_ptr<HttpChannel>> m_channels;
   std::vector<std::pair<TimePoint, std::string>> m_resends;
   TimePoint m_nextJobAt{};
   TimePoint m_nextStrikeAt{};
+  TimePoint m_nextLinkStrikeAt{};
   TimePoint m_storeBackAt{};
   TimePoint m_ordersWellAt{};
   bool m_isStruck = true;
