The end of a run that was found tells nothing of how long runs take

A holder that had taken over counted the time from finding a run to its end as its run time: it expected 377 ms of tasks that take a second, stopped them at twice that as standing still, and kept all of its workers off.

Change: what was found is not learned from.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -40,7 +40,9 @@
   bool isBeingStopped = false;
   WorkerId worker;
   std::uint64_t run = 0;
+  /// When it was started or, if a lost daemon had done so, found.
   TimePoint startedAt{};
+  bool wasFound = false;
   /// Share of its work that the worker last reported, and when that rose.
   int percent = 0;
   TimePoint progressAt{};
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -102,6 +102,7 @@
   task.run = run->second.run();
   task.nextRun = std::max(task.nextRun, task.run + 1);
   task.startedAt = now;
+  task.wasFound = true;
   task.progressAt = now;
   m_runs[run->second] = { &job, position };
   return true;
@@ -399,6 +400,7 @@
   task.progressAt = now;
   task.percent = 0;
   task.isBeingStopped = false;
+  task.wasFound = false;
   job.hasStarted = true;
   m_runs[key] = { &job, position };
   noteSize(job.request.needs.resources);
@@ -485,7 +487,8 @@
   if (end != RunEnd::Done)
     logRunEnded(job, task, end, m_now);
   if (end == RunEnd::Done) {
-    learn(job, task, worker);
+    if (!task.wasFound)
+      learn(job, task, worker);
     taskDone(job, task);
   } else if (end == RunEnd::Failed) {
     m_pool.runFailed(worker, m_now);
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -93,6 +93,25 @@
   EXPECT_EQ(runAtWork(fixture, "a.0.0.0"), 3u);
 }
 
+TEST_F(SchedulerTest, TheEndOfARunThatWasFoundTellsNothingOfHowLongRunsTake)
+{
+  JobRequest left = fixture.request("left", 1, 6800, 600);
+  submit(left);
+  fixture.scheduler.releaseShard(SchedulerFixture::shard(), fixture.now);
+  fixture.scheduler.takeShard(
+    SchedulerFixture::shard(), 20, fixture.now, std::nullopt);
+  fixture.settle();
+  left.key = JobKey(VmId("gateway"), JobId("left"), ++fixture.lastPart);
+  left.mayHaveRun = true;
+  submit(left);
+  fixture.pass(20);
+  ASSERT_TRUE(fixture.end("left.0.0.0", RunEnd::Done));
+  ASSERT_NE(fixture.endOf(left), nullptr);
+  submit(fixture.request("next", 1, 6800, 600));
+  fixture.pass(600);
+  EXPECT_EQ(runAtWork(fixture, "next.0.0.0"), 1u);
+}
+
 TEST_F(SchedulerTest, AFailedTaskIsTriedOnAnotherWorkerAndThenFailsItsJob)
 {
   const JobRequest job = fixture.request("a", 1);
