Shards of different divisions of a zone are never the same

Cause: where a zone's workers grow or shrink so far that they are divided into another number of shards, a shard's name stood for other workers than before. A job that had been moved went to the holder of the shard of that name, which knew only half of the workers, took what it did not find for ended, and started it again: two runs at once. A daemon that came later could also divide a zone otherwise than the rest for good.

Ruled out: the lost digest alone (forgetting it makes the takeover wait no longer, but the workers of the other half were never counted).

A part whose shard is no more goes to the shard that has workers of it, which adopts what it finds and waits the whole time out for the rest. Only shards of the zone that has changed are given up. A daemon adopts a finer division that others use, where its own list allows for it.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -69,21 +69,25 @@
   const TimePoint now = observeTime();
   m_hasWorkers = true;
   m_shards.setReady(m_routing->version() > 0);
-  if (m_scheduler.setList(workers, now))
-    dissolveShards(now);
-  m_shards.setShards(m_scheduler.shards());
+  m_scheduler.setList(workers, now);
+  divisionRead(now);
 }
 
-/// Gives up all that is held, since the workers are divided into other shards.
+/// Gives up held shards that are no longer, since their zone's workers are
+/// divided anew.
 void
-EntryCore::dissolveShards(TimePoint now)
+EntryCore::divisionRead(TimePoint now)
 {
+  const std::set<ShardId> shards = m_scheduler.shards();
+  m_shards.setShards(shards);
+  m_reports.keepWorkersOf(shards);
   const auto held = m_shards.held();
   for (const auto& [shard, token] : held) {
+    if (shards.count(shard) > 0)
+      continue;
     logEvent(
       LogLevel::Info, "shard-dissolved", { { "shard", shard.toString() } });
     m_shards.dissolved(shard);
-    m_reports.forgetWorkers(shard);
     m_scheduler.releaseShard(shard, now);
   }
 }
@@ -251,8 +255,8 @@
 EntryCore::gatewayHooks()
 {
   Gateway::Hooks hooks;
-  hooks.holder = [this](const ShardId& shard) {
-    return reachableHolder(shard);
+  hooks.nextHolder = [this](const ShardId& shard) {
+    return nextHolder(shard);
   };
   hooks.bestHolder = [this] { return bestHolder(); };
   hooks.submit = [this](const VmId& vm, const JobRequest& request) {
@@ -464,6 +468,7 @@
   for (const auto& [shard, held] : beat.shards)
     view.shards[shard] = held.token;
   m_shards.memberSeen(view, now);
+  adoptDivisions(beat, now);
   m_scheduler.forgetPeer(vm);
   if (!beat.isLeaving) {
     for (const auto& [shard, held] : beat.shards)
@@ -475,6 +480,16 @@
     m_links.send(vm, PeerConfig{ m_routing->version(), m_configurationBody });
 }
 
+void
+EntryCore::adoptDivisions(const PeerBeat& beat, TimePoint now)
+{
+  bool isDividedAnew = false;
+  for (const auto& [shard, held] : beat.shards)
+    isDividedAnew = m_scheduler.adoptDivision(shard) || isDividedAnew;
+  if (isDividedAnew)
+    divisionRead(now);
+}
+
 void
 EntryCore::peerDown(const VmId& vm, PeerLoss loss)
 {
@@ -508,6 +523,18 @@
   m_links.send(key.submitter(), PeerTasksReturned{ key, returned });
 }
 
+/// Who holds the shard or, if its zone has been divided anew, that which has
+/// workers of it.
+std::optional<HolderChoice>
+EntryCore::nextHolder(const ShardId& shard) const
+{
+  for (const ShardId& candidate : { shard, m_scheduler.presentShard(shard) }) {
+    if (const auto holder = reachableHolder(candidate))
+      return choiceOf(*holder, candidate, m_clocks.steady());
+  }
+  return std::nullopt;
+}
+
 std::optional<VmId>
 EntryCore::reachableHolder(const ShardId& shard) const
 {
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -187,7 +187,9 @@
                         TimePoint now) const;
   unsigned sparePlaces(TimePoint now) const;
   void noticeStrain(TimePoint now);
-  void dissolveShards(TimePoint now);
+  void divisionRead(TimePoint now);
+  void adoptDivisions(const PeerBeat& beat, TimePoint now);
+  std::optional<HolderChoice> nextHolder(const ShardId& shard) const;
   bool submitTo(const VmId& vm, const JobRequest& request);
   void cancelAt(const VmId& vm, const JobKey& key);
 
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -120,12 +120,24 @@
     for (auto& [id, part] : entry.parts) {
       if (part.holder != vm)
         continue;
-      part.holder.reset();
-      part.lostAt = now;
+      markLost(part, now);
     }
   }
 }
 
+/// While runs on another shard may be left from an earlier loss, that shard
+/// stays the one to look at: it is the larger one, or can no longer be asked.
+void
+Gateway::markLost(Part& part, TimePoint now) const
+{
+  const bool mayRunElsewhere = part.lostAt && part.lostShard != part.shard &&
+                               now - *part.lostAt < m_settings.lostRunLimit;
+  if (!mayRunElsewhere)
+    part.lostShard = part.shard;
+  part.lostAt = now;
+  part.holder.reset();
+}
+
 void
 Gateway::tick(TimePoint now)
 {
@@ -208,8 +220,7 @@
     return;
   }
   part.firstRun = std::max(part.firstRun, end.nextRun);
-  part.holder.reset();
-  part.lostAt = now;
+  markLost(part, now);
   place(entry, part, now);
 }
 
@@ -263,8 +274,8 @@
 bool
 Gateway::placeAgain(Entry& entry, Part& part, TimePoint now)
 {
-  if (const auto holder = m_hooks.holder(part.shard)) {
-    if (handTo(entry, part, *holder, part.shard, now))
+  if (const auto next = m_hooks.nextHolder(part.shard)) {
+    if (handTo(entry, part, next->holder, next->shard, now))
       return true;
   }
   const bool isOver = now - *part.lostAt >= m_settings.lostRunLimit;
@@ -298,7 +309,7 @@
   const Duration lostFor = part.lostAt ? now - *part.lostAt : Duration::zero();
   if (part.lostAt && lostFor < m_settings.lostRunLimit)
     request.quarantine =
-      Quarantine{ part.shard, m_settings.lostRunLimit - lostFor };
+      Quarantine{ part.lostShard, m_settings.lostRunLimit - lostFor };
   if (!m_hooks.submit(vm, request))
     return false;
   m_keys.erase(part.key.part());
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -78,8 +78,9 @@
   /// None may be empty.
   struct Hooks
   {
-    /// Who holds a shard, if that daemon can be reached.
-    std::function<std::optional<VmId>(const ShardId&)> holder;
+    /// Who holds the workers of a shard, or some of them if they are divided
+    /// into other shards by now. Only daemons that can be reached.
+    std::function<std::optional<HolderChoice>(const ShardId&)> nextHolder;
     /// A holder for a new job: one of this zone if there is any, with room if
     /// there is any.
     std::function<std::optional<HolderChoice>()> bestHolder;
@@ -133,6 +134,8 @@
     ShardId shard;
     /// Set when a daemon that had the part was lost or gave it up.
     std::optional<TimePoint> lostAt;
+    /// The shard on whose workers runs of it may be left since then.
+    ShardId lostShard;
     /// Whether the holder may name another one. It may do so once.
     bool mayBeReturned = true;
     /// Handed to a holder that another one has named: it may refuse.
@@ -156,6 +159,7 @@
 
   PartPlace find(const VmId& from, const JobKey& key);
   Part& addPart(Entry& entry);
+  void markLost(Part& part, TimePoint now) const;
   void partDone(Entry& entry, Part& part);
   void partRefused(Entry& entry, Part& part, const JobEnd& end, TimePoint now);
   void partMoved(Entry& entry, Part& part, const JobEnd& end, TimePoint now);
--- a/src/libentry/peerreports.cpp
+++ b/src/libentry/peerreports.cpp
@@ -63,9 +63,14 @@
 }
 
 void
-PeerReports::forgetWorkers(const ShardId& shard)
+PeerReports::keepWorkersOf(const std::set<ShardId>& shards)
 {
-  m_holdersWorkers.erase(shard);
+  for (auto told = m_holdersWorkers.begin(); told != m_holdersWorkers.end();) {
+    if (shards.count(told->first) == 0)
+      told = m_holdersWorkers.erase(told);
+    else
+      ++told;
+  }
 }
 
 bool
--- a/src/libentry/peerreports.h
+++ b/src/libentry/peerreports.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 namespace cowslippin {
 
@@ -25,7 +26,8 @@
 
   /// What the last other holder of a shard told of its workers.
   std::optional<ShardDigest> lastHoldersWorkers(const ShardId& shard) const;
-  void forgetWorkers(const ShardId& shard);
+  /// Forgets what was told of the workers of other shards.
+  void keepWorkersOf(const std::set<ShardId>& shards);
 
   /// Whether the configuration may be sent to a daemon now. If so, it counts as
   /// sent.
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -73,10 +73,19 @@
   /// A daemon can't be reached: its jobs end soon unless it submits them again.
   void daemonLost(const VmId& vm, bool wasSilent, TimePoint now);
 
-  /// True if the workers are divided into shards anew; the held shards have to
-  /// be released then.
+  /// True if the workers are divided into shards anew; held shards that are no
+  /// longer among `shards` have to be released then.
   bool setList(const WorkerList& list, TimePoint now);
   std::set<ShardId> shards() const { return m_pool.shards(); }
+  /// See `ShardMap`. The same holds of held shards if it is true.
+  bool adoptDivision(const ShardId& shard)
+  {
+    return m_pool.adoptDivision(shard);
+  }
+  ShardId presentShard(const ShardId& shard) const
+  {
+    return m_pool.presentShard(shard);
+  }
   /// `lastHoldersWorkers` is what its last holder told of the shard's workers,
   /// if that is known.
   void takeShard(const ShardId& shard,
--- a/src/libjobs/shardmap.cpp
+++ b/src/libjobs/shardmap.cpp
@@ -20,6 +20,18 @@
   return count;
 }
 
+/// Whether a zone with so many workers has to be divided into another number
+/// of shards.
+bool
+mustChange(unsigned count, std::size_t workers)
+{
+  const auto more =
+    static_cast<std::size_t>(double(workers) * (1 - hysteresis));
+  const auto fewer =
+    static_cast<std::size_t>(double(workers) * (1 + hysteresis));
+  return countFor(more) > count || countFor(fewer) < count;
+}
+
 } // namespace
 
 bool
@@ -30,30 +42,37 @@
     ++sizes[worker.zone()];
   bool isChanged = false;
   for (const auto& [zone, size] : sizes) {
-    const auto [found, isNew] = m_counts.try_emplace(zone, countFor(size));
-    if (isNew)
+    const auto [found, isNew] = m_divisions.try_emplace(zone);
+    Division& division = found->second;
+    division.size = size;
+    if (!isNew && !mustChange(division.count, size))
       continue;
-    const auto more = static_cast<std::size_t>(double(size) * (1 - hysteresis));
-    const auto fewer =
-      static_cast<std::size_t>(double(size) * (1 + hysteresis));
-    const bool isFar =
-      countFor(more) > found->second || countFor(fewer) < found->second;
-    if (!isFar)
-      continue;
-    found->second = countFor(size);
-    isChanged = true;
+    division.count = countFor(size);
+    isChanged = isChanged || !isNew;
   }
   return isChanged;
 }
 
+bool
+ShardMap::adopt(const ShardId& shard)
+{
+  const auto found = m_divisions.find(shard.zone());
+  if (found == m_divisions.end() || shard.count() <= found->second.count ||
+      mustChange(shard.count(), found->second.size))
+    return false;
+  found->second.count = shard.count();
+  return true;
+}
+
 ShardId
 ShardMap::shardOf(const WorkerRecord& worker) const
 {
-  const auto count = m_counts.find(worker.zone());
-  if (count == m_counts.end() || count->second == 1)
+  const auto found = m_divisions.find(worker.zone());
+  if (found == m_divisions.end())
     return { worker.zone(), 0 };
+  const unsigned count = found->second.count;
   const std::size_t hash = std::hash<std::string>()(worker.id().value());
-  return { worker.zone(), static_cast<unsigned>(hash % count->second) };
+  return { worker.zone(), static_cast<unsigned>(hash % count), count };
 }
 
 ShardDigest
@@ -71,11 +90,21 @@
 ShardMap::shards() const
 {
   std::set<ShardId> all;
-  for (const auto& [zone, count] : m_counts) {
-    for (unsigned index = 0; index < count; ++index)
-      all.emplace(zone, index);
+  for (const auto& [zone, division] : m_divisions) {
+    for (unsigned index = 0; index < division.count; ++index)
+      all.emplace(zone, index, division.count);
   }
   return all;
 }
 
+ShardId
+ShardMap::present(const ShardId& shard) const
+{
+  const auto found = m_divisions.find(shard.zone());
+  if (found == m_divisions.end())
+    return shard;
+  const unsigned count = found->second.count;
+  return { shard.zone(), shard.index() % count, count };
+}
+
 } // namespace cowslippin
--- a/src/libjobs/shardmap.h
+++ b/src/libjobs/shardmap.h
@@ -31,13 +31,27 @@
 
   /// Takes a list. True if the number of some zone's shards has changed.
   bool update(const WorkerList& workers);
+  /// Another daemon divides a zone into more shards: so does this one, if its
+  /// own list allows for it, and then the answer is true. A daemon that has
+  /// come later may else divide otherwise than the rest for good.
+  bool adopt(const ShardId& shard);
 
   ShardId shardOf(const WorkerRecord& worker) const;
   ShardDigest digest(const WorkerList& workers, const ShardId& shard) const;
   std::set<ShardId> shards() const;
+  /// The shard of the present division that has workers of one of another:
+  /// all of them if that had more shards, else a part.
+  ShardId present(const ShardId& shard) const;
 
 private:
-  std::map<ZoneName, unsigned> m_counts;
+  struct Division
+  {
+    unsigned count = 1;
+    /// Workers of the zone.
+    std::size_t size = 0;
+  };
+
+  std::map<ZoneName, Division> m_divisions;
 };
 
 } // namespace cowslippin
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -18,8 +18,7 @@
 WorkerPool::setList(const WorkerList& list, TimePoint now)
 {
   m_list = list;
-  if (m_map.update(list))
-    return true;
+  const bool isDividedAnew = m_map.update(list);
   for (auto& [id, entry] : m_entries)
     entry.isListed = m_list.count(id) > 0;
   for (const auto& [id, record] : m_list) {
@@ -30,7 +29,7 @@
       addWorker(record, now);
   }
   dropUnlisted();
-  return false;
+  return isDividedAnew;
 }
 
 void
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -54,10 +54,16 @@
 
   /// Takes the platform's list; workers that have come to a held shard are
   /// claimed, those that are gone are dropped once they run nothing. True if
-  /// the workers are divided into shards anew; the held shards have to be
-  /// released then.
+  /// the workers are divided into shards anew; held shards that are no longer
+  /// among `shards` have to be released then.
   bool setList(const WorkerList& list, TimePoint now);
   std::set<ShardId> shards() const { return m_map.shards(); }
+  /// See `ShardMap`.
+  bool adoptDivision(const ShardId& shard) { return m_map.adopt(shard); }
+  ShardId presentShard(const ShardId& shard) const
+  {
+    return m_map.present(shard);
+  }
 
   /// `lastHoldersWorkers` is what its last holder told of the shard's workers,
   /// if that is known.
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -16,7 +16,7 @@
 json
 toJson(const ShardId& shard)
 {
-  return json::array({ shard.zone().value(), shard.index() });
+  return json::array({ shard.zone().value(), shard.index(), shard.count() });
 }
 
 json
@@ -163,7 +163,9 @@
 ShardId
 readShard(const json& value)
 {
-  return { ZoneName(text(value.at(0))), value.at(1).get<unsigned>() };
+  return { ZoneName(text(value.at(0))),
+           value.at(1).get<unsigned>(),
+           value.at(2).get<unsigned>() };
 }
 
 JobKey
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -29,10 +29,15 @@
   Gateway::Hooks hooks()
   {
     Gateway::Hooks hooks;
-    hooks.holder = [this](const ShardId& shard) -> std::optional<VmId> {
+    hooks.nextHolder =
+      [this](const ShardId& shard) -> std::optional<HolderChoice> {
       const auto found = holders.find(shard);
-      return found == holders.end() ? std::nullopt
-                                    : std::make_optional(found->second);
+      if (found == holders.end())
+        return std::nullopt;
+      HolderChoice choice;
+      choice.holder = found->second;
+      choice.shard = shard;
+      return choice;
     };
     hooks.bestHolder = [this]() -> std::optional<HolderChoice> {
       if (holders.empty())
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -34,6 +34,7 @@
 Simulation::Simulation(Settings settings, std::uint64_t seed)
   : m_settings(settings)
   , m_random(seed)
+  , m_listedPerZone(settings.workersPerZone)
 {
   for (unsigned zone = 0; zone < m_settings.zones; ++zone) {
     for (unsigned i = 0; i < m_settings.daemonsPerZone; ++i) {
@@ -45,6 +46,7 @@
     for (unsigned i = 0; i < m_settings.workersPerZone; ++i) {
       Worker worker;
       worker.zone = zone;
+      worker.position = i;
       m_workers.push_back(std::move(worker));
       crashWorker(m_workers.size() - 1);
     }
@@ -163,6 +165,17 @@
 
 void
 Simulation::crashWorker(std::size_t index)
+{
+  renew(index);
+  for (std::size_t node = 0; node < m_nodes.size(); ++node)
+    onNode(node, m_nodes[node].life, [this, node] {
+      m_nodes[node].core->workersRead(list());
+    });
+}
+
+/// The worker loses all that runs there and gets a new id.
+void
+Simulation::renew(std::size_t index)
 {
   Worker& worker = m_workers[index];
   ++worker.life;
@@ -175,9 +188,21 @@
   fields.zone = ZoneName("z" + std::to_string(worker.zone));
   fields.capacity = Resources(index % 3 == 2 ? 24000 : 16000, 10000, 0);
   worker.record = WorkerRecord(fields);
+}
+
+void
+Simulation::setWorkersPerZone(unsigned count)
+{
+  for (std::size_t index = 0; index < m_workers.size(); ++index) {
+    if (m_workers[index].position >= std::min(count, m_listedPerZone))
+      renew(index);
+  }
+  m_listedPerZone = count;
   for (std::size_t node = 0; node < m_nodes.size(); ++node)
-    onNode(node, m_nodes[node].life, [this, node] {
-      m_nodes[node].core->workersRead(list());
+    at(milliseconds(below(300)), [this, node] {
+      onNode(node, m_nodes[node].life, [this, node] {
+        m_nodes[node].core->workersRead(list());
+      });
     });
 }
 
@@ -761,7 +786,7 @@
 {
   WorkerList all;
   for (const Worker& worker : m_workers) {
-    if (worker.fake)
+    if (worker.fake && worker.position < m_listedPerZone)
       all[worker.record.id()] = worker.record;
   }
   return all;
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -57,6 +57,9 @@
   /// Every connection between daemons is reset.
   void resetLinks();
   void crashWorker(std::size_t worker);
+  /// Each zone has so many workers from now on, at most those of the settings.
+  /// What ran on others is gone. Daemons read the list at different times.
+  void setWorkersPerZone(unsigned count);
   void killAll(Duration down);
 
   std::size_t daemons() const { return m_nodes.size(); }
@@ -110,6 +113,8 @@
   {
     WorkerRecord record;
     unsigned zone = 0;
+    /// Among those of its zone.
+    unsigned position = 0;
     unsigned life = 0;
     std::unique_ptr<FakeWorker> fake;
     std::map<RunKey, std::int64_t> sizes;
@@ -163,6 +168,7 @@
   void checkWorker(const Worker& worker, const RunKey& started);
   void tickWorkers();
 
+  void renew(std::size_t worker);
   void submitLater();
   void submitNew();
   void submit(const JobId& job, std::size_t daemon);
@@ -185,6 +191,7 @@
   std::vector<Worker> m_workers;
   std::set<std::pair<std::size_t, std::size_t>> m_links;
   std::map<unsigned, TimePoint> m_zoneCutUntil;
+  unsigned m_listedPerZone = 0;
   std::map<JobId, Caller> m_callers;
   std::vector<std::string> m_violations;
   std::uint64_t m_lastJob = 0;
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -74,6 +74,19 @@
   return settings;
 }
 
+/// Enough workers for two shards in each zone.
+Simulation::Settings
+withManyWorkers()
+{
+  Simulation::Settings settings;
+  settings.workersPerZone = 62;
+  settings.jobsPerSecond = 120;
+  return settings;
+}
+
+/// The first of `troubles`, of which `All` chooses one at each strike.
+constexpr std::size_t singleStrikes = 9;
+
 std::vector<Trouble>
 troubles()
 {
@@ -101,9 +114,19 @@
     { "All",
       [](Simulation& s) {
         const auto all = troubles();
-        all[s.random()() % (all.size() - 2)].strike(s);
+        all[s.random()() % singleStrikes].strike(s);
       },
       withOrderFaults() },
+    { "DividedAnew",
+      [](Simulation& s) {
+        // With 50 each number of shards is kept, whichever it is.
+        const std::vector<unsigned> sizes = { 30, 50, 62 };
+        if (s.random()() % 4 == 0)
+          s.kill(anyDaemon(s), milliseconds(600));
+        else
+          s.setWorkersPerZone(sizes[s.random()() % sizes.size()]);
+      },
+      withManyWorkers() },
   };
 }
 
@@ -141,7 +164,7 @@
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          DaemonGroupInTrouble,
                          ::testing::Combine(::testing::Range<std::size_t>(0,
-                                                                          11),
+                                                                          12),
                                             ::testing::Range(1, 9)),
                          caseName);
 
