A late answer to an earlier start leaves a found run in the book

Cause: read while tracing the answers of earlier claims: where such a start was answered with a refusal, the run that the worker reports under the same number was taken from the book, but still counted as one that nobody has asked for, so that the worker was given nothing any more.

Change: only runs that this lease has started can be rejected. The soak's tests try a range of ports before they use it.

--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -125,7 +125,9 @@
     return;
   }
   if (*answer != OrderFailure::Unanswered) {
-    rejectRun(found, *answer);
+    // A run that the worker reports has begun by another order.
+    if (!run.isStray)
+      rejectRun(found, *answer);
     if (*answer == OrderFailure::Fenced)
       setState(LeaseState::Fenced);
     return;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -5,20 +5,45 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <filesystem>
+#include <stdexcept>
 #include <unistd.h>
+#include <vector>
 
 namespace cowslippin::testing {
 namespace {
 
-/// A port from which a range is very likely free.
-std::uint16_t
-freePort()
+/// Ports that a soak of the usual size uses.
+constexpr unsigned portsNeeded = 20;
+
+bool
+isRangeFree(unsigned firstPort)
 {
   boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(
-    context, { boost::asio::ip::make_address("127.0.0.1"), 0 });
-  return static_cast<std::uint16_t>(20000 +
-                                    acceptor.local_endpoint().port() % 10000);
+  std::vector<boost::asio::ip::tcp::acceptor> acceptors;
+  try {
+    for (unsigned i = 0; i < portsNeeded; ++i)
+      acceptors.emplace_back(context,
+                             boost::asio::ip::tcp::endpoint(
+                               boost::asio::ip::address_v4::any(),
+                               static_cast<std::uint16_t>(firstPort + i)));
+  } catch (const boost::system::system_error&) {
+    return false;
+  }
+  return true;
+}
+
+/// The first of a range of ports that nobody listens at. They lie below those
+/// that the system gives to connections.
+std::uint16_t
+freeRange()
+{
+  const unsigned start = static_cast<unsigned>(getpid()) % 400 * portsNeeded;
+  for (unsigned tried = 0; tried < 400; ++tried) {
+    const unsigned first = 20000 + (start + tried * portsNeeded) % 8000;
+    if (isRangeFree(first))
+      return static_cast<std::uint16_t>(first);
+  }
+  throw std::runtime_error("no range of ports is free");
 }
 
 TEST(ChildProcess, InheritsNothingButItsStandardStreams)
@@ -43,7 +68,7 @@
   Soak::Settings settings;
   settings.program = DAEMON_PROGRAM;
   settings.folder = folder;
-  settings.firstPort = freePort();
+  settings.firstPort = freeRange();
   Soak soak(settings, static_cast<std::uint64_t>(GetParam()));
   const Soak::Report report =
     soak.run(std::chrono::seconds(8), std::chrono::seconds(4));
--- a/tests/workers/workerlease_test.cpp
+++ b/tests/workers/workerlease_test.cpp
@@ -211,6 +211,25 @@
   EXPECT_EQ(fixture.worker.highestToken(), 20u);
 }
 
+TEST(WorkerLease, ALateAnswerToAnEarlierStartLeavesARunThatWasFoundInTheBook)
+{
+  LeaseFixture fixture;
+  fixture.claim();
+  fixture.orders.clear();
+  fixture.worker.start({ 10, run1, "spec", 1'100'000 }, fixture.now);
+  fixture.claim(20);
+  ASSERT_EQ(fixture.strays.size(), 1u);
+  fixture.lease.startAnswered(run1, OrderFailure::StaleRun, fixture.now);
+  EXPECT_TRUE(fixture.rejected.empty());
+  EXPECT_FALSE(fixture.lease.canStart(task));
+  for (int step = 0; step < 30; ++step) {
+    fixture.pass(20);
+    fixture.deliver(Delivery::Normal, 2);
+  }
+  EXPECT_FALSE(fixture.worker.isRunning(run1));
+  EXPECT_TRUE(fixture.lease.canStart(task));
+}
+
 TEST(WorkerLease, AnotherLifeOfTheWorkerEndsItsRuns)
 {
   LeaseFixture fixture;
