What a caller is told when its submission has no answer stands in one place

Change: the problems of a submission are in submissionproblems, each with what is told about having run and why it says when to come back; two were written out in the middle of functions. No text changes.

--- a/src/libdaemon/submissionservice.cpp
+++ b/src/libdaemon/submissionservice.cpp
@@ -1,6 +1,7 @@
 #include "submissionservice.h"
 
 #include "incarnations.h"
+#include "submissionproblems.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,61 +14,11 @@
 
 /// What an ended call may still need to be told to its submission.
 constexpr Duration endingGrace = std::chrono::milliseconds(250);
-constexpr Duration drainRetry = std::chrono::seconds(1);
-constexpr Duration catchUpRetry = std::chrono::seconds(1);
-constexpr Duration attachRetry = std::chrono::milliseconds(500);
 /// How much later than the owner this daemon may read a claim.
 constexpr Duration claimReadingPatience = std::chrono::milliseconds(300);
 constexpr Duration knowledgePatience = std::chrono::milliseconds(200);
 constexpr Duration ownerPatience = std::chrono::seconds(5);
 
-Problem
-drainingProblem()
-{
-  return Problem(ProblemKind::Draining,
-                 RunState::NotRun,
-                 "This daemon is shutting down; submit to another one")
-    .withRetryAfter(drainRetry);
-}
-
-Problem
-keyReused()
-{
-  return Problem(ProblemKind::KeyReused,
-                 RunState::NotRun,
-                 "Its key was used before for a different submission, which "
-                 "is left as it is");
-}
-
-Problem
-answerExpired()
-{
-  return Problem(ProblemKind::AnswerExpired,
-                 RunState::MayHaveRun,
-                 "It was taken here before; what became of it is no longer "
-                 "kept, and it is not started again");
-}
-
-Problem
-unknownJob(const SubmissionKey& key)
-{
-  return Problem(ProblemKind::UnknownJob,
-                 RunState::MayHaveRun,
-                 "No job " + key.value() +
-                   " is known; it may have run and been forgotten since")
-    .withField("job", key.value(), "the id of a job within its window");
-}
-
-Problem
-notCaughtUp()
-{
-  return Problem(ProblemKind::NotCaughtUp,
-                 RunState::MayHaveRun,
-                 "This daemon has not read all claims yet, so it cannot tell "
-                 "who owns the job")
-    .withRetryAfter(catchUpRetry);
-}
-
 /// Whether a refusal of this kind is given while it is not known who owns the
 /// key.
 bool
@@ -290,10 +241,7 @@
   if (submission->waitSettled(until)) {
     return;
   }
-  submission->fail(Problem(ProblemKind::PlatformUnavailable,
-                           RunState::NotRun,
-                           "Its key could not be claimed in the log in time")
-                     .withRetryAfter(attachRetry));
+  submission->fail(notClaimedInTime());
 }
 
 SubmissionService::SubmissionPtr
@@ -328,13 +276,7 @@
   if (refusal.ran() != RunState::NotRun || isUnknownElsewhere(key)) {
     return refusal;
   }
-  const Problem doubtful(refusal.kind(),
-                         RunState::MayHaveRun,
-                         refusal.detail() +
-                           ". It was not started here now, but may have run "
-                           "for an earlier submission; go on with this key");
-  return refusal.retryAfter() ? doubtful.withRetryAfter(*refusal.retryAfter())
-                              : doubtful;
+  return mayHaveRunBefore(refusal);
 }
 
 bool
@@ -361,10 +303,7 @@
   if (!waitForEnd) {
     return submission->statusReply(202);
   }
-  return problemReply(Problem(ProblemKind::DeadlineExceeded,
-                              RunState::MayHaveRun,
-                              "It has not ended yet; ask again")
-                        .withRetryAfter(attachRetry));
+  return problemReply(notEndedYet());
 }
 
 SubmissionService::SubmissionPtr
