No shard vouches for a part that was lost in two of them

Change: a quarantine names no shard where runs may be left in more than one; it then ends only when every run is surely over.

--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -125,13 +125,12 @@
   }
 }
 
-/// While runs on another shard may be left from an earlier loss, that shard
-/// stays the one to look at: it is the larger one, or can no longer be asked.
 void
 Gateway::markLost(Part& part, TimePoint now) const
 {
   const bool mayRunElsewhere = part.lostAt && part.lostShard != part.shard &&
                                now - *part.lostAt < m_settings.lostRunLimit;
+  part.lostShard.reset();
   if (!mayRunElsewhere)
     part.lostShard = part.shard;
   part.lostAt = now;
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -134,8 +134,9 @@
     ShardId shard;
     /// Set when a daemon that had the part was lost or gave it up.
     std::optional<TimePoint> lostAt;
-    /// The shard on whose workers runs of it may be left since then.
-    ShardId lostShard;
+    /// The shard on whose workers runs of it may be left since then; none if
+    /// they may be left in more than one.
+    std::optional<ShardId> lostShard;
     /// Whether the holder may name another one. It may do so once.
     bool mayBeReturned = true;
     /// Handed to a holder that another one has named: it may refuse.
--- a/src/libjobs/jobrequest.h
+++ b/src/libjobs/jobrequest.h
@@ -46,7 +46,9 @@
 /// or all the workers have been asked, the job's tasks must not start anew.
 struct Quarantine
 {
-  ShardId shard;
+  /// Whose workers, once all have been asked, leave nothing unknown. None if
+  /// runs may be left in more than one shard.
+  std::optional<ShardId> shard;
   Duration remaining = Duration::zero();
 };
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -606,8 +606,9 @@
 Scheduler::endQuarantine(Job& job, TimePoint now)
 {
   const auto& quarantine = job.request.quarantine;
-  const bool isKnown = quarantine && holds(quarantine->shard) &&
-                       m_pool.isFullyClaimed(quarantine->shard);
+  const bool isKnown = quarantine && quarantine->shard &&
+                       holds(*quarantine->shard) &&
+                       m_pool.isFullyClaimed(*quarantine->shard);
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     JobTask& task = job.tasks[i];
     if (task.state != TaskState::Quarantined)
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -92,14 +92,19 @@
                        needs.maxPerWorker });
 }
 
+json
+toJson(const std::optional<Quarantine>& quarantine)
+{
+  if (!quarantine)
+    return nullptr;
+  const json shard = quarantine->shard ? toJson(*quarantine->shard) : json();
+  return json::array({ shard, quarantine->remaining.count() });
+}
+
 json
 toJson(const PeerSubmit& submit)
 {
   const JobRequest& request = submit.request;
-  json quarantine;
-  if (request.quarantine)
-    quarantine = json::array({ toJson(request.quarantine->shard),
-                               request.quarantine->remaining.count() });
   return json::array({ toJson(request.key),
                        toJson(request.policy),
                        toJson(request.needs),
@@ -110,7 +115,7 @@
                        request.firstRun,
                        request.age.count(),
                        request.timeLeft.count(),
-                       std::move(quarantine),
+                       toJson(request.quarantine),
                        request.previousPart,
                        request.mayHaveRun,
                        request.mayBeReturned });
@@ -245,6 +250,18 @@
   return needs;
 }
 
+std::optional<Quarantine>
+readQuarantine(const json& value)
+{
+  if (value.is_null())
+    return std::nullopt;
+  Quarantine quarantine;
+  if (!value.at(0).is_null())
+    quarantine.shard = readShard(value.at(0));
+  quarantine.remaining = duration(value.at(1));
+  return quarantine;
+}
+
 PeerSubmit
 readSubmit(const json& value)
 {
@@ -259,10 +276,7 @@
   request.firstRun = value.at(7).get<std::uint64_t>();
   request.age = duration(value.at(8));
   request.timeLeft = duration(value.at(9));
-  const json& quarantine = value.at(10);
-  if (!quarantine.is_null())
-    request.quarantine =
-      Quarantine{ readShard(quarantine.at(0)), duration(quarantine.at(1)) };
+  request.quarantine = readQuarantine(value.at(10));
   request.previousPart = value.at(11).get<std::uint64_t>();
   request.mayHaveRun = value.at(12).get<bool>();
   request.mayBeReturned = value.at(13).get<bool>();
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -32,11 +32,12 @@
     hooks.nextHolder =
       [this](const ShardId& shard) -> std::optional<HolderChoice> {
       const auto found = holders.find(shard);
-      if (found == holders.end())
+      if (found == holders.end() && shard.count() == 1)
         return std::nullopt;
       HolderChoice choice;
-      choice.holder = found->second;
-      choice.shard = shard;
+      // What was divided before is one shard now.
+      choice.holder = found == holders.end() ? second : found->second;
+      choice.shard = found == holders.end() ? home : shard;
       return choice;
     };
     hooks.bestHolder = [this]() -> std::optional<HolderChoice> {
@@ -133,6 +134,26 @@
     EXPECT_NE(answer.kind, JobAnswer::Kind::NotRun);
 }
 
+TEST_F(GatewayTest, RunsThatMayBeLeftInTwoShardsAreNotKnownByAnyOfThem)
+{
+  const ShardId half(ZoneName("z1"), 1, 2);
+  holders = { { half, first } };
+  submit("a");
+  holders.clear();
+  gateway.daemonLost(first, now);
+  gateway.tick(now);
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].second.shard, home);
+  EXPECT_EQ(sent[1].second.quarantine->shard, half);
+  now += milliseconds(1200);
+  gateway.daemonLost(second, now);
+  holders = { { home, first } };
+  gateway.tick(now);
+  ASSERT_EQ(sent.size(), 3u);
+  ASSERT_TRUE(sent[2].second.quarantine);
+  EXPECT_FALSE(sent[2].second.quarantine->shard);
+}
+
 TEST_F(GatewayTest, ALostPartStartsElsewhereOnlyWhenItsRunsAreSurelyOver)
 {
   submit("a");
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -84,6 +84,15 @@
   return settings;
 }
 
+Simulation::Settings
+withManyWorkersAndOrderFaults()
+{
+  Simulation::Settings settings = withOrderFaults();
+  settings.workersPerZone = withManyWorkers().workersPerZone;
+  settings.jobsPerSecond = withManyWorkers().jobsPerSecond;
+  return settings;
+}
+
 /// The first of `troubles`, of which `All` chooses one at each strike.
 constexpr std::size_t singleStrikes = 9;
 
@@ -127,6 +136,15 @@
           s.setWorkersPerZone(sizes[s.random()() % sizes.size()]);
       },
       withManyWorkers() },
+    { "AllAndDividedAnew",
+      [](Simulation& s) {
+        const auto all = troubles();
+        const std::vector<unsigned> sizes = { 30, 50, 62 };
+        all[s.random()() % singleStrikes].strike(s);
+        if (s.random()() % 2 == 0)
+          s.setWorkersPerZone(sizes[s.random()() % sizes.size()]);
+      },
+      withManyWorkersAndOrderFaults() },
   };
 }
 
@@ -164,18 +182,17 @@
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          DaemonGroupInTrouble,
                          ::testing::Combine(::testing::Range<std::size_t>(0,
-                                                                          12),
+                                                                          13),
                                             ::testing::Range(1, 9)),
                          caseName);
 
 /// Seeds beyond the first eight that have failed: two of `Leave`, one of
-/// `CutOff`.
-INSTANTIATE_TEST_SUITE_P(FailedOnce,
-                         DaemonGroupInTrouble,
-                         ::testing::Values(Case(3, 34),
-                                           Case(3, 35),
-                                           Case(4, 25)),
-                         caseName);
+/// `CutOff` and one of `AllAndDividedAnew`.
+INSTANTIATE_TEST_SUITE_P(
+  FailedOnce,
+  DaemonGroupInTrouble,
+  ::testing::Values(Case(3, 34), Case(3, 35), Case(4, 25), Case(12, 27)),
+  caseName);
 
 } // namespace
 } // namespace cowslippin::testing
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -33,7 +33,7 @@
   request.needs.requiredLabel = "b";
   request.needs.preferredRack = "r1-3";
   request.needs.maxPerWorker = 2;
-  request.shard = ShardId(ZoneName("z1"), 2);
+  request.shard = ShardId(ZoneName("z1"), 2, 4);
   request.spec = "a \"text\"";
   request.taskPrefix = "0123456789abcdef.0.0.";
   request.tasks = { 0, 2, 5 };
@@ -79,6 +79,16 @@
   EXPECT_EQ(read.mayBeReturned, sent.mayBeReturned);
 }
 
+TEST(PeerCodec, CarriesAQuarantineThatNoShardCanEnd)
+{
+  JobRequest sent = request();
+  sent.quarantine->shard.reset();
+  const JobRequest read = throughTheWire(PeerSubmit{ sent }).request;
+  ASSERT_TRUE(read.quarantine);
+  EXPECT_FALSE(read.quarantine->shard);
+  EXPECT_EQ(read.quarantine->remaining, sent.quarantine->remaining);
+}
+
 TEST(PeerCodec, CarriesGreetingsAndBeats)
 {
   PeerHello hello;
