Tokens are raised by twice as much after each further refusal

On the platform the holders' records tell the tokens; with the store away as well nothing does.

Change: the margin doubles with each refusal in a row, up to 51 minutes; being held begins anew.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -246,7 +246,9 @@
   hooks.returned = [this](const JobKey& key, const TasksReturned& returned) {
     tasksReturned(key, returned);
   };
-  hooks.higherToken = [this] { return m_tokens.nextAfterRefusal(); };
+  hooks.higherToken = [this](unsigned refusals) {
+    return m_tokens.nextAfterRefusal(refusals);
+  };
   hooks.fenced = [this](const ShardId& shard) { m_fenced.insert(shard); };
   return hooks;
 }
--- a/src/libentry/tokensource.cpp
+++ b/src/libentry/tokensource.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t usualMargin = tokensPerMs;
 /// Three seconds, more than clocks of the machines differ by.
 constexpr std::uint64_t refusalMargin = 3000 * tokensPerMs;
+/// It is doubled at most so often, up to 51 minutes.
+constexpr unsigned maxDoublings = 10;
 
 } // namespace
 
@@ -39,9 +41,11 @@
 }
 
 FencingToken
-TokenSource::nextAfterRefusal()
+TokenSource::nextAfterRefusal(unsigned refusals)
 {
-  return above(refusalMargin);
+  const unsigned doublings =
+    std::min(refusals > 0 ? refusals - 1 : 0, maxDoublings);
+  return above(refusalMargin << doublings);
 }
 
 FencingToken
--- a/src/libentry/tokensource.h
+++ b/src/libentry/tokensource.h
@@ -23,10 +23,12 @@
 
   FencingToken next();
 
-  /// A worker has refused a token for a higher one that isn't known here: the
-  /// time of day of whoever made it is ahead. The next one is higher by more
-  /// than clocks differ.
-  FencingToken nextAfterRefusal();
+  /// A worker has refused a token, for a higher one that isn't known here: the
+  /// time of day of whoever made it is ahead, or daemons have outbid each other
+  /// before. The next one is higher by more than clocks differ, and by twice as
+  /// much after each further refusal in a row: three minutes of tokens are made
+  /// up for in seven.
+  FencingToken nextAfterRefusal(unsigned refusals);
 
   FencingToken highest() const { return m_highest; }
 
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -60,7 +60,8 @@
     std::function<void(const JobKey&, const JobEnd&)> ended;
     /// Returns tasks to the submitter, with where to hand them.
     std::function<void(const JobKey&, const TasksReturned&)> returned;
-    std::function<FencingToken()> higherToken;
+    /// See `WorkerPool`.
+    std::function<FencingToken(unsigned refusals)> higherToken;
     /// A worker of a held shard was taken by another daemon.
     std::function<void(const ShardId&)> fenced;
   };
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -330,7 +330,10 @@
              { { "worker", id },
                { "state", toString(state) },
                { "token", found->second.lease->token() } });
+    if (state == LeaseState::Held)
+      found->second.refusals = 0;
     if (state == LeaseState::Fenced) {
+      ++found->second.refusals;
       found->second.fencedAt.reset();
       m_hooks.fenced(found->second.shard);
     }
@@ -370,7 +373,7 @@
       continue;
     const auto [token, isNew] = tokens.try_emplace(entry.shard);
     if (isNew) {
-      token->second = m_hooks.higherToken();
+      token->second = m_hooks.higherToken(entry.refusals);
       m_shards[entry.shard] = token->second;
     }
     entry.lease->claim(token->second, now);
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -46,8 +46,9 @@
     /// A worker was taken from a shard that this daemon holds.
     std::function<void(const ShardId&)> fenced;
     /// A token that is higher than any known one by a margin, as somebody has
-    /// one that is higher than ours.
-    std::function<FencingToken()> higherToken;
+    /// one that is higher than ours. Told how often in a row a worker has
+    /// refused ours.
+    std::function<FencingToken(unsigned refusals)> higherToken;
   };
 
   WorkerPool(Settings settings, Hooks hooks);
@@ -154,6 +155,8 @@
     /// When a tick first saw that another daemon had taken it.
     std::optional<TimePoint> fencedAt;
     Duration reclaimWait = Duration::zero();
+    /// Since it was last held.
+    unsigned refusals = 0;
 
     explicit Entry(const WorkerHealth::Settings& settings)
       : health(settings)
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -198,8 +198,9 @@
       renew(index);
   }
   m_listedPerZone = count;
+  const auto lag = static_cast<std::size_t>(toMilliseconds(m_settings.listLag));
   for (std::size_t node = 0; node < m_nodes.size(); ++node)
-    at(milliseconds(below(300)), [this, node] {
+    at(milliseconds(below(lag)), [this, node] {
       onNode(node, m_nodes[node].life, [this, node] {
         m_nodes[node].core->workersRead(list());
       });
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -33,6 +33,8 @@
     double lostOrders = 0;
     double lostAnswers = 0;
     double lateOrders = 0;
+    /// How late a daemon may read a new list of workers.
+    Duration listLag = std::chrono::milliseconds(300);
     /// Whether tasks of one job in a hundred fail.
     bool hasFailures = true;
   };
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -93,9 +93,21 @@
   return settings;
 }
 
+/// Daemons that read the store seconds after others.
+Simulation::Settings
+withLateLists()
+{
+  Simulation::Settings settings = withManyWorkersAndOrderFaults();
+  settings.listLag = seconds(4);
+  return settings;
+}
+
 /// The first of `troubles`, of which `All` chooses one at each strike.
 constexpr std::size_t singleStrikes = 9;
 
+void
+strikeAndDivide(Simulation& simulation);
+
 std::vector<Trouble>
 troubles()
 {
@@ -136,18 +148,21 @@
           s.setWorkersPerZone(sizes[s.random()() % sizes.size()]);
       },
       withManyWorkers() },
-    { "AllAndDividedAnew",
-      [](Simulation& s) {
-        const auto all = troubles();
-        const std::vector<unsigned> sizes = { 30, 50, 62 };
-        all[s.random()() % singleStrikes].strike(s);
-        if (s.random()() % 2 == 0)
-          s.setWorkersPerZone(sizes[s.random()() % sizes.size()]);
-      },
-      withManyWorkersAndOrderFaults() },
+    { "AllAndDividedAnew", strikeAndDivide, withManyWorkersAndOrderFaults() },
+    { "AllAndLateLists", strikeAndDivide, withLateLists() },
   };
 }
 
+void
+strikeAndDivide(Simulation& simulation)
+{
+  const auto all = troubles();
+  const std::vector<unsigned> sizes = { 30, 50, 62 };
+  all[simulation.random()() % singleStrikes].strike(simulation);
+  if (simulation.random()() % 2 == 0)
+    simulation.setWorkersPerZone(sizes[simulation.random()() % sizes.size()]);
+}
+
 using Case = std::tuple<std::size_t, int>;
 
 class DaemonGroupInTrouble : public ::testing::TestWithParam<Case>
@@ -182,7 +197,7 @@
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          DaemonGroupInTrouble,
                          ::testing::Combine(::testing::Range<std::size_t>(0,
-                                                                          13),
+                                                                          14),
                                             ::testing::Range(1, 9)),
                          caseName);
 
--- a/tests/entry/tokensource_test.cpp
+++ b/tests/entry/tokensource_test.cpp
@@ -45,7 +45,18 @@
   timeOfDay += 2000;
   const FencingToken refusedFor = source(9).next();
   timeOfDay -= 2000;
-  EXPECT_GT(tokens.nextAfterRefusal(), refusedFor);
+  EXPECT_GT(tokens.nextAfterRefusal(1), refusedFor);
+}
+
+TEST_F(TokenSourceTest, AfterSevenRefusalsItIsAheadOfTokensThreeMinutesAhead)
+{
+  TokenSource tokens = source();
+  timeOfDay += 180000;
+  const FencingToken refusedFor = source(9).next();
+  timeOfDay -= 180000;
+  for (unsigned refusals = 1; refusals < 7; ++refusals)
+    tokens.nextAfterRefusal(refusals);
+  EXPECT_GT(tokens.nextAfterRefusal(7), refusedFor);
 }
 
 TEST_F(TokenSourceTest, AClockThatIsSetBackLowersNothing)
--- a/tests/jobs/schedulerfixture.h
+++ b/tests/jobs/schedulerfixture.h
@@ -166,7 +166,7 @@
     hooks.returned = [this](const JobKey&, const TasksReturned& returned) {
       returns.push_back(returned);
     };
-    hooks.higherToken = [this] { return lastToken += 10; };
+    hooks.higherToken = [this](unsigned) { return lastToken += 10; };
     hooks.fenced = [](const ShardId&) {};
     return hooks;
   }
