--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -178,13 +178,12 @@
   }
 }
 
-bool
+void
 Scheduler::setList(const WorkerList& list, TimePoint now)
 {
   m_now = now;
-  const bool isDividedAnew = m_pool.setList(list, now);
+  m_pool.setList(list, now);
   pump(now);
-  return isDividedAnew;
 }
 
 void
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -74,11 +74,10 @@
   /// A daemon can't be reached: its jobs end soon unless it submits them again.
   void daemonLost(const VmId& vm, bool wasSilent, TimePoint now);
 
-  /// True if the workers are divided into shards anew; held shards that are no
-  /// longer among `shards` have to be released then.
-  bool setList(const WorkerList& list, TimePoint now);
+  /// See `WorkerPool`.
+  void setList(const WorkerList& list, TimePoint now);
   std::set<ShardId> shards() const { return m_pool.shards(); }
-  /// See `ShardMap`. The same holds of held shards if it is true.
+  /// See `ShardMap`. If it is true, `shards` are others.
   bool adoptDivision(const ShardId& shard)
   {
     return m_pool.adoptDivision(shard);
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -14,11 +14,11 @@
 {
 }
 
-bool
+void
 WorkerPool::setList(const WorkerList& list, TimePoint now)
 {
   m_list = list;
-  const bool isDividedAnew = m_map.update(list);
+  m_map.update(list);
   for (auto& [id, entry] : m_entries)
     entry.isListed = m_list.count(id) > 0;
   for (const auto& [id, record] : m_list) {
@@ -29,7 +29,6 @@
       addWorker(record, now);
   }
   dropUnlisted();
-  return isDividedAnew;
 }
 
 void
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -54,10 +54,10 @@
   WorkerPool(Settings settings, Hooks hooks);
 
   /// Takes the platform's list; workers that have come to a held shard are
-  /// claimed, those that are gone are dropped once they run nothing. True if
-  /// the workers are divided into shards anew; held shards that are no longer
-  /// among `shards` have to be released then.
-  bool setList(const WorkerList& list, TimePoint now);
+  /// claimed, those that are gone are dropped once they run nothing. The
+  /// workers may be divided into other shards then: held shards that are no
+  /// longer among `shards` have to be released.
+  void setList(const WorkerList& list, TimePoint now);
   std::set<ShardId> shards() const { return m_map.shards(); }
   /// See `ShardMap`.
   bool adoptDivision(const ShardId& shard) { return m_map.adopt(shard); }
