The format between daemons has another version

Cause: read over once more: shards tell into how many their zone is divided, and a quarantine has one member more, but the format's version had stayed 1. A daemon of the earlier format would have greeted one of this, ignored the division, and taken a shard for another.

--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with every change that an older daemon can't read.
-constexpr int formatVersion = 1;
+constexpr int formatVersion = 2;
 
 json
 toJson(const ShardId& shard)
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -1,6 +1,7 @@
 #include "libpeers/peers.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 namespace cowslippin::testing {
@@ -158,6 +159,16 @@
   EXPECT_EQ(config.body, "{}");
 }
 
+TEST(PeerCodec, AGreetingInTheFormatWithoutDivisionsIsAProblem)
+{
+  const auto bytes = encodePeerMessage(PeerHello());
+  nlohmann::json message =
+    nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+  message[1][0] = 1;
+  const auto older = nlohmann::json::to_cbor(message);
+  EXPECT_FALSE(decodePeerMessage(std::string(older.begin(), older.end())));
+}
+
 TEST(PeerCodec, AnyBytesAreAMessageOrAProblem)
 {
   EXPECT_TRUE(rc::check([](const std::string& bytes) {
