--- a/src/libasynchttp/asynchttpserver.cpp
+++ b/src/libasynchttp/asynchttpserver.cpp
@@ -223,8 +223,7 @@
 AsyncHttpServer::AsyncHttpServer(net::io_context& context,
                                  Settings settings,
                                  Handler handler)
-  : m_context(context)
-  , m_settings(settings)
+  : m_settings(settings)
   , m_handler(std::move(handler))
   , m_acceptor(context)
   , m_self(std::make_shared<AsyncHttpServer*>(this))
--- a/src/libasynchttp/asynchttpserver.h
+++ b/src/libasynchttp/asynchttpserver.h
@@ -55,7 +55,6 @@
 
   void accept();
 
-  boost::asio::io_context& m_context;
   const Settings m_settings;
   const Handler m_handler;
   boost::asio::ip::tcp::acceptor m_acceptor;
--- a/src/libasynchttp/httpchannelpool.h
+++ b/src/libasynchttp/httpchannelpool.h
@@ -28,7 +28,6 @@
   /// Ends calls whose time is over and drops closed connections.
   void expire(TimePoint now);
 
-  const Address& address() const { return m_address; }
   std::size_t size() const { return m_channels.size(); }
 
 private:
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -147,7 +147,7 @@
     return m_pool.freePlaces(job.request.shard,
                              job.request.needs.resources.cpuMillis(),
                              now) == 0;
-  if (canReturn(job))
+  if (offerFor(job))
     return false;
   const Duration objective = job.objectiveAt - job.arrivedAt;
   const TimePoint end = now + expectedWait(job, now) + job.expected;
@@ -419,26 +419,26 @@
       : m_usualCpuMillis * (1 - sizeWeight) + size * sizeWeight;
 }
 
-/// Whether some of the job's tasks can be handed to another holder.
-bool
-Scheduler::canReturn(const Job& job) const
+/// Where tasks of the job could go instead, if they may.
+std::optional<PeerPlaces::Offer>
+Scheduler::offerFor(const Job& job) const
 {
-  return job.request.mayBeReturned && m_peerPlaces.best();
+  return job.request.mayBeReturned ? m_peerPlaces.best() : std::nullopt;
 }
 
 void
 Scheduler::returnTasks(Job& job)
 {
-  if (!canReturn(job))
+  const auto offer = offerFor(job);
+  if (!offer)
     return;
-  const PeerPlaces::Offer offer = *m_peerPlaces.best();
   TasksReturned returned;
-  returned.holder = offer.holder;
-  returned.shard = offer.shard;
+  returned.holder = offer->holder;
+  returned.shard = offer->shard;
   for (JobTask& task : job.tasks) {
     const bool isFree = task.state == TaskState::Pending &&
                         !m_pool.isRunning(job.request.taskName(task.index));
-    if (!isFree || !m_peerPlaces.take(offer.shard))
+    if (!isFree || !m_peerPlaces.take(offer->shard))
       continue;
     returned.tasks.push_back(task.index);
     returned.nextRun = std::max(returned.nextRun, task.nextRun);
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -153,7 +153,7 @@
   bool startTask(Job& job, std::size_t position, TimePoint now);
   void returnTasks(Job& job);
   void noteSize(const Resources& resources);
-  bool canReturn(const Job& job) const;
+  std::optional<PeerPlaces::Offer> offerFor(const Job& job) const;
   bool attach(const JobRequest& request);
   void taskDone(Job& job, JobTask& task);
   void taskFailed(Job& job, JobTask& task);
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -8,6 +8,19 @@
 
 namespace cowslippin {
 
+namespace {
+
+/// Whether the worker is one of those that the job's queue and tasks ask for.
+bool
+isOfKind(const WorkerRecord& worker, const JobRequest& request)
+{
+  const std::string& label = request.needs.requiredLabel;
+  return worker.service() == request.policy.service &&
+         (label.empty() || worker.hasLabel(label));
+}
+
+} // namespace
+
 WorkerPool::WorkerPool(Settings settings, Hooks hooks)
   : m_settings(settings)
   , m_hooks(std::move(hooks))
@@ -87,11 +100,8 @@
     if (request.needs.maxPerWorker > 0 && here != perWorker.end() &&
         here->second >= request.needs.maxPerWorker)
       continue;
-    const auto& labels = entry.lease->record().labels();
     const std::string& rack = request.needs.preferredRack;
-    const bool isFar =
-      !rack.empty() &&
-      std::find(labels.begin(), labels.end(), rack) == labels.end();
+    const bool isFar = !rack.empty() && !entry.lease->record().hasLabel(rack);
     const Resources left = entry.lease->freeRoom() - request.needs.resources;
     const Rank rank(avoided.count(id) > 0, isFar, left.cpuMillis());
     if (!best || rank < best->first)
@@ -107,12 +117,8 @@
 {
   const auto fits = [&](const auto& item) {
     const WorkerRecord& record = item.second;
-    const auto& labels = record.labels();
-    const std::string& label = request.needs.requiredLabel;
-    return record.service() == request.policy.service &&
-           request.needs.resources.fitsIn(record.capacity()) &&
-           (label.empty() ||
-            std::find(labels.begin(), labels.end(), label) != labels.end());
+    return isOfKind(record, request) &&
+           request.needs.resources.fitsIn(record.capacity());
   };
   return std::any_of(m_list.begin(), m_list.end(), fits);
 }
@@ -130,9 +136,8 @@
 void
 WorkerPool::stop(const WorkerId& worker, const RunKey& key, TimePoint now)
 {
-  const auto found = m_entries.find(worker);
-  if (found != m_entries.end())
-    found->second.lease->stop(key, now);
+  if (Entry* entry = find(worker))
+    entry->lease->stop(key, now);
 }
 
 std::optional<std::pair<WorkerId, RunKey>>
@@ -161,10 +166,8 @@
                          const HoldAnswer& answer,
                          TimePoint now)
 {
-  const auto found = m_entries.find(worker);
-  if (found == m_entries.end())
-    return;
-  found->second.lease->holdAnswered(sent, answer, now);
+  if (Entry* entry = find(worker))
+    entry->lease->holdAnswered(sent, answer, now);
 }
 
 void
@@ -173,12 +176,12 @@
                           const OrderAnswer& answer,
                           TimePoint now)
 {
-  const auto found = m_entries.find(worker);
-  if (found == m_entries.end())
+  Entry* entry = find(worker);
+  if (entry == nullptr)
     return;
   if (answer == OrderFailure::Unhealthy)
-    found->second.health.stalled(now);
-  found->second.lease->startAnswered(key, answer, now);
+    entry->health.stalled(now);
+  entry->lease->startAnswered(key, answer, now);
 }
 
 void
@@ -187,33 +190,29 @@
                          const OrderAnswer& answer,
                          TimePoint now)
 {
-  const auto found = m_entries.find(worker);
-  if (found != m_entries.end())
-    found->second.lease->stopAnswered(key, answer, now);
+  if (Entry* entry = find(worker))
+    entry->lease->stopAnswered(key, answer, now);
 }
 
 void
 WorkerPool::runWasSlow(const WorkerId& worker, double slowness, TimePoint now)
 {
-  const auto found = m_entries.find(worker);
-  if (found != m_entries.end())
-    found->second.health.ended(RunEnd::Done, slowness, now);
+  if (Entry* entry = find(worker))
+    entry->health.ended(RunEnd::Done, slowness, now);
 }
 
 void
 WorkerPool::runFailed(const WorkerId& worker, TimePoint now)
 {
-  const auto found = m_entries.find(worker);
-  if (found != m_entries.end())
-    found->second.health.ended(RunEnd::Failed, 0, now);
+  if (Entry* entry = find(worker))
+    entry->health.ended(RunEnd::Failed, 0, now);
 }
 
 void
 WorkerPool::workerStalled(const WorkerId& worker, TimePoint now)
 {
-  const auto found = m_entries.find(worker);
-  if (found != m_entries.end())
-    found->second.health.stalled(now);
+  if (Entry* entry = find(worker))
+    entry->health.stalled(now);
 }
 
 void
@@ -277,6 +276,13 @@
   return views;
 }
 
+WorkerPool::Entry*
+WorkerPool::find(const WorkerId& worker)
+{
+  const auto found = m_entries.find(worker);
+  return found == m_entries.end() ? nullptr : &found->second;
+}
+
 void
 WorkerPool::addWorker(const WorkerRecord& record, TimePoint now)
 {
@@ -347,8 +353,7 @@
     const WorkerLease& lease = *entry->second.lease;
     const bool isOver = lease.state() == LeaseState::Ended ||
                         (!entry->second.isListed && lease.isIdle());
-    if (isOver &&
-        (!entry->second.isListed || lease.state() == LeaseState::Ended))
+    if (isOver)
       entry = m_entries.erase(entry);
     else
       ++entry;
@@ -385,17 +390,10 @@
                        TimePoint now) const
 {
   const WorkerLease& lease = *entry.lease;
-  if (!entry.isListed || entry.shard != request.shard ||
-      lease.record().service() != request.policy.service)
-    return false;
-  if (!lease.canStart(request.needs.resources))
-    return false;
-  const auto& labels = lease.record().labels();
-  const std::string& label = request.needs.requiredLabel;
-  if (!label.empty() &&
-      std::find(labels.begin(), labels.end(), label) == labels.end())
-    return false;
-  return entry.health.isUsable(lease.runCount(), now);
+  return entry.isListed && entry.shard == request.shard &&
+         isOfKind(lease.record(), request) &&
+         lease.canStart(request.needs.resources) &&
+         entry.health.isUsable(lease.runCount(), now);
 }
 
 } // namespace cowslippin
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -165,6 +165,8 @@
   };
   using Entries = std::map<WorkerId, Entry>;
 
+  /// Null if the worker isn't one of a held shard, or no longer.
+  Entry* find(const WorkerId& worker);
   void addWorker(const WorkerRecord& record, TimePoint now);
   WorkerLease::Hooks leaseHooks(const WorkerId& id);
   void dropUnlisted();
--- a/src/libworkers/workerrecord.h
+++ b/src/libworkers/workerrecord.h
@@ -5,6 +5,7 @@
 #include "libcore/address.h"
 #include "libcore/ids.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,10 @@
   const ZoneName& zone() const { return m_fields.zone; }
   const Resources& capacity() const { return m_fields.capacity; }
   const std::vector<std::string>& labels() const { return m_fields.labels; }
+  bool hasLabel(const std::string& label) const
+  {
+    return std::find(labels().begin(), labels().end(), label) != labels().end();
+  }
   bool isDraining() const { return m_fields.isDraining; }
 
   friend bool operator==(const WorkerRecord& a, const WorkerRecord& b)
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -168,9 +168,15 @@
 {
   renew(index);
   for (std::size_t node = 0; node < m_nodes.size(); ++node)
-    onNode(node, m_nodes[node].life, [this, node] {
-      m_nodes[node].core->workersRead(list());
-    });
+    readList(node);
+}
+
+void
+Simulation::readList(std::size_t node)
+{
+  onNode(node, m_nodes[node].life, [this, node] {
+    m_nodes[node].core->workersRead(list());
+  });
 }
 
 /// The worker loses all that runs there and gets a new id.
@@ -200,11 +206,7 @@
   m_listedPerZone = count;
   const auto lag = static_cast<std::size_t>(toMilliseconds(m_settings.listLag));
   for (std::size_t node = 0; node < m_nodes.size(); ++node)
-    at(milliseconds(below(lag)), [this, node] {
-      onNode(node, m_nodes[node].life, [this, node] {
-        m_nodes[node].core->workersRead(list());
-      });
-    });
+    at(milliseconds(below(lag)), [this, node] { readList(node); });
 }
 
 void
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -171,6 +171,7 @@
   void tickWorkers();
 
   void renew(std::size_t worker);
+  void readList(std::size_t node);
   void submitLater();
   void submitNew();
   void submit(const JobId& job, std::size_t daemon);
