A caller is refused only when every shard has refused its job

Cause: load and workers are spread unevenly among zones (43 jobs/s on 20 places in quito-norte, 35 on 32 in latacunga). A job that its zone's holder refused was refused to the caller, though another shard may have had room in time; places told between holders are 30 ms old. Change: the gateway asks each other shard in turn, 1 to 2 ms each, and tells the caller the soonest time of all when none has room.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -264,7 +264,9 @@
 {
   Gateway::Hooks hooks;
   hooks.nextHolder = [this](const ShardId& shard) { return nextHolder(shard); };
-  hooks.bestHolder = [this] { return bestHolder(); };
+  hooks.bestHolder = [this](const std::set<ShardId>& refusedBy) {
+    return bestHolder(refusedBy);
+  };
   hooks.submit = [this](const VmId& vm, const JobRequest& request) {
     return submitTo(vm, request);
   };
@@ -553,12 +555,14 @@
 /// Of two shards of this zone the one with more room, so that what isn't quite
 /// up to date doesn't send everything to one. Another zone's if there is none.
 std::optional<HolderChoice>
-EntryCore::bestHolder()
+EntryCore::bestHolder(const std::set<ShardId>& refusedBy)
 {
   const TimePoint now = m_clocks.steady();
   std::vector<std::pair<VmId, ShardId>> home;
   std::vector<std::pair<VmId, ShardId>> abroad;
   for (const ShardId& shard : m_shards.shards()) {
+    if (refusedBy.count(shard) > 0)
+      continue;
     if (const auto holder = reachableHolder(shard))
       (shard.zone() == m_settings.zone ? home : abroad)
         .emplace_back(*holder, shard);
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -183,7 +183,7 @@
   void jobEnded(const JobKey& key, const JobEnd& end);
   void tasksReturned(const JobKey& key, const TasksReturned& returned);
   std::optional<VmId> reachableHolder(const ShardId& shard) const;
-  std::optional<HolderChoice> bestHolder();
+  std::optional<HolderChoice> bestHolder(const std::set<ShardId>& refusedBy);
   HolderChoice choiceOf(const VmId& holder,
                         const ShardId& shard,
                         TimePoint now) const;
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -194,19 +194,24 @@
     finish(entry, { JobAnswer::Kind::Completed, Duration::zero(), "" });
 }
 
-/// A job that is refused as a whole has not run. A part of one goes back to the
-/// holder at home, which has to wait for room.
+/// A job that is refused as a whole has not run: another shard may have room,
+/// as load and workers are shared unevenly among zones, and the caller is
+/// refused only when all have been asked. A part of one goes back to the holder
+/// at home, which has to wait for room.
 void
 Gateway::partRefused(Entry& entry, Part& part, const JobEnd& end, TimePoint now)
 {
-  if (!entry.isSplit && !part.lostAt) {
-    finish(entry,
-           { JobAnswer::Kind::NotRun, end.retryAfter, "no room in time" });
-    return;
-  }
   part.holder.reset();
   part.isSuggested = false;
-  place(entry, part, now);
+  if (entry.isSplit || part.lostAt) {
+    place(entry, part, now);
+    return;
+  }
+  part.refusedBy.insert(part.shard);
+  part.retryAfter = std::min(part.retryAfter, end.retryAfter);
+  if (!placeFresh(entry, part, now))
+    finish(entry,
+           { JobAnswer::Kind::NotRun, part.retryAfter, "no room in time" });
 }
 
 void
@@ -252,7 +257,7 @@
 Gateway::placeFresh(Entry& entry, Part& part, TimePoint now)
 {
   part.isSuggested = false;
-  const auto best = m_hooks.bestHolder();
+  const auto best = m_hooks.bestHolder(part.refusedBy);
   if (!best || !handTo(entry, part, best->holder, best->shard, now))
     return false;
   logEvent(LogLevel::Info,
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -81,9 +81,11 @@
     /// Who holds the workers of a shard, or some of them if they are divided
     /// into other shards by now. Only daemons that can be reached.
     std::function<std::optional<HolderChoice>(const ShardId&)> nextHolder;
-    /// A holder for a new job: one of this zone if there is any, with room if
-    /// there is any.
-    std::function<std::optional<HolderChoice>()> bestHolder;
+    /// A holder for a new job, of a shard that hasn't refused it: one of this
+    /// zone if there is any, with room if there is any.
+    std::function<std::optional<HolderChoice>(
+      const std::set<ShardId>& refusedBy)>
+      bestHolder;
     /// Hands a job to a daemon, this one included. False if it can't be
     /// reached.
     std::function<bool(const VmId&, const JobRequest&)> submit;
@@ -141,6 +143,10 @@
     bool mayBeReturned = true;
     /// Handed to a holder that another one has named: it may refuse.
     bool isSuggested = false;
+    /// Shards whose holders had no room for it in time, and when the first of
+    /// them expects some.
+    std::set<ShardId> refusedBy;
+    Duration retryAfter = Duration::max();
   };
   struct Entry
   {
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -40,13 +40,17 @@
       choice.shard = found == holders.end() ? home : shard;
       return choice;
     };
-    hooks.bestHolder = [this]() -> std::optional<HolderChoice> {
-      if (holders.empty())
-        return std::nullopt;
-      HolderChoice choice;
-      choice.holder = holders.begin()->second;
-      choice.shard = holders.begin()->first;
-      return choice;
+    hooks.bestHolder = [this](const std::set<ShardId>& refusedBy)
+      -> std::optional<HolderChoice> {
+      for (const auto& [shard, holder] : holders) {
+        if (refusedBy.count(shard) > 0)
+          continue;
+        HolderChoice choice;
+        choice.holder = holder;
+        choice.shard = shard;
+        return choice;
+      }
+      return std::nullopt;
     };
     hooks.submit = [this](const VmId& vm, const JobRequest& request) {
       sent.emplace_back(vm, request);
@@ -119,6 +123,26 @@
   EXPECT_EQ(answers[0].kind, JobAnswer::Kind::NotRun);
 }
 
+TEST_F(GatewayTest, AJobIsRefusedOnlyWhenEveryShardHasRefusedIt)
+{
+  holders[abroad] = second;
+  submit("a");
+  JobEnd full;
+  full.outcome = JobOutcome::Refused;
+  full.retryAfter = milliseconds(700);
+  gateway.ended(first, sent[0].second.key, full, now);
+  EXPECT_TRUE(answers.empty());
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].first, second);
+  EXPECT_FALSE(sent[1].second.mayHaveRun);
+  full.retryAfter = milliseconds(900);
+  gateway.ended(second, sent[1].second.key, full, now);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::NotRun);
+  EXPECT_EQ(answers[0].retryAfter, milliseconds(700))
+    << "when the first of them expects room";
+}
+
 TEST_F(GatewayTest, AJobWhoseHolderWasLostIsNeverCalledNotRun)
 {
   submit("a");
