--- a/src/libasynchttp/asynchttpserver.cpp
+++ b/src/libasynchttp/asynchttpserver.cpp
@@ -79,8 +79,10 @@
     m_isAnswered = true;
     m_gone = nullptr;
     const auto server = m_server.lock();
-    const bool isLast = !m_keepAlive || !server || (*server)->m_isClosing;
-    m_output = render(reply, isLast);
+    const bool asksToClose = reply.header("Connection") == "close";
+    const bool isLast =
+      asksToClose || !m_keepAlive || !server || (*server)->m_isClosing;
+    m_output = render(reply, isLast && !asksToClose);
     error_code ignored;
     if (m_isWatching)
       m_socket.cancel(ignored);
--- a/src/libasynchttp/httptransaction.h
+++ b/src/libasynchttp/httptransaction.h
@@ -13,7 +13,8 @@
 public:
   virtual ~HttpTransaction() = default;
 
-  /// Sends the answer; does nothing if the client is gone or was answered.
+  /// Sends the answer; does nothing if the client is gone or was answered. A
+  /// reply with the header field `Connection: close` ends the connection.
   virtual void answer(const HttpReply& reply) = 0;
 
   /// Called if the client closes its connection before it is answered.
--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -114,9 +114,9 @@
 bool
 EntryCore::isReady() const
 {
-  if (isLeaving() || m_routing->version() == 0 || !m_hasWorkers)
+  if (isLeaving() || m_routing->version() == 0)
     return false;
-  const auto& shards = m_shards.shards();
+  const auto shards = m_shards.servedShards();
   return std::any_of(shards.begin(), shards.end(), [this](const auto& shard) {
     return reachableHolder(shard).has_value();
   });
@@ -560,7 +560,7 @@
   const TimePoint now = m_clocks.steady();
   std::vector<std::pair<VmId, ShardId>> home;
   std::vector<std::pair<VmId, ShardId>> abroad;
-  for (const ShardId& shard : m_shards.shards()) {
+  for (const ShardId& shard : m_shards.servedShards()) {
     if (refusedBy.count(shard) > 0)
       continue;
     if (const auto holder = reachableHolder(shard))
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -149,12 +149,24 @@
     const auto claim = member.shards.find(shard);
     if (claim != member.shards.end())
       consider(
-        vm,
-        { !member.isLeaving, member.zone == shard.zone(), claim->second });
+        vm, { !member.isLeaving, member.zone == shard.zone(), claim->second });
   }
   return best;
 }
 
+std::set<ShardId>
+ShardTable::servedShards() const
+{
+  if (!m_shards.empty())
+    return m_shards;
+  std::set<ShardId> claimed;
+  for (const auto& [vm, member] : m_members) {
+    for (const auto& [shard, token] : member.shards)
+      claimed.insert(shard);
+  }
+  return claimed;
+}
+
 std::set<VmId>
 ShardTable::holders() const
 {
@@ -238,8 +250,8 @@
     return false;
   const bool isForeign = m_zone != shard.zone();
   if (isIsolated()) {
-    const bool hasWaited = now - m_lastHeard >= m_settings.isolatedWait ||
-                           isKnownFree(shard, now);
+    const bool hasWaited =
+      now - m_lastHeard >= m_settings.isolatedWait || isKnownFree(shard, now);
     return !isForeign && hasWaited && !isPlatformBeatFresh(shard, now);
   }
   if (!isForeign)
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -91,6 +91,10 @@
 
   /// Who holds a shard, this daemon included, as far as can be seen.
   std::optional<VmId> holder(const ShardId& shard) const;
+  /// The shards that a job can go to: those into which the workers are divided
+  /// or, as long as no list of workers was read, those that others say they
+  /// hold.
+  std::set<ShardId> servedShards() const;
   /// All who hold a shard and can be reached, this daemon included.
   std::set<VmId> holders() const;
   const std::map<ShardId, std::uint64_t>& held() const { return m_held; }
--- a/tests/asynchttp/asynchttp_test.cpp
+++ b/tests/asynchttp/asynchttp_test.cpp
@@ -42,6 +42,9 @@
     if (request.path() == "/wait") {
       waiting = transaction;
       transaction->onClientGone([this] { ++gone; });
+    } else if (request.path() == "/close") {
+      transaction->answer(
+        HttpReply::json(503, "{}").withHeader("Connection", "close"));
     } else {
       transaction->answer(HttpReply::json(200, request.body()));
     }
@@ -161,6 +164,14 @@
   EXPECT_EQ(call(pool, "/b", "two").body, "two") << "on a new connection";
 }
 
+TEST_F(AsyncHttp, AReplyMayEndItsConnection)
+{
+  HttpChannelPool pool(context, address, 4);
+  EXPECT_EQ(call(pool, "/close", "one").status, 503u);
+  pool.expire(steadyNow());
+  EXPECT_EQ(pool.size(), 0u);
+}
+
 TEST_F(AsyncHttp, StoppingClosesIdleConnectionsAndLetsOthersBeAnswered)
 {
   HttpChannelPool pool(context, address, 4);
--- a/tests/asynchttp/storefollower_test.cpp
+++ b/tests/asynchttp/storefollower_test.cpp
@@ -180,6 +180,21 @@
   EXPECT_EQ(reachable, (std::vector<bool>{ true, false, true }));
 }
 
+TEST_F(StoreFollowerTest, ASilentFirstReadGetsAnotherBesideIt)
+{
+  int gone = 0;
+  script = { std::nullopt, newest("a", "1", 1) };
+  follower->start();
+  await([&] { return held.size() == 1; });
+  held[0]->onClientGone([&] { ++gone; });
+  await([&] { return !snapshots.empty(); });
+  EXPECT_EQ(gone, 0) << "the first is waited for as well";
+  held[0]->answer(newest("a", "0", 0));
+  await([&] { return requests.size() >= 3; });
+  EXPECT_EQ(snapshots.size(), 1u) << "what comes after the first is not heeded";
+  EXPECT_NE(requests[2].find("from=1"), std::string::npos);
+}
+
 TEST_F(StoreFollowerTest, RecordsThatAreCutShortAreReadAgain)
 {
   const std::string whole = renderStoreRecord({ "a", "2" });
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -175,6 +175,17 @@
   EXPECT_EQ(table.holder(foreignShard), VmId("third"));
 }
 
+TEST_F(ShardTableTest, JobsGoToWhatOthersHoldWhileNoWorkersAreKnown)
+{
+  table.setShards({});
+  EXPECT_TRUE(table.servedShards().empty());
+  table.memberSeen(member("mate", home, { { homeShard, 5 } }), now);
+  EXPECT_EQ(table.servedShards(), std::set<ShardId>{ homeShard });
+  EXPECT_EQ(table.holder(homeShard), VmId("mate"));
+  table.setShards({ foreignShard });
+  EXPECT_EQ(table.servedShards(), std::set<ShardId>{ foreignShard });
+}
+
 TEST_F(ShardTableTest, OneThatLeavesReleasesToAnotherZone)
 {
   table.taken(homeShard, 7);
