The shard of a zone whose last daemon is lost is taken over when its workers show it

A fixed wait of 8 s covers both a dead daemon and one that is only cut off from others. Ruled out: a shorter wait (fights over the workers of a zone that is cut off); idle workers as a sign (in the simulation a living daemon's workers were idle in three rounds at low load, and it lost them; that test stays). Change: the daemon that would take the shard asks its workers with the holder's own token. A holder takes note of an end within milliseconds; one that stays listed over four rounds, a third of a second, has no holder. Takeover in the simulation within 1.5 s of a power loss, without the store.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -34,6 +34,7 @@
   , m_gateway(m_settings.vm, m_settings.gateway, gatewayHooks())
   , m_routing(std::make_shared<RoutingTable>())
   , m_tokens(m_clocks.timeOfDay, m_clocks.processNumber)
+  , m_vacancy(m_settings.vacancy, m_ports.hold)
   , m_strain(m_settings.strain)
   , m_lastBootTime(m_clocks.sinceBoot())
 {
@@ -318,6 +319,7 @@
   }
   noticeStrain(now);
   m_shards.setKnownMembers(m_links.knownCount());
+  probeOrphans(now);
   applyDecisions(now);
   m_scheduler.tick(now);
   m_gateway.tick(now);
@@ -383,6 +385,24 @@
   m_shards.setStrained(m_strain.isStrained());
 }
 
+/// Asks the workers of zones without a daemon whether anybody uses them.
+void
+EntryCore::probeOrphans(TimePoint now)
+{
+  std::set<ShardId> asked;
+  for (const auto& [shard, token] : m_shards.orphans(now)) {
+    asked.insert(shard);
+    m_vacancy.probe(shard, token, m_scheduler.workersOf(shard), now);
+    if (!m_vacancy.isVacant(shard))
+      continue;
+    logEvent(LogLevel::Info,
+             "shard-vacant",
+             { { "shard", shard.toString() }, { "lastToken", token } });
+    m_shards.setVacant(shard, now);
+  }
+  m_vacancy.keepOnly(asked);
+}
+
 PeerBeat
 EntryCore::makeBeat(TimePoint now) const
 {
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -5,6 +5,7 @@
 #include "routingtable.h"
 #include "strainmeter.h"
 #include "tokensource.h"
+#include "vacancyprobe.h"
 
 #include "libjobs/jobs.h"
 #include "libpeers/peermessage.h"
@@ -40,6 +41,7 @@
     Scheduler::Settings scheduler;
     ShardTable::Settings shards;
     Gateway::Settings gateway;
+    VacancyProbe::Settings vacancy;
     /// Three of them fit into the silence limit between daemons.
     Duration beatInterval = std::chrono::milliseconds(140);
     /// How often a holder tells the platform that it is there.
@@ -189,6 +191,7 @@
                         TimePoint now) const;
   unsigned sparePlaces(TimePoint now) const;
   void noticeStrain(TimePoint now);
+  void probeOrphans(TimePoint now);
   void divisionRead(TimePoint now);
   void adoptDivisions(const PeerBeat& beat, TimePoint now);
   std::optional<HolderChoice> nextHolder(const ShardId& shard) const;
@@ -208,6 +211,7 @@
   bool m_hasWorkers = false;
   PeerReports m_reports;
   TokenSource m_tokens;
+  VacancyProbe m_vacancy;
   StrainMeter m_strain;
   std::set<ShardId> m_fenced;
   TimePoint m_lastBeatAt{};
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -97,6 +97,11 @@
   {
     return m_pool.digest(shard);
   }
+  /// The listed workers of a shard, held here or not.
+  std::vector<WorkerRecord> workersOf(const ShardId& shard) const
+  {
+    return m_pool.workersOf(shard);
+  }
   /// Gives a shard up; its jobs move on to the next holder.
   void releaseShard(const ShardId& shard, TimePoint now);
   bool holds(const ShardId& shard) const { return m_pool.holds(shard); }
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -60,6 +60,17 @@
   }
 }
 
+std::vector<WorkerRecord>
+WorkerPool::workersOf(const ShardId& shard) const
+{
+  std::vector<WorkerRecord> workers;
+  for (const auto& [id, record] : m_list) {
+    if (m_map.shardOf(record) == shard)
+      workers.push_back(record);
+  }
+  return workers;
+}
+
 void
 WorkerPool::releaseShard(const ShardId& shard)
 {
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -76,6 +76,8 @@
   {
     return m_map.digest(m_list, shard);
   }
+  /// The listed workers of a shard, held here or not.
+  std::vector<WorkerRecord> workersOf(const ShardId& shard) const;
   /// Forgets the shard's workers; what runs there goes on under the next
   /// holder.
   void releaseShard(const ShardId& shard);
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -47,6 +47,8 @@
 ShardTable::memberSeen(const MemberView& member, TimePoint now)
 {
   m_members[member.id] = member;
+  for (const auto& [shard, token] : member.shards)
+    m_lastTokens[shard] = token;
   m_lastHeard = now;
   m_zoneEmptySince.erase(member.zone);
 }
@@ -93,6 +95,29 @@
          });
 }
 
+std::map<ShardId, std::uint64_t>
+ShardTable::orphans(TimePoint now) const
+{
+  std::map<ShardId, std::uint64_t> orphans;
+  if (!m_isReady || m_isLeaving || !hasSettled(now))
+    return orphans;
+  for (const ShardId& shard : m_shards) {
+    const auto token = m_lastTokens.find(shard);
+    const bool isOrphan =
+      shard.zone() != m_zone && !hasZoneMember(shard.zone()) && !holder(shard);
+    if (isOrphan && token != m_lastTokens.end() &&
+        isFirst(shard, m_held.size(), true))
+      orphans.insert(*token);
+  }
+  return orphans;
+}
+
+void
+ShardTable::setVacant(const ShardId& shard, TimePoint now)
+{
+  m_vacantAt[shard] = now;
+}
+
 ShardTable::Decisions
 ShardTable::decide(TimePoint now) const
 {
@@ -249,16 +274,18 @@
   if (hasZoneClaimant(shard))
     return false;
   const bool isForeign = m_zone != shard.zone();
+  if (isForeign && isIsolated())
+    return isVacant(shard, now);
   if (isIsolated()) {
     const bool hasWaited =
       now - m_lastHeard >= m_settings.isolatedWait || isKnownFree(shard, now);
-    return !isForeign && hasWaited && !isPlatformBeatFresh(shard, now);
+    return hasWaited && !isPlatformBeatFresh(shard, now);
   }
   if (!isForeign)
     return isFirst(shard, ownShards, false);
   if (hasZoneMember(shard.zone()))
     return false;
-  if (isBeingLeft(shard))
+  if (isBeingLeft(shard) || isVacant(shard, now))
     return isFirst(shard, ownShards, true);
   if (holder(shard))
     return false;
@@ -327,6 +354,14 @@
   return isLeft;
 }
 
+bool
+ShardTable::isVacant(const ShardId& shard, TimePoint now) const
+{
+  const auto vacant = m_vacantAt.find(shard);
+  return vacant != m_vacantAt.end() && !holder(shard) &&
+         now - vacant->second < m_settings.vacancyLimit;
+}
+
 bool
 ShardTable::isPlatformBeatFresh(const ShardId& shard, TimePoint now) const
 {
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -16,7 +16,8 @@
 /// A shard is held by a daemon of its own availability zone as long as one is
 /// there. When the last of them leaves, one of another zone takes over at once:
 /// waiting for the zone's next daemon left its workers unused for 3 s of each
-/// restart. It does no input or output and reads no clock.
+/// restart. When the last is lost without a word, the shard's workers are asked
+/// whether anybody uses them. It does no input or output and reads no clock.
 class ShardTable
 {
 public:
@@ -37,9 +38,12 @@
     /// before it takes a shard: it may be the one that is cut off.
     Duration isolatedWait = std::chrono::milliseconds(2500);
     /// How long a zone must be without a daemon before one of another zone
-    /// takes its workers. Daemons that were killed are back within five
-    /// seconds, and a zone that is cut off goes on by itself.
+    /// takes its workers, if these can't be asked. Daemons that were killed are
+    /// back within five seconds, and a zone that is cut off goes on by itself.
     Duration foreignWait = std::chrono::seconds(8);
+    /// How long what a shard's workers have shown counts. They are asked each
+    /// 120 ms.
+    Duration vacancyLimit = std::chrono::milliseconds(250);
     /// A holder's heartbeat at the platform counts for this long. It sends one
     /// each second.
     Duration platformBeatLimit = std::chrono::milliseconds(2500);
@@ -80,6 +84,12 @@
   void setStrained(bool isStrained) { m_isStrained = isStrained; }
   /// How slow this machine is: the logarithm of what a fixed work takes.
   void setSlowness(int slowness) { m_slowness = slowness; }
+  /// Shards of zones without a daemon that can be heard, with the token that
+  /// their last holder told, whose workers this daemon is to ask whether
+  /// anybody uses them.
+  std::map<ShardId, std::uint64_t> orphans(TimePoint now) const;
+  /// The shard's workers have shown that nobody uses them.
+  void setVacant(const ShardId& shard, TimePoint now);
   /// Another daemon has taken a worker of a held shard.
   void fenced(const ShardId& shard, TimePoint now);
 
@@ -115,6 +125,7 @@
   bool hasZoneClaimant(const ShardId& shard) const;
   bool hasZoneMember(const ZoneName& zone) const;
   bool isBeingLeft(const ShardId& shard) const;
+  bool isVacant(const ShardId& shard, TimePoint now) const;
   bool isPlatformBeatFresh(const ShardId& shard, TimePoint now) const;
 
   const VmId m_self;
@@ -129,6 +140,10 @@
   std::map<ShardId, TimePoint> m_keptOffUntil;
   std::map<ShardId, std::pair<VmId, TimePoint>> m_platformBeats;
   std::map<ShardId, VmId> m_lastHolders;
+  /// The tokens that holders have told last.
+  std::map<ShardId, std::uint64_t> m_lastTokens;
+  /// When workers have last shown that nobody uses them.
+  std::map<ShardId, TimePoint> m_vacantAt;
   /// When a zone's last daemon was lost.
   std::map<ZoneName, TimePoint> m_zoneEmptySince;
   TimePoint m_lastHeard;
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -44,13 +44,20 @@
     EXPECT_EQ(count, 1) << shard.toString();
 }
 
-TEST(DaemonGroup, AnotherZoneTakesOverWhereTheLastDaemonLeaves)
+/// Zones of one daemon each.
+Simulation::Settings
+withLoneDaemons()
 {
   Simulation::Settings settings;
   settings.daemonsPerZone = 1;
   settings.hasFailures = false;
   settings.jobsPerSecond = 8;
-  Simulation simulation(settings, 3);
+  return settings;
+}
+
+TEST(DaemonGroup, AnotherZoneTakesOverWhereTheLastDaemonLeaves)
+{
+  Simulation simulation(withLoneDaemons(), 3);
   simulation.runFor(seconds(3));
   const unsigned refused = simulation.refused();
   simulation.leave(0);
@@ -64,6 +71,33 @@
   expectNoViolations(simulation);
 }
 
+TEST(DaemonGroup, AnotherZoneTakesOverWhereTheLastDaemonIsLost)
+{
+  Simulation simulation(withLoneDaemons(), 3);
+  simulation.runFor(seconds(3));
+  simulation.powerOff(0, seconds(6));
+  simulation.runFor(milliseconds(1500));
+  EXPECT_EQ(simulation.core(1).heldShards().size(), 2u);
+  simulation.runFor(seconds(8));
+  EXPECT_EQ(simulation.core(0).heldShards().size(), 1u)
+    << "given back to the zone's next daemon";
+  expectNoViolations(simulation);
+}
+
+TEST(DaemonGroup, ADaemonThatOnlyOthersCannotReachKeepsItsWorkers)
+{
+  Simulation simulation(withLoneDaemons(), 3);
+  simulation.runFor(seconds(3));
+  const unsigned completed = simulation.completed();
+  simulation.cutOff(0, seconds(5));
+  for (int i = 0; i < 50; ++i) {
+    simulation.runFor(milliseconds(100));
+    EXPECT_EQ(simulation.core(0).heldShards().size(), 1u) << i;
+  }
+  EXPECT_GT(simulation.completed() - completed, 30u);
+  expectNoViolations(simulation);
+}
+
 /// A kind of trouble, brought about by `strike` every second and a half.
 struct Trouble
 {
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -186,6 +186,27 @@
   EXPECT_EQ(table.servedShards(), std::set<ShardId>{ foreignShard });
 }
 
+TEST_F(ShardTableTest,
+       TakesAShardOfALostZoneOnceItsWorkersShowThatNobodyUsesThem)
+{
+  table.setKnownMembers(2);
+  table.memberSeen(member("third", ZoneName("z3"), { { homeShard, 3 } }), now);
+  table.memberSeen(member("far", abroad, { { foreignShard, 5 } }), now);
+  pass(seconds(1));
+  EXPECT_TRUE(table.orphans(now).empty());
+  table.memberGone(VmId("far"), now);
+  EXPECT_FALSE(takes(foreignShard));
+  const std::map<ShardId, std::uint64_t> asked = { { foreignShard, 5 } };
+  EXPECT_EQ(table.orphans(now), asked);
+  table.setVacant(foreignShard, now);
+  EXPECT_TRUE(takes(foreignShard));
+  pass(milliseconds(300));
+  EXPECT_FALSE(takes(foreignShard)) << "that was too long ago";
+  table.setVacant(foreignShard, now);
+  table.memberSeen(member("far", abroad), now);
+  EXPECT_FALSE(takes(foreignShard)) << "the zone has a daemon again";
+}
+
 TEST_F(ShardTableTest, OneThatLeavesReleasesToAnotherZone)
 {
   table.taken(homeShard, 7);
