After the loss of all daemons the first that are back wait for no others

Change: daemons tell that they have just started. Where all that are heard have, nobody holds anything, and a shard is taken 60 ms after the start. The format between daemons has another version.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -414,6 +414,7 @@
                            m_scheduler.sparePlaces(shard, now),
                            m_scheduler.digest(shard) };
   beat.isStrained = m_strain.isStrained();
+  beat.isNew = m_shards.isNew(now);
   beat.slowness = m_settings.slowness;
   beat.highestToken = m_tokens.highest();
   beat.configVersion = m_routing->version();
@@ -492,6 +493,7 @@
   view.isLeaving = beat.isLeaving;
   view.isReady = beat.isReady;
   view.isStrained = beat.isStrained;
+  view.isNew = beat.isNew;
   view.slowness = beat.slowness;
   for (const auto& [shard, held] : beat.shards)
     view.shards[shard] = held.token;
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with every change that an older daemon can't read.
-constexpr int formatVersion = 2;
+constexpr int formatVersion = 3;
 
 json
 toJson(const ShardId& shard)
@@ -66,7 +66,8 @@
                        beat.highestToken,
                        beat.configVersion,
                        beat.isStrained,
-                       beat.slowness });
+                       beat.slowness,
+                       beat.isNew });
 }
 
 json
@@ -221,6 +222,7 @@
   beat.configVersion = value.at(4).get<std::uint64_t>();
   beat.isStrained = value.at(5).get<bool>();
   beat.slowness = value.at(6).get<int>();
+  beat.isNew = value.at(7).get<bool>();
   return beat;
 }
 
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -63,6 +63,8 @@
   bool isStrained = false;
   /// How slow its machine is: the logarithm of what a fixed work takes.
   int slowness = 0;
+  /// It has started only just now.
+  bool isNew = false;
   std::map<ShardId, HeldShard> shards;
   /// The highest token that it knows of.
   std::uint64_t highestToken = 0;
--- a/src/libshards/memberview.h
+++ b/src/libshards/memberview.h
@@ -18,6 +18,8 @@
   bool isStrained = false;
   /// How slow its machine is: the logarithm of what a fixed work takes.
   int slowness = 0;
+  /// It had started only just before.
+  bool isNew = false;
   /// It has a configuration and a list of workers.
   bool isReady = false;
   /// The shards it holds, each with the token it took them with.
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -221,16 +221,29 @@
 
 /// Whether a daemon that has just started needn't wait for those it hasn't
 /// heard: the shard's last holder is this daemon's earlier life, or is here and
-/// doesn't claim it. After all daemons were lost at once this brings the first
-/// shard back 0.3 s sooner.
+/// doesn't claim it, or all daemons were lost at once. After such a loss this
+/// brings the first shard back 0.3 s sooner.
 bool
 ShardTable::isKnownFree(const ShardId& shard, TimePoint now) const
 {
-  const auto last = m_lastHolders.find(shard);
-  if (last == m_lastHolders.end() || now - m_start < m_settings.connectTime)
+  if (!isNew(now) || now - m_start < m_settings.connectTime)
     return false;
-  const bool isNew = now - m_start < m_settings.settleLimit;
-  return isNew && (last->second == m_self || m_members.count(last->second) > 0);
+  if (haveAllJustStarted())
+    return true;
+  const auto last = m_lastHolders.find(shard);
+  return last != m_lastHolders.end() &&
+         (last->second == m_self || m_members.count(last->second) > 0);
+}
+
+/// Whether others are heard and all of them are new. A living holder would be
+/// heard as well.
+bool
+ShardTable::haveAllJustStarted() const
+{
+  return !m_members.empty() &&
+         std::all_of(m_members.begin(), m_members.end(), [](const auto& item) {
+           return item.second.isNew;
+         });
 }
 
 bool
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -30,10 +30,12 @@
     /// as one that has fallen silent is waited for. Daemons start within 300 ms
     /// of each other.
     Duration settleLimit = std::chrono::milliseconds(450);
-    /// How long it waits before it takes a shard whose last holder, by the
-    /// platform, is itself or has been heard: nothing can be learned by waiting
-    /// but what comes with the first connections.
+    /// How long it waits before it takes a shard that nobody can hold: for the
+    /// first connections, over which a living holder would be heard.
     Duration connectTime = std::chrono::milliseconds(60);
+    /// How long after its start a daemon counts as new. Daemons that lose power
+    /// together are back within half a second of each other.
+    Duration newTime = std::chrono::seconds(1);
     /// How long a daemon that hears nobody, though it knows of others, waits
     /// before it takes a shard: it may be the one that is cut off.
     Duration isolatedWait = std::chrono::milliseconds(2500);
@@ -111,10 +113,13 @@
   const std::set<ShardId>& shards() const { return m_shards; }
   /// Whether no other daemon can be reached though others exist.
   bool isIsolated() const;
+  /// Whether this daemon has started only just now.
+  bool isNew(TimePoint now) const { return now - m_start < m_settings.newTime; }
 
 private:
   bool hasSettled(TimePoint now) const;
   bool isKnownFree(const ShardId& shard, TimePoint now) const;
+  bool haveAllJustStarted() const;
   bool mustRelease(const ShardId& shard, TimePoint now) const;
   bool mayTake(const ShardId& shard,
                std::size_t ownShards,
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -112,6 +112,7 @@
   beat.isReady = true;
   beat.isStrained = true;
   beat.slowness = 9;
+  beat.isNew = true;
   beat.shards[ShardId(ZoneName("z1"), 0)] = { 300243599585797, 12, 77 };
   beat.highestToken = 300243599585799;
   beat.configVersion = 40;
@@ -122,6 +123,7 @@
   EXPECT_EQ(readBeat.highestToken, beat.highestToken);
   EXPECT_EQ(readBeat.isStrained, beat.isStrained);
   EXPECT_EQ(readBeat.slowness, beat.slowness);
+  EXPECT_EQ(readBeat.isNew, beat.isNew);
   EXPECT_EQ(readBeat.configVersion, beat.configVersion);
 }
 
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -102,6 +102,20 @@
   EXPECT_FALSE(takes(homeShard));
 }
 
+TEST_F(ShardTableTest, DoesNotWaitForOthersAfterAllWereLost)
+{
+  table.setKnownMembers(5);
+  MemberView fresh = member("far", abroad);
+  fresh.isNew = true;
+  table.memberSeen(fresh, now);
+  pass(milliseconds(40));
+  EXPECT_FALSE(takes(homeShard)) << "connections are not made yet";
+  pass(milliseconds(40));
+  EXPECT_TRUE(takes(homeShard));
+  table.memberSeen(member("old", abroad), now);
+  EXPECT_FALSE(takes(homeShard)) << "one that has not been lost is there";
+}
+
 TEST_F(ShardTableTest, LeavesAShardToItsHolder)
 {
   table.setKnownMembers(1);
