Entries of another writer name no worker, and nothing else is lost with them

Cause: a worker's entry that could not be decoded left the one before it in use; an entry without a state counted as ready, one with an unknown state as draining, so that its worker was held; a field of another type in the daemons' own topic threw through the event loop and ended the process; one unreadable item or record made the whole page unreadable, for good; a key with other signs than letters broke the paging. Tests: a table of 26 fields and types, seeded fuzz of each decoder.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -62,6 +62,8 @@
            "configuration-in-force",
            { { "version", m_routing->version() },
              { "routes", m_routing->routes().size() } });
+  if (m_hasWorkers)
+    listWorkers(now);
 }
 
 void
@@ -70,7 +72,21 @@
   const TimePoint now = observeTime();
   m_hasWorkers = true;
   m_shards.setReady(m_routing->version() > 0);
-  m_scheduler.setList(workers, now);
+  m_workers = workers;
+  listWorkers(now);
+}
+
+/// Workers of a service that no queue uses aren't ours to hold: their entries
+/// may come from another writer.
+void
+EntryCore::listWorkers(TimePoint now)
+{
+  WorkerList used;
+  for (const auto& [id, record] : m_workers) {
+    if (m_routing->version() == 0 || m_routing->uses(record.service()))
+      used[id] = record;
+  }
+  m_scheduler.setList(used, now);
   divisionRead(now);
 }
 
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -192,6 +192,7 @@
   unsigned sparePlaces(TimePoint now) const;
   void noticeStrain(TimePoint now);
   void probeOrphans(TimePoint now);
+  void listWorkers(TimePoint now);
   void divisionRead(TimePoint now);
   void adoptDivisions(const PeerBeat& beat, TimePoint now);
   std::optional<HolderChoice> nextHolder(const ShardId& shard) const;
@@ -209,6 +210,7 @@
   std::string m_configurationBody;
   TimePoint m_configuredAt{};
   bool m_hasWorkers = false;
+  WorkerList m_workers;
   PeerReports m_reports;
   TokenSource m_tokens;
   VacancyProbe m_vacancy;
--- a/src/libentry/routingtable.cpp
+++ b/src/libentry/routingtable.cpp
@@ -1,5 +1,7 @@
 #include "routingtable.h"
 
+#include <algorithm>
+
 namespace cowslippin {
 
 const Route*
@@ -16,4 +18,12 @@
   return best;
 }
 
+bool
+RoutingTable::uses(const ServiceName& service) const
+{
+  return std::any_of(m_routes.begin(), m_routes.end(), [&](const Route& route) {
+    return route.policy.service == service;
+  });
+}
+
 } // namespace cowslippin
--- a/src/libentry/routingtable.h
+++ b/src/libentry/routingtable.h
@@ -41,6 +41,9 @@
   /// The route of this host with the longest prefix of the path, or null.
   const Route* find(std::string_view host, std::string_view path) const;
 
+  /// Whether any queue's tasks run on this service's workers.
+  bool uses(const ServiceName& service) const;
+
 private:
   std::uint64_t m_version = 0;
   std::vector<Route> m_routes;
--- a/tests/platformadapter/records_test.cpp
+++ b/tests/platformadapter/records_test.cpp
@@ -1,3 +1,4 @@
+#include "platform/ownentries.h"
 #include "platform/platformsettings.h"
 #include "platform/storerecord.h"
 #include "platform/wirerecords.h"
@@ -115,6 +116,118 @@
   EXPECT_FALSE(decodeWorker("i-1", "{}"));
 }
 
+/// An entry of a worker with one thing wrong, and the field that must be named.
+class ForeignEntry : public ::testing::TestWithParam<WrongSetting>
+{
+protected:
+  static constexpr const char* entry =
+    R"({"backend":"booking","address":"10.128.0.9:8080","zone":"z1",
+    "version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
+    "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a"],"seq":4})";
+};
+
+TEST_P(ForeignEntry, NamesNoWorker)
+{
+  ASSERT_TRUE(decodeWorker("i-1", entry));
+  std::string text = entry;
+  const std::string from = GetParam().from;
+  text.replace(text.find(from), from.size(), GetParam().to);
+  const auto worker = decodeWorker("i-1", text);
+  ASSERT_FALSE(worker);
+  EXPECT_NE(worker.error().detail().find(GetParam().field), std::string::npos)
+    << worker.error().detail();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Fields,
+  ForeignEntry,
+  ::testing::Values(
+    WrongSetting{ "NoService", "\"backend\":", "\"other\":", "backend" },
+    WrongSetting{ "ServiceNumber", "\"booking\"", "7", "backend" },
+    WrongSetting{ "NoAddress", "\"address\":", "\"other\":", "address" },
+    WrongSetting{ "AddressList", "\"10.128.0.9:8080\"", "[]", "address" },
+    WrongSetting{ "AddressName", "10.128.0.9:8080", "nowhere", "address" },
+    WrongSetting{ "NoZone", "\"zone\":", "\"other\":", "zone" },
+    WrongSetting{ "ZoneObject", "\"z1\"", "{}", "zone" },
+    WrongSetting{ "EmptyZone", "\"z1\"", "\"\"", "zone" },
+    WrongSetting{ "NoState", "\"state\":", "\"other\":", "state" },
+    WrongSetting{ "UnknownState", "\"ready\"", "\"napping\"", "state" },
+    WrongSetting{ "StateNull", "\"ready\"", "null", "state" },
+    WrongSetting{ "NoCapacity", "\"capacity\":", "\"other\":", "capacity" },
+    WrongSetting{ "NoProcessors", "\"cpu\":", "\"other\":", "cpu" },
+    WrongSetting{ "ProcessorText", "16000", "\"16000\"", "cpu" },
+    WrongSetting{ "NegativeProcessors", "16000", "-16000", "cpu" },
+    WrongSetting{ "HugeProcessors", "16000", "1e300", "cpu" },
+    WrongSetting{ "NoMemory", "\"mem_mb\":", "\"other\":", "mem_mb" },
+    WrongSetting{ "MemoryTrue", "32768", "true", "mem_mb" },
+    WrongSetting{ "AcceleratorText", "\"gpu\":0", "\"gpu\":\"0\"", "gpu" },
+    WrongSetting{ "LabelsText", "[\"a\"]", "\"a\"", "labels" },
+    WrongSetting{ "LabelNumber", "[\"a\"]", "[\"a\",1]", "labels" },
+    WrongSetting{ "SlotsText", "\"slots\":8", "\"slots\":\"8\"", "slots" },
+    WrongSetting{ "VersionNumber", "\"v1\"", "1", "version" },
+    WrongSetting{ "SequenceList", "\"seq\":4", "\"seq\":[4]", "seq" },
+    WrongSetting{ "NoObject", "{\"backend\"", "[{\"backend\"", "entry" },
+    WrongSetting{ "BytesThatAreNoText", "booking", "\xff\xfe", "entry" }),
+  [](const auto& info) { return std::string(info.param.name); });
+
+TEST(WorkerEntry, AnyBytesAreAWorkerOrAProblem)
+{
+  EXPECT_TRUE(
+    rc::check([](const std::string& bytes) { decodeWorker("i-1", bytes); }));
+}
+
+TEST(OwnEntry, GoesThroughItsText)
+{
+  const HolderEntry holder{
+    VmId("vm-1"), ShardId(ZoneName("z1"), 1, 3), 300243599585797, 12
+  };
+  const auto read = decodeHolder(encodeHolder(holder));
+  ASSERT_TRUE(read) << read.error().detail();
+  EXPECT_EQ(read->vm, holder.vm);
+  EXPECT_EQ(read->shard, holder.shard);
+  EXPECT_EQ(read->token, holder.token);
+  EXPECT_EQ(read->beat, holder.beat);
+  const auto member =
+    decodeMember(encodeMember({ VmId("vm-1"), Address("10.0.0.1", 7720) }));
+  ASSERT_TRUE(member) << member.error().detail();
+  EXPECT_EQ(member->address, Address("10.0.0.1", 7720));
+}
+
+TEST(OwnEntry, ThatAnotherHasWrittenIsAProblem)
+{
+  EXPECT_FALSE(decodeMember(R"({"vm":"a","host":7,"port":7720})"));
+  EXPECT_FALSE(decodeMember(R"({"vm":"a","host":"h","port":99999})"));
+  EXPECT_FALSE(decodeMember(R"({"vm":"a","host":"h"})"));
+  EXPECT_FALSE(decodeHolder(R"(["vm"])"));
+  EXPECT_FALSE(decodeHolder(
+    R"({"vm":"a","zone":"z","index":3,"count":3,"token":5,"beat":1})"));
+  EXPECT_FALSE(decodeHolder(
+    R"({"vm":"a","zone":"z","index":0,"count":1,"token":"5","beat":1})"));
+  EXPECT_TRUE(rc::check([](const std::string& bytes) {
+    decodeMember(bytes);
+    decodeHolder(bytes);
+  }));
+}
+
+TEST(NewestRecords, KeepWhatCanBeReadOfAPage)
+{
+  const auto page = parseNewestRecords(
+    R"({"items":[{"key":"a","value":"YQ==","offset":0},
+    {"key":"b","value":"=!","offset":1},{"key":7,"value":"YQ=="},"c",
+    {"key":"d"}],"has_more":false,"end":9})");
+  ASSERT_TRUE(page);
+  EXPECT_EQ(page->end, 9u);
+  ASSERT_EQ(page->records.size(), 3u);
+  EXPECT_EQ(page->records[0].value, "a");
+  EXPECT_EQ(page->records[1].value, std::nullopt);
+  EXPECT_EQ(page->records[2].key, "d");
+  EXPECT_FALSE(
+    parseNewestRecords(R"({"items":[],"end":"9","has_more":false})"));
+  EXPECT_FALSE(parseNewestRecords("[]"));
+  EXPECT_TRUE(
+    rc::check([](const std::string& bytes) { parseNewestRecords(bytes); }));
+}
+
 Route
 route()
 {
@@ -193,6 +306,20 @@
   }
 }
 
+TEST(StoreRecord, ThatIsNoneOfItsKindLeavesTheOthers)
+{
+  const std::string empty(4, '\0');
+  const std::string keyTooLong = std::string("\0\0\0\2\x09k", 6);
+  const auto records =
+    parseStoreRecords(std::string(16, '\0') + empty + keyTooLong +
+                      renderStoreRecord({ "key", "value" }));
+  ASSERT_TRUE(records);
+  ASSERT_EQ(records->size(), 3u) << "offsets are counted";
+  EXPECT_EQ((*records)[0].key, "");
+  EXPECT_EQ((*records)[1].key, "");
+  EXPECT_EQ((*records)[2].value, "value");
+}
+
 TEST(StoreRecord, AnyBytesAreRead)
 {
   EXPECT_TRUE(
@@ -206,6 +333,9 @@
   EXPECT_EQ(decodeBase64("YWI="), "ab");
   EXPECT_EQ(decodeBase64("YWJj"), "abc");
   EXPECT_EQ(decodeBase64("eyJhIjoxfQ=="), "{\"a\":1}");
+  for (const char* wrong : { "=", "YQ", "YQ=", "Y=Q=", "!!!!", "YQ===" })
+    EXPECT_EQ(decodeBase64(wrong), std::nullopt) << wrong;
+  EXPECT_TRUE(rc::check([](const std::string& bytes) { decodeBase64(bytes); }));
 }
 
 } // namespace
