--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -590,31 +590,20 @@
   return holder;
 }
 
-/// Of two shards of this zone the one with more room, so that what isn't quite
-/// up to date doesn't send everything to one. Another zone's if there is none.
 std::optional<HolderChoice>
 EntryCore::bestHolder(const std::set<ShardId>& refusedBy)
 {
   const TimePoint now = m_clocks.steady();
-  std::vector<std::pair<VmId, ShardId>> home;
-  std::vector<std::pair<VmId, ShardId>> abroad;
+  std::vector<HolderChoice> home;
+  std::vector<HolderChoice> abroad;
   for (const ShardId& shard : m_shards.servedShards()) {
-    if (refusedBy.count(shard) > 0)
+    const auto holder = reachableHolder(shard);
+    if (!holder || refusedBy.count(shard) > 0)
       continue;
-    if (const auto holder = reachableHolder(shard))
-      (shard.zone() == m_settings.zone ? home : abroad)
-        .emplace_back(*holder, shard);
+    auto& choices = shard.zone() == m_settings.zone ? home : abroad;
+    choices.push_back(choiceOf(*holder, shard, now));
   }
-  const auto& holders = home.empty() ? abroad : home;
-  if (holders.empty())
-    return std::nullopt;
-  const std::size_t count = holders.size();
-  const auto& one = holders[m_nextChoice++ % count];
-  const auto& other =
-    holders[(m_nextChoice + m_nextChoice / count % count) % count];
-  const HolderChoice first = choiceOf(one.first, one.second, now);
-  const HolderChoice second = choiceOf(other.first, other.second, now);
-  return first.places >= second.places ? first : second;
+  return m_holderChooser.choose(home, abroad);
 }
 
 HolderChoice
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -222,7 +222,7 @@
   TimePoint m_lastPlatformBeatAt{};
   std::chrono::nanoseconds m_lastBootTime{};
   std::optional<TimePoint> m_resumeAt;
-  std::size_t m_nextChoice = 0;
+  HolderChooser m_holderChooser;
   std::optional<TimePoint> m_leaveAt;
   std::function<void()> m_left;
 };
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "holderchoice.h"
+
 #include "libjobs/jobs.h"
 
 #include "libcore/core.h"
@@ -46,16 +48,6 @@
   std::string reason;
 };
 
-/// A shard of workers that a job could go to, with what is known of it.
-struct HolderChoice
-{
-  VmId holder;
-  ShardId shard;
-  /// Free places, and how long ago the holder told of them.
-  unsigned places = 0;
-  Duration age = Duration::zero();
-};
-
 /// The jobs whose callers wait at this daemon. It finds the daemon that holds
 /// workers for each, and another one when that is lost, and makes sure that no
 /// task runs twice at the same time on the way. It does no input or output and
--- /dev/null
+++ b/src/libentry/holderchoice.cpp
@@ -0,0 +1,21 @@
+#include "holderchoice.h"
+
+namespace cowslippin {
+
+std::optional<HolderChoice>
+HolderChooser::choose(const std::vector<HolderChoice>& home,
+                      const std::vector<HolderChoice>& abroad)
+{
+  const auto& choices = home.empty() ? abroad : home;
+  if (choices.empty())
+    return std::nullopt;
+  const std::size_t count = choices.size();
+  const std::size_t round = m_turn / count;
+  const HolderChoice& one = choices[m_turn % count];
+  ++m_turn;
+  // Another one each round, so that each pair has its turn.
+  const HolderChoice& other = choices[(m_turn + round % count) % count];
+  return one.places >= other.places ? one : other;
+}
+
+} // namespace cowslippin
