--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -40,8 +40,9 @@
       choice.shard = found == holders.end() ? home : shard;
       return choice;
     };
-    hooks.bestHolder = [this](const std::set<ShardId>& refusedBy)
-      -> std::optional<HolderChoice> {
+    hooks.bestHolder =
+      [this](
+        const std::set<ShardId>& refusedBy) -> std::optional<HolderChoice> {
       for (const auto& [shard, holder] : holders) {
         if (refusedBy.count(shard) > 0)
           continue;
