--- a/src/libasynchttp/httpchannel.cpp
+++ b/src/libasynchttp/httpchannel.cpp
@@ -27,6 +27,7 @@
   m_deadline = deadline;
   m_output = render(order);
   m_isSent = false;
+  m_receivedBytes = 0;
   ++m_generation;
   if (m_isConnected && wasClosedByPeer())
     close();
@@ -98,16 +99,29 @@
 {
   m_parser.emplace();
   m_parser->body_limit(maxAnswerBytes);
-  http::async_read(m_socket,
-                   m_buffer,
-                   *m_parser,
-                   [self = shared_from_this(),
-                    call = m_generation](error_code error, std::size_t) {
-                     if (call != self->m_generation || !self->isBusy())
-                       return;
-                     self->end(error ? HttpCallEnd::Kind::Unanswered
-                                     : HttpCallEnd::Kind::Answered);
-                   });
+  m_parser->eager(true);
+  readOn();
+}
+
+void
+HttpChannel::readOn()
+{
+  http::async_read_some(
+    m_socket,
+    m_buffer,
+    *m_parser,
+    [self = shared_from_this(), call = m_generation](error_code error,
+                                                     std::size_t bytes) {
+      if (call != self->m_generation || !self->isBusy())
+        return;
+      self->m_receivedBytes += bytes;
+      if (error)
+        self->end(HttpCallEnd::Kind::Unanswered);
+      else if (self->m_parser->is_done())
+        self->end(HttpCallEnd::Kind::Answered);
+      else
+        self->readOn();
+    });
 }
 
 void
@@ -115,6 +129,7 @@
 {
   HttpCallEnd result;
   result.kind = kind;
+  result.receivedBytes = m_receivedBytes;
   bool isReusable = false;
   if (kind == HttpCallEnd::Kind::Answered) {
     auto message = m_parser->release();
--- a/src/libasynchttp/httpchannel.h
+++ b/src/libasynchttp/httpchannel.h
@@ -42,6 +42,8 @@
   Kind kind = Kind::Unanswered;
   int status = 0;
   std::string body;
+  /// How much of an answer came, whole or not.
+  std::size_t receivedBytes = 0;
 };
 
 /// One client connection that carries one call at a time and is kept for the
@@ -79,6 +81,7 @@
   void connect();
   void write();
   void read();
+  void readOn();
   void end(HttpCallEnd::Kind kind);
   std::string render(const HttpCallOrder& order) const;
   bool wasClosedByPeer();
@@ -94,6 +97,7 @@
   TimePoint m_idleSince{};
   bool m_isConnected = false;
   bool m_isSent = false;
+  std::size_t m_receivedBytes = 0;
   /// Rises with each call, so that what belongs to an ended one is ignored.
   std::uint64_t m_generation = 0;
 };
--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -42,26 +42,37 @@
 }
 
 void
-EntryCore::configurationRead(const std::string& body)
+EntryCore::configurationRead(const std::string& body, const std::string& source)
 {
   const TimePoint now = observeTime();
   const Result<RoutingTable> table = m_ports.readConfiguration(body);
   if (!table) {
     logEvent(LogLevel::Error,
              "configuration-refused",
-             { { "reason", table.error().detail() } });
+             { { "source", source }, { "reason", table.error().detail() } });
     return;
   }
-  if (table->version() <= m_routing->version())
+  if (table->version() <= m_routing->version()) {
+    logEvent(LogLevel::Info,
+             "configuration-known",
+             { { "source", source },
+               { "version", table->version() },
+               { "inForce", m_routing->version() },
+               { "bytes", body.size() } });
     return;
+  }
+  const std::uint64_t before = m_routing->version();
   m_routing = std::make_shared<RoutingTable>(*table);
   m_configurationBody = body;
   m_configuredAt = now;
   m_shards.setReady(m_hasWorkers);
   logEvent(LogLevel::Info,
            "configuration-in-force",
-           { { "version", m_routing->version() },
-             { "routes", m_routing->routes().size() } });
+           { { "source", source },
+             { "version", m_routing->version() },
+             { "before", before },
+             { "routes", m_routing->routes().size() },
+             { "bytes", body.size() } });
   if (m_hasWorkers)
     listWorkers(now);
 }
@@ -184,6 +195,8 @@
 {
   Figures figures;
   figures.configurationVersion = m_routing->version();
+  figures.newestConfigurationVersion =
+    std::max(m_newestVersion, m_routing->version());
   figures.callersWaiting = m_gateway.waiting();
   figures.jobsScheduled = m_scheduler.jobCount();
   figures.tasksWaiting = m_scheduler.waitingTasks();
@@ -491,7 +504,7 @@
   else if (const auto* cancel = std::get_if<PeerCancel>(&message))
     m_scheduler.cancel(cancel->key, now);
   else if (const auto* config = std::get_if<PeerConfig>(&message))
-    configurationRead(config->body);
+    configurationRead(config->body, vm.value());
   else if (const auto* ended = std::get_if<PeerJobEnd>(&message))
     m_gateway.ended(vm, ended->key, ended->end, now);
   else if (const auto* back = std::get_if<PeerTasksReturned>(&message))
@@ -520,10 +533,18 @@
     for (const auto& [shard, held] : beat.shards)
       m_scheduler.setPeerPlaces(vm, shard, held.places);
   }
+  m_newestVersion = std::max(m_newestVersion, beat.configVersion);
   const bool isBehind = beat.configVersion < m_routing->version();
-  if (isBehind && now - m_configuredAt >= configHeadStart &&
-      m_reports.mayConfigure(vm, now))
-    m_links.send(vm, PeerConfig{ m_routing->version(), m_configurationBody });
+  if (!isBehind || now - m_configuredAt < configHeadStart ||
+      !m_reports.mayConfigure(vm, now))
+    return;
+  logEvent(LogLevel::Info,
+           "configuration-sent",
+           { { "peer", vm },
+             { "version", m_routing->version() },
+             { "peerVersion", beat.configVersion },
+             { "bytes", m_configurationBody.size() } });
+  m_links.send(vm, PeerConfig{ m_routing->version(), m_configurationBody });
 }
 
 void
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -112,7 +112,10 @@
 
   /// The platform has a configuration; an older one than that in force is
   /// ignored.
-  void configurationRead(const std::string& body);
+  void configurationRead(const std::string& body)
+  {
+    configurationRead(body, "platform");
+  }
   void workersRead(const WorkerList& workers);
   /// A holder has told the platform anew that it holds a shard.
   void holderRead(const ShardId& shard, const VmId& holder);
@@ -150,6 +153,8 @@
   struct Figures
   {
     std::uint64_t configurationVersion = 0;
+    /// The highest version that this daemon or another has told of.
+    std::uint64_t newestConfigurationVersion = 0;
     std::size_t callersWaiting = 0;
     std::size_t jobsScheduled = 0;
     std::size_t tasksWaiting = 0;
@@ -175,6 +180,7 @@
   Scheduler::Hooks schedulerHooks();
   Gateway::Hooks gatewayHooks();
 
+  void configurationRead(const std::string& body, const std::string& source);
   void pauseNoticed(TimePoint now, Duration gap);
   void beat(TimePoint now);
   void beatHolders(TimePoint now);
@@ -209,6 +215,7 @@
   std::shared_ptr<const RoutingTable> m_routing;
   std::string m_configurationBody;
   TimePoint m_configuredAt{};
+  std::uint64_t m_newestVersion = 0;
   bool m_hasWorkers = false;
   WorkerList m_workers;
   PeerReports m_reports;
--- a/src/libentry/entrymetrics.cpp
+++ b/src/libentry/entrymetrics.cpp
@@ -97,6 +97,8 @@
   };
   const EntryCore::Figures figures = core.figures();
   set("configuration_version", double(figures.configurationVersion));
+  set("configuration_version_newest",
+      double(figures.newestConfigurationVersion));
   set("callers_waiting", double(figures.callersWaiting));
   set("jobs_scheduled", double(figures.jobsScheduled));
   set("tasks_waiting", double(figures.tasksWaiting));
