--- a/src/libasynchttp/httpchannel.cpp
+++ b/src/libasynchttp/httpchannel.cpp
@@ -106,22 +106,21 @@
 void
 HttpChannel::readOn()
 {
-  http::async_read_some(
-    m_socket,
-    m_buffer,
-    *m_parser,
-    [self = shared_from_this(), call = m_generation](error_code error,
-                                                     std::size_t bytes) {
-      if (call != self->m_generation || !self->isBusy())
-        return;
-      self->m_receivedBytes += bytes;
-      if (error)
-        self->end(HttpCallEnd::Kind::Unanswered);
-      else if (self->m_parser->is_done())
-        self->end(HttpCallEnd::Kind::Answered);
-      else
-        self->readOn();
-    });
+  http::async_read_some(m_socket,
+                        m_buffer,
+                        *m_parser,
+                        [self = shared_from_this(), call = m_generation](
+                          error_code error, std::size_t bytes) {
+                          if (call != self->m_generation || !self->isBusy())
+                            return;
+                          self->m_receivedBytes += bytes;
+                          if (error)
+                            self->end(HttpCallEnd::Kind::Unanswered);
+                          else if (self->m_parser->is_done())
+                            self->end(HttpCallEnd::Kind::Answered);
+                          else
+                            self->readOn();
+                        });
 }
 
 void
--- /dev/null
+++ b/tests/entry/slownetwork.cpp
@@ -0,0 +1,318 @@
+#include "slownetwork.h"
+
+#include "libpeers/peers.h"
+
+#include <algorithm>
+
+namespace cowslippin::testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration stepTime = milliseconds(1);
+constexpr Duration tickInterval = milliseconds(20);
+constexpr Duration reconnectAfter = milliseconds(150);
+const Duration silenceLimit = PeerLinks::Settings().silenceLimit;
+/// What one connection may send before the next one's turn.
+constexpr double packetBytes = 1500;
+
+} // namespace
+
+SlowNetwork::SlowNetwork(Settings settings)
+  : m_settings(settings)
+{
+  m_nodes.resize(m_settings.daemons);
+  for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+    m_nodes[node].id = VmId("vm-" + std::to_string(node));
+    EntryCore::Settings core;
+    core.vm = m_nodes[node].id;
+    core.zone = ZoneName("z0");
+    m_nodes[node].core =
+      std::make_unique<EntryCore>(core, ports(node), links(node), clocks(node));
+  }
+  for (std::size_t a = 0; a < m_nodes.size(); ++a) {
+    for (std::size_t b = a + 1; b < m_nodes.size(); ++b)
+      m_connectAt[{ a, b }] = m_now;
+  }
+}
+
+SlowNetwork::~SlowNetwork() = default;
+
+std::string
+SlowNetwork::configuration(std::uint64_t version, std::size_t bytes)
+{
+  std::string body = std::to_string(version) + ' ';
+  body.resize(std::max(bytes, body.size()), 'x');
+  return body;
+}
+
+void
+SlowNetwork::platformTells(std::size_t daemon, const std::string& configuration)
+{
+  m_nodes[daemon].core->configurationRead(configuration);
+}
+
+void
+SlowNetwork::setPlatformTelling(std::size_t daemon, bool isTelling)
+{
+  m_nodes[daemon].isTold = isTelling;
+}
+
+void
+SlowNetwork::cutOff(std::size_t daemon)
+{
+  m_nodes[daemon].isCutOff = true;
+  for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+    if (other == daemon)
+      continue;
+    m_connectAt.erase(std::minmax(daemon, other));
+    if (isUp(daemon, other))
+      disconnect(daemon, other);
+  }
+}
+
+void
+SlowNetwork::runFor(Duration duration)
+{
+  const TimePoint end = m_now + duration;
+  while (m_now < end)
+    step();
+}
+
+std::uint64_t
+SlowNetwork::versionAt(std::size_t daemon) const
+{
+  return m_nodes[daemon].core->routing()->version();
+}
+
+std::uint64_t
+SlowNetwork::oldestVersion() const
+{
+  std::uint64_t oldest = UINT64_MAX;
+  for (std::size_t node = 0; node < m_nodes.size(); ++node) {
+    if (!m_nodes[node].isCutOff)
+      oldest = std::min(oldest, versionAt(node));
+  }
+  return oldest;
+}
+
+std::size_t
+SlowNetwork::receivedBytes(std::size_t daemon) const
+{
+  return m_nodes[daemon].receivedBytes;
+}
+
+EntryCore::Ports
+SlowNetwork::ports(std::size_t)
+{
+  EntryCore::Ports ports;
+  ports.hold = [](auto&&...) {};
+  ports.start = [](auto&&...) {};
+  ports.stop = [](auto&&...) {};
+  ports.publishHolder = [](auto&&...) {};
+  ports.readConfiguration =
+    [](const std::string& body) -> Result<RoutingTable> {
+    return RoutingTable(std::stoull(body), {});
+  };
+  return ports;
+}
+
+EntryCore::Links
+SlowNetwork::links(std::size_t node)
+{
+  EntryCore::Links links;
+  links.send = [this, node](const VmId& vm, const PeerMessage& message) {
+    return send(node, indexOf(vm), message);
+  };
+  links.sendToAll = [this, node](const PeerMessage& message) {
+    for (std::size_t other = 0; other < m_nodes.size(); ++other)
+      send(node, other, message);
+  };
+  links.isUp = [this, node](const VmId& vm) { return isUp(node, indexOf(vm)); };
+  links.up = [this, node] {
+    std::set<VmId> up;
+    for (std::size_t other = 0; other < m_nodes.size(); ++other) {
+      if (isUp(node, other))
+        up.insert(m_nodes[other].id);
+    }
+    return up;
+  };
+  links.knownCount = [this] { return m_nodes.size() - 1; };
+  links.dropAll = [] {};
+  links.post = [this, node](std::function<void()> action) {
+    m_nodes[node].posted.push_back(std::move(action));
+  };
+  return links;
+}
+
+EntryCore::Clocks
+SlowNetwork::clocks(std::size_t node)
+{
+  EntryCore::Clocks clocks;
+  clocks.steady = [this] { return m_now; };
+  clocks.sinceBoot = [this] { return m_now.time_since_epoch(); };
+  clocks.timeOfDay = [this] {
+    return toMilliseconds(m_now.time_since_epoch());
+  };
+  clocks.processNumber = node;
+  return clocks;
+}
+
+std::size_t
+SlowNetwork::indexOf(const VmId& vm) const
+{
+  const auto found =
+    std::find_if(m_nodes.begin(), m_nodes.end(), [&](const Node& node) {
+      return node.id == vm;
+    });
+  return static_cast<std::size_t>(found - m_nodes.begin());
+}
+
+bool
+SlowNetwork::isUp(std::size_t a, std::size_t b) const
+{
+  return m_queues.count({ a, b }) > 0;
+}
+
+bool
+SlowNetwork::send(std::size_t from, std::size_t to, const PeerMessage& message)
+{
+  const auto queue = m_queues.find({ from, to });
+  if (queue == m_queues.end())
+    return false;
+  queue->second.messages.emplace_back(encodePeerMessage(message).size(),
+                                      message);
+  return true;
+}
+
+void
+SlowNetwork::connect(std::size_t a, std::size_t b)
+{
+  m_queues[{ a, b }].lastHeard = m_now;
+  m_queues[{ b, a }].lastHeard = m_now;
+  for (const auto& [self, other] : { Way{ a, b }, Way{ b, a } }) {
+    PeerHello hello;
+    hello.vm = m_nodes[other].id;
+    hello.zone = ZoneName("z0");
+    m_nodes[self].core->peerUp(hello);
+  }
+}
+
+void
+SlowNetwork::connectAll()
+{
+  for (auto due = m_connectAt.begin(); due != m_connectAt.end();) {
+    if (due->second > m_now) {
+      ++due;
+      continue;
+    }
+    connect(due->first.first, due->first.second);
+    due = m_connectAt.erase(due);
+  }
+}
+
+void
+SlowNetwork::disconnect(std::size_t a, std::size_t b)
+{
+  m_queues.erase({ a, b });
+  m_queues.erase({ b, a });
+  m_nodes[a].core->peerDown(m_nodes[b].id, PeerLoss::Silent);
+  m_nodes[b].core->peerDown(m_nodes[a].id, PeerLoss::Silent);
+}
+
+void
+SlowNetwork::step()
+{
+  m_now += stepTime;
+  connectAll();
+  moveBytes();
+  giveUpSilent();
+  for (Node& node : m_nodes) {
+    for (const auto& action : std::exchange(node.posted, {}))
+      action();
+  }
+  if (m_now.time_since_epoch() % tickInterval != Duration::zero())
+    return;
+  for (Node& node : m_nodes)
+    node.core->tick();
+}
+
+/// Each connection with something to send gets its turn as long as both links
+/// have something left of this step.
+void
+SlowNetwork::moveBytes()
+{
+  const double share =
+    m_settings.bytesPerSecond * std::chrono::duration<double>(stepTime).count();
+  for (Node& node : m_nodes) {
+    node.canSend = std::min(node.canSend, 0.0) + share;
+    node.canReceive = std::min(node.canReceive, 0.0) + share;
+  }
+  std::vector<Way> ways;
+  for (const auto& [way, queue] : m_queues) {
+    if (!queue.messages.empty())
+      ways.push_back(way);
+  }
+  if (ways.empty())
+    return;
+  std::rotate(ways.begin(),
+              ways.begin() + std::ptrdiff_t(++m_firstServed % ways.size()),
+              ways.end());
+  for (bool hasMoved = true; hasMoved;) {
+    hasMoved = false;
+    for (const Way& way : ways) {
+      const auto queue = m_queues.find(way);
+      if (queue != m_queues.end() && moveSome(way, queue->second))
+        hasMoved = true;
+    }
+  }
+}
+
+bool
+SlowNetwork::moveSome(const Way& way, Queue& queue)
+{
+  Node& sender = m_nodes[way.first];
+  Node& receiver = m_nodes[way.second];
+  if (queue.messages.empty() || sender.canSend <= 0 || receiver.canReceive <= 0)
+    return false;
+  auto& [bytesLeft, message] = queue.messages.front();
+  const std::size_t bytes =
+    std::min(bytesLeft, static_cast<std::size_t>(packetBytes));
+  sender.canSend -= double(bytes);
+  receiver.canReceive -= double(bytes);
+  receiver.receivedBytes += bytes;
+  bytesLeft -= bytes;
+  if (bytesLeft > 0)
+    return true;
+  const PeerMessage whole = std::move(message);
+  queue.messages.pop_front();
+  queue.lastHeard = m_now;
+  deliver(way, whole);
+  return true;
+}
+
+void
+SlowNetwork::deliver(const Way& way, const PeerMessage& message)
+{
+  m_nodes[way.second].core->received(m_nodes[way.first].id, message);
+}
+
+void
+SlowNetwork::giveUpSilent()
+{
+  std::vector<Way> silent;
+  for (const auto& [way, queue] : m_queues) {
+    if (m_now - queue.lastHeard > silenceLimit)
+      silent.push_back(std::minmax(way.first, way.second));
+  }
+  for (const Way& way : silent) {
+    if (!isUp(way.first, way.second))
+      continue;
+    ++m_lostConnections;
+    disconnect(way.first, way.second);
+    m_connectAt[way] = m_now + reconnectAfter;
+  }
+}
+
+} // namespace cowslippin::testing
