A read of the store is not given up while its answer keeps coming

Cause: one limit of 2.7 s ran from the start of a waiting read to the last byte of its answer. Up to 2 s of it are the wait for a record, so that 0.7 s were left for the answer, whatever its size and link. A configuration of 0.8 MB took longer where 41 daemons read it at once; four gave it up with 84 to 99.6% of it there and began at the first byte again. The first read of all entries had 0.7 s in all, and up to three more of the same were begun beside it, each with its share of the link.

Ruled out: the answer's size limit (8 MB), processor time.

Bytes are read in steps of 512 B to 64 KB instead of 512 B.

--- a/src/libasynchttp/httpchannel.cpp
+++ b/src/libasynchttp/httpchannel.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cowslippin {
@@ -11,6 +12,15 @@
 using boost::system::error_code;
 using net::ip::tcp;
 
+namespace {
+
+/// What is read at a time: little at first, as most answers are short and there
+/// are hundreds of channels, and twice as much each time that it was all there.
+constexpr std::size_t minReadBytes = 512;
+constexpr std::size_t maxReadBytes = std::size_t(64) << 10;
+
+} // namespace
+
 HttpChannel::HttpChannel(net::io_context& context,
                          Address address,
                          std::string host)
@@ -25,9 +35,12 @@
 {
   m_done = std::move(done);
   m_deadline = deadline;
+  m_pauseLimit = order.pauseLimit;
+  m_lastDeadline = deadline + maxAnswerTime;
   m_output = render(order);
   m_isSent = false;
   m_receivedBytes = 0;
+  m_heededBytes = 0;
   ++m_generation;
   if (m_isConnected && wasClosedByPeer())
     close();
@@ -40,11 +53,26 @@
 void
 HttpChannel::expire(TimePoint now)
 {
-  if (!isBusy() || now < m_deadline)
+  if (!isBusy())
+    return;
+  extendDeadline(now);
+  if (now < m_deadline)
     return;
   end(m_isSent ? HttpCallEnd::Kind::Unanswered : HttpCallEnd::Kind::NotSent);
 }
 
+/// An answer that keeps coming isn't given up: asked for again it would begin
+/// at its first byte, on a link that is no faster.
+void
+HttpChannel::extendDeadline(TimePoint now)
+{
+  if (!m_pauseLimit || m_receivedBytes == m_heededBytes)
+    return;
+  m_heededBytes = m_receivedBytes;
+  m_deadline =
+    std::min(std::max(m_deadline, now + *m_pauseLimit), m_lastDeadline);
+}
+
 void
 HttpChannel::close()
 {
@@ -100,27 +128,56 @@
   m_parser.emplace();
   m_parser->body_limit(maxAnswerBytes);
   m_parser->eager(true);
+  m_readBytes = minReadBytes;
   readOn();
 }
 
 void
 HttpChannel::readOn()
 {
-  http::async_read_some(m_socket,
-                        m_buffer,
-                        *m_parser,
-                        [self = shared_from_this(), call = m_generation](
-                          error_code error, std::size_t bytes) {
-                          if (call != self->m_generation || !self->isBusy())
-                            return;
-                          self->m_receivedBytes += bytes;
-                          if (error)
-                            self->end(HttpCallEnd::Kind::Unanswered);
-                          else if (self->m_parser->is_done())
-                            self->end(HttpCallEnd::Kind::Answered);
-                          else
-                            self->readOn();
-                        });
+  m_socket.async_read_some(m_buffer.prepare(m_readBytes),
+                           [self = shared_from_this(), call = m_generation](
+                             error_code error, std::size_t bytes) {
+                             if (call == self->m_generation && self->isBusy())
+                               self->partRead(error, bytes);
+                           });
+}
+
+void
+HttpChannel::partRead(error_code error, std::size_t bytes)
+{
+  m_buffer.commit(bytes);
+  m_receivedBytes += bytes;
+  if (bytes == m_readBytes)
+    m_readBytes = std::min(2 * m_readBytes, maxReadBytes);
+  if (!error)
+    error = parse();
+  else if (error == net::error::eof && m_parser->got_some())
+    error = parseEnd();
+  if (error)
+    end(HttpCallEnd::Kind::Unanswered);
+  else if (m_parser->is_done())
+    end(HttpCallEnd::Kind::Answered);
+  else
+    readOn();
+}
+
+error_code
+HttpChannel::parse()
+{
+  error_code error;
+  const std::size_t used = m_parser->put(m_buffer.data(), error);
+  m_buffer.consume(used);
+  return error == http::error::need_more ? error_code() : error;
+}
+
+/// An answer without a length ends with its connection.
+error_code
+HttpChannel::parseEnd()
+{
+  error_code error;
+  m_parser->put_eof(error);
+  return error;
 }
 
 void
@@ -138,6 +195,8 @@
   }
   if (!isReusable)
     close();
+  if (m_buffer.capacity() > minReadBytes)
+    m_buffer.shrink_to_fit();
   // The parser may be in use by an operation that close has aborted; it is
   // replaced by the next read on this channel only after that has returned.
   ++m_generation;
--- a/src/libasynchttp/httpchannel.h
+++ b/src/libasynchttp/httpchannel.h
@@ -25,6 +25,9 @@
   HttpHeaders headers;
   std::string contentType;
   std::string body;
+  /// How long an answer may pause once it has begun; then the deadline of the
+  /// call no longer counts. Nothing: the whole answer must be there by then.
+  std::optional<Duration> pauseLimit;
 };
 
 /// How a call over an `HttpChannel` ended.
@@ -56,6 +59,9 @@
 
   /// Answers longer than this are taken as none, in bytes.
   static constexpr std::uint64_t maxAnswerBytes = std::uint64_t(8) << 20;
+  /// However steadily it comes, an answer is given up so long after the
+  /// deadline of its call: on a link of 2 Mbit/s 5 MB have come by then.
+  static constexpr Duration maxAnswerTime = std::chrono::seconds(20);
 
   /// `host` is what the calls name as their host; empty for the address.
   HttpChannel(boost::asio::io_context& context,
@@ -67,6 +73,8 @@
 
   bool isBusy() const { return static_cast<bool>(m_done); }
   bool isOpen() const { return m_isConnected; }
+  /// Whether a part of an answer has come.
+  bool isReceiving() const { return isBusy() && m_receivedBytes > 0; }
   TimePoint idleSince() const { return m_idleSince; }
 
   /// Ends a call whose time is over, and closes the connection with it.
@@ -75,6 +83,8 @@
   void close();
 
 private:
+  void extendDeadline(TimePoint now);
+
   using Parser =
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
@@ -82,6 +92,9 @@
   void write();
   void read();
   void readOn();
+  void partRead(boost::system::error_code error, std::size_t bytes);
+  boost::system::error_code parse();
+  boost::system::error_code parseEnd();
   void end(HttpCallEnd::Kind kind);
   std::string render(const HttpCallOrder& order) const;
   bool wasClosedByPeer();
@@ -94,10 +107,16 @@
   std::string m_output;
   Done m_done;
   TimePoint m_deadline{};
+  std::optional<Duration> m_pauseLimit;
+  TimePoint m_lastDeadline{};
   TimePoint m_idleSince{};
   bool m_isConnected = false;
   bool m_isSent = false;
+  /// How much is read at a time.
+  std::size_t m_readBytes = 0;
   std::size_t m_receivedBytes = 0;
+  /// What of it the deadline allows for already.
+  std::size_t m_heededBytes = 0;
   /// Rises with each call, so that what belongs to an ended one is ignored.
   std::uint64_t m_generation = 0;
 };
--- a/src/libasynchttp/httpchannelpool.cpp
+++ b/src/libasynchttp/httpchannelpool.cpp
@@ -60,4 +60,13 @@
                    m_channels.end());
 }
 
+bool
+HttpChannelPool::isReceiving() const
+{
+  return std::any_of(
+    m_channels.begin(), m_channels.end(), [](const auto& channel) {
+      return channel->isReceiving();
+    });
+}
+
 } // namespace cowslippin
--- a/src/libasynchttp/httpchannelpool.h
+++ b/src/libasynchttp/httpchannelpool.h
@@ -28,6 +28,9 @@
   /// Ends calls whose time is over and drops closed connections.
   void expire(TimePoint now);
 
+  /// Whether a part of an answer to any call has come.
+  bool isReceiving() const;
+
   std::size_t size() const { return m_channels.size(); }
 
 private:
