Who lacks a configuration asks for it, one daemon at a time and part by part

Cause: every daemon that was ahead sent the whole configuration to every one behind, each second and after each new connection.

Ruled out: a longer head start for the platform alone (the copies come as soon as it is over), fewer senders alone (one copy still holds up the heartbeats behind it).

Change: ConfigurationFetch decides whom to ask for what, ConfigurationSource what to send to whom, ConfigurationSync puts both to EntryCore; no input or output in them. A daemon asks one other for 32 KB at a time, those of its zone first, goes on with another where one is lost, and asks nobody while the platform's answer is arriving (for a second at most). The largest message between daemons falls from 4 MB to 1 MB; format 4.

--- /dev/null
+++ b/src/libentry/configurationfetch.cpp
@@ -0,0 +1,223 @@
+#include "configurationfetch.h"
+
+#include "libobserve/observe.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+#include <utility>
+
+namespace cowslippin {
+
+ConfigurationFetch::ConfigurationFetch(Settings settings)
+  : m_settings(std::move(settings))
+{
+}
+
+void
+ConfigurationFetch::told(const VmId& vm,
+                         const ZoneName& zone,
+                         std::uint64_t version)
+{
+  Peer& peer = m_peers[vm];
+  peer.zone = zone;
+  peer.version = version;
+}
+
+void
+ConfigurationFetch::lost(const VmId& vm)
+{
+  m_peers.erase(vm);
+  if (m_asked && m_asked->vm == vm)
+    m_asked.reset();
+}
+
+void
+ConfigurationFetch::setInForce(std::uint64_t version, bool isFromPlatform)
+{
+  m_inForce = version;
+  if (m_transfer && m_transfer->version <= version)
+    m_transfer.reset();
+  // Where the platform keeps bringing them it has its head start for the next.
+  if (isFromPlatform)
+    m_behindSince.reset();
+}
+
+void
+ConfigurationFetch::refused(TimePoint now)
+{
+  m_notBefore = now + m_settings.refusedPause;
+}
+
+std::uint64_t
+ConfigurationFetch::newest() const
+{
+  std::uint64_t newest = m_inForce;
+  for (const auto& [vm, peer] : m_peers)
+    newest = std::max(newest, peer.version);
+  return newest;
+}
+
+std::optional<ConfigurationFetch::Request>
+ConfigurationFetch::next(TimePoint now, bool isArriving)
+{
+  if (!isDue(now, isArriving) || awaitsAnswer(now))
+    return std::nullopt;
+  const auto source = chooseSource(now);
+  if (!source)
+    return std::nullopt;
+  Request request;
+  request.vm = *source;
+  if (m_transfer)
+    request.message = { m_transfer->version, m_transfer->body.size() };
+  if (*source != m_lastAsked || !m_transfer)
+    logAsked(request, now);
+  m_asked = { *source, now };
+  m_lastAsked = *source;
+  return request;
+}
+
+void
+ConfigurationFetch::busy(const VmId& vm, TimePoint now)
+{
+  const auto peer = m_peers.find(vm);
+  if (peer != m_peers.end())
+    peer->second.notBefore = now + m_settings.busyPause;
+  if (m_asked && m_asked->vm == vm)
+    m_asked.reset();
+}
+
+std::optional<std::string>
+ConfigurationFetch::received(const VmId& vm, const PeerConfigPart& part)
+{
+  if (m_asked && m_asked->vm == vm)
+    m_asked.reset();
+  if (!isSound(part)) {
+    logEvent(LogLevel::Error,
+             "configuration-part-refused",
+             { { "peer", vm },
+               { "version", part.version },
+               { "size", part.size },
+               { "offset", part.offset },
+               { "bytes", part.bytes.size() } });
+    return std::nullopt;
+  }
+  const bool isNew = !m_transfer || part.version > m_transfer->version;
+  if (part.version > m_inForce && isNew && part.offset == 0)
+    m_transfer = Transfer{ part.version, part.size, vm, {} };
+  // Others are answers to a request that was given up.
+  const bool isNext = m_transfer && part.version == m_transfer->version &&
+                      part.size == m_transfer->size &&
+                      part.offset == m_transfer->body.size();
+  if (!isNext)
+    return std::nullopt;
+  m_transfer->source = vm;
+  m_transfer->body += part.bytes;
+  if (m_transfer->body.size() < m_transfer->size)
+    return std::nullopt;
+  std::string whole = std::move(m_transfer->body);
+  m_transfer.reset();
+  return whole;
+}
+
+/// Whether a newer version is known and the platform has had its time.
+bool
+ConfigurationFetch::isDue(TimePoint now, bool isArriving)
+{
+  if (newest() == m_inForce) {
+    m_behindSince.reset();
+    m_transfer.reset();
+    m_asked.reset();
+    return false;
+  }
+  if (!m_behindSince)
+    m_behindSince = now;
+  Duration wait =
+    m_inForce == 0 ? m_settings.startHeadStart : m_settings.headStart;
+  if (isArriving)
+    wait = m_settings.arrivalTime;
+  return now - *m_behindSince >= wait && now >= m_notBefore;
+}
+
+bool
+ConfigurationFetch::awaitsAnswer(TimePoint now)
+{
+  if (!m_asked)
+    return false;
+  if (now - m_asked->at < m_settings.answerTime)
+    return true;
+  logEvent(LogLevel::Warning,
+           "configuration-unanswered",
+           { { "peer", m_asked->vm },
+             { "waitedMs", toMilliseconds(now - m_asked->at) } });
+  const auto peer = m_peers.find(m_asked->vm);
+  if (peer != m_peers.end())
+    peer->second.notBefore = now + m_settings.silentPause;
+  m_asked.reset();
+  return false;
+}
+
+/// Who goes on with what has come, or, if nobody does, who has something newer
+/// than what is in force.
+std::optional<VmId>
+ConfigurationFetch::chooseSource(TimePoint now)
+{
+  if (m_transfer) {
+    if (const auto source = bestSource(now, false))
+      return source;
+  }
+  const auto source = bestSource(now, true);
+  if (source)
+    m_transfer.reset();
+  return source;
+}
+
+/// Of those that can be asked: the last one, the newest version, one of the own
+/// zone. A hash that differs from daemon to daemon spreads the rest.
+std::optional<VmId>
+ConfigurationFetch::bestSource(TimePoint now, bool mayRestart) const
+{
+  using Rank = std::tuple<bool, std::uint64_t, bool, std::size_t>;
+  std::optional<std::pair<Rank, VmId>> best;
+  for (const auto& [vm, peer] : m_peers) {
+    const bool isSource = m_transfer && vm == m_transfer->source;
+    const bool goesOn =
+      isSource || (m_transfer && peer.version == m_transfer->version);
+    if (now < peer.notBefore || peer.version <= m_inForce ||
+        (!mayRestart && !goesOn))
+      continue;
+    const std::size_t hash =
+      std::hash<std::string>()(m_settings.self.value() + '|' + vm.value());
+    const Rank rank{
+      isSource, peer.version, peer.zone == m_settings.zone, hash
+    };
+    if (!best || rank > best->first)
+      best = { rank, vm };
+  }
+  if (!best)
+    return std::nullopt;
+  return best->second;
+}
+
+bool
+ConfigurationFetch::isSound(const PeerConfigPart& part) const
+{
+  return !part.bytes.empty() && part.size <= m_settings.maxBytes &&
+         part.offset <= part.size &&
+         part.bytes.size() <= part.size - part.offset;
+}
+
+void
+ConfigurationFetch::logAsked(const Request& request, TimePoint now) const
+{
+  logEvent(LogLevel::Info,
+           "configuration-asked",
+           { { "peer", request.vm },
+             { "newest", newest() },
+             { "inForce", m_inForce },
+             { "version", request.message.version },
+             { "offset", request.message.offset },
+             { "behindMs", toMilliseconds(now - *m_behindSince) } });
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libentry/configurationfetch.h
@@ -0,0 +1,124 @@
+#pragma once
+
+#include "libpeers/peermessage.h"
+
+#include "libcore/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cowslippin {
+
+/// Gets a newer configuration from other daemons where the platform doesn't
+/// bring it in time.
+///
+/// It answers the moment in which all others have a configuration that this
+/// daemon lacks, on a link that is slow or busy. Who lacks it asks, one daemon
+/// at a time and for one part at a time, so that the link carries one part for
+/// it however many could send, and heartbeats pass between two parts. When
+/// everyone who was ahead sent the whole, 40 copies of 0.9 MB filled a link of
+/// 25 Mbit/s for as long as the daemon stayed behind, and it stayed behind for
+/// that reason. What has come is kept when a daemon is lost or gives no answer:
+/// another one with the same version goes on from there.
+class ConfigurationFetch
+{
+public:
+  struct Settings
+  {
+    VmId self;
+    /// Daemons of this zone are asked first: bytes between zones cost more.
+    ZoneName zone;
+    /// How long the platform has for bringing it: 41 daemons that read 0.8 MB
+    /// at once have had it after 0.35 to 1.45 s.
+    Duration headStart = std::chrono::milliseconds(400);
+    /// The same where there is none yet, so that no caller is served: an answer
+    /// of the platform takes 4 ms, and up to 60 times as long when it is slow.
+    Duration startHeadStart = std::chrono::milliseconds(100);
+    /// The same while its answer is on its way. A configuration has to be in
+    /// force 2 s after the platform has acknowledged it.
+    Duration arrivalTime = std::chrono::milliseconds(1000);
+    /// How long a daemon may take for a part: four times what one takes on a
+    /// link of 2 Mbit/s.
+    Duration answerTime = std::chrono::milliseconds(550);
+    /// Until a daemon that gave no answer is asked again.
+    Duration silentPause = std::chrono::milliseconds(1000);
+    /// Until one is asked again that serves others: a few parts' time.
+    Duration busyPause = std::chrono::milliseconds(100);
+    /// After one that could not be read.
+    Duration refusedPause = std::chrono::seconds(5);
+    /// More than the platform lets a configuration have.
+    std::uint64_t maxBytes = std::uint64_t(64) << 20;
+  };
+
+  struct Request
+  {
+    VmId vm;
+    PeerConfigRequest message;
+  };
+
+  explicit ConfigurationFetch(Settings settings);
+
+  /// A daemon has told which version is in force there.
+  void told(const VmId& vm, const ZoneName& zone, std::uint64_t version);
+  /// A daemon can't be reached any more.
+  void lost(const VmId& vm);
+  /// A version is in force here now.
+  void setInForce(std::uint64_t version, bool isFromPlatform);
+  /// What a daemon sent could not be read.
+  void refused(TimePoint now);
+
+  /// The highest version that was told of.
+  std::uint64_t newest() const;
+
+  /// Whom to ask now for what, if anybody. `isArriving`: the platform's answer
+  /// is on its way.
+  std::optional<Request> next(TimePoint now, bool isArriving);
+
+  /// A daemon has no time for it now.
+  void busy(const VmId& vm, TimePoint now);
+  /// A part has come; the whole configuration if it was the last one.
+  std::optional<std::string> received(const VmId& vm,
+                                      const PeerConfigPart& part);
+
+private:
+  struct Peer
+  {
+    ZoneName zone;
+    std::uint64_t version = 0;
+    TimePoint notBefore{};
+  };
+  /// What has come so far.
+  struct Transfer
+  {
+    std::uint64_t version = 0;
+    std::uint64_t size = 0;
+    VmId source;
+    std::string body;
+  };
+  struct Asked
+  {
+    VmId vm;
+    TimePoint at{};
+  };
+
+  bool isDue(TimePoint now, bool isArriving);
+  bool awaitsAnswer(TimePoint now);
+  std::optional<VmId> chooseSource(TimePoint now);
+  std::optional<VmId> bestSource(TimePoint now, bool mayRestart) const;
+  bool isSound(const PeerConfigPart& part) const;
+  void logAsked(const Request& request, TimePoint now) const;
+
+  const Settings m_settings;
+  std::map<VmId, Peer> m_peers;
+  std::uint64_t m_inForce = 0;
+  /// Since when a newer version than that in force is known.
+  std::optional<TimePoint> m_behindSince;
+  TimePoint m_notBefore{};
+  std::optional<Transfer> m_transfer;
+  std::optional<Asked> m_asked;
+  VmId m_lastAsked;
+};
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libentry/configurationsync.cpp
@@ -0,0 +1,117 @@
+#include "configurationsync.h"
+
+#include "libobserve/observe.h"
+
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+constexpr const char* platformSource = "platform";
+
+} // namespace
+
+ConfigurationSync::ConfigurationSync(Settings settings, Hooks hooks)
+  : m_hooks(std::move(hooks))
+  , m_fetch(std::move(settings.fetch))
+  , m_source(settings.source)
+  , m_routing(std::make_shared<RoutingTable>())
+{
+}
+
+void
+ConfigurationSync::platformRead(const std::string& body, TimePoint now)
+{
+  if (!apply(body, platformSource))
+    return;
+  m_fetch.setInForce(version(), true);
+  tick(now);
+}
+
+void
+ConfigurationSync::told(const VmId& vm,
+                        const ZoneName& zone,
+                        std::uint64_t version)
+{
+  m_fetch.told(vm, zone, version);
+}
+
+void
+ConfigurationSync::lost(const VmId& vm)
+{
+  m_fetch.lost(vm);
+  m_source.lost(vm);
+}
+
+void
+ConfigurationSync::received(const VmId& vm,
+                            const PeerMessage& message,
+                            TimePoint now)
+{
+  if (const auto* request = std::get_if<PeerConfigRequest>(&message))
+    m_hooks.send(vm, m_source.answer(vm, *request, now));
+  else if (const auto* part = std::get_if<PeerConfigPart>(&message))
+    partReceived(vm, *part, now);
+  else if (std::holds_alternative<PeerConfigBusy>(message))
+    m_fetch.busy(vm, now);
+}
+
+void
+ConfigurationSync::tick(TimePoint now)
+{
+  const auto request = m_fetch.next(now, m_hooks.isArriving());
+  if (request && !m_hooks.send(request->vm, request->message))
+    m_fetch.lost(request->vm);
+}
+
+/// Puts a configuration in force if it is newer.
+bool
+ConfigurationSync::apply(const std::string& body, const std::string& source)
+{
+  const Result<RoutingTable> table = m_hooks.read(body);
+  if (!table) {
+    logEvent(LogLevel::Error,
+             "configuration-refused",
+             { { "source", source }, { "reason", table.error().detail() } });
+    return false;
+  }
+  const std::uint64_t before = version();
+  if (table->version() <= before) {
+    logEvent(LogLevel::Info,
+             "configuration-known",
+             { { "source", source },
+               { "version", table->version() },
+               { "inForce", before },
+               { "bytes", body.size() } });
+    return false;
+  }
+  m_routing = std::make_shared<RoutingTable>(*table);
+  m_source.setInForce(version(), body);
+  logEvent(LogLevel::Info,
+           "configuration-in-force",
+           { { "source", source },
+             { "version", version() },
+             { "before", before },
+             { "routes", m_routing->routes().size() },
+             { "bytes", body.size() } });
+  m_hooks.changed();
+  return true;
+}
+
+void
+ConfigurationSync::partReceived(const VmId& vm,
+                                const PeerConfigPart& part,
+                                TimePoint now)
+{
+  const auto body = m_fetch.received(vm, part);
+  if (body && apply(*body, vm.value()))
+    m_fetch.setInForce(version(), false);
+  else if (body)
+    m_fetch.refused(now);
+  // The next part is asked for at once: a tick's wait for each would take as
+  // long again as the parts themselves.
+  tick(now);
+}
+
+} // namespace cowslippin
--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -11,14 +11,20 @@
 
 namespace {
 
-/// How long a configuration is left to arrive from the platform before a peer
-/// that is behind is sent it.
-constexpr Duration configHeadStart = std::chrono::milliseconds(400);
 /// Between two messages about free places to other holders.
 constexpr Duration placesInterval = std::chrono::milliseconds(30);
 /// How much earlier than the platform kills it a daemon exits by itself.
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 
+ConfigurationSync::Settings
+configurationSettings(const EntryCore::Settings& settings)
+{
+  ConfigurationSync::Settings configuration;
+  configuration.fetch.self = settings.vm;
+  configuration.fetch.zone = settings.zone;
+  return configuration;
+}
+
 } // namespace
 
 EntryCore::EntryCore(Settings settings, Ports ports, Links links, Clocks clocks)
@@ -32,7 +38,7 @@
              m_clocks.steady())
   , m_scheduler(m_settings.vm, m_settings.scheduler, schedulerHooks())
   , m_gateway(m_settings.vm, m_settings.gateway, gatewayHooks())
-  , m_routing(std::make_shared<RoutingTable>())
+  , m_configuration(configurationSettings(m_settings), configurationHooks())
   , m_tokens(m_clocks.timeOfDay, m_clocks.processNumber)
   , m_vacancy(m_settings.vacancy, m_ports.hold)
   , m_strain(m_settings.strain)
@@ -42,39 +48,28 @@
 }
 
 void
-EntryCore::configurationRead(const std::string& body, const std::string& source)
+EntryCore::configurationRead(const std::string& body)
+{
+  m_configuration.platformRead(body, observeTime());
+}
+
+ConfigurationSync::Hooks
+EntryCore::configurationHooks()
+{
+  ConfigurationSync::Hooks hooks;
+  hooks.read = m_ports.readConfiguration;
+  hooks.isArriving = m_ports.isConfigurationArriving;
+  hooks.send = m_links.send;
+  hooks.changed = [this] { configurationChanged(); };
+  return hooks;
+}
+
+void
+EntryCore::configurationChanged()
 {
-  const TimePoint now = observeTime();
-  const Result<RoutingTable> table = m_ports.readConfiguration(body);
-  if (!table) {
-    logEvent(LogLevel::Error,
-             "configuration-refused",
-             { { "source", source }, { "reason", table.error().detail() } });
-    return;
-  }
-  if (table->version() <= m_routing->version()) {
-    logEvent(LogLevel::Info,
-             "configuration-known",
-             { { "source", source },
-               { "version", table->version() },
-               { "inForce", m_routing->version() },
-               { "bytes", body.size() } });
-    return;
-  }
-  const std::uint64_t before = m_routing->version();
-  m_routing = std::make_shared<RoutingTable>(*table);
-  m_configurationBody = body;
-  m_configuredAt = now;
   m_shards.setReady(m_hasWorkers);
-  logEvent(LogLevel::Info,
-           "configuration-in-force",
-           { { "source", source },
-             { "version", m_routing->version() },
-             { "before", before },
-             { "routes", m_routing->routes().size() },
-             { "bytes", body.size() } });
   if (m_hasWorkers)
-    listWorkers(now);
+    listWorkers(m_clocks.steady());
 }
 
 void
@@ -82,7 +77,7 @@
 {
   const TimePoint now = observeTime();
   m_hasWorkers = true;
-  m_shards.setReady(m_routing->version() > 0);
+  m_shards.setReady(m_configuration.version() > 0);
   m_workers = workers;
   listWorkers(now);
 }
@@ -94,7 +89,7 @@
 {
   WorkerList used;
   for (const auto& [id, record] : m_workers) {
-    if (m_routing->version() == 0 || m_routing->uses(record.service()))
+    if (m_configuration.version() == 0 || routing()->uses(record.service()))
       used[id] = record;
   }
   m_scheduler.setList(used, now);
@@ -142,7 +137,7 @@
 bool
 EntryCore::isReady() const
 {
-  if (isLeaving() || m_routing->version() == 0)
+  if (isLeaving() || m_configuration.version() == 0)
     return false;
   const auto shards = m_shards.servedShards();
   return std::any_of(shards.begin(), shards.end(), [this](const auto& shard) {
@@ -194,9 +189,8 @@
 EntryCore::figures() const
 {
   Figures figures;
-  figures.configurationVersion = m_routing->version();
-  figures.newestConfigurationVersion =
-    std::max(m_newestVersion, m_routing->version());
+  figures.configurationVersion = m_configuration.version();
+  figures.newestConfigurationVersion = m_configuration.newestVersion();
   figures.callersWaiting = m_gateway.waiting();
   figures.jobsScheduled = m_scheduler.jobCount();
   figures.tasksWaiting = m_scheduler.waitingTasks();
@@ -229,7 +223,7 @@
     peers.push_back(vm.value());
   return { { "vm", m_settings.vm.value() },
            { "zone", m_settings.zone.value() },
-           { "configurationVersion", m_routing->version() },
+           { "configurationVersion", m_configuration.version() },
            { "isReady", isReady() },
            { "isLeaving", isLeaving() },
            { "callersWaiting", m_gateway.waiting() },
@@ -350,6 +344,7 @@
   m_shards.setKnownMembers(m_links.knownCount());
   probeOrphans(now);
   applyDecisions(now);
+  m_configuration.tick(now);
   m_scheduler.tick(now);
   m_gateway.tick(now);
   if (now - m_lastBeatAt >= m_settings.beatInterval)
@@ -437,7 +432,7 @@
 {
   PeerBeat beat;
   beat.isLeaving = isLeaving();
-  beat.isReady = m_hasWorkers && m_routing->version() > 0;
+  beat.isReady = m_hasWorkers && m_configuration.version() > 0;
   for (const auto& [shard, token] : m_shards.held())
     beat.shards[shard] = { token,
                            m_scheduler.sparePlaces(shard, now),
@@ -446,7 +441,7 @@
   beat.isNew = m_shards.isNew(now);
   beat.slowness = m_settings.slowness;
   beat.highestToken = m_tokens.highest();
-  beat.configVersion = m_routing->version();
+  beat.configVersion = m_configuration.version();
   return beat;
 }
 
@@ -503,12 +498,12 @@
     m_scheduler.submit(submit->request, now);
   else if (const auto* cancel = std::get_if<PeerCancel>(&message))
     m_scheduler.cancel(cancel->key, now);
-  else if (const auto* config = std::get_if<PeerConfig>(&message))
-    configurationRead(config->body, vm.value());
   else if (const auto* ended = std::get_if<PeerJobEnd>(&message))
     m_gateway.ended(vm, ended->key, ended->end, now);
   else if (const auto* back = std::get_if<PeerTasksReturned>(&message))
     m_gateway.returned(vm, back->key, back->returned, now);
+  else
+    m_configuration.received(vm, message, now);
 }
 
 void
@@ -533,18 +528,7 @@
     for (const auto& [shard, held] : beat.shards)
       m_scheduler.setPeerPlaces(vm, shard, held.places);
   }
-  m_newestVersion = std::max(m_newestVersion, beat.configVersion);
-  const bool isBehind = beat.configVersion < m_routing->version();
-  if (!isBehind || now - m_configuredAt < configHeadStart ||
-      !m_reports.mayConfigure(vm, now))
-    return;
-  logEvent(LogLevel::Info,
-           "configuration-sent",
-           { { "peer", vm },
-             { "version", m_routing->version() },
-             { "peerVersion", beat.configVersion },
-             { "bytes", m_configurationBody.size() } });
-  m_links.send(vm, PeerConfig{ m_routing->version(), m_configurationBody });
+  m_configuration.told(vm, view.zone, beat.configVersion);
 }
 
 void
@@ -562,6 +546,7 @@
 {
   const TimePoint now = m_clocks.steady();
   m_shards.memberGone(vm, now);
+  m_configuration.lost(vm);
   m_scheduler.daemonLost(vm, loss == PeerLoss::Silent, now);
   m_gateway.daemonLost(vm, now);
 }
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "configurationsync.h"
 #include "gateway.h"
 #include "peerreports.h"
-#include "routingtable.h"
 #include "strainmeter.h"
 #include "tokensource.h"
 #include "vacancyprobe.h"
@@ -79,6 +79,8 @@
     std::function<void(const ShardId&, FencingToken)> publishHolder;
     /// Reads a configuration as the platform has it.
     std::function<Result<RoutingTable>(const std::string&)> readConfiguration;
+    /// Whether an answer of the platform with a configuration is on its way.
+    std::function<bool()> isConfigurationArriving;
   };
 
   /// The connections to other daemons. None may be empty.
@@ -112,10 +114,7 @@
 
   /// The platform has a configuration; an older one than that in force is
   /// ignored.
-  void configurationRead(const std::string& body)
-  {
-    configurationRead(body, "platform");
-  }
+  void configurationRead(const std::string& body);
   void workersRead(const WorkerList& workers);
   /// A holder has told the platform anew that it holds a shard.
   void holderRead(const ShardId& shard, const VmId& holder);
@@ -124,7 +123,10 @@
   /// The holders' entries at the platform were read; the highest token in them.
   void holdersRead(FencingToken highest);
 
-  std::shared_ptr<const RoutingTable> routing() const { return m_routing; }
+  std::shared_ptr<const RoutingTable> routing() const
+  {
+    return m_configuration.routing();
+  }
   /// Whether callers should be sent here.
   bool isReady() const;
 
@@ -180,7 +182,8 @@
   Scheduler::Hooks schedulerHooks();
   Gateway::Hooks gatewayHooks();
 
-  void configurationRead(const std::string& body, const std::string& source);
+  ConfigurationSync::Hooks configurationHooks();
+  void configurationChanged();
   void pauseNoticed(TimePoint now, Duration gap);
   void beat(TimePoint now);
   void beatHolders(TimePoint now);
@@ -212,10 +215,7 @@
   ShardTable m_shards;
   Scheduler m_scheduler;
   Gateway m_gateway;
-  std::shared_ptr<const RoutingTable> m_routing;
-  std::string m_configurationBody;
-  TimePoint m_configuredAt{};
-  std::uint64_t m_newestVersion = 0;
+  ConfigurationSync m_configuration;
   bool m_hasWorkers = false;
   WorkerList m_workers;
   PeerReports m_reports;
--- a/src/libentry/peerreports.cpp
+++ b/src/libentry/peerreports.cpp
@@ -2,13 +2,6 @@
 
 namespace cowslippin {
 
-namespace {
-
-/// Between two sendings of a configuration to the same daemon.
-constexpr Duration configurationResend = std::chrono::milliseconds(1000);
-
-} // namespace
-
 void
 PeerReports::setZone(const VmId& vm, const ZoneName& zone)
 {
@@ -73,14 +66,4 @@
   }
 }
 
-bool
-PeerReports::mayConfigure(const VmId& vm, TimePoint now)
-{
-  Peer& peer = m_peers[vm];
-  if (peer.configuredAt && now - *peer.configuredAt < configurationResend)
-    return false;
-  peer.configuredAt = now;
-  return true;
-}
-
 } // namespace cowslippin
--- a/src/libentry/peerreports.h
+++ b/src/libentry/peerreports.h
@@ -29,17 +29,12 @@
   /// Forgets what was told of the workers of other shards.
   void keepWorkersOf(const std::set<ShardId>& shards);
 
-  /// Whether the configuration may be sent to a daemon now. If so, it counts as
-  /// sent.
-  bool mayConfigure(const VmId& vm, TimePoint now);
-
 private:
   struct Peer
   {
     ZoneName zone;
     std::optional<TimePoint> reportedAt;
     std::map<ShardId, unsigned> places;
-    std::optional<TimePoint> configuredAt;
   };
 
   std::map<VmId, Peer> m_peers;
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with every change that an older daemon can't read.
-constexpr int formatVersion = 3;
+constexpr int formatVersion = 4;
 
 json
 toJson(const ShardId& shard)
@@ -150,9 +150,26 @@
 }
 
 json
-toJson(const PeerConfig& config)
+toJson(const PeerConfigPart& part)
 {
-  return json::array({ config.version, config.body });
+  // A part may end within a character, so that it is no text.
+  return json::array(
+    { part.version,
+      part.size,
+      part.offset,
+      json::binary({ part.bytes.begin(), part.bytes.end() }) });
+}
+
+json
+toJson(const PeerConfigRequest& request)
+{
+  return json::array({ request.version, request.offset });
+}
+
+json
+toJson(const PeerConfigBusy&)
+{
+  return json::array();
 }
 
 std::string
@@ -314,6 +331,18 @@
   return message;
 }
 
+PeerConfigPart
+readConfigPart(const json& value)
+{
+  PeerConfigPart part;
+  part.version = value.at(0).get<std::uint64_t>();
+  part.size = value.at(1).get<std::uint64_t>();
+  part.offset = value.at(2).get<std::uint64_t>();
+  const auto& bytes = value.at(3).get_binary();
+  part.bytes.assign(bytes.begin(), bytes.end());
+  return part;
+}
+
 PeerMessage
 readMessage(std::size_t kind, const json& value)
 {
@@ -329,11 +358,16 @@
     case 4:
       return PeerCancel{ readKey(value.at(0)) };
     case 5:
-      return PeerConfig{ value.at(0).get<std::uint64_t>(), text(value.at(1)) };
+      return readConfigPart(value);
     case 6:
       return readTasksReturned(value);
     case 7:
       return PeerKnown{ readAddresses(value.at(0)) };
+    case 8:
+      return PeerConfigRequest{ value.at(0).get<std::uint64_t>(),
+                                value.at(1).get<std::uint64_t>() };
+    case 9:
+      return PeerConfigBusy{};
     default:
       throw std::invalid_argument("an unknown kind");
   }
--- a/src/libpeers/peerlinks.cpp
+++ b/src/libpeers/peerlinks.cpp
@@ -11,8 +11,10 @@
 
 namespace {
 
-/// A configuration of some thousand routes is below 1 MB.
-constexpr std::size_t maxMessageBytes = std::size_t(4) << 20;
+/// The largest are jobs of 2,000 tasks, some 20 KB, and parts of a
+/// configuration, 32 KB. A message delays the heartbeats behind it, so nothing
+/// large may be one.
+constexpr std::size_t maxMessageBytes = std::size_t(1) << 20;
 constexpr std::size_t maxBufferedBytes = std::size_t(8) << 20;
 /// How much later than the other side the one with the higher address dials.
 constexpr Duration secondDialDelay = std::chrono::milliseconds(400);
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -98,12 +98,33 @@
   JobKey key;
 };
 
-/// A configuration, for a daemon that told of an older one.
-struct PeerConfig
+/// Asks a daemon that told of a newer configuration for a part of it.
+struct PeerConfigRequest
 {
+  /// The version of which parts have come; 0 if there are none.
   std::uint64_t version = 0;
-  /// As the platform has it.
-  std::string body;
+  /// How many bytes of it have come.
+  std::uint64_t offset = 0;
+};
+
+/// Bytes of a configuration as the platform has it: of the version that was
+/// asked for or, from the first byte on, of another.
+struct PeerConfigPart
+{
+  std::uint64_t version = 0;
+  /// Of the whole configuration, in bytes.
+  std::uint64_t size = 0;
+  std::uint64_t offset = 0;
+  std::string bytes;
+};
+
+/// The daemon that was asked sends its configuration to others just now.
+struct PeerConfigBusy
+{
+  friend bool operator==(const PeerConfigBusy&, const PeerConfigBusy&)
+  {
+    return true;
+  }
 };
 
 using PeerMessage = std::variant<PeerHello,
@@ -111,8 +132,10 @@
                                  PeerSubmit,
                                  PeerJobEnd,
                                  PeerCancel,
-                                 PeerConfig,
+                                 PeerConfigPart,
                                  PeerTasksReturned,
-                                 PeerKnown>;
+                                 PeerKnown,
+                                 PeerConfigRequest,
+                                 PeerConfigBusy>;
 
 } // namespace cowslippin
--- a/tests/entry/entrydaemon_test.cpp
+++ b/tests/entry/entrydaemon_test.cpp
@@ -21,6 +21,7 @@
   ports.readConfiguration = [](const std::string& body) {
     return Result<RoutingTable>(RoutingTable(std::stoull(body), { Route() }));
   };
+  ports.isConfigurationArriving = [] { return false; };
   return ports;
 }
 
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -335,6 +335,7 @@
   ports.readConfiguration = [](const std::string&) -> Result<RoutingTable> {
     return routing();
   };
+  ports.isConfigurationArriving = [] { return false; };
   return ports;
 }
 
