Parts of a configuration are as long as passes in some tens of milliseconds

Cause: one part length for all links. On a link of 2 Mbit/s a part of 32 KB takes 130 ms, and two sent beside one received hold up heartbeats.

Change: the receiver names the length, twice as long after a part that came within 30 ms, half as long after one that took over 90 ms (2 to 64 KB). In the test's network the connections of a daemon now take turns; before, those first in order could keep the others waiting (the cases fail without the mend all the same).

--- a/src/libentry/configurationfetch.cpp
+++ b/src/libentry/configurationfetch.cpp
@@ -11,6 +11,7 @@
 
 ConfigurationFetch::ConfigurationFetch(Settings settings)
   : m_settings(std::move(settings))
+  , m_partBytes(m_settings.firstPartBytes)
 {
 }
 
@@ -68,8 +69,11 @@
     return std::nullopt;
   Request request;
   request.vm = *source;
-  if (m_transfer)
-    request.message = { m_transfer->version, m_transfer->body.size() };
+  request.message.maxBytes = m_partBytes;
+  if (m_transfer) {
+    request.message.version = m_transfer->version;
+    request.message.offset = m_transfer->body.size();
+  }
   if (*source != m_lastAsked || !m_transfer)
     logAsked(request, now);
   m_asked = { *source, now };
@@ -88,10 +92,11 @@
 }
 
 std::optional<std::string>
-ConfigurationFetch::received(const VmId& vm, const PeerConfigPart& part)
+ConfigurationFetch::received(const VmId& vm,
+                             const PeerConfigPart& part,
+                             TimePoint now)
 {
-  if (m_asked && m_asked->vm == vm)
-    m_asked.reset();
+  answered(vm, now);
   if (!isSound(part)) {
     logEvent(LogLevel::Error,
              "configuration-part-refused",
@@ -105,6 +110,26 @@
   const bool isNew = !m_transfer || part.version > m_transfer->version;
   if (part.version > m_inForce && isNew && part.offset == 0)
     m_transfer = Transfer{ part.version, part.size, vm, {} };
+  return append(vm, part);
+}
+
+/// The time that a part took sets the length of the next.
+void
+ConfigurationFetch::answered(const VmId& vm, TimePoint now)
+{
+  if (!m_asked || m_asked->vm != vm)
+    return;
+  const Duration took = now - m_asked->at;
+  m_asked.reset();
+  if (took < m_settings.shortPartTime)
+    m_partBytes = std::min(2 * m_partBytes, m_settings.maxPartBytes);
+  else if (took > m_settings.longPartTime)
+    m_partBytes = std::max(m_partBytes / 2, m_settings.minPartBytes);
+}
+
+std::optional<std::string>
+ConfigurationFetch::append(const VmId& vm, const PeerConfigPart& part)
+{
   // Others are answers to a request that was given up.
   const bool isNext = m_transfer && part.version == m_transfer->version &&
                       part.size == m_transfer->size &&
@@ -153,6 +178,7 @@
   const auto peer = m_peers.find(m_asked->vm);
   if (peer != m_peers.end())
     peer->second.notBefore = now + m_settings.silentPause;
+  m_partBytes = m_settings.minPartBytes;
   m_asked.reset();
   return false;
 }
--- a/src/libentry/configurationfetch.h
+++ b/src/libentry/configurationfetch.h
@@ -39,8 +39,8 @@
     /// The same while its answer is on its way. A configuration has to be in
     /// force 2 s after the platform has acknowledged it.
     Duration arrivalTime = std::chrono::milliseconds(1000);
-    /// How long a daemon may take for a part: four times what one takes on a
-    /// link of 2 Mbit/s.
+    /// How long a daemon may take for a part: longer than the silence limit, so
+    /// that one that is lost is noticed as such.
     Duration answerTime = std::chrono::milliseconds(550);
     /// Until a daemon that gave no answer is asked again.
     Duration silentPause = std::chrono::milliseconds(1000);
@@ -48,6 +48,16 @@
     Duration busyPause = std::chrono::milliseconds(100);
     /// After one that could not be read.
     Duration refusedPause = std::chrono::seconds(5);
+    /// A part is as long as passes in some tens of milliseconds, whatever the
+    /// link: heartbeats wait behind it, and three of them must come within the
+    /// silence limit of 450 ms between daemons.
+    std::uint64_t firstPartBytes = std::uint64_t(8) << 10;
+    std::uint64_t minPartBytes = std::uint64_t(2) << 10;
+    std::uint64_t maxPartBytes = std::uint64_t(64) << 10;
+    /// A part that came sooner is followed by one twice as long, one that came
+    /// later by one half as long.
+    Duration shortPartTime = std::chrono::milliseconds(30);
+    Duration longPartTime = std::chrono::milliseconds(90);
     /// More than the platform lets a configuration have.
     std::uint64_t maxBytes = std::uint64_t(64) << 20;
   };
@@ -80,7 +90,8 @@
   void busy(const VmId& vm, TimePoint now);
   /// A part has come; the whole configuration if it was the last one.
   std::optional<std::string> received(const VmId& vm,
-                                      const PeerConfigPart& part);
+                                      const PeerConfigPart& part,
+                                      TimePoint now);
 
 private:
   struct Peer
@@ -105,6 +116,8 @@
 
   bool isDue(TimePoint now, bool isArriving);
   bool awaitsAnswer(TimePoint now);
+  void answered(const VmId& vm, TimePoint now);
+  std::optional<std::string> append(const VmId& vm, const PeerConfigPart& part);
   std::optional<VmId> chooseSource(TimePoint now);
   std::optional<VmId> bestSource(TimePoint now, bool mayRestart) const;
   bool isSound(const PeerConfigPart& part) const;
@@ -118,6 +131,7 @@
   TimePoint m_notBefore{};
   std::optional<Transfer> m_transfer;
   std::optional<Asked> m_asked;
+  std::uint64_t m_partBytes;
   VmId m_lastAsked;
 };
 
--- a/src/libentry/configurationsource.cpp
+++ b/src/libentry/configurationsource.cpp
@@ -2,6 +2,7 @@
 
 #include "libobserve/observe.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cowslippin {
@@ -41,9 +42,7 @@
   }
   const Version version = receiver->second.version;
   receiver->second.askedAt = now;
-  const bool goesOn =
-    request.version == version.number && request.offset < version.body->size();
-  PeerConfigPart part = makePart(version, goesOn ? request.offset : 0);
+  PeerConfigPart part = makePart(version, request);
   if (part.offset + part.bytes.size() == part.size)
     m_receivers.erase(receiver);
   return part;
@@ -66,15 +65,20 @@
   }
 }
 
+/// The part that was asked for, or the first one of another version.
 PeerConfigPart
 ConfigurationSource::makePart(const Version& version,
-                              std::uint64_t offset) const
+                              const PeerConfigRequest& request) const
 {
+  const bool goesOn =
+    request.version == version.number && request.offset < version.body->size();
+  const std::uint64_t bytes = std::clamp(
+    request.maxBytes, m_settings.minPartBytes, m_settings.maxPartBytes);
   PeerConfigPart part;
   part.version = version.number;
   part.size = version.body->size();
-  part.offset = offset;
-  part.bytes = version.body->substr(offset, m_settings.partBytes);
+  part.offset = goesOn ? request.offset : 0;
+  part.bytes = version.body->substr(part.offset, bytes);
   return part;
 }
 
--- a/src/libentry/configurationsource.h
+++ b/src/libentry/configurationsource.h
@@ -24,9 +24,9 @@
 public:
   struct Settings
   {
-    /// A part passes a link of 2 Mbit/s in 130 ms, less than a third of the
-    /// silence limit between daemons, and one of 25 Mbit/s in 10 ms.
-    std::size_t partBytes = std::size_t(32) << 10;
+    /// The least and the most that is sent at a time, whatever is asked for.
+    std::uint64_t minPartBytes = std::uint64_t(1) << 10;
+    std::uint64_t maxPartBytes = std::uint64_t(64) << 10;
     std::size_t maxReceivers = 2;
     /// A receiver that asks for nothing for so long makes room for another.
     Duration idleLimit = std::chrono::milliseconds(600);
@@ -59,7 +59,8 @@
   };
 
   void forgetIdle(TimePoint now);
-  PeerConfigPart makePart(const Version& version, std::uint64_t offset) const;
+  PeerConfigPart makePart(const Version& version,
+                          const PeerConfigRequest& request) const;
 
   const Settings m_settings;
   Version m_inForce;
--- a/src/libentry/configurationsync.cpp
+++ b/src/libentry/configurationsync.cpp
@@ -104,7 +104,7 @@
                                 const PeerConfigPart& part,
                                 TimePoint now)
 {
-  const auto body = m_fetch.received(vm, part);
+  const auto body = m_fetch.received(vm, part, now);
   if (body && apply(*body, vm.value()))
     m_fetch.setInForce(version(), false);
   else if (body)
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -163,7 +163,7 @@
 json
 toJson(const PeerConfigRequest& request)
 {
-  return json::array({ request.version, request.offset });
+  return json::array({ request.version, request.offset, request.maxBytes });
 }
 
 json
@@ -365,7 +365,8 @@
       return PeerKnown{ readAddresses(value.at(0)) };
     case 8:
       return PeerConfigRequest{ value.at(0).get<std::uint64_t>(),
-                                value.at(1).get<std::uint64_t>() };
+                                value.at(1).get<std::uint64_t>(),
+                                value.at(2).get<std::uint64_t>() };
     case 9:
       return PeerConfigBusy{};
     default:
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -105,6 +105,8 @@
   std::uint64_t version = 0;
   /// How many bytes of it have come.
   std::uint64_t offset = 0;
+  /// How long the next part may be, in bytes.
+  std::uint64_t maxBytes = 0;
 };
 
 /// Bytes of a configuration as the platform has it: of the version that was
--- a/tests/entry/configurationspread_test.cpp
+++ b/tests/entry/configurationspread_test.cpp
@@ -75,6 +75,19 @@
   EXPECT_EQ(network.lostConnections(), 0u);
 }
 
+TEST(ConfigurationSpread, LeavesTheLinkToThePlatformsAnswerWhileThatComes)
+{
+  SlowNetwork network(region());
+  tellAll(network, SlowNetwork::configuration(17, smallBytes));
+  network.runFor(seconds(1));
+  const std::size_t before = network.receivedBytes(0);
+  network.setPlatformTelling(0, true);
+  for (std::size_t daemon = 1; daemon < region().daemons; ++daemon)
+    network.platformTells(daemon, SlowNetwork::configuration(21, largeBytes));
+  network.runFor(milliseconds(900));
+  EXPECT_LT(network.receivedBytes(0) - before, largeBytes / 10);
+}
+
 TEST(ConfigurationSpread, KeepsUpWithConfigurationsInQuickSuccession)
 {
   SlowNetwork network(region());
--- a/tests/entry/slownetwork.cpp
+++ b/tests/entry/slownetwork.cpp
@@ -184,6 +184,7 @@
     return false;
   queue->second.messages.emplace_back(encodePeerMessage(message).size(),
                                       message);
+  ++m_nodes[from].queued;
   return true;
 }
 
@@ -216,8 +217,10 @@
 void
 SlowNetwork::disconnect(std::size_t a, std::size_t b)
 {
-  m_queues.erase({ a, b });
-  m_queues.erase({ b, a });
+  for (const Way& way : { Way{ a, b }, Way{ b, a } }) {
+    m_nodes[way.first].queued -= m_queues.at(way).messages.size();
+    m_queues.erase(way);
+  }
   m_nodes[a].core->peerDown(m_nodes[b].id, PeerLoss::Silent);
   m_nodes[b].core->peerDown(m_nodes[a].id, PeerLoss::Silent);
 }
@@ -239,8 +242,8 @@
     node.core->tick();
 }
 
-/// Each connection with something to send gets its turn as long as both links
-/// have something left of this step.
+/// All daemons take turns, and so do the connections of each, as long as the
+/// links have something left of this step.
 void
 SlowNetwork::moveBytes()
 {
@@ -250,24 +253,30 @@
     node.canSend = std::min(node.canSend, 0.0) + share;
     node.canReceive = std::min(node.canReceive, 0.0) + share;
   }
-  std::vector<Way> ways;
-  for (const auto& [way, queue] : m_queues) {
-    if (!queue.messages.empty())
-      ways.push_back(way);
-  }
-  if (ways.empty())
-    return;
-  std::rotate(ways.begin(),
-              ways.begin() + std::ptrdiff_t(++m_firstServed % ways.size()),
-              ways.end());
+  ++m_firstServed;
   for (bool hasMoved = true; hasMoved;) {
     hasMoved = false;
-    for (const Way& way : ways) {
-      const auto queue = m_queues.find(way);
-      if (queue != m_queues.end() && moveSome(way, queue->second))
-        hasMoved = true;
-    }
+    for (std::size_t i = 0; i < m_nodes.size(); ++i)
+      hasMoved = sendSome((m_firstServed + i) % m_nodes.size()) || hasMoved;
+  }
+}
+
+/// Sends a packet over the daemon's next connection that can carry one.
+bool
+SlowNetwork::sendSome(std::size_t sender)
+{
+  Node& node = m_nodes[sender];
+  if (node.queued == 0 || node.canSend <= 0)
+    return false;
+  for (std::size_t i = 1; i <= m_nodes.size(); ++i) {
+    const Way way{ sender, (node.lastServed + i) % m_nodes.size() };
+    const auto queue = m_queues.find(way);
+    if (queue == m_queues.end() || !moveSome(way, queue->second))
+      continue;
+    node.lastServed = way.second;
+    return true;
   }
+  return false;
 }
 
 bool
@@ -288,6 +297,7 @@
     return true;
   const PeerMessage whole = std::move(message);
   queue.messages.pop_front();
+  --sender.queued;
   queue.lastHeard = m_now;
   deliver(way, whole);
   return true;
--- a/tests/entry/slownetwork.h
+++ b/tests/entry/slownetwork.h
@@ -65,6 +65,10 @@
     double canSend = 0;
     double canReceive = 0;
     std::size_t receivedBytes = 0;
+    /// Messages in all its queues.
+    std::size_t queued = 0;
+    /// Whom it sent a packet to last.
+    std::size_t lastServed = 0;
     std::vector<std::function<void()>> posted;
   };
   using Way = std::pair<std::size_t, std::size_t>;
@@ -80,6 +84,7 @@
   void disconnect(std::size_t a, std::size_t b);
   void step();
   void moveBytes();
+  bool sendSome(std::size_t sender);
   bool moveSome(const Way& way, Queue& queue);
   void deliver(const Way& way, const PeerMessage& message);
   void giveUpSilent();
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -160,9 +160,10 @@
 
 TEST(PeerCodec, CarriesPartsOfAConfiguration)
 {
-  const auto request = throughTheWire(PeerConfigRequest{ 9, 65536 });
+  const auto request = throughTheWire(PeerConfigRequest{ 9, 65536, 8192 });
   EXPECT_EQ(request.version, 9u);
   EXPECT_EQ(request.offset, 65536u);
+  EXPECT_EQ(request.maxBytes, 8192u);
   // The first half of a character of two bytes.
   const std::string bytes = "{\"name\":\"\xc3";
   const auto part = throughTheWire(PeerConfigPart{ 9, 900'000, 65536, bytes });
