--- a/src/libdaemon/configexchange.cpp
+++ b/src/libdaemon/configexchange.cpp
@@ -6,9 +6,10 @@
 
 namespace cowslippin {
 
-ConfigExchange::ConfigExchange(ConfigService& config, Send send)
+ConfigExchange::ConfigExchange(ConfigService& config, Send send, Clock clock)
   : m_config(config)
   , m_send(std::move(send))
+  , m_clock(std::move(clock))
 {
 }
 
--- a/src/libdaemon/configexchange.h
+++ b/src/libdaemon/configexchange.h
@@ -18,7 +18,7 @@
 public:
   using Send = std::function<bool(const VmId&, const Message&)>;
 
-  ConfigExchange(ConfigService& config, Send send);
+  ConfigExchange(ConfigService& config, Send send, Clock clock = steadyNow);
 
   /// The peer said which offset it has in force.
   void peerHas(const VmId& vm, Offset offset);
@@ -32,6 +32,7 @@
 private:
   ConfigService& m_config;
   const Send m_send;
+  const Clock m_clock;
   std::mutex m_mutex;
   /// What each peer had at its last message.
   std::unordered_map<VmId, Offset> m_lastOffsets;
