cowslippind asks one peer at a time for a newer configuration

Change: while a configuration that was asked for may still come (2 s at most), no other peer is asked.

--- a/src/libdaemon/configexchange.cpp
+++ b/src/libdaemon/configexchange.cpp
@@ -6,6 +6,14 @@
 
 namespace cowslippin {
 
+namespace {
+
+/// How long a configuration may take from a peer before another one is asked: 1
+/// MB passes a link of 25 Mbit/s in 0.3 s.
+constexpr Duration transferTime = std::chrono::seconds(2);
+
+} // namespace
+
 ConfigExchange::ConfigExchange(ConfigService& config, Send send, Clock clock)
   : m_config(config)
   , m_send(std::move(send))
@@ -16,20 +24,40 @@
 void
 ConfigExchange::peerHas(const VmId& vm, Offset offset)
 {
-  const Offset mine = m_config.current()->offset();
-  Offset before = 0;
-  {
-    const std::lock_guard lock(m_mutex);
-    before = std::exchange(m_lastOffsets[vm], offset);
+  if (!mayAsk(vm, offset)) {
+    return;
   }
+  ConfigRequest::Fields fields;
+  fields.haveOffset = m_config.current()->offset();
+  if (!m_send(vm, ConfigRequest(fields))) {
+    answered();
+  }
+}
+
+bool
+ConfigExchange::mayAsk(const VmId& vm, Offset offset)
+{
+  const Offset mine = m_config.current()->offset();
+  const TimePoint now = m_clock();
+  const std::lock_guard lock(m_mutex);
+  const Offset before = std::exchange(m_lastOffsets[vm], offset);
   const bool stillBehind = before > mine;
   const bool knowsNothing = offset > 0 && !m_config.isLoaded();
   if (!stillBehind && !knowsNothing) {
-    return;
+    return false;
   }
-  ConfigRequest::Fields fields;
-  fields.haveOffset = mine;
-  m_send(vm, ConfigRequest(fields));
+  if (m_askedAt && now - *m_askedAt < transferTime) {
+    return false;
+  }
+  m_askedAt = now;
+  return true;
+}
+
+void
+ConfigExchange::answered()
+{
+  const std::lock_guard lock(m_mutex);
+  m_askedAt.reset();
 }
 
 void
@@ -49,6 +77,7 @@
 ConfigExchange::transferred(const ConfigTransfer& transfer)
 {
   m_config.takeOver(transfer.body());
+  answered();
 }
 
 } // namespace cowslippin
