--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -39,6 +39,10 @@
   , m_scheduler(m_settings.vm, m_settings.scheduler, schedulerHooks())
   , m_gateway(m_settings.vm, m_settings.gateway, gatewayHooks())
   , m_configuration(configurationSettings(m_settings), configurationHooks())
+  , m_holders(m_settings.vm,
+              m_settings.zone,
+              { m_shards, m_scheduler, m_reports },
+              m_links.isUp)
   , m_tokens(m_clocks.timeOfDay, m_clocks.processNumber)
   , m_vacancy(m_settings.vacancy, m_ports.hold)
   , m_strain(m_settings.strain)
@@ -137,12 +141,7 @@
 bool
 EntryCore::isReady() const
 {
-  if (isLeaving() || m_configuration.version() == 0)
-    return false;
-  const auto shards = m_shards.servedShards();
-  return std::any_of(shards.begin(), shards.end(), [this](const auto& shard) {
-    return reachableHolder(shard).has_value();
-  });
+  return !isLeaving() && m_configuration.version() > 0 && m_holders.hasAny();
 }
 
 Gateway::Ticket
@@ -287,9 +286,11 @@
 EntryCore::gatewayHooks()
 {
   Gateway::Hooks hooks;
-  hooks.nextHolder = [this](const ShardId& shard) { return nextHolder(shard); };
+  hooks.nextHolder = [this](const ShardId& shard) {
+    return m_holders.next(shard, m_clocks.steady());
+  };
   hooks.bestHolder = [this](const std::set<ShardId>& refusedBy) {
-    return bestHolder(refusedBy);
+    return m_holders.best(refusedBy, m_clocks.steady());
   };
   hooks.submit = [this](const VmId& vm, const JobRequest& request) {
     return submitTo(vm, request);
@@ -575,60 +576,6 @@
   m_links.send(key.submitter(), PeerTasksReturned{ key, returned });
 }
 
-/// Who holds the shard or, if its zone has been divided anew, that which has
-/// workers of it.
-std::optional<HolderChoice>
-EntryCore::nextHolder(const ShardId& shard) const
-{
-  for (const ShardId& candidate : { shard, m_scheduler.presentShard(shard) }) {
-    if (const auto holder = reachableHolder(candidate))
-      return choiceOf(*holder, candidate, m_clocks.steady());
-  }
-  return std::nullopt;
-}
-
-std::optional<VmId>
-EntryCore::reachableHolder(const ShardId& shard) const
-{
-  auto holder = m_shards.holder(shard);
-  if (holder && *holder != m_settings.vm && !m_links.isUp(*holder))
-    return std::nullopt;
-  return holder;
-}
-
-std::optional<HolderChoice>
-EntryCore::bestHolder(const std::set<ShardId>& refusedBy)
-{
-  const TimePoint now = m_clocks.steady();
-  std::vector<HolderChoice> home;
-  std::vector<HolderChoice> abroad;
-  for (const ShardId& shard : m_shards.servedShards()) {
-    const auto holder = reachableHolder(shard);
-    if (!holder || refusedBy.count(shard) > 0)
-      continue;
-    auto& choices = shard.zone() == m_settings.zone ? home : abroad;
-    choices.push_back(choiceOf(*holder, shard, now));
-  }
-  return m_holderChooser.choose(home, abroad);
-}
-
-HolderChoice
-EntryCore::choiceOf(const VmId& holder,
-                    const ShardId& shard,
-                    TimePoint now) const
-{
-  HolderChoice choice;
-  choice.holder = holder;
-  choice.shard = shard;
-  if (holder == m_settings.vm) {
-    choice.places = m_scheduler.sparePlaces(shard, now);
-  } else {
-    choice.places = m_reports.places(holder, shard);
-    choice.age = m_reports.age(holder, now).value_or(Duration::zero());
-  }
-  return choice;
-}
-
 bool
 EntryCore::submitTo(const VmId& vm, const JobRequest& request)
 {
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -2,6 +2,7 @@
 
 #include "configurationsync.h"
 #include "gateway.h"
+#include "holderlookup.h"
 #include "peerreports.h"
 #include "strainmeter.h"
 #include "tokensource.h"
@@ -193,18 +194,12 @@
   void beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now);
   void jobEnded(const JobKey& key, const JobEnd& end);
   void tasksReturned(const JobKey& key, const TasksReturned& returned);
-  std::optional<VmId> reachableHolder(const ShardId& shard) const;
-  std::optional<HolderChoice> bestHolder(const std::set<ShardId>& refusedBy);
-  HolderChoice choiceOf(const VmId& holder,
-                        const ShardId& shard,
-                        TimePoint now) const;
   unsigned sparePlaces(TimePoint now) const;
   void noticeStrain(TimePoint now);
   void probeOrphans(TimePoint now);
   void listWorkers(TimePoint now);
   void divisionRead(TimePoint now);
   void adoptDivisions(const PeerBeat& beat, TimePoint now);
-  std::optional<HolderChoice> nextHolder(const ShardId& shard) const;
   bool submitTo(const VmId& vm, const JobRequest& request);
   void cancelAt(const VmId& vm, const JobKey& key);
 
@@ -219,6 +214,7 @@
   bool m_hasWorkers = false;
   WorkerList m_workers;
   PeerReports m_reports;
+  HolderLookup m_holders;
   TokenSource m_tokens;
   VacancyProbe m_vacancy;
   StrainMeter m_strain;
@@ -229,7 +225,6 @@
   TimePoint m_lastPlatformBeatAt{};
   std::chrono::nanoseconds m_lastBootTime{};
   std::optional<TimePoint> m_resumeAt;
-  HolderChooser m_holderChooser;
   std::optional<TimePoint> m_leaveAt;
   std::function<void()> m_left;
 };
--- /dev/null
+++ b/src/libentry/holderlookup.cpp
@@ -0,0 +1,81 @@
+#include "holderlookup.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cowslippin {
+
+HolderLookup::HolderLookup(VmId self,
+                           ZoneName zone,
+                           Sources sources,
+                           std::function<bool(const VmId&)> isUp)
+  : m_self(std::move(self))
+  , m_zone(std::move(zone))
+  , m_sources(sources)
+  , m_isUp(std::move(isUp))
+{
+}
+
+std::optional<VmId>
+HolderLookup::reachable(const ShardId& shard) const
+{
+  auto holder = m_sources.shards.holder(shard);
+  if (holder && *holder != m_self && !m_isUp(*holder))
+    return std::nullopt;
+  return holder;
+}
+
+bool
+HolderLookup::hasAny() const
+{
+  const auto shards = m_sources.shards.servedShards();
+  return std::any_of(shards.begin(), shards.end(), [this](const auto& shard) {
+    return reachable(shard).has_value();
+  });
+}
+
+std::optional<HolderChoice>
+HolderLookup::next(const ShardId& shard, TimePoint now) const
+{
+  const ShardId present = m_sources.scheduler.presentShard(shard);
+  for (const ShardId& candidate : { shard, present }) {
+    if (const auto holder = reachable(candidate))
+      return choiceOf(*holder, candidate, now);
+  }
+  return std::nullopt;
+}
+
+std::optional<HolderChoice>
+HolderLookup::best(const std::set<ShardId>& refusedBy, TimePoint now)
+{
+  std::vector<HolderChoice> home;
+  std::vector<HolderChoice> abroad;
+  for (const ShardId& shard : m_sources.shards.servedShards()) {
+    const auto holder = reachable(shard);
+    if (!holder || refusedBy.count(shard) > 0)
+      continue;
+    auto& choices = shard.zone() == m_zone ? home : abroad;
+    choices.push_back(choiceOf(*holder, shard, now));
+  }
+  return m_chooser.choose(home, abroad);
+}
+
+HolderChoice
+HolderLookup::choiceOf(const VmId& holder,
+                       const ShardId& shard,
+                       TimePoint now) const
+{
+  HolderChoice choice;
+  choice.holder = holder;
+  choice.shard = shard;
+  if (holder == m_self) {
+    choice.places = m_sources.scheduler.sparePlaces(shard, now);
+  } else {
+    choice.places = m_sources.reports.places(holder, shard);
+    choice.age = m_sources.reports.age(holder, now).value_or(Duration::zero());
+  }
+  return choice;
+}
+
+} // namespace cowslippin
