--- a/src/libentry/configurationfetch.cpp
+++ b/src/libentry/configurationfetch.cpp
@@ -189,10 +189,10 @@
 ConfigurationFetch::chooseSource(TimePoint now)
 {
   if (m_transfer) {
-    if (const auto source = bestSource(now, false))
+    if (auto source = bestSource(now, false))
       return source;
   }
-  const auto source = bestSource(now, true);
+  auto source = bestSource(now, true);
   if (source)
     m_transfer.reset();
   return source;
