A daemon that sends a part of no use is set aside for a second

Cause, found on reading: the next part is asked for as soon as one has come, also where that one was of no use; a daemon that has something else as the same version would be asked as often as messages can pass. Where the sizes differ nothing ever fitted.

Change: the sender is set aside for a second, and where the size of a version differs it is begun anew.

--- a/src/libentry/configurationfetch.cpp
+++ b/src/libentry/configurationfetch.cpp
@@ -84,9 +84,7 @@
 void
 ConfigurationFetch::busy(const VmId& vm, TimePoint now)
 {
-  const auto peer = m_peers.find(vm);
-  if (peer != m_peers.end())
-    peer->second.notBefore = now + m_settings.busyPause;
+  setAside(vm, now + m_settings.busyPause);
   if (m_asked && m_asked->vm == vm)
     m_asked.reset();
 }
@@ -97,20 +95,15 @@
                              TimePoint now)
 {
   answered(vm, now);
-  if (!isSound(part)) {
-    logEvent(LogLevel::Error,
-             "configuration-part-refused",
-             { { "peer", vm },
-               { "version", part.version },
-               { "size", part.size },
-               { "offset", part.offset },
-               { "bytes", part.bytes.size() } });
+  if (!isSound(part) || !append(vm, part)) {
+    refusePart(vm, part, now);
     return std::nullopt;
   }
-  const bool isNew = !m_transfer || part.version > m_transfer->version;
-  if (part.version > m_inForce && isNew && part.offset == 0)
-    m_transfer = Transfer{ part.version, part.size, vm, {} };
-  return append(vm, part);
+  if (m_transfer->body.size() < m_transfer->size)
+    return std::nullopt;
+  std::string whole = std::move(m_transfer->body);
+  m_transfer.reset();
+  return whole;
 }
 
 /// The time that a part took sets the length of the next.
@@ -127,22 +120,55 @@
     m_partBytes = std::max(m_partBytes / 2, m_settings.minPartBytes);
 }
 
-std::optional<std::string>
+/// False if the part doesn't follow what has come: the answer to a request that
+/// was given up, or of a daemon that has something else as this version.
+bool
 ConfigurationFetch::append(const VmId& vm, const PeerConfigPart& part)
 {
-  // Others are answers to a request that was given up.
-  const bool isNext = m_transfer && part.version == m_transfer->version &&
-                      part.size == m_transfer->size &&
-                      part.offset == m_transfer->body.size();
-  if (!isNext)
-    return std::nullopt;
+  if (part.version <= m_inForce)
+    return false;
+  const bool isNew = !m_transfer || part.version > m_transfer->version;
+  if (isNew && part.offset == 0)
+    m_transfer = Transfer{ part.version, part.size, vm, {} };
+  if (!m_transfer || part.version != m_transfer->version)
+    return false;
+  if (part.size != m_transfer->size) {
+    m_transfer.reset();
+    return false;
+  }
+  if (part.offset != m_transfer->body.size())
+    return false;
   m_transfer->source = vm;
   m_transfer->body += part.bytes;
-  if (m_transfer->body.size() < m_transfer->size)
-    return std::nullopt;
-  std::string whole = std::move(m_transfer->body);
-  m_transfer.reset();
-  return whole;
+  return true;
+}
+
+/// Asked again at once, a daemon that sends nothing of use would be asked as
+/// often as messages can pass.
+void
+ConfigurationFetch::refusePart(const VmId& vm,
+                               const PeerConfigPart& part,
+                               TimePoint now)
+{
+  setAside(vm, now + m_settings.silentPause);
+  // The platform may have been quicker.
+  if (part.version <= m_inForce)
+    return;
+  logEvent(LogLevel::Warning,
+           "configuration-part-refused",
+           { { "peer", vm },
+             { "version", part.version },
+             { "size", part.size },
+             { "offset", part.offset },
+             { "bytes", part.bytes.size() } });
+}
+
+void
+ConfigurationFetch::setAside(const VmId& vm, TimePoint until)
+{
+  const auto peer = m_peers.find(vm);
+  if (peer != m_peers.end())
+    peer->second.notBefore = until;
 }
 
 /// Whether a newer version is known and the platform has had its time.
@@ -175,9 +201,7 @@
            "configuration-unanswered",
            { { "peer", m_asked->vm },
              { "waitedMs", toMilliseconds(now - m_asked->at) } });
-  const auto peer = m_peers.find(m_asked->vm);
-  if (peer != m_peers.end())
-    peer->second.notBefore = now + m_settings.silentPause;
+  setAside(m_asked->vm, now + m_settings.silentPause);
   m_partBytes = m_settings.minPartBytes;
   m_asked.reset();
   return false;
--- a/src/libentry/configurationfetch.h
+++ b/src/libentry/configurationfetch.h
@@ -42,7 +42,7 @@
     /// How long a daemon may take for a part: longer than the silence limit, so
     /// that one that is lost is noticed as such.
     Duration answerTime = std::chrono::milliseconds(550);
-    /// Until a daemon that gave no answer is asked again.
+    /// Until a daemon is asked again that gave no answer, or one of no use.
     Duration silentPause = std::chrono::milliseconds(1000);
     /// Until one is asked again that serves others: a few parts' time.
     Duration busyPause = std::chrono::milliseconds(100);
@@ -117,7 +117,9 @@
   bool isDue(TimePoint now, bool isArriving);
   bool awaitsAnswer(TimePoint now);
   void answered(const VmId& vm, TimePoint now);
-  std::optional<std::string> append(const VmId& vm, const PeerConfigPart& part);
+  bool append(const VmId& vm, const PeerConfigPart& part);
+  void refusePart(const VmId& vm, const PeerConfigPart& part, TimePoint now);
+  void setAside(const VmId& vm, TimePoint until);
   std::optional<VmId> chooseSource(TimePoint now);
   std::optional<VmId> bestSource(TimePoint now, bool mayRestart) const;
   bool isSound(const PeerConfigPart& part) const;
--- a/tests/entry/configurationfetch_test.cpp
+++ b/tests/entry/configurationfetch_test.cpp
@@ -218,6 +218,24 @@
   EXPECT_EQ(next()->message.maxBytes, first);
 }
 
+TEST_F(ConfigurationFetchTest,
+       BeginsAnewWhereTwoDaemonsDifferInTheSizeOfAVersion)
+{
+  told("a", "z0", 21);
+  told("b", "z1", 21);
+  passHeadStart();
+  ASSERT_EQ(next()->vm, VmId("a"));
+  part(VmId("a"), 21, 0, "0123");
+  fetch.lost(VmId("a"));
+  ASSERT_EQ(next()->vm, VmId("b"));
+  EXPECT_FALSE(part(VmId("b"), 21, 4, "4567", 8));
+  EXPECT_FALSE(next());
+  pass(settings().silentPause);
+  const auto request = next();
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->message.offset, 0u);
+}
+
 struct BadPart
 {
   const char* name;
@@ -235,6 +253,9 @@
   passHeadStart();
   next();
   EXPECT_FALSE(fetch.received(VmId("a"), GetParam().part, now));
+  EXPECT_FALSE(next()) << "asked again at once, two daemons would do nothing "
+                          "else";
+  pass(settings().silentPause);
   EXPECT_EQ(next()->message.offset, 0u);
 }
 
