--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -211,6 +211,24 @@
       renew(index);
   }
   m_listedPerZone = count;
+  readListsLater();
+}
+
+void
+Simulation::unlist(unsigned zone, double share, Duration duration)
+{
+  for (Worker& worker : m_workers) {
+    if (worker.zone == zone && chance() < share)
+      worker.unlistedUntil = m_now + duration;
+  }
+  readListsLater();
+  at(duration, [this] { readListsLater(); });
+}
+
+/// Each daemon reads the list of workers at a time of its own.
+void
+Simulation::readListsLater()
+{
   const auto lag = static_cast<std::size_t>(toMilliseconds(m_settings.listLag));
   for (std::size_t node = 0; node < m_nodes.size(); ++node)
     at(milliseconds(below(lag)), [this, node] { readList(node); });
@@ -827,7 +845,8 @@
 {
   WorkerList all;
   for (const Worker& worker : m_workers) {
-    if (worker.fake && worker.position < m_listedPerZone)
+    if (worker.fake && worker.position < m_listedPerZone &&
+        m_now >= worker.unlistedUntil)
       all[worker.record.id()] = worker.record;
   }
   return all;
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -62,6 +62,10 @@
   /// Each zone has so many workers from now on, at most those of the settings.
   /// What ran on others is gone. Daemons read the list at different times.
   void setWorkersPerZone(unsigned count);
+  /// The platform's entries of a share of a zone's workers expire though the
+  /// workers live, and are back after `duration`. Daemons read that at
+  /// different times.
+  void unlist(unsigned zone, double share, Duration duration);
   void killAll(Duration down);
 
   std::size_t daemons() const { return m_nodes.size(); }
@@ -127,6 +131,8 @@
     /// Among those of its zone.
     unsigned position = 0;
     unsigned life = 0;
+    /// The platform doesn't list it before then, though it lives.
+    TimePoint unlistedUntil{};
     std::unique_ptr<FakeWorker> fake;
     std::map<RunKey, std::int64_t> sizes;
     std::vector<std::shared_ptr<ParkedHold>> parked;
@@ -182,6 +188,7 @@
 
   void renew(std::size_t worker);
   void readList(std::size_t node);
+  void readListsLater();
   void submitLater();
   void submitNew();
   void submit(const JobId& job, std::size_t daemon);
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -147,6 +147,16 @@
   return settings;
 }
 
+/// Workers enough that most of what is submitted is at work at any time.
+Simulation::Settings
+withLongJobs()
+{
+  Simulation::Settings settings;
+  settings.workersPerZone = 12;
+  settings.jobsPerSecond = 30;
+  return settings;
+}
+
 /// Daemons that read the store seconds after others.
 Simulation::Settings
 withLateLists()
@@ -173,6 +183,8 @@
 strikeAny(Simulation& simulation);
 void
 strikeAndDivide(Simulation& simulation);
+void
+strikeUnlisted(Simulation& simulation);
 
 std::vector<Trouble>
 troubles()
@@ -215,6 +227,8 @@
       [](Simulation& s) { s.leave(anyDaemon(s)); },
       withThinZones() },
     { "AllThinZones", strikeAny, withThinZones() },
+    { "Unlisted", strikeUnlisted, withLongJobs() },
+    { "UnlistedManyWorkers", strikeUnlisted, withManyWorkers() },
   };
 }
 
@@ -234,6 +248,28 @@
     simulation.setWorkersPerZone(sizes[simulation.random()() % sizes.size()]);
 }
 
+/// Entries of living workers expire, and the daemon that holds them may be
+/// lost or leave meanwhile.
+void
+strikeUnlisted(Simulation& simulation)
+{
+  simulation.unlist(simulation.random()() % simulation.zones(),
+                    0.5,
+                    milliseconds(300 + simulation.random()() % 2500));
+  simulation.runFor(milliseconds(simulation.random()() % 700));
+  switch (simulation.random()() % 4) {
+    case 0:
+      simulation.kill(anyDaemon(simulation), milliseconds(600));
+      break;
+    case 1:
+      simulation.powerOff(anyDaemon(simulation), milliseconds(900));
+      break;
+    default:
+      simulation.leave(anyDaemon(simulation));
+      break;
+  }
+}
+
 using Case = std::tuple<std::size_t, int>;
 
 class DaemonGroupInTrouble : public ::testing::TestWithParam<Case>
@@ -268,7 +304,7 @@
 INSTANTIATE_TEST_SUITE_P(Seeds,
                          DaemonGroupInTrouble,
                          ::testing::Combine(::testing::Range<std::size_t>(0,
-                                                                          16),
+                                                                          18),
                                             ::testing::Range(1, 9)),
                          caseName);
 
