--- a/src/libentry/entrymetrics.cpp
+++ b/src/libentry/entrymetrics.cpp
@@ -111,6 +111,7 @@
                                   LeaseState::Held,
                                   LeaseState::Silent,
                                   LeaseState::Fenced,
+                                  LeaseState::Restarted,
                                   LeaseState::Ended })
     byState[toString(state)] = 0;
   for (const LeaseState state : figures.leases)
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -130,6 +130,7 @@
 {
   const bool mayRunElsewhere = part.lostAt && part.lostShard != part.shard &&
                                now - *part.lostAt < m_settings.lostRunLimit;
+  part.underWay.reset();
   part.lostShard.reset();
   if (!mayRunElsewhere)
     part.lostShard = part.shard;
@@ -225,6 +226,7 @@
   }
   part.firstRun = std::max(part.firstRun, end.nextRun);
   markLost(part, now);
+  part.underWay = end.underWay;
   place(entry, part, now);
 }
 
@@ -312,8 +314,9 @@
   request.mayHaveRun = part.lostAt || !mayRefuse;
   const Duration lostFor = part.lostAt ? now - *part.lostAt : Duration::zero();
   if (part.lostAt && lostFor < m_settings.lostRunLimit)
-    request.quarantine =
-      Quarantine{ part.lostShard, lostFor, m_settings.lostRunLimit - lostFor };
+    request.quarantine = Quarantine{
+      part.lostShard, lostFor, m_settings.lostRunLimit - lostFor, part.underWay
+    };
   if (!m_hooks.submit(vm, request))
     return false;
   m_keys.erase(part.key.part());
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -131,6 +131,8 @@
     /// The shard on whose workers runs of it may be left since then; none if
     /// they may be left in more than one.
     std::optional<ShardId> lostShard;
+    /// Its tasks that may be at work since then, if the daemon has told them.
+    std::optional<std::vector<TaskPlace>> underWay;
     /// Whether the holder may name another one. It may do so once.
     bool mayBeReturned = true;
     /// Handed to a holder that another one has named: it may refuse.
--- a/src/libentry/tokensource.cpp
+++ b/src/libentry/tokensource.cpp
@@ -43,8 +43,9 @@
 FencingToken
 TokenSource::nextAfterRefusal(unsigned refusals)
 {
-  const unsigned doublings =
-    std::min(refusals > 0 ? refusals - 1 : 0, maxDoublings);
+  if (refusals == 0)
+    return next();
+  const unsigned doublings = std::min(refusals - 1, maxDoublings);
   return above(refusalMargin << doublings);
 }
 
--- a/src/libentry/vacancyprobe.cpp
+++ b/src/libentry/vacancyprobe.cpp
@@ -67,7 +67,7 @@
   --round->waiting;
   const auto* report = std::get_if<HoldReport>(&answer);
   if (report && !report->ended.empty())
-    round->ends[worker] = report->ended.front().number;
+    round->ends[worker] = { report->birth, report->ended.front().number };
   const auto* failure = std::get_if<OrderFailure>(&answer);
   round->isTaken =
     round->isTaken || (failure && *failure == OrderFailure::Fenced);
--- a/src/libentry/vacancyprobe.h
+++ b/src/libentry/vacancyprobe.h
@@ -58,8 +58,8 @@
   void keepOnly(const std::set<ShardId>& shards);
 
 private:
-  /// The first end that each worker lists.
-  using Ends = std::map<WorkerId, std::uint64_t>;
+  /// The first end that each worker lists, and in which of its lives.
+  using Ends = std::map<WorkerId, std::pair<WorkerBirth, std::uint64_t>>;
 
   struct Round
   {
--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -68,7 +68,9 @@
 }
 
 JobEnd
-movedEnd(const Job& job)
+movedEnd(
+  const Job& job,
+  const std::function<std::optional<WorkerId>(const std::string&)>& workerOf)
 {
   JobEnd end;
   end.outcome = JobOutcome::Moved;
@@ -77,6 +79,12 @@
     if (task.state == TaskState::Done)
       end.done.push_back(task.index);
     end.nextRun = std::max(end.nextRun, task.nextRun + staleRunStep);
+    if (task.state == TaskState::Done || task.state == TaskState::Returned)
+      continue;
+    if (task.state == TaskState::Quarantined)
+      end.underWay.push_back({ task.index, task.lastWorker });
+    else if (const auto worker = workerOf(job.request.taskName(task.index)))
+      end.underWay.push_back({ task.index, *worker });
   }
   return end;
 }
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -5,6 +5,7 @@
 
 #include "libworkers/runkey.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -47,6 +48,8 @@
   int percent = 0;
   TimePoint progressAt{};
   TimePoint quarantinedUntil{};
+  /// Where a run of before may be at work; empty if that isn't known.
+  WorkerId lastWorker;
   /// Workers on which it failed or stood still.
   std::set<WorkerId> avoided;
 };
@@ -110,8 +113,11 @@
 runsPerWorker(const Job& job);
 
 /// What the submitter is told when the job has to go on elsewhere: what is
-/// done, and which run numbers are free.
+/// done, what may be at work, and which run numbers are free. `workerOf` tells
+/// the worker on which a task of a name runs, for whomever.
 JobEnd
-movedEnd(const Job& job);
+movedEnd(
+  const Job& job,
+  const std::function<std::optional<WorkerId>(const std::string&)>& workerOf);
 
 } // namespace cowslippin
--- a/src/libjobs/jobend.h
+++ b/src/libjobs/jobend.h
@@ -60,6 +60,23 @@
   std::uint64_t nextRun = 1;
 };
 
+/// A task that may be at work, and where.
+struct TaskPlace
+{
+  TaskIndex task = 0;
+  /// Empty if it isn't known.
+  WorkerId worker;
+
+  friend bool operator==(const TaskPlace& a, const TaskPlace& b)
+  {
+    return a.task == b.task && a.worker == b.worker;
+  }
+  friend bool operator!=(const TaskPlace& a, const TaskPlace& b)
+  {
+    return !(a == b);
+  }
+};
+
 /// The end of a job, or of a part of one, as its submitter is told of it.
 struct JobEnd
 {
@@ -70,6 +87,9 @@
   std::vector<TaskIndex> done;
   /// Of `Moved`: higher than the number of any run so far.
   std::uint64_t nextRun = 1;
+  /// Of `Moved`: tasks that may be at work. Others that are not done have no
+  /// run and can start at once.
+  std::vector<TaskPlace> underWay = {};
 };
 
 } // namespace cowslippin
--- a/src/libjobs/jobrequest.h
+++ b/src/libjobs/jobrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobend.h"
 #include "jobkey.h"
 #include "libcore/shardid.h"
 
@@ -53,6 +54,9 @@
   /// tells what it has left behind.
   Duration age = Duration::zero();
   Duration remaining = Duration::zero();
+  /// The tasks that may be at work, if the daemon has told them. It is enough
+  /// for each that its own worker has been asked.
+  std::optional<std::vector<TaskPlace>> underWay = std::nullopt;
 };
 
 /// A job, or a part of its tasks, as one daemon hands it to another.
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -117,11 +117,8 @@
 void
 Scheduler::findRuns(Job& job, TimePoint now)
 {
-  const auto& quarantine = job.request.quarantine;
   if (!job.request.mayHaveRun)
     return;
-  const TimePoint until =
-    now + (quarantine ? quarantine->remaining : Duration::zero());
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     JobTask& task = job.tasks[i];
     const std::string name = job.request.taskName(task.index);
@@ -130,13 +127,32 @@
       ++job.done;
       continue;
     }
-    if (adoptRun(job, i, now)) {
+    if (adoptRun(job, i, now))
       leavePending(job, task, TaskState::Running);
-    } else if (quarantine) {
-      leavePending(job, task, TaskState::Quarantined);
-      task.quarantinedUntil = until;
-    }
+    else
+      quarantine(job, task, now);
+  }
+}
+
+/// Keeps a task from being started while a run of before may be at work.
+void
+Scheduler::quarantine(Job& job, JobTask& task, TimePoint now)
+{
+  const auto& quarantine = job.request.quarantine;
+  if (!quarantine)
+    return;
+  if (quarantine->underWay) {
+    const auto& places = *quarantine->underWay;
+    const auto place =
+      std::find_if(places.begin(), places.end(), [&](const TaskPlace& known) {
+        return known.task == task.index;
+      });
+    if (place == places.end())
+      return;
+    task.lastWorker = place->worker;
   }
+  leavePending(job, task, TaskState::Quarantined);
+  task.quarantinedUntil = now + quarantine->remaining;
 }
 
 bool
@@ -210,20 +226,23 @@
 Scheduler::releaseShard(const ShardId& shard, TimePoint now)
 {
   m_now = now;
-  m_pool.releaseShard(shard);
-  std::vector<Job*> jobs;
+  const auto workerOf = [this](const std::string& task) {
+    return m_pool.workerOf(task);
+  };
+  std::vector<std::pair<Job*, JobEnd>> ends;
   for (const auto& [key, job] : m_jobs) {
     if (job->request.shard == shard)
-      jobs.push_back(job.get());
+      ends.emplace_back(job.get(), movedEnd(*job, workerOf));
   }
-  for (Job* job : jobs) {
+  m_pool.releaseShard(shard);
+  for (const auto& [job, end] : ends) {
     for (auto run = m_runs.begin(); run != m_runs.end();) {
       if (run->second.job == job)
         run = m_runs.erase(run);
       else
         ++run;
     }
-    finish(*job, movedEnd(*job));
+    finish(*job, end);
   }
 }
 
@@ -615,10 +634,6 @@
 bool
 Scheduler::endQuarantine(Job& job, TimePoint now)
 {
-  const auto& quarantine = job.request.quarantine;
-  const bool isKnown = quarantine && quarantine->shard &&
-                       holds(*quarantine->shard) &&
-                       m_pool.isFullyClaimed(*quarantine->shard, job.lostAt);
   for (std::size_t i = 0; i < job.tasks.size(); ++i) {
     JobTask& task = job.tasks[i];
     if (task.state != TaskState::Quarantined)
@@ -631,13 +646,28 @@
       taskDone(job, task);
       if (isLast)
         return false;
-    } else if (isKnown || now >= task.quarantinedUntil) {
+    } else if (isSurelyOver(job, task) || now >= task.quarantinedUntil) {
       setPending(job, task);
     }
   }
   return true;
 }
 
+/// Whether no run of before can be at work, as the workers on which it may be
+/// have told. That the platform doesn't list a worker says nothing.
+bool
+Scheduler::isSurelyOver(const Job& job, const JobTask& task) const
+{
+  const auto& quarantine = job.request.quarantine;
+  if (!quarantine)
+    return false;
+  if (!task.lastWorker.isEmpty())
+    return m_pool.isClaimed(task.lastWorker, job.lostAt);
+  return !quarantine->underWay && quarantine->shard &&
+         holds(*quarantine->shard) &&
+         m_pool.isFullyClaimed(*quarantine->shard, job.lostAt);
+}
+
 void
 Scheduler::checkProgress(Job& job, TimePoint now)
 {
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -152,7 +152,6 @@
   void findRuns(Job& job, TimePoint now);
   bool mustRefuse(const Job& job, TimePoint now) const;
   JobEnd refusal(const Job& job, TimePoint now) const;
-  void quarantineForwarded(JobTask& task, std::uint64_t nextRun, TimePoint now);
   void setPending(Job& job, JobTask& task);
   void leavePending(Job& job, JobTask& task, TaskState state);
   void pump(TimePoint now);
@@ -175,7 +174,9 @@
   void drop(Job& job);
   void tickJobs(TimePoint now);
   void tickJob(Job& job, TimePoint now);
+  void quarantine(Job& job, JobTask& task, TimePoint now);
   bool endQuarantine(Job& job, TimePoint now);
+  bool isSurelyOver(const Job& job, const JobTask& task) const;
   void checkProgress(Job& job, TimePoint now);
   bool isStalled(const Job& job, const JobTask& task, TimePoint now) const;
 
--- a/src/libjobs/shardmap.cpp
+++ b/src/libjobs/shardmap.cpp
@@ -34,6 +34,12 @@
 
 } // namespace
 
+ShardDigest
+digestOf(const WorkerId& worker)
+{
+  return std::hash<std::string>()(worker.value());
+}
+
 bool
 ShardMap::update(const WorkerList& workers)
 {
@@ -71,7 +77,7 @@
   if (found == m_divisions.end())
     return { worker.zone(), 0 };
   const unsigned count = found->second.count;
-  const std::size_t hash = std::hash<std::string>()(worker.id().value());
+  const ShardDigest hash = digestOf(worker.id());
   return { worker.zone(), static_cast<unsigned>(hash % count), count };
 }
 
@@ -81,7 +87,7 @@
   ShardDigest digest = 0;
   for (const auto& [id, worker] : workers) {
     if (shardOf(worker) == shard)
-      digest += std::hash<std::string>()(id.value());
+      digest += digestOf(id);
   }
   return digest;
 }
--- a/src/libjobs/shardmap.h
+++ b/src/libjobs/shardmap.h
@@ -17,6 +17,10 @@
 /// the same.
 using ShardDigest = std::uint64_t;
 
+/// What one worker adds to a digest.
+ShardDigest
+digestOf(const WorkerId& worker);
+
 /// Divides each zone's workers into shards of a size that one daemon can hold.
 /// The number of a zone's shards is a power of two and changes only when the
 /// number of its workers has changed a good deal, so that daemons whose lists
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -19,6 +19,13 @@
          (label.empty() || worker.hasLabel(label));
 }
 
+/// Whether all that was begun on a worker before is known.
+bool
+hasReportedSince(const WorkerLease& lease, TimePoint since)
+{
+  return lease.state() == LeaseState::Held && lease.reportAskedAt() >= since;
+}
+
 } // namespace
 
 WorkerPool::WorkerPool(Settings settings, Hooks hooks)
@@ -37,14 +44,28 @@
     entry.isListed = m_list.count(id) > 0;
   for (const auto& [id, record] : m_list) {
     const auto found = m_entries.find(id);
-    if (found != m_entries.end())
-      found->second.lease->setRecord(record);
-    else if (holds(m_map.shardOf(record)))
+    if (found != m_entries.end()) {
+      found->second.lease->setRecord(record, now);
+      claimRestarted(id, found->second, now);
+    } else if (holds(m_map.shardOf(record)))
       addWorker(record, now);
   }
   dropUnlisted();
 }
 
+ShardDigest
+WorkerPool::digest(const ShardId& shard) const
+{
+  if (!holds(shard))
+    return m_map.digest(m_list, shard);
+  ShardDigest digest = 0;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.shard == shard)
+      digest += digestOf(id);
+  }
+  return digest;
+}
+
 void
 WorkerPool::takeShard(const ShardId& shard,
                       FencingToken token,
@@ -91,12 +112,19 @@
   if (expected != m_expectedDigests.end() && expected->second != digest(shard))
     return false;
   return std::all_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
-    const WorkerLease& lease = *item.second.lease;
-    return item.second.shard != shard || (lease.state() == LeaseState::Held &&
-                                          lease.reportAskedAt() >= since);
+    return item.second.shard != shard ||
+           hasReportedSince(*item.second.lease, since);
   });
 }
 
+bool
+WorkerPool::isClaimed(const WorkerId& worker, TimePoint since) const
+{
+  const auto found = m_entries.find(worker);
+  return found != m_entries.end() &&
+         hasReportedSince(*found->second.lease, since);
+}
+
 std::optional<WorkerId>
 WorkerPool::choose(const JobRequest& request,
                    const std::set<WorkerId>& avoided,
@@ -164,12 +192,15 @@
   return std::nullopt;
 }
 
-bool
-WorkerPool::isRunning(const std::string& task) const
+std::optional<WorkerId>
+WorkerPool::workerOf(const std::string& task) const
 {
-  return std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
-    return item.second.lease->isRunning(task);
-  });
+  std::optional<WorkerId> found;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.lease->isRunning(task))
+      found = found ? WorkerId() : id;
+  }
+  return found;
 }
 
 void
@@ -178,8 +209,11 @@
                          const HoldAnswer& answer,
                          TimePoint now)
 {
-  if (Entry* entry = find(worker))
-    entry->lease->holdAnswered(sent, answer, now);
+  Entry* entry = find(worker);
+  if (entry == nullptr)
+    return;
+  entry->lease->holdAnswered(sent, answer, now);
+  claimRestarted(worker, *entry, now);
 }
 
 void
@@ -302,7 +336,7 @@
   Entry entry(m_settings.health);
   entry.shard = shard;
   entry.lease = std::make_unique<WorkerLease>(
-    record, m_settings.lease, leaseHooks(record.id()), m_answerTimes);
+    record, m_settings.lease, leaseHooks(record.id()), m_answerTimes, now);
   const auto added = m_entries.emplace(record.id(), std::move(entry)).first;
   added->second.lease->claim(m_shards.at(shard), now);
 }
@@ -358,6 +392,24 @@
   return hooks;
 }
 
+/// A worker that has started again is claimed anew at once. How well it worked
+/// in its earlier life says nothing of this one.
+void
+WorkerPool::claimRestarted(const WorkerId& id, Entry& entry, TimePoint now)
+{
+  if (entry.lease->state() != LeaseState::Restarted)
+    return;
+  const FencingToken token = m_hooks.higherToken(0);
+  m_shards[entry.shard] = token;
+  entry.health = WorkerHealth(m_settings.health);
+  logEvent(LogLevel::Info,
+           "worker-restarted",
+           { { "worker", id },
+             { "token", token },
+             { "unansweredRuns", entry.lease->runCount() } });
+  entry.lease->claim(token, now);
+}
+
 void
 WorkerPool::dropUnlisted()
 {
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -46,9 +46,9 @@
     std::function<void(const WorkerId&, const RunKey&, RunEnd)> strayEnded;
     /// A worker was taken from a shard that this daemon holds.
     std::function<void(const ShardId&)> fenced;
-    /// A token that is higher than any known one by a margin, as somebody has
-    /// one that is higher than ours. Told how often in a row a worker has
-    /// refused ours.
+    /// A token that is higher than any known one. Told how often in a row a
+    /// worker has refused ours; then it is higher by a margin, as somebody has
+    /// one that isn't known here.
     std::function<FencingToken(unsigned refusals)> higherToken;
   };
 
@@ -73,10 +73,9 @@
                  FencingToken token,
                  TimePoint now,
                  std::optional<ShardDigest> lastHoldersWorkers);
-  ShardDigest digest(const ShardId& shard) const
-  {
-    return m_map.digest(m_list, shard);
-  }
+  /// Of a held shard: the workers on which something may run, which are those
+  /// of its leases, listed or not. Of another shard: its listed workers.
+  ShardDigest digest(const ShardId& shard) const;
   /// The listed workers of a shard, held here or not.
   std::vector<WorkerRecord> workersOf(const ShardId& shard) const;
   /// Forgets the shard's workers; what runs there goes on under the next
@@ -87,6 +86,9 @@
   /// answered what they were asked `since` then or later, and the last holder
   /// had no others.
   bool isFullyClaimed(const ShardId& shard, TimePoint since) const;
+  /// Whether everything that may run on this worker is known: it has answered
+  /// what it was asked `since` then or later.
+  bool isClaimed(const WorkerId& worker, TimePoint since) const;
 
   /// The worker that a task should go to, or nothing if none has room. The
   /// fullest that still fits is taken, so that large tasks find room. Workers
@@ -110,7 +112,13 @@
   std::optional<std::pair<WorkerId, RunKey>> adopt(const std::string& task,
                                                    const Resources& resources);
   /// Whether a task of this name runs, or may run, on a held worker.
-  bool isRunning(const std::string& task) const;
+  bool isRunning(const std::string& task) const
+  {
+    return workerOf(task).has_value();
+  }
+  /// The held worker on which a task of this name runs, or may run; an empty
+  /// id if there are several.
+  std::optional<WorkerId> workerOf(const std::string& task) const;
 
   void holdAnswered(const WorkerId& worker,
                     const SentHold& sent,
@@ -172,6 +180,7 @@
   Entry* find(const WorkerId& worker);
   void addWorker(const WorkerRecord& record, TimePoint now);
   WorkerLease::Hooks leaseHooks(const WorkerId& id);
+  void claimRestarted(const WorkerId& id, Entry& entry, TimePoint now);
   void dropUnlisted();
   void reclaim(TimePoint now);
   bool isSuitable(const Entry& entry,
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with every change that an older daemon can't read.
-constexpr int formatVersion = 4;
+constexpr int formatVersion = 5;
 
 json
 toJson(const ShardId& shard)
@@ -93,14 +93,27 @@
                        needs.maxPerWorker });
 }
 
+json
+toJson(const std::vector<TaskPlace>& places)
+{
+  json list = json::array();
+  for (const TaskPlace& place : places)
+    list.push_back(json::array({ place.task, place.worker.value() }));
+  return list;
+}
+
 json
 toJson(const std::optional<Quarantine>& quarantine)
 {
   if (!quarantine)
     return nullptr;
   const json shard = quarantine->shard ? toJson(*quarantine->shard) : json();
-  return json::array(
-    { shard, quarantine->age.count(), quarantine->remaining.count() });
+  const json underWay =
+    quarantine->underWay ? toJson(*quarantine->underWay) : json();
+  return json::array({ shard,
+                       quarantine->age.count(),
+                       quarantine->remaining.count(),
+                       underWay });
 }
 
 json
@@ -130,7 +143,8 @@
                        static_cast<int>(ended.end.outcome),
                        ended.end.retryAfter.count(),
                        ended.end.done,
-                       ended.end.nextRun });
+                       ended.end.nextRun,
+                       toJson(ended.end.underWay) });
 }
 
 json
@@ -270,6 +284,16 @@
   return needs;
 }
 
+std::vector<TaskPlace>
+readPlaces(const json& value)
+{
+  std::vector<TaskPlace> places;
+  for (const json& place : value)
+    places.push_back(
+      { place.at(0).get<TaskIndex>(), WorkerId(text(place.at(1))) });
+  return places;
+}
+
 std::optional<Quarantine>
 readQuarantine(const json& value)
 {
@@ -280,6 +304,8 @@
     quarantine.shard = readShard(value.at(0));
   quarantine.age = duration(value.at(1));
   quarantine.remaining = duration(value.at(2));
+  if (!value.at(3).is_null())
+    quarantine.underWay = readPlaces(value.at(3));
   return quarantine;
 }
 
@@ -316,6 +342,7 @@
   ended.end.retryAfter = duration(value.at(2));
   ended.end.done = value.at(3).get<std::vector<TaskIndex>>();
   ended.end.nextRun = value.at(4).get<std::uint64_t>();
+  ended.end.underWay = readPlaces(value.at(5));
   return ended;
 }
 
--- a/src/libworkers/holdreport.h
+++ b/src/libworkers/holdreport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "runkey.h"
+#include "workerbirth.h"
 
 #include <cstdint>
 #include <vector>
@@ -54,7 +55,7 @@
 /// A run that has ended and whose end has not been acknowledged.
 struct EndedRun
 {
-  /// Rises with each end of this worker, from 1.
+  /// Rises with each end in the present life of the worker, from 1.
   std::uint64_t number = 0;
   RunKey key;
   RunEnd end = RunEnd::Lost;
@@ -63,7 +64,9 @@
 /// What a worker tells its lease holder.
 struct HoldReport
 {
-  /// The worker's own clock at the time of the report, in milliseconds.
+  WorkerBirth birth;
+  /// The worker's own clock at the time of the report, in milliseconds. It may
+  /// begin anew with each life.
   std::int64_t clockMs = 0;
   std::vector<ActiveRun> active;
   std::vector<EndedRun> ended;
--- a/src/libworkers/workerhealth.h
+++ b/src/libworkers/workerhealth.h
@@ -49,7 +49,7 @@
 private:
   void keepOff(TimePoint now);
 
-  const Settings m_settings;
+  Settings m_settings;
   double m_failureShare = 0;
   double m_slowness = 1;
   bool m_isOnProbation = false;
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -30,6 +30,8 @@
       return "silent";
     case LeaseState::Fenced:
       return "fenced";
+    case LeaseState::Restarted:
+      return "restarted";
     case LeaseState::Ended:
       return "ended";
   }
@@ -39,14 +41,27 @@
 WorkerLease::WorkerLease(WorkerRecord record,
                          Settings settings,
                          Hooks hooks,
-                         std::shared_ptr<AnswerTimes> times)
+                         std::shared_ptr<AnswerTimes> times,
+                         TimePoint now)
   : m_record(std::move(record))
   , m_settings(settings)
   , m_hooks(std::move(hooks))
   , m_times(std::move(times))
+  , m_life(m_record.birth(), now)
 {
 }
 
+void
+WorkerLease::setRecord(const WorkerRecord& record, TimePoint now)
+{
+  const WorkerLife life = m_life.seenInList(record.birth(), now);
+  if (life == WorkerLife::Earlier)
+    return;
+  m_record = record;
+  if (life == WorkerLife::Next)
+    beginNextLife(now);
+}
+
 void
 WorkerLease::claim(FencingToken token, TimePoint now)
 {
@@ -66,6 +81,7 @@
 {
   Run run;
   run.resources = resources;
+  run.token = m_token;
   run.since = now;
   run.startDeadlineMs = deadline(now);
   m_used = m_used + resources;
@@ -136,10 +152,12 @@
     return;
   }
   if (*answer != OrderFailure::Unanswered) {
+    // An order of before the last claim is refused because of that claim.
+    const bool isRefusalOfThisToken = run.token == m_token;
     // A run that the worker reports has begun by another order.
     if (!run.isStray)
       rejectRun(found, *answer);
-    if (*answer == OrderFailure::Fenced)
+    if (*answer == OrderFailure::Fenced && isRefusalOfThisToken)
       setState(LeaseState::Fenced);
     return;
   }
@@ -170,7 +188,8 @@
 void
 WorkerLease::tick(TimePoint now)
 {
-  if (m_state == LeaseState::Fenced || m_state == LeaseState::Ended)
+  if (m_state == LeaseState::Fenced || m_state == LeaseState::Restarted ||
+      m_state == LeaseState::Ended)
     return;
   if (m_state == LeaseState::Silent && !m_runs.empty() && now >= lapsedBy())
     endAll(RunEnd::Lapsed);
@@ -206,7 +225,8 @@
 {
   const auto lease = std::chrono::duration_cast<Duration>(
     m_settings.leaseTime * m_settings.slowestClock);
-  return m_renewedAt + lease + m_settings.lapseMargin;
+  return std::max(m_renewedAt + lease + m_settings.lapseMargin,
+                  m_earlierOrdersUntil);
 }
 
 void
@@ -261,7 +281,9 @@
     m_nextHoldAt = now + m_settings.unsentRetry;
   if (m_unanswered >= m_settings.silentAfter) {
     m_nextHoldAt = now + m_settings.silentRetry;
-    if (m_state == LeaseState::Held)
+    const bool hasStartedAgain = now < m_earlierOrdersUntil;
+    if (m_state == LeaseState::Held ||
+        (m_state == LeaseState::Claiming && hasStartedAgain))
       setState(LeaseState::Silent);
   }
 }
@@ -271,11 +293,18 @@
                          TimePoint sent,
                          TimePoint now)
 {
+  const WorkerLife life = m_life.seenInAnswer(report.birth, sent, now);
+  if (life == WorkerLife::Next) {
+    beginNextLife(now);
+    return;
+  }
   m_unanswered = 0;
-  if (isOutdated(report, sent)) {
+  if (life == WorkerLife::Earlier || isOutdated(report, sent)) {
     goOn(now);
     return;
   }
+  if (m_state == LeaseState::Restarted)
+    return;
   m_reportClockMs = report.clockMs;
   m_reportAt = now;
   m_clockOffsetMs = report.clockMs - toMilliseconds(now.time_since_epoch());
@@ -283,10 +312,48 @@
   applyEnds(report);
   applyActive(report, now);
   dropMissing(report, sent);
+  if (m_state != LeaseState::Held)
+    noteClaimAnswered(now);
   setState(LeaseState::Held);
   goOn(now);
 }
 
+/// Orders to an earlier life do nothing from now on; what they may have done
+/// ends with the longest lease that the worker grants.
+void
+WorkerLease::noteClaimAnswered(TimePoint now)
+{
+  const auto lease = std::chrono::duration_cast<Duration>(
+    m_settings.longestLease * m_settings.slowestClock);
+  m_earlierOrdersUntil =
+    std::min(m_earlierOrdersUntil, now + lease + m_settings.lapseMargin);
+}
+
+/// All that was seen in the earlier life is over, and its clock and its count
+/// of ends mean nothing any more. Other runs stay in the book: the new life
+/// carries a start out that arrives before the next claim does.
+void
+WorkerLease::beginNextLife(TimePoint now)
+{
+  m_acknowledged = 0;
+  m_unanswered = 0;
+  m_clockOffsetMs.reset();
+  m_reportClockMs = 0;
+  m_reportAt = {};
+  m_earlierOrdersUntil = now + m_settings.lateOrderLimit;
+  std::vector<RunKey> over;
+  for (auto& [key, run] : m_runs) {
+    if (run.isListed)
+      over.push_back(key);
+    run.isOfEarlierLife = true;
+    run.startDeadlineMs = 0;
+    run.stopAnsweredAt.reset();
+  }
+  setState(LeaseState::Restarted);
+  for (const RunKey& key : over)
+    endRun(m_runs.find(key), RunEnd::Lost);
+}
+
 /// Answers to two reports may overtake each other: an older one tells of runs
 /// whose end is known by now.
 bool
@@ -333,6 +400,8 @@
     }
     if (!run.confirmedAt)
       run.confirmedAt = now;
+    run.isListed = true;
+    run.isOfEarlierLife = false;
     if (run.state == RunState::Starting)
       run.state = RunState::Running;
     if (isNew)
@@ -362,6 +431,10 @@
 bool
 WorkerLease::isOver(const Run& run, std::int64_t clockMs, TimePoint sent) const
 {
+  // The new life has been claimed with a higher token, so that a start of
+  // before does nothing from then on.
+  if (run.isOfEarlierLife)
+    return true;
   if (run.confirmedAt && *run.confirmedAt <= sent)
     return true;
   if (run.stopAnsweredAt && *run.stopAnsweredAt <= sent)
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "answertimes.h"
+#include "lifetracker.h"
 #include "workerorder.h"
 #include "workerrecord.h"
 
@@ -25,7 +26,11 @@
   Silent,
   /// Another daemon has taken it with a higher token.
   Fenced,
-  /// Another life of the worker answers at its address.
+  /// The worker has started again and knows nothing of before. It has to be
+  /// claimed with a higher token, so that orders which are still on their way
+  /// to its earlier life do nothing.
+  Restarted,
+  /// Another worker answers at its address.
   Ended,
 };
 
@@ -61,6 +66,11 @@
     double slowestClock = 1.02;
     /// Added to a lease before its runs are taken as gone.
     Duration lapseMargin = std::chrono::milliseconds(60);
+    /// The longest lease that a worker grants, whatever deadline an order has.
+    Duration longestLease = std::chrono::milliseconds(1000);
+    /// After this a start that was on its way when the worker started again is
+    /// taken as lost, if the new life has answered nothing since.
+    Duration lateOrderLimit = std::chrono::seconds(10);
   };
 
   /// None may be empty. They are called from within the functions below and
@@ -87,10 +97,11 @@
   WorkerLease(WorkerRecord record,
               Settings settings,
               Hooks hooks,
-              std::shared_ptr<AnswerTimes> times);
+              std::shared_ptr<AnswerTimes> times,
+              TimePoint now);
 
-  /// Takes the worker with a token, also again after it was fenced. The book
-  /// stays; the worker's report is compared with it.
+  /// Takes the worker with a token, also again after it was fenced or has
+  /// started again. The book stays; the worker's report is compared with it.
   void claim(FencingToken token, TimePoint now);
 
   /// Starts a run. Only when `canStart` allows it.
@@ -121,8 +132,8 @@
   /// Lets time pass; to be called every 20 ms or so.
   void tick(TimePoint now);
 
-  /// A newer entry of the platform's list.
-  void setRecord(const WorkerRecord& record) { m_record = record; }
+  /// The entry of the platform's list. One of an earlier life is ignored.
+  void setRecord(const WorkerRecord& record, TimePoint now);
 
   bool canStart(const Resources& resources) const;
   /// Capacity that nothing counts against; nothing while that isn't known.
@@ -151,12 +162,19 @@
   struct Run
   {
     Resources resources;
+    /// Of the order that started it.
+    FencingToken token = 0;
     RunState state = RunState::Starting;
     /// Nobody has asked for it; its size isn't known.
     bool isStray = false;
     TimePoint since{};
     /// On the worker's clock; a start is ignored from then on.
     std::int64_t startDeadlineMs = 0;
+    /// A report of the present life of the worker has shown it. The answer to
+    /// its start doesn't tell by which life it was given.
+    bool isListed = false;
+    /// Its start was sent before the present life was known.
+    bool isOfEarlierLife = false;
     std::optional<TimePoint> confirmedAt;
     std::optional<TimePoint> stopSentAt;
     std::optional<TimePoint> stopAnsweredAt;
@@ -167,6 +185,8 @@
   void sendHold(Duration wait, TimePoint now);
   void sendStop(const RunKey& key, Run& run, TimePoint now);
   void holdFailed(OrderFailure failure, TimePoint now);
+  void beginNextLife(TimePoint now);
+  void noteClaimAnswered(TimePoint now);
   bool isOutdated(const HoldReport& report, TimePoint sent) const;
   void goOn(TimePoint now);
   void applyReport(const HoldReport& report, TimePoint sent, TimePoint now);
@@ -184,6 +204,7 @@
   const Settings m_settings;
   const Hooks m_hooks;
   const std::shared_ptr<AnswerTimes> m_times;
+  LifeTracker m_life;
   LeaseState m_state = LeaseState::Claiming;
   FencingToken m_token = 0;
   Runs m_runs;
@@ -203,6 +224,8 @@
   TimePoint m_reportAskedAt{};
   /// When an order last carried a deadline.
   TimePoint m_renewedAt{};
+  /// Orders to an earlier life may have effect up to then.
+  TimePoint m_earlierOrdersUntil{};
 };
 
 } // namespace cowslippin
--- a/src/libworkers/workerrecord.h
+++ b/src/libworkers/workerrecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "resources.h"
+#include "workerbirth.h"
 
 #include "libcore/address.h"
 #include "libcore/ids.h"
@@ -18,6 +19,7 @@
   struct Fields
   {
     WorkerId id;
+    WorkerBirth birth;
     ServiceName service;
     Address address;
     ZoneName zone;
@@ -35,6 +37,7 @@
   }
 
   const WorkerId& id() const { return m_fields.id; }
+  const WorkerBirth& birth() const { return m_fields.birth; }
   const ServiceName& service() const { return m_fields.service; }
   const Address& address() const { return m_fields.address; }
   const ZoneName& zone() const { return m_fields.zone; }
@@ -48,10 +51,10 @@
 
   friend bool operator==(const WorkerRecord& a, const WorkerRecord& b)
   {
-    return a.id() == b.id() && a.service() == b.service() &&
-           a.address() == b.address() && a.zone() == b.zone() &&
-           a.capacity() == b.capacity() && a.labels() == b.labels() &&
-           a.isDraining() == b.isDraining();
+    return a.id() == b.id() && a.birth() == b.birth() &&
+           a.service() == b.service() && a.address() == b.address() &&
+           a.zone() == b.zone() && a.capacity() == b.capacity() &&
+           a.labels() == b.labels() && a.isDraining() == b.isDraining();
   }
   friend bool operator!=(const WorkerRecord& a, const WorkerRecord& b)
   {
--- a/src/libworkers/workers.h
+++ b/src/libworkers/workers.h
@@ -2,8 +2,10 @@
 
 #include "answertimes.h"
 #include "holdreport.h"
+#include "lifetracker.h"
 #include "resources.h"
 #include "runkey.h"
+#include "workerbirth.h"
 #include "workerhealth.h"
 #include "workerlease.h"
 #include "workerorder.h"
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -262,6 +262,25 @@
   EXPECT_TRUE(sent[1].second.quarantine);
 }
 
+TEST_F(GatewayTest, WhereAMovedPartsRunsAreIsPassedOn)
+{
+  submit("a");
+  JobEnd moved;
+  moved.outcome = JobOutcome::Moved;
+  moved.done = { 0 };
+  moved.underWay = { { 2, WorkerId("w7") } };
+  gateway.ended(first, sent[0].second.key, moved, now);
+  ASSERT_EQ(sent.size(), 2u);
+  ASSERT_TRUE(sent[1].second.quarantine);
+  EXPECT_EQ(sent[1].second.quarantine->underWay, moved.underWay);
+  gateway.daemonLost(first, now);
+  gateway.tick(now);
+  ASSERT_EQ(sent.size(), 3u);
+  ASSERT_TRUE(sent[2].second.quarantine);
+  EXPECT_FALSE(sent[2].second.quarantine->underWay)
+    << "what it has started since isn't known";
+}
+
 TEST_F(GatewayTest, TheSameJobAgainIsJoinedAndNotBegunTwice)
 {
   submit("a");
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -21,6 +21,8 @@
 constexpr Duration watchfulReads = milliseconds(900);
 constexpr Duration laterReads = milliseconds(2000);
 constexpr const char* configuration = "1";
+/// The time of day at the beginning of the steady clock.
+constexpr std::int64_t firstTimeOfDayMs = 1800000000000;
 
 RoutingTable
 routing()
@@ -186,17 +188,35 @@
   });
 }
 
+void
+Simulation::restartWorker(std::size_t index)
+{
+  beginLife(index, m_workers[index].record.id());
+  readListsLater();
+}
+
 /// The worker loses all that runs there and gets a new id.
 void
 Simulation::renew(std::size_t index)
+{
+  beginLife(index, WorkerId("w" + std::to_string(++m_lastWorker)));
+}
+
+/// The worker's clock, its count of ends and its tokens begin anew.
+void
+Simulation::beginLife(std::size_t index, const WorkerId& id)
 {
   Worker& worker = m_workers[index];
   ++worker.life;
-  worker.fake = std::make_unique<FakeWorker>(50000 + 1000 * index);
+  const std::int64_t sinceStart = toMilliseconds(m_now.time_since_epoch());
+  const auto clock = static_cast<std::int64_t>(1000 * index);
+  const WorkerBirth birth(firstTimeOfDayMs + sinceStart);
+  worker.fake = std::make_unique<FakeWorker>(clock - sinceStart, birth);
   worker.sizes.clear();
   worker.parked.clear();
   WorkerRecord::Fields fields;
-  fields.id = WorkerId("w" + std::to_string(++m_lastWorker));
+  fields.id = id;
+  fields.birth = birth;
   fields.service = ServiceName("booking");
   fields.zone = ZoneName("z" + std::to_string(worker.zone));
   fields.capacity = Resources(index % 3 == 2 ? 24000 : 16000, 10000, 0);
@@ -425,9 +445,7 @@
   clocks.steady = [this] { return m_now; };
   clocks.sinceBoot = [this] { return m_now.time_since_epoch(); };
   clocks.timeOfDay = [this] {
-    return 1800000000000 +
-           std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch())
-             .count();
+    return firstTimeOfDayMs + toMilliseconds(m_now.time_since_epoch());
   };
   clocks.processNumber = node * 100 + m_nodes[node].life;
   return clocks;
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -59,6 +59,9 @@
   /// Every connection between daemons is reset.
   void resetLinks();
   void crashWorker(std::size_t worker);
+  /// It starts again under its id and knows nothing of before. Daemons read of
+  /// it at different times.
+  void restartWorker(std::size_t worker);
   /// Each zone has so many workers from now on, at most those of the settings.
   /// What ran on others is gone. Daemons read the list at different times.
   void setWorkersPerZone(unsigned count);
@@ -187,6 +190,7 @@
   void tickWorkers();
 
   void renew(std::size_t worker);
+  void beginLife(std::size_t worker, const WorkerId& id);
   void readList(std::size_t node);
   void readListsLater();
   void submitLater();
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdlib>
 #include <functional>
+#include <string>
 
 namespace cowslippin::testing {
 namespace {
@@ -185,6 +187,8 @@
 strikeAndDivide(Simulation& simulation);
 void
 strikeUnlisted(Simulation& simulation);
+void
+strikeRestarts(Simulation& simulation);
 
 std::vector<Trouble>
 troubles()
@@ -229,6 +233,15 @@
     { "AllThinZones", strikeAny, withThinZones() },
     { "Unlisted", strikeUnlisted, withLongJobs() },
     { "UnlistedManyWorkers", strikeUnlisted, withManyWorkers() },
+    { "RestartWorkers", strikeRestarts, withLongJobs() },
+    { "RestartWorkersAndOrderFaults", strikeRestarts, withOrderFaults() },
+    { "RestartWorkersAndAll",
+      [](Simulation& s) {
+        strikeRestarts(s);
+        s.runFor(milliseconds(s.random()() % 300));
+        strikeAny(s);
+      },
+      withOrderFaults() },
   };
 }
 
@@ -270,6 +283,19 @@
   }
 }
 
+/// Some workers start again under their ids, some of them twice in a second.
+void
+strikeRestarts(Simulation& simulation)
+{
+  for (int i = 0; i < 3; ++i) {
+    const std::size_t worker = anyWorker(simulation);
+    simulation.restartWorker(worker);
+    simulation.runFor(milliseconds(simulation.random()() % 200));
+    if (i == 0)
+      simulation.restartWorker(worker);
+  }
+}
+
 using Case = std::tuple<std::size_t, int>;
 
 class DaemonGroupInTrouble : public ::testing::TestWithParam<Case>
@@ -301,12 +327,21 @@
          std::to_string(std::get<1>(info.param));
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds,
-                         DaemonGroupInTrouble,
-                         ::testing::Combine(::testing::Range<std::size_t>(0,
-                                                                          18),
-                                            ::testing::Range(1, 9)),
-                         caseName);
+/// The seeds that are played: 1 to 8, or up to what the variable
+/// COWSLIPPIN_TEST_SEEDS says.
+int
+lastSeed()
+{
+  const char* text = std::getenv("COWSLIPPIN_TEST_SEEDS");
+  return text ? std::stoi(text) : 8;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Seeds,
+  DaemonGroupInTrouble,
+  ::testing::Combine(::testing::Range<std::size_t>(0, troubles().size()),
+                     ::testing::Range(1, lastSeed() + 1)),
+  caseName);
 
 /// Seeds beyond the first eight that have failed: of `Leave`, `CutOff` and
 /// `AllAndDividedAnew`.
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -285,6 +285,44 @@
   EXPECT_EQ(next.running(), 1u);
 }
 
+TEST_F(SchedulerTest, TheWorkersOfAHeldShardAreThoseOnWhichItMayHaveRuns)
+{
+  const ShardDigest whole = fixture.scheduler.digest(SchedulerFixture::shard());
+  submit(fixture.request("a", 1));
+  for (const auto& [id, worker] : fixture.workers) {
+    if (worker.runCount() > 0)
+      fixture.list.erase(id);
+  }
+  fixture.scheduler.setList(fixture.list, fixture.now);
+  EXPECT_EQ(fixture.scheduler.digest(SchedulerFixture::shard()), whole)
+    << "one that isn't listed any more has a run";
+  fixture.end("a.0.0.0", RunEnd::Done);
+  fixture.pass(20);
+  EXPECT_NE(fixture.scheduler.digest(SchedulerFixture::shard()), whole);
+}
+
+TEST_F(SchedulerTest, ATaskWaitsForTheWorkerThatMayRunItAndNoOther)
+{
+  JobRequest job = fixture.request("a", 3, 6800, 3000);
+  job.mayHaveRun = true;
+  job.quarantine =
+    Quarantine{ SchedulerFixture::shard(),
+                {},
+                std::chrono::milliseconds(1200),
+                { { { 0, WorkerId("w1") }, { 1, WorkerId("unlisted") } } } };
+  fixture.scheduler.submit(job, fixture.now);
+  fixture.settle();
+  EXPECT_EQ(fixture.running(), 1u) << "the task that nobody had started";
+  fixture.pass(40);
+  EXPECT_EQ(fixture.running(), 2u) << "its worker has told that it is over";
+  for (int step = 0; step < 55; ++step) {
+    fixture.pass(20);
+    EXPECT_EQ(fixture.running(), 2u);
+  }
+  fixture.pass(100);
+  EXPECT_EQ(fixture.running(), 3u);
+}
+
 TEST_F(SchedulerTest, AReleasedShardsJobsMoveWithTheirRunsLeftAlone)
 {
   const JobRequest job = fixture.request("a", 2);
@@ -296,6 +334,10 @@
   ASSERT_NE(fixture.endOf(job), nullptr);
   EXPECT_EQ(fixture.endOf(job)->outcome, JobOutcome::Moved);
   EXPECT_EQ(fixture.endOf(job)->done, std::vector<TaskIndex>{ 0 });
+  ASSERT_EQ(fixture.endOf(job)->underWay.size(), 1u);
+  EXPECT_EQ(fixture.endOf(job)->underWay[0].task, 1u);
+  EXPECT_EQ(fixture.workers[fixture.endOf(job)->underWay[0].worker].runCount(),
+            1u);
   EXPECT_GT(fixture.endOf(job)->nextRun, 1u);
 }
 
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -43,7 +43,8 @@
   request.timeLeft = std::chrono::milliseconds(1488);
   request.quarantine = Quarantine{ ShardId(ZoneName("z1"), 3),
                                    std::chrono::milliseconds(50),
-                                   std::chrono::milliseconds(700) };
+                                   std::chrono::milliseconds(700),
+                                   { { { 2, WorkerId("w1") }, { 5, {} } } } };
   request.previousPart = 76;
   request.mayHaveRun = true;
   request.mayBeReturned = false;
@@ -77,6 +78,7 @@
   EXPECT_EQ(read.quarantine->shard, sent.quarantine->shard);
   EXPECT_EQ(read.quarantine->age, sent.quarantine->age);
   EXPECT_EQ(read.quarantine->remaining, sent.quarantine->remaining);
+  EXPECT_EQ(read.quarantine->underWay, sent.quarantine->underWay);
   EXPECT_EQ(read.previousPart, sent.previousPart);
   EXPECT_EQ(read.mayHaveRun, sent.mayHaveRun);
   EXPECT_EQ(read.mayBeReturned, sent.mayBeReturned);
@@ -135,12 +137,14 @@
   ended.end.retryAfter = std::chrono::milliseconds(250);
   ended.end.done = { 1, 3 };
   ended.end.nextRun = 11;
+  ended.end.underWay = { { 2, WorkerId("w1") }, { 5, WorkerId() } };
   const PeerJobEnd readEnd = throughTheWire(ended);
   EXPECT_EQ(readEnd.key, key);
   EXPECT_EQ(readEnd.end.outcome, ended.end.outcome);
   EXPECT_EQ(readEnd.end.retryAfter, ended.end.retryAfter);
   EXPECT_EQ(readEnd.end.done, ended.end.done);
   EXPECT_EQ(readEnd.end.nextRun, ended.end.nextRun);
+  EXPECT_EQ(readEnd.end.underWay, ended.end.underWay);
 
   PeerTasksReturned back{ key, {} };
   back.returned.tasks = { 2 };
--- a/tests/platformadapter/records_test.cpp
+++ b/tests/platformadapter/records_test.cpp
@@ -113,6 +113,7 @@
   EXPECT_EQ(worker->id(), WorkerId("i-1"));
   EXPECT_EQ(worker->capacity(), Resources(16000, 32768, 0));
   EXPECT_TRUE(worker->isDraining());
+  EXPECT_FALSE(worker->birth().isKnown());
   EXPECT_FALSE(decodeWorker("i-1", "{}"));
 }
 
@@ -123,9 +124,17 @@
   static constexpr const char* entry =
     R"({"backend":"booking","address":"10.128.0.9:8080","zone":"z1",
     "version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,
-    "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a"],"seq":4})";
+    "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a"],"seq":4,
+    "born":1800000000123})";
 };
 
+TEST_F(ForeignEntry, TheEntryThatIsRightTellsTheBirth)
+{
+  const auto worker = decodeWorker("i-1", entry);
+  ASSERT_TRUE(worker);
+  EXPECT_EQ(worker->birth(), WorkerBirth(1800000000123));
+}
+
 TEST_P(ForeignEntry, NamesNoWorker)
 {
   ASSERT_TRUE(decodeWorker("i-1", entry));
@@ -142,6 +151,11 @@
   Fields,
   ForeignEntry,
   ::testing::Values(
+    WrongSetting{ "BirthText", "1800000000123", "\"1800000000123\"", "born" },
+    WrongSetting{ "BirthFraction", "1800000000123", "1800000000123.5", "born" },
+    WrongSetting{ "BirthFloat", "1800000000123", "1800000000123.0", "born" },
+    WrongSetting{ "BirthNegative", "1800000000123", "-5", "born" },
+    WrongSetting{ "BirthNull", "1800000000123", "null", "born" },
     WrongSetting{ "NoService", "\"backend\":", "\"other\":", "backend" },
     WrongSetting{ "ServiceNumber", "\"booking\"", "7", "backend" },
     WrongSetting{ "NoAddress", "\"address\":", "\"other\":", "address" },
--- a/tests/soak/leasedplatform.cpp
+++ b/tests/soak/leasedplatform.cpp
@@ -17,6 +17,8 @@
 constexpr Duration tickInterval = milliseconds(5);
 /// A worker renews its entry this often.
 constexpr int beatEveryTicks = 300;
+/// The time of day at the beginning of the steady clock.
+constexpr std::int64_t firstBirthMs = 1800000000000;
 
 std::string
 base64(const std::string& bytes)
@@ -131,10 +133,25 @@
   if (!worker.id.empty())
     put("keyed.servers", worker.id, "");
   worker.id = "w" + std::to_string(++m_lastWorker);
-  worker.fake = std::make_unique<FakeWorker>(0);
+  beginLife(worker);
+}
+
+void
+LeasedPlatform::restartWorker(std::size_t index)
+{
+  beginLife(m_workers[index]);
+}
+
+/// The worker's clock, its count of ends and its tokens begin anew.
+void
+LeasedPlatform::beginLife(Worker& worker)
+{
+  ++worker.life;
+  worker.bornMs = firstBirthMs + clockMs();
+  worker.fake =
+    std::make_unique<FakeWorker>(-clockMs(), WorkerBirth(worker.bornMs));
   worker.sizes.clear();
   worker.holds.clear();
-  ++worker.life;
   publishWorker(worker);
 }
 
@@ -409,6 +426,7 @@
   hold.transaction->answer(
     HttpReply::json(200,
                     json{ { "clock_ms", report.clockMs },
+                          { "born", worker.bornMs },
                           { "running", std::move(running) },
                           { "finished", std::move(finished) } }
                       .dump()));
@@ -458,7 +476,8 @@
             { "zone", worker.zone },
             { "state", "ready" },
             { "capacity", { { "cpu", worker.cpu }, { "mem_mb", 32768 } } },
-            { "labels", { "a" } } }
+            { "labels", { "a" } },
+            { "born", worker.bornMs } }
         .dump());
 }
 
--- a/tests/soak/leasedplatform.h
+++ b/tests/soak/leasedplatform.h
@@ -43,6 +43,8 @@
   void setStoreDown(bool isDown) { m_isStoreDown = isDown; }
   /// A worker loses all that runs there and comes back under a new id.
   void crashWorker(std::size_t index);
+  /// The same under the id that it had.
+  void restartWorker(std::size_t index);
   std::size_t workers() const { return m_workers.size(); }
   /// Where a worker listens.
   const Address& workerAddress(std::size_t index) const
@@ -84,6 +86,7 @@
     Address address;
     std::int64_t cpu = 16000;
     unsigned life = 0;
+    std::int64_t bornMs = 0;
     std::unique_ptr<FakeWorker> fake;
     std::map<RunKey, std::int64_t> sizes;
     std::vector<WaitingHold> holds;
@@ -116,6 +119,7 @@
   void answerHold(Worker& worker, const WaitingHold& hold, TimePoint now);
   void check(const Worker& worker, const RunKey& started);
   void after(Duration delay, const std::function<void()>& action);
+  void beginLife(Worker& worker);
   void publishWorker(const Worker& worker);
   double chance() { return std::uniform_real_distribution<>(0, 1)(m_random); }
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -349,6 +349,10 @@
       note("worker crashed, not");
       m_platform.crashWorker(below(m_platform.workers()));
       break;
+    case 6:
+      note("worker started again, not");
+      m_platform.restartWorker(below(m_platform.workers()));
+      break;
     default:
       if (below(4) > 0)
         break;
--- a/tests/support/fakeworker.h
+++ b/tests/support/fakeworker.h
@@ -16,8 +16,10 @@
 class FakeWorker
 {
 public:
-  explicit FakeWorker(std::int64_t clockOffsetMs = 50000)
+  explicit FakeWorker(std::int64_t clockOffsetMs = 50000,
+                      WorkerBirth birth = {})
     : m_offset(clockOffsetMs)
+    , m_birth(birth)
   {
   }
 
@@ -31,6 +33,7 @@
     while (!m_ended.empty() && m_ended.front().number <= order.acknowledged)
       m_ended.erase(m_ended.begin());
     HoldReport report;
+    report.birth = m_birth;
     report.clockMs = clockMs(now);
     for (const auto& [key, percent] : m_running)
       report.active.push_back({ key, percent });
@@ -139,7 +142,8 @@
     last = std::max(last, key.run());
   }
 
-  const std::int64_t m_offset;
+  std::int64_t m_offset;
+  WorkerBirth m_birth;
   FencingToken m_token = 0;
   std::int64_t m_deadlineMs = 0;
   std::map<RunKey, int> m_running;
--- a/tests/workers/leasefixture.h
+++ b/tests/workers/leasefixture.h
@@ -34,14 +34,15 @@
 
   explicit LeaseFixture(const WorkerLease::Settings& settings)
     : times(std::make_shared<AnswerTimes>(AnswerTimes::Settings()))
-    , lease(record(), settings, hooks(), times)
+    , lease(record(), settings, hooks(), times, now)
   {
   }
 
-  static WorkerRecord record()
+  static WorkerRecord record(WorkerBirth birth = {})
   {
     WorkerRecord::Fields fields;
     fields.id = WorkerId("w1");
+    fields.birth = birth;
     fields.service = ServiceName("booking");
     fields.zone = ZoneName("z1");
     fields.capacity = Resources(16000, 1000, 0);
@@ -70,6 +71,16 @@
     lease.start(key, Resources(cpu, 10, 0), "spec", now);
   }
 
+  /// The worker starts again under its id. It knows nothing of before, and its
+  /// clock begins anew.
+  void restart(std::int64_t birthMs)
+  {
+    const auto sinceStart =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        now.time_since_epoch());
+    worker = FakeWorker(-sinceStart.count(), WorkerBirth(birthMs));
+  }
+
   void pass(int milliseconds)
   {
     now += std::chrono::milliseconds(milliseconds);
@@ -77,13 +88,14 @@
   }
 
   TimePoint now{ std::chrono::seconds(1000) };
-  FakeWorker worker;
+  FakeWorker worker{ 50000, WorkerBirth(1) };
   std::deque<std::function<void(Delivery)>> orders;
   /// Orders that were delivered `Late`.
   std::vector<std::function<void()>> late;
   std::vector<std::pair<RunKey, RunEnd>> ended;
   std::vector<std::pair<RunKey, OrderFailure>> rejected;
   std::vector<RunKey> strays;
+  std::vector<std::pair<RunKey, RunEnd>> straysEnded;
   std::vector<LeaseState> states;
   std::shared_ptr<AnswerTimes> times;
   WorkerLease lease;
@@ -136,7 +148,9 @@
     };
     hooks.runActive = [](const RunKey&, int) {};
     hooks.strayFound = [this](const RunKey& key) { strays.push_back(key); };
-    hooks.strayEnded = [](const RunKey&, RunEnd) {};
+    hooks.strayEnded = [this](const RunKey& key, RunEnd end) {
+      straysEnded.emplace_back(key, end);
+    };
     hooks.stateChanged = [this](LeaseState state) { states.push_back(state); };
     return hooks;
   }
--- a/tests/workers/leaseproperty_test.cpp
+++ b/tests/workers/leaseproperty_test.cpp
@@ -85,10 +85,15 @@
       m_fixture.late.pop_back();
       return;
     }
+    if (*rc::gen::inRange(0, 4) == 0) {
+      m_fixture.restart(++m_lastBirth);
+      return;
+    }
     if (*rc::gen::inRange(0, 4) == 0)
       m_fixture.worker.hold({ m_token + 5, std::nullopt, 0, {} },
                             m_fixture.now);
-    if (m_fixture.lease.state() == LeaseState::Fenced) {
+    const LeaseState state = m_fixture.lease.state();
+    if (state == LeaseState::Fenced || state == LeaseState::Restarted) {
       m_token += 10;
       m_fixture.lease.claim(m_token, m_fixture.now);
     }
@@ -110,6 +115,7 @@
   LeaseFixture m_fixture;
   FencingToken m_token = 10;
   unsigned m_lastTask = 0;
+  std::int64_t m_lastBirth = 1;
   std::map<RunKey, std::int64_t> m_sizes;
 };
 
--- /dev/null
+++ b/tests/workers/restartedworker_test.cpp
@@ -0,0 +1,225 @@
+#include "leasefixture.h"
+
+#include <gtest/gtest.h>
+
+namespace cowslippin::testing {
+namespace {
+
+const RunKey run1("job.0.0.0", 1);
+const Resources task(6800, 10, 0);
+
+/// A worker that starts again under its id while this daemon holds it. Its
+/// clock, its count of ends and its tokens begin anew.
+class RestartedWorker : public ::testing::Test
+{
+protected:
+  RestartedWorker()
+  {
+    fixture.claim();
+    fixture.orders.clear();
+  }
+
+  /// Starts a run, which a report shows.
+  void start(const RunKey& key)
+  {
+    fixture.start(key);
+    fixture.deliver(Delivery::Normal, 1);
+    seeReport();
+    fixture.orders.clear();
+  }
+
+  /// Asks for a report, which may tell of the next life.
+  void seeReport()
+  {
+    fixture.lease.holdAnswered(
+      { fixture.lease.token(), fixture.now },
+      fixture.worker.hold({ fixture.lease.token(), std::nullopt, 0, {} },
+                          fixture.now),
+      fixture.now);
+  }
+
+  LeaseFixture fixture;
+};
+
+TEST_F(RestartedWorker, EndsWhatRanInItsEarlierLifeAtOnce)
+{
+  start(run1);
+  fixture.restart(2);
+  seeReport();
+  ASSERT_EQ(fixture.ended.size(), 1u);
+  EXPECT_EQ(fixture.ended[0], std::make_pair(run1, RunEnd::Lost));
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Restarted);
+  EXPECT_FALSE(fixture.lease.canStart(task)) << "before it is claimed anew";
+}
+
+TEST_F(RestartedWorker, KeepsARunThatEitherLifeMayHaveBegun)
+{
+  fixture.restart(2);
+  fixture.start(run1);
+  fixture.deliver(Delivery::Normal, 1);
+  seeReport();
+  EXPECT_TRUE(fixture.ended.empty()) << "the new life has begun it";
+  fixture.orders.clear();
+  fixture.claim(20);
+  EXPECT_TRUE(fixture.ended.empty());
+  EXPECT_TRUE(fixture.strays.empty());
+  EXPECT_EQ(fixture.lease.runCount(), 1u);
+}
+
+TEST_F(RestartedWorker, IsUsableAsSoonAsItIsClaimedAnew)
+{
+  fixture.restart(2);
+  seeReport();
+  fixture.claim(20);
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Held);
+  EXPECT_TRUE(fixture.lease.canStart(task));
+}
+
+TEST_F(RestartedWorker, IsKnownByThePlatformsListToo)
+{
+  start(run1);
+  fixture.lease.setRecord(LeaseFixture::record(WorkerBirth(1)), fixture.now);
+  EXPECT_TRUE(fixture.ended.empty());
+  fixture.restart(2);
+  fixture.lease.setRecord(LeaseFixture::record(WorkerBirth(2)), fixture.now);
+  ASSERT_EQ(fixture.ended.size(), 1u);
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Restarted);
+}
+
+TEST_F(RestartedWorker, TellsItsEndsFromOneOn)
+{
+  for (int i = 0; i < 5; ++i) {
+    const RunKey key("old.0.0." + std::to_string(i), 1);
+    fixture.start(key, 10);
+    fixture.deliver(Delivery::Normal, 1);
+    fixture.worker.end(key, RunEnd::Done);
+  }
+  seeReport();
+  ASSERT_EQ(fixture.ended.size(), 5u);
+  fixture.restart(2);
+  seeReport();
+  fixture.claim(20);
+  fixture.orders.clear();
+  fixture.start(run1);
+  fixture.deliver(Delivery::Normal, 1);
+  fixture.worker.end(run1, RunEnd::Done);
+  seeReport();
+  ASSERT_EQ(fixture.ended.size(), 6u);
+  EXPECT_EQ(fixture.ended[5], std::make_pair(run1, RunEnd::Done));
+}
+
+TEST_F(RestartedWorker, LeasesEndByItsNewClock)
+{
+  fixture.restart(2);
+  seeReport();
+  fixture.claim(20);
+  fixture.orders.clear();
+  fixture.start(run1);
+  fixture.deliver(Delivery::Normal, 1);
+  ASSERT_TRUE(fixture.worker.isRunning(run1));
+  fixture.now += std::chrono::milliseconds(800);
+  fixture.worker.lapse(fixture.now);
+  EXPECT_FALSE(fixture.worker.isRunning(run1))
+    << "without a renewal it ends after 750 ms";
+}
+
+TEST_F(RestartedWorker, KeepsATaskWithAnUnansweredStartUntilItIsClaimedAnew)
+{
+  fixture.start(run1);
+  fixture.deliver(Delivery::Late, 1);
+  fixture.restart(2);
+  seeReport();
+  EXPECT_TRUE(fixture.ended.empty()) << "the start may still arrive";
+  fixture.lease.claim(20, fixture.now);
+  fixture.late[0]();
+  EXPECT_TRUE(fixture.worker.isRunning(run1))
+    << "the new life knows no token yet";
+  fixture.orders.pop_front();
+  fixture.deliver(Delivery::Normal, 8);
+  EXPECT_TRUE(fixture.ended.empty()) << "the new life has it";
+}
+
+TEST_F(RestartedWorker, ALateStartDoesNothingOnceItIsClaimedAnew)
+{
+  fixture.start(run1);
+  fixture.deliver(Delivery::Late, 1);
+  fixture.restart(2);
+  seeReport();
+  fixture.orders.clear();
+  fixture.claim(20);
+  ASSERT_EQ(fixture.ended.size(), 1u);
+  fixture.late[0]();
+  EXPECT_FALSE(fixture.worker.isRunning(run1));
+}
+
+TEST_F(RestartedWorker, TheRefusalOfAnOrderToItsEarlierLifeDoesNotFenceIt)
+{
+  fixture.start(run1);
+  const auto start = fixture.orders.front();
+  fixture.orders.clear();
+  fixture.restart(2);
+  seeReport();
+  fixture.lease.claim(20, fixture.now);
+  const auto claim = fixture.orders.front();
+  fixture.orders.clear();
+  fixture.worker.hold({ 20, std::nullopt, 0, {} }, fixture.now);
+  start(Delivery::Normal);
+  EXPECT_NE(fixture.lease.state(), LeaseState::Fenced);
+  claim(Delivery::Normal);
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Held);
+}
+
+TEST_F(RestartedWorker, AnAnswerOfItsEarlierLifeIsIgnored)
+{
+  fixture.start(run1);
+  fixture.deliver(Delivery::Normal, 1);
+  const SentHold sent{ fixture.lease.token(), fixture.now };
+  const HoldAnswer old =
+    fixture.worker.hold({ sent.token, std::nullopt, 0, {} }, fixture.now);
+  fixture.now += std::chrono::milliseconds(5);
+  fixture.restart(2);
+  fixture.lease.setRecord(LeaseFixture::record(WorkerBirth(2)), fixture.now);
+  fixture.claim(20);
+  fixture.lease.holdAnswered(
+    { fixture.lease.token(), sent.at }, old, fixture.now);
+  EXPECT_TRUE(fixture.strays.empty());
+  EXPECT_TRUE(fixture.lease.isIdle());
+}
+
+TEST_F(RestartedWorker, ThatNeverAnswersAgainGivesItsTasksUp)
+{
+  fixture.start(run1);
+  fixture.deliver(Delivery::Late, 1);
+  fixture.restart(2);
+  seeReport();
+  fixture.orders.clear();
+  fixture.lease.claim(20, fixture.now);
+  for (int i = 0; i < 600; ++i) {
+    fixture.deliver(Delivery::Lost, 8);
+    fixture.pass(20);
+    if (i == 400) {
+      EXPECT_TRUE(fixture.ended.empty()) << "a start may be seconds late";
+    }
+  }
+  ASSERT_EQ(fixture.ended.size(), 1u);
+  EXPECT_EQ(fixture.ended[0].second, RunEnd::Lapsed);
+}
+
+TEST_F(RestartedWorker, MayStartAgainTwiceInARow)
+{
+  fixture.start(run1);
+  fixture.deliver(Delivery::Late, 1);
+  fixture.restart(2);
+  seeReport();
+  fixture.lease.claim(20, fixture.now);
+  fixture.orders.clear();
+  fixture.restart(3);
+  seeReport();
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Restarted);
+  fixture.claim(30);
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Held);
+  EXPECT_EQ(fixture.ended.size(), 1u);
+}
+
+} // namespace
+} // namespace cowslippin::testing
--- a/tests/workers/workerlease_test.cpp
+++ b/tests/workers/workerlease_test.cpp
@@ -289,7 +289,7 @@
   WorkerRecord::Fields fields;
   fields.capacity = Resources(16000, 1000, 0);
   fields.isDraining = true;
-  fixture.lease.setRecord(WorkerRecord(fields));
+  fixture.lease.setRecord(WorkerRecord(fields), fixture.now);
   EXPECT_FALSE(fixture.lease.canStart(task));
 }
 
