What the lost holder's workers were is told by the submitter, and unknown is not none

Change: the gateway, which had handed the job to the lost daemon and so had heard it, sends along which workers that one told of; none if it told of none, or if the job was lost or moved before within the time that runs may be left. WorkerPool keeps no expectation of its own any more. Ruled out: to keep it at the successor and wait where it has none, as every takeover by a daemon that is back would cost 1.27 s.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -107,7 +107,6 @@
 {
   const std::set<ShardId> shards = m_scheduler.shards();
   m_shards.setShards(shards);
-  m_reports.keepWorkersOf(shards);
   const auto held = m_shards.held();
   for (const auto& [shard, token] : held) {
     if (shards.count(shard) > 0)
@@ -292,6 +291,9 @@
   hooks.bestHolder = [this](const std::set<ShardId>& refusedBy) {
     return m_holders.best(refusedBy, m_clocks.steady());
   };
+  hooks.workers = [this](const VmId& vm, const ShardId& shard) {
+    return m_reports.workers(vm, shard);
+  };
   hooks.submit = [this](const VmId& vm, const JobRequest& request) {
     return submitTo(vm, request);
   };
@@ -468,8 +470,7 @@
                { "token", token },
                { "peers", m_links.up().size() } });
     m_shards.taken(shard, token);
-    m_scheduler.takeShard(
-      shard, token, now, m_reports.lastHoldersWorkers(shard));
+    m_scheduler.takeShard(shard, token, now);
     m_ports.publishHolder(shard, token);
   }
   if (!decisions.release.empty() || !decisions.take.empty())
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -128,12 +128,13 @@
 void
 Gateway::markLost(Part& part, TimePoint now) const
 {
-  const bool mayRunElsewhere = part.lostAt && part.lostShard != part.shard &&
-                               now - *part.lostAt < m_settings.lostRunLimit;
+  const bool mayBeLeftBefore =
+    part.lostAt && now - *part.lostAt < m_settings.lostRunLimit;
   part.underWay.reset();
-  part.lostShard.reset();
-  if (!mayRunElsewhere)
-    part.lostShard = part.shard;
+  part.lostOn.reset();
+  const auto workers = m_hooks.workers(*part.holder, part.shard);
+  if (workers && !mayBeLeftBefore)
+    part.lostOn = ShardWorkers{ part.shard, *workers };
   part.lostAt = now;
   part.holder.reset();
 }
@@ -315,7 +316,7 @@
   const Duration lostFor = part.lostAt ? now - *part.lostAt : Duration::zero();
   if (part.lostAt && lostFor < m_settings.lostRunLimit)
     request.quarantine = Quarantine{
-      part.lostShard, lostFor, m_settings.lostRunLimit - lostFor, part.underWay
+      part.lostOn, lostFor, m_settings.lostRunLimit - lostFor, part.underWay
     };
   if (!m_hooks.submit(vm, request))
     return false;
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -78,6 +78,9 @@
     std::function<std::optional<HolderChoice>(
       const std::set<ShardId>& refusedBy)>
       bestHolder;
+    /// What a daemon told of the workers of a shard that it holds, if it did.
+    std::function<std::optional<ShardDigest>(const VmId&, const ShardId&)>
+      workers;
     /// Hands a job to a daemon, this one included. False if it can't be
     /// reached.
     std::function<bool(const VmId&, const JobRequest&)> submit;
@@ -128,9 +131,9 @@
     ShardId shard;
     /// Set when a daemon that had the part was lost or gave it up.
     std::optional<TimePoint> lostAt;
-    /// The shard on whose workers runs of it may be left since then; none if
-    /// they may be left in more than one.
-    std::optional<ShardId> lostShard;
+    /// The workers on which runs of it may be left since then; none if they
+    /// aren't known, or if they may be left by more than one daemon.
+    std::optional<ShardWorkers> lostOn;
     /// Its tasks that may be at work since then, if the daemon has told them.
     std::optional<std::vector<TaskPlace>> underWay;
     /// Whether the holder may name another one. It may do so once.
--- a/src/libentry/peerreports.cpp
+++ b/src/libentry/peerreports.cpp
@@ -20,21 +20,14 @@
 {
   Peer& peer = m_peers[vm];
   peer.reportedAt = now;
-  peer.places.clear();
-  for (const auto& [shard, held] : beat.shards) {
-    peer.places[shard] = held.places;
-    m_holdersWorkers[shard] = held.workers;
-  }
+  peer.shards = beat.shards;
 }
 
 unsigned
 PeerReports::places(const VmId& holder, const ShardId& shard) const
 {
-  const auto peer = m_peers.find(holder);
-  if (peer == m_peers.end())
-    return 0;
-  const auto places = peer->second.places.find(shard);
-  return places == peer->second.places.end() ? 0 : places->second;
+  const HeldShard* held = find(holder, shard);
+  return held ? held->places : 0;
 }
 
 std::optional<Duration>
@@ -47,23 +40,22 @@
 }
 
 std::optional<ShardDigest>
-PeerReports::lastHoldersWorkers(const ShardId& shard) const
+PeerReports::workers(const VmId& holder, const ShardId& shard) const
 {
-  const auto workers = m_holdersWorkers.find(shard);
-  if (workers == m_holdersWorkers.end())
+  const HeldShard* held = find(holder, shard);
+  if (held == nullptr)
     return std::nullopt;
-  return workers->second;
+  return held->workers;
 }
 
-void
-PeerReports::keepWorkersOf(const std::set<ShardId>& shards)
+const HeldShard*
+PeerReports::find(const VmId& holder, const ShardId& shard) const
 {
-  for (auto told = m_holdersWorkers.begin(); told != m_holdersWorkers.end();) {
-    if (shards.count(told->first) == 0)
-      told = m_holdersWorkers.erase(told);
-    else
-      ++told;
-  }
+  const auto peer = m_peers.find(holder);
+  if (peer == m_peers.end())
+    return nullptr;
+  const auto held = peer->second.shards.find(shard);
+  return held == peer->second.shards.end() ? nullptr : &held->second;
 }
 
 } // namespace cowslippin
--- a/src/libentry/peerreports.h
+++ b/src/libentry/peerreports.h
@@ -4,7 +4,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 
 namespace cowslippin {
 
@@ -24,21 +23,22 @@
   /// How old the daemon's last report is; nothing if there is none.
   std::optional<Duration> age(const VmId& vm, TimePoint now) const;
 
-  /// What the last other holder of a shard told of its workers.
-  std::optional<ShardDigest> lastHoldersWorkers(const ShardId& shard) const;
-  /// Forgets what was told of the workers of other shards.
-  void keepWorkersOf(const std::set<ShardId>& shards);
+  /// What a daemon told last of the workers of a shard that it holds.
+  std::optional<ShardDigest> workers(const VmId& holder,
+                                     const ShardId& shard) const;
 
 private:
   struct Peer
   {
     ZoneName zone;
     std::optional<TimePoint> reportedAt;
-    std::map<ShardId, unsigned> places;
+    std::map<ShardId, HeldShard> shards;
   };
 
+  /// Null if the daemon hasn't told that it holds the shard.
+  const HeldShard* find(const VmId& holder, const ShardId& shard) const;
+
   std::map<VmId, Peer> m_peers;
-  std::map<ShardId, ShardDigest> m_holdersWorkers;
 };
 
 } // namespace cowslippin
--- a/src/libjobs/jobrequest.h
+++ b/src/libjobs/jobrequest.h
@@ -3,6 +3,7 @@
 #include "jobend.h"
 #include "jobkey.h"
 #include "libcore/shardid.h"
+#include "shardmap.h"
 
 #include "libworkers/resources.h"
 
@@ -43,13 +44,30 @@
   Duration target = Duration::zero();
 };
 
+/// The workers of a shard as its holder told of them.
+struct ShardWorkers
+{
+  ShardId shard;
+  ShardDigest digest = 0;
+
+  friend bool operator==(const ShardWorkers& a, const ShardWorkers& b)
+  {
+    return a.shard == b.shard && a.digest == b.digest;
+  }
+  friend bool operator!=(const ShardWorkers& a, const ShardWorkers& b)
+  {
+    return !(a == b);
+  }
+};
+
 /// Runs that a lost daemon may have left behind. Until they are surely over,
 /// or all the workers have been asked, the job's tasks must not start anew.
 struct Quarantine
 {
-  /// Whose workers, once all have been asked, leave nothing unknown. None if
-  /// runs may be left in more than one shard.
-  std::optional<ShardId> shard;
+  /// The workers which, once all have been asked, leave nothing unknown: those
+  /// of the lost daemon, as it told the submitter. None if they aren't known,
+  /// or if runs may be left on others.
+  std::optional<ShardWorkers> lastHolders;
   /// How long ago the daemon was lost. Only what workers report since then
   /// tells what it has left behind.
   Duration age = Duration::zero();
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -213,13 +213,10 @@
 }
 
 void
-Scheduler::takeShard(const ShardId& shard,
-                     FencingToken token,
-                     TimePoint now,
-                     std::optional<ShardDigest> lastHoldersWorkers)
+Scheduler::takeShard(const ShardId& shard, FencingToken token, TimePoint now)
 {
   m_now = now;
-  m_pool.takeShard(shard, token, now, lastHoldersWorkers);
+  m_pool.takeShard(shard, token, now);
 }
 
 void
@@ -663,9 +660,10 @@
     return false;
   if (!task.lastWorker.isEmpty())
     return m_pool.isClaimed(task.lastWorker, job.lostAt);
-  return !quarantine->underWay && quarantine->shard &&
-         holds(*quarantine->shard) &&
-         m_pool.isFullyClaimed(*quarantine->shard, job.lostAt);
+  return !quarantine->underWay && quarantine->lastHolders &&
+         m_pool.isFullyClaimed(quarantine->lastHolders->shard,
+                               quarantine->lastHolders->digest,
+                               job.lostAt);
 }
 
 void
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -87,12 +87,7 @@
   {
     return m_pool.presentShard(shard);
   }
-  /// `lastHoldersWorkers` is what its last holder told of the shard's workers,
-  /// if that is known.
-  void takeShard(const ShardId& shard,
-                 FencingToken token,
-                 TimePoint now,
-                 std::optional<ShardDigest> lastHoldersWorkers);
+  void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
   ShardDigest digest(const ShardId& shard) const
   {
     return m_pool.digest(shard);
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -67,15 +67,9 @@
 }
 
 void
-WorkerPool::takeShard(const ShardId& shard,
-                      FencingToken token,
-                      TimePoint now,
-                      std::optional<ShardDigest> lastHoldersWorkers)
+WorkerPool::takeShard(const ShardId& shard, FencingToken token, TimePoint now)
 {
   m_shards[shard] = token;
-  m_expectedDigests.erase(shard);
-  if (lastHoldersWorkers)
-    m_expectedDigests[shard] = *lastHoldersWorkers;
   for (const auto& [id, record] : m_list) {
     if (m_map.shardOf(record) == shard && m_entries.count(id) == 0)
       addWorker(record, now);
@@ -106,10 +100,11 @@
 }
 
 bool
-WorkerPool::isFullyClaimed(const ShardId& shard, TimePoint since) const
+WorkerPool::isFullyClaimed(const ShardId& shard,
+                           ShardDigest lastHoldersWorkers,
+                           TimePoint since) const
 {
-  const auto expected = m_expectedDigests.find(shard);
-  if (expected != m_expectedDigests.end() && expected->second != digest(shard))
+  if (!holds(shard) || digest(shard) != lastHoldersWorkers)
     return false;
   return std::all_of(m_entries.begin(), m_entries.end(), [&](const auto& item) {
     return item.second.shard != shard ||
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -67,12 +67,7 @@
     return m_map.present(shard);
   }
 
-  /// `lastHoldersWorkers` is what its last holder told of the shard's workers,
-  /// if that is known.
-  void takeShard(const ShardId& shard,
-                 FencingToken token,
-                 TimePoint now,
-                 std::optional<ShardDigest> lastHoldersWorkers);
+  void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
   /// Of a held shard: the workers on which something may run, which are those
   /// of its leases, listed or not. Of another shard: its listed workers.
   ShardDigest digest(const ShardId& shard) const;
@@ -82,10 +77,12 @@
   /// holder.
   void releaseShard(const ShardId& shard);
   bool holds(const ShardId& shard) const { return m_shards.count(shard) > 0; }
-  /// Whether everything that may run on the shard's workers is known: all have
-  /// answered what they were asked `since` then or later, and the last holder
-  /// had no others.
-  bool isFullyClaimed(const ShardId& shard, TimePoint since) const;
+  /// Whether everything that may run on the workers of a held shard is known:
+  /// all have answered what they were asked `since` then or later, and they are
+  /// the same that the last holder had.
+  bool isFullyClaimed(const ShardId& shard,
+                      ShardDigest lastHoldersWorkers,
+                      TimePoint since) const;
   /// Whether everything that may run on this worker is known: it has answered
   /// what it was asked `since` then or later.
   bool isClaimed(const WorkerId& worker, TimePoint since) const;
@@ -193,8 +190,6 @@
   WorkerList m_list;
   ShardMap m_map;
   std::map<ShardId, FencingToken> m_shards;
-  /// What the last holder had, until it is the same here.
-  std::map<ShardId, ShardDigest> m_expectedDigests;
   Entries m_entries;
 };
 
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -102,15 +102,22 @@
   return list;
 }
 
+json
+toJson(const ShardWorkers& workers)
+{
+  return json::array({ toJson(workers.shard), workers.digest });
+}
+
 json
 toJson(const std::optional<Quarantine>& quarantine)
 {
   if (!quarantine)
     return nullptr;
-  const json shard = quarantine->shard ? toJson(*quarantine->shard) : json();
+  const json lastHolders =
+    quarantine->lastHolders ? toJson(*quarantine->lastHolders) : json();
   const json underWay =
     quarantine->underWay ? toJson(*quarantine->underWay) : json();
-  return json::array({ shard,
+  return json::array({ lastHolders,
                        quarantine->age.count(),
                        quarantine->remaining.count(),
                        underWay });
@@ -301,7 +308,9 @@
     return std::nullopt;
   Quarantine quarantine;
   if (!value.at(0).is_null())
-    quarantine.shard = readShard(value.at(0));
+    quarantine.lastHolders =
+      ShardWorkers{ readShard(value.at(0).at(0)),
+                    value.at(0).at(1).get<ShardDigest>() };
   quarantine.age = duration(value.at(1));
   quarantine.remaining = duration(value.at(2));
   if (!value.at(3).is_null())
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -53,6 +53,7 @@
       }
       return std::nullopt;
     };
+    hooks.workers = [this](const VmId&, const ShardId&) { return told; };
     hooks.submit = [this](const VmId& vm, const JobRequest& request) {
       sent.emplace_back(vm, request);
       return true;
@@ -95,6 +96,7 @@
     gateway.returned(sent[index].first, sent[index].second.key, returned, now);
   }
 
+  std::optional<ShardDigest> told = 77;
   TimePoint now{ std::chrono::seconds(100) };
   std::map<ShardId, VmId> holders;
   std::vector<std::pair<VmId, JobRequest>> sent;
@@ -153,7 +155,7 @@
   ASSERT_EQ(sent.size(), 2u);
   EXPECT_TRUE(sent[1].second.mayHaveRun);
   ASSERT_TRUE(sent[1].second.quarantine);
-  EXPECT_EQ(sent[1].second.quarantine->shard, home);
+  EXPECT_EQ(sent[1].second.quarantine->lastHolders, (ShardWorkers{ home, 77 }));
   end(1, JobOutcome::Refused);
   for (const JobAnswer& answer : answers)
     EXPECT_NE(answer.kind, JobAnswer::Kind::NotRun);
@@ -169,14 +171,45 @@
   gateway.tick(now);
   ASSERT_EQ(sent.size(), 2u);
   EXPECT_EQ(sent[1].second.shard, home);
-  EXPECT_EQ(sent[1].second.quarantine->shard, half);
+  EXPECT_EQ(sent[1].second.quarantine->lastHolders, (ShardWorkers{ half, 77 }));
   now += milliseconds(1200);
   gateway.daemonLost(second, now);
   holders = { { home, first } };
   gateway.tick(now);
   ASSERT_EQ(sent.size(), 3u);
   ASSERT_TRUE(sent[2].second.quarantine);
-  EXPECT_FALSE(sent[2].second.quarantine->shard);
+  EXPECT_FALSE(sent[2].second.quarantine->lastHolders);
+}
+
+TEST_F(GatewayTest, RunsThatMayBeLeftByTwoHoldersOfAShardAreKnownByNeither)
+{
+  submit("a");
+  gateway.daemonLost(first, now);
+  holders[home] = second;
+  gateway.tick(now);
+  ASSERT_EQ(sent.size(), 2u);
+  now += milliseconds(500);
+  gateway.daemonLost(second, now);
+  holders[home] = first;
+  gateway.tick(now);
+  ASSERT_EQ(sent.size(), 3u);
+  EXPECT_FALSE(sent[2].second.quarantine->lastHolders)
+    << "the second may have known fewer workers than the first";
+  now += milliseconds(1500);
+  gateway.daemonLost(first, now);
+  gateway.tick(now);
+  ASSERT_EQ(sent.size(), 4u);
+  EXPECT_TRUE(sent[3].second.quarantine->lastHolders);
+}
+
+TEST_F(GatewayTest, AHolderThatToldNothingOfItsWorkersLeavesThemUnknown)
+{
+  told.reset();
+  submit("a");
+  gateway.daemonLost(first, now);
+  gateway.tick(now);
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_FALSE(sent[1].second.quarantine->lastHolders);
 }
 
 TEST_F(GatewayTest, ALostPartStartsElsewhereOnlyWhenItsRunsAreSurelyOver)
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -54,8 +54,7 @@
   submit(fixture.request("a", 4));
   ASSERT_EQ(fixture.running(), 4u);
   fixture.scheduler.releaseShard(SchedulerFixture::shard(), fixture.now);
-  fixture.scheduler.takeShard(
-    SchedulerFixture::shard(), 20, fixture.now, std::nullopt);
+  fixture.scheduler.takeShard(SchedulerFixture::shard(), 20, fixture.now);
   for (const char* worker : { "w1", "w2" })
     fixture.scheduler.holdAnswered(
       WorkerId(worker), earlier, beforeTheStarts, fixture.now);
@@ -98,8 +97,7 @@
   JobRequest left = fixture.request("left", 1, 6800, 600);
   submit(left);
   fixture.scheduler.releaseShard(SchedulerFixture::shard(), fixture.now);
-  fixture.scheduler.takeShard(
-    SchedulerFixture::shard(), 20, fixture.now, std::nullopt);
+  fixture.scheduler.takeShard(SchedulerFixture::shard(), 20, fixture.now);
   fixture.settle();
   left.key = JobKey(VmId("gateway"), JobId("left"), ++fixture.lastPart);
   left.mayHaveRun = true;
@@ -186,7 +184,7 @@
   JobRequest again = fixture.request("a", 2);
   again.previousPart = first.key.part();
   again.mayHaveRun = true;
-  again.quarantine = Quarantine{ SchedulerFixture::shard(),
+  again.quarantine = Quarantine{ fixture.workersAsListed(),
                                  {},
                                  std::chrono::milliseconds(1200) };
   submit(again);
@@ -209,9 +207,8 @@
   next.take();
   JobRequest job = next.request("a", 2);
   job.mayHaveRun = true;
-  job.quarantine = Quarantine{ SchedulerFixture::shard(),
-                               {},
-                               std::chrono::milliseconds(1200) };
+  job.quarantine =
+    Quarantine{ next.workersAsListed(), {}, std::chrono::milliseconds(1200) };
   next.scheduler.submit(job, next.now);
   next.settle();
   next.pass(40);
@@ -227,13 +224,11 @@
 {
   SchedulerFixture next;
   next.addWorker("w1");
-  next.scheduler.takeShard(
-    SchedulerFixture::shard(), 10, next.now, std::nullopt);
+  next.scheduler.takeShard(SchedulerFixture::shard(), 10, next.now);
   JobRequest job = next.request("a", 1);
   job.mayHaveRun = true;
-  job.quarantine = Quarantine{ SchedulerFixture::shard(),
-                               {},
-                               std::chrono::milliseconds(1200) };
+  job.quarantine =
+    Quarantine{ next.workersAsListed(), {}, std::chrono::milliseconds(1200) };
   next.scheduler.submit(job, next.now);
   next.scheduler.tick(next.now);
   EXPECT_EQ(next.running(), 0u);
@@ -253,7 +248,7 @@
   JobRequest job = fixture.request("a", 1);
   job.mayHaveRun = true;
   job.firstRun = 10;
-  job.quarantine = Quarantine{ SchedulerFixture::shard(),
+  job.quarantine = Quarantine{ fixture.workersAsListed(),
                                std::chrono::milliseconds(1),
                                std::chrono::milliseconds(1200) };
   fixture.scheduler.submit(job, fixture.now);
@@ -268,15 +263,12 @@
 {
   SchedulerFixture next;
   next.addWorker("w1");
-  const ShardDigest other =
-    next.scheduler.digest(SchedulerFixture::shard()) + 1;
-  next.scheduler.takeShard(SchedulerFixture::shard(), 10, next.now, other);
-  next.settle();
+  next.take();
   JobRequest job = next.request("a", 1);
   job.mayHaveRun = true;
-  job.quarantine = Quarantine{ SchedulerFixture::shard(),
-                               {},
-                               std::chrono::milliseconds(1200) };
+  job.quarantine =
+    Quarantine{ next.workersAsListed(), {}, std::chrono::milliseconds(1200) };
+  job.quarantine->lastHolders->digest += 1;
   next.scheduler.submit(job, next.now);
   next.pass(1100);
   EXPECT_EQ(next.workers[WorkerId("w1")].starts("a.0.0.0"), 0u)
@@ -285,6 +277,21 @@
   EXPECT_EQ(next.running(), 1u);
 }
 
+TEST_F(SchedulerTest, ATaskWaitsToTheEndIfTheLastHoldersWorkersAreNotKnown)
+{
+  JobRequest job = fixture.request("a", 1);
+  job.mayHaveRun = true;
+  job.quarantine =
+    Quarantine{ std::nullopt, {}, std::chrono::milliseconds(1200) };
+  fixture.scheduler.submit(job, fixture.now);
+  for (int step = 0; step < 58; ++step) {
+    fixture.pass(20);
+    EXPECT_EQ(fixture.running(), 0u);
+  }
+  fixture.pass(60);
+  EXPECT_EQ(fixture.running(), 1u);
+}
+
 TEST_F(SchedulerTest, TheWorkersOfAHeldShardAreThoseOnWhichItMayHaveRuns)
 {
   const ShardDigest whole = fixture.scheduler.digest(SchedulerFixture::shard());
@@ -306,7 +313,7 @@
   JobRequest job = fixture.request("a", 3, 6800, 3000);
   job.mayHaveRun = true;
   job.quarantine =
-    Quarantine{ SchedulerFixture::shard(),
+    Quarantine{ fixture.workersAsListed(),
                 {},
                 std::chrono::milliseconds(1200),
                 { { { 0, WorkerId("w1") }, { 1, WorkerId("unlisted") } } } };
--- a/tests/jobs/schedulerfixture.h
+++ b/tests/jobs/schedulerfixture.h
@@ -37,10 +37,16 @@
 
   void take()
   {
-    scheduler.takeShard(shard(), 10, now, std::nullopt);
+    scheduler.takeShard(shard(), 10, now);
     settle();
   }
 
+  /// What a holder with the same list tells of the shard's workers.
+  ShardWorkers workersAsListed() const
+  {
+    return { shard(), scheduler.digest(shard()) };
+  }
+
   JobRequest request(const std::string& job,
                      unsigned tasks,
                      std::int64_t cpu = 6800,
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -41,10 +41,11 @@
   request.firstRun = 9;
   request.age = std::chrono::milliseconds(12);
   request.timeLeft = std::chrono::milliseconds(1488);
-  request.quarantine = Quarantine{ ShardId(ZoneName("z1"), 3),
-                                   std::chrono::milliseconds(50),
-                                   std::chrono::milliseconds(700),
-                                   { { { 2, WorkerId("w1") }, { 5, {} } } } };
+  request.quarantine =
+    Quarantine{ ShardWorkers{ ShardId(ZoneName("z1"), 3), 99 },
+                std::chrono::milliseconds(50),
+                std::chrono::milliseconds(700),
+                { { { 2, WorkerId("w1") }, { 5, {} } } } };
   request.previousPart = 76;
   request.mayHaveRun = true;
   request.mayBeReturned = false;
@@ -75,7 +76,7 @@
   EXPECT_EQ(read.age, sent.age);
   EXPECT_EQ(read.timeLeft, sent.timeLeft);
   ASSERT_TRUE(read.quarantine);
-  EXPECT_EQ(read.quarantine->shard, sent.quarantine->shard);
+  EXPECT_EQ(read.quarantine->lastHolders, sent.quarantine->lastHolders);
   EXPECT_EQ(read.quarantine->age, sent.quarantine->age);
   EXPECT_EQ(read.quarantine->remaining, sent.quarantine->remaining);
   EXPECT_EQ(read.quarantine->underWay, sent.quarantine->underWay);
@@ -84,13 +85,13 @@
   EXPECT_EQ(read.mayBeReturned, sent.mayBeReturned);
 }
 
-TEST(PeerCodec, CarriesAQuarantineThatNoShardCanEnd)
+TEST(PeerCodec, CarriesAQuarantineThatNoWorkersCanEnd)
 {
   JobRequest sent = request();
-  sent.quarantine->shard.reset();
+  sent.quarantine->lastHolders.reset();
   const JobRequest read = throughTheWire(PeerSubmit{ sent }).request;
   ASSERT_TRUE(read.quarantine);
-  EXPECT_FALSE(read.quarantine->shard);
+  EXPECT_FALSE(read.quarantine->lastHolders);
   EXPECT_EQ(read.quarantine->remaining, sent.quarantine->remaining);
 }
 
