A run is adopted only when its worker has told of it since the loss

Ruled out: forgetting the book at each fence (it tells what counts against the room). Change: adoption asks for a report as new as the loss, as the end of a quarantine does. ARunThatWasFoundBeforeTheLossIsNotTakenForTheLatest failed before.

--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -98,8 +98,8 @@
 Scheduler::adoptRun(Job& job, std::size_t position, TimePoint now)
 {
   JobTask& task = job.tasks[position];
-  const auto run =
-    m_pool.adopt(job.request.taskName(task.index), job.request.needs.resources);
+  const auto run = m_pool.adopt(
+    job.request.taskName(task.index), job.request.needs.resources, job.lostAt);
   if (!run)
     return false;
   task.worker = run->first;
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -176,10 +176,12 @@
 }
 
 std::optional<std::pair<WorkerId, RunKey>>
-WorkerPool::adopt(const std::string& task, const Resources& resources)
+WorkerPool::adopt(const std::string& task,
+                  const Resources& resources,
+                  TimePoint since)
 {
   for (auto& [id, entry] : m_entries) {
-    if (!entry.lease->hasStrays())
+    if (!entry.lease->hasStrays() || !hasReportedSince(*entry.lease, since))
       continue;
     if (const auto key = entry.lease->adopt(task, resources))
       return std::make_pair(id, *key);
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -105,9 +105,12 @@
              const std::string& spec,
              TimePoint now);
   void stop(const WorkerId& worker, const RunKey& key, TimePoint now);
-  /// Takes a run that nobody has asked for into the book of its worker.
+  /// Takes a run that nobody has asked for into the book of its worker. Only
+  /// what the worker has told when it was asked `since` then or later counts:
+  /// before that, other holders may have ended the run and begun another.
   std::optional<std::pair<WorkerId, RunKey>> adopt(const std::string& task,
-                                                   const Resources& resources);
+                                                   const Resources& resources,
+                                                   TimePoint since);
   /// Whether a task of this name runs, or may run, on a held worker.
   bool isRunning(const std::string& task) const
   {
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -343,8 +343,8 @@
                      ::testing::Range(1, lastSeed() + 1)),
   caseName);
 
-/// Seeds beyond the first eight that have failed: of `Leave`, `CutOff` and
-/// `AllAndDividedAnew`.
+/// Seeds beyond the first eight that have failed: of `Leave`, `CutOff`,
+/// `DividedAnew`, `AllAndDividedAnew`, `Unlisted` and `UnlistedManyWorkers`.
 INSTANTIATE_TEST_SUITE_P(FailedOnce,
                          DaemonGroupInTrouble,
                          ::testing::Values(Case(3, 34),
@@ -353,7 +353,11 @@
                                            Case(4, 409),
                                            Case(4, 523),
                                            Case(4, 574),
-                                           Case(12, 27)),
+                                           Case(11, 81),
+                                           Case(12, 27),
+                                           Case(16, 48),
+                                           Case(17, 67),
+                                           Case(17, 183)),
                          caseName);
 
 } // namespace
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -292,6 +292,32 @@
   EXPECT_EQ(fixture.running(), 1u);
 }
 
+TEST_F(SchedulerTest, ARunThatWasFoundBeforeTheLossIsNotTakenForTheLatest)
+{
+  SchedulerFixture next;
+  next.addWorker("w1");
+  next.addWorker("w2");
+  const std::int64_t leaseEnd = 1000 * 1000 + 50000 + 700;
+  FakeWorker& old = next.workers[WorkerId("w1")];
+  FakeWorker& latest = next.workers[WorkerId("w2")];
+  old.start({ 5, RunKey("a.0.0.0", 3), "", leaseEnd }, next.now);
+  next.take();
+  // Another holder ends that run and begins one elsewhere before it is lost.
+  old.stop({ 50, RunKey("a.0.0.0", 3) }, next.now);
+  latest.start({ 50, RunKey("a.0.0.0", 4), "", leaseEnd }, next.now);
+  next.now += std::chrono::milliseconds(20);
+  JobRequest job = next.request("a", 1);
+  job.mayHaveRun = true;
+  const TaskPlace place{ 0, WorkerId("w2") };
+  job.quarantine = Quarantine{
+    next.workersAsListed(), {}, std::chrono::milliseconds(1200), { { place } }
+  };
+  next.scheduler.submit(job, next.now);
+  next.scheduler.releaseShard(SchedulerFixture::shard(), next.now);
+  ASSERT_NE(next.endOf(job), nullptr);
+  EXPECT_EQ(next.endOf(job)->underWay, std::vector<TaskPlace>{ place });
+}
+
 TEST_F(SchedulerTest, TheWorkersOfAHeldShardAreThoseOnWhichItMayHaveRuns)
 {
   const ShardDigest whole = fixture.scheduler.digest(SchedulerFixture::shard());
