--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -47,6 +47,7 @@
   , m_vacancy(m_settings.vacancy, m_ports.hold)
   , m_strain(m_settings.strain)
   , m_lastBootTime(m_clocks.sinceBoot())
+  , m_grace(m_settings.grace)
 {
   m_shards.setSlowness(m_settings.slowness);
 }
@@ -485,7 +486,7 @@
   const Duration since = now - *m_leaveAt;
   const bool isIdle = m_gateway.waiting() == 0 && m_scheduler.jobCount() == 0;
   const bool isDone = isIdle && since >= m_settings.unreadyTime;
-  if (!isDone && since < m_settings.grace - exitMargin)
+  if (!isDone && since < m_grace - exitMargin)
     return;
   std::exchange(m_left, nullptr)();
 }
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -145,6 +145,8 @@
   /// Gives up what is held and ends when nothing waits any more. `ended` is
   /// called once, when the process may exit.
   void leave(std::function<void()> ended);
+  /// How long this daemon may take to leave from now on.
+  void setGrace(Duration grace) { m_grace = grace; }
   bool isLeaving() const { return m_leaveAt.has_value(); }
   /// Whether callers may still come. When this daemon leaves they may until the
   /// platform's balancer has had the time to see it.
@@ -225,6 +227,7 @@
   TimePoint m_lastPlatformBeatAt{};
   std::chrono::nanoseconds m_lastBootTime{};
   std::optional<TimePoint> m_resumeAt;
+  Duration m_grace;
   std::optional<TimePoint> m_leaveAt;
   std::function<void()> m_left;
 };
