A zone is divided by what its machines can carry

A zone of 24 workers was one shard, whose orders filled its holder's link of 2 Mbit/s; orders that queued counted as lost and were sent again.

Change: how many workers a daemon can hold follows from its limits of link and processor (CarriedWorkers, by a third of each); it tells that in its heartbeats, a zone is divided by the weakest of its daemons (ShardSizes: falls at once, rises after 20 s), and who can hold more takes more shards. With the machines of the sites so far it is 40 as before, so that nothing changes there. A file with a wrong limit is refused naming it.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -50,6 +50,8 @@
   , m_grace(m_settings.grace)
 {
   m_shards.setSlowness(m_settings.slowness);
+  m_shards.setCarried(carriedWorkers(m_settings.limits));
+  boundShards(m_clocks.steady());
 }
 
 void
@@ -444,6 +446,7 @@
   beat.isStrained = m_strain.isStrained();
   beat.isNew = m_shards.isNew(now);
   beat.slowness = m_settings.slowness;
+  beat.carried = carriedWorkers(m_settings.limits);
   beat.highestToken = m_tokens.highest();
   beat.configVersion = m_configuration.version();
   return beat;
@@ -522,9 +525,11 @@
   view.isStrained = beat.isStrained;
   view.isNew = beat.isNew;
   view.slowness = beat.slowness;
+  view.carried = beat.carried;
   for (const auto& [shard, held] : beat.shards)
     view.shards[shard] = held.token;
   m_shards.memberSeen(view, now);
+  boundShards(now);
   adoptDivisions(beat, now);
   m_scheduler.forgetPeer(vm);
   if (!beat.isLeaving) {
@@ -534,6 +539,22 @@
   m_configuration.told(vm, view.zone, beat.configVersion);
 }
 
+/// Divides zones anew whose daemons can hold more or fewer workers than was
+/// known.
+void
+EntryCore::boundShards(TimePoint now)
+{
+  if (!m_shardSizes.update(m_shards.weakestCarried(), now))
+    return;
+  for (const auto& [zone, workers] : m_shardSizes.bounds())
+    logEvent(LogLevel::Info,
+             "shard-size",
+             { { "zone", zone }, { "workers", workers } });
+  m_scheduler.setBounds(m_shardSizes.bounds());
+  if (m_hasWorkers)
+    listWorkers(now);
+}
+
 void
 EntryCore::adoptDivisions(const PeerBeat& beat, TimePoint now)
 {
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -37,6 +37,8 @@
     Duration grace = std::chrono::seconds(6);
     /// How slow this machine is: the logarithm of what a fixed work takes.
     int slowness = 0;
+    /// What it may use. It follows how many workers this daemon can hold.
+    MachineLimits limits;
     /// A strained daemon gives its shards to others.
     StrainMeter::Settings strain;
     Scheduler::Settings scheduler;
@@ -202,6 +204,7 @@
   void listWorkers(TimePoint now);
   void divisionRead(TimePoint now);
   void adoptDivisions(const PeerBeat& beat, TimePoint now);
+  void boundShards(TimePoint now);
   bool submitTo(const VmId& vm, const JobRequest& request);
   void cancelAt(const VmId& vm, const JobKey& key);
 
@@ -210,6 +213,7 @@
   const Links m_links;
   const Clocks m_clocks;
   ShardTable m_shards;
+  ShardSizes m_shardSizes;
   Scheduler m_scheduler;
   Gateway m_gateway;
   ConfigurationSync m_configuration;
--- /dev/null
+++ b/src/libjobs/carriedworkers.cpp
@@ -0,0 +1,43 @@
+#include "carriedworkers.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cowslippin {
+
+namespace {
+
+/// Share of a machine that goes into its workers; the rest is for callers,
+/// other daemons and bursts.
+constexpr double shareForWorkers = 1.0 / 3;
+/// What a busy worker of some 16 cores takes: ten tasks a second, each with a
+/// start, its part of a report and their answers.
+constexpr double tasksPerSecond = 10;
+constexpr double kilobytesPerTask = 1.1;
+constexpr double processorSecondsPerTask = 0.0001;
+constexpr double bitsPerKilobyte = 8000;
+
+/// How often `need` fits into the part of `limit` that is for workers.
+double
+fitting(double limit, double need)
+{
+  return limit > 0 ? limit * shareForWorkers / need
+                   : double(mostWorkersPerShard);
+}
+
+} // namespace
+
+std::size_t
+carriedWorkers(const MachineLimits& limits)
+{
+  const double byProcessor =
+    fitting(limits.cores, tasksPerSecond * processorSecondsPerTask);
+  const double byLink =
+    fitting(limits.megabitsPerSecond * 1e6,
+            tasksPerSecond * kilobytesPerTask * bitsPerKilobyte);
+  const double carried =
+    std::clamp(std::min(byProcessor, byLink), 1.0, double(mostWorkersPerShard));
+  return static_cast<std::size_t>(std::lround(carried));
+}
+
+} // namespace cowslippin
--- a/src/libjobs/jobs.h
+++ b/src/libjobs/jobs.h
@@ -7,4 +7,5 @@
 #include "runtimes.h"
 #include "scheduler.h"
 #include "shardmap.h"
+#include "shardsizes.h"
 #include "workerpool.h"
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -78,6 +78,11 @@
   /// See `WorkerPool`.
   void setList(const WorkerList& list, TimePoint now);
   std::set<ShardId> shards() const { return m_pool.shards(); }
+  /// See `ShardMap`.
+  void setBounds(const std::map<ZoneName, std::size_t>& bounds)
+  {
+    m_pool.setBounds(bounds);
+  }
   /// See `ShardMap`. If it is true, `shards` are others.
   bool adoptDivision(const ShardId& shard)
   {
--- a/src/libjobs/shardmap.cpp
+++ b/src/libjobs/shardmap.cpp
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 
 namespace cowslippin {
 
@@ -12,10 +13,10 @@
 constexpr double hysteresis = 0.2;
 
 unsigned
-countFor(std::size_t workers)
+countFor(std::size_t workers, std::size_t bound)
 {
   unsigned count = 1;
-  while (count * ShardMap::workersPerShard < workers)
+  while (count * bound < workers)
     count *= 2;
   return count;
 }
@@ -23,13 +24,13 @@
 /// Whether a zone with so many workers has to be divided into another number
 /// of shards.
 bool
-mustChange(unsigned count, std::size_t workers)
+mustChange(unsigned count, std::size_t workers, std::size_t bound)
 {
   const auto more =
     static_cast<std::size_t>(double(workers) * (1 - hysteresis));
   const auto fewer =
     static_cast<std::size_t>(double(workers) * (1 + hysteresis));
-  return countFor(more) > count || countFor(fewer) < count;
+  return countFor(more, bound) > count || countFor(fewer, bound) < count;
 }
 
 } // namespace
@@ -40,6 +41,19 @@
   return std::hash<std::string>()(worker.value());
 }
 
+void
+ShardMap::setBounds(std::map<ZoneName, std::size_t> bounds)
+{
+  m_bounds = std::move(bounds);
+}
+
+std::size_t
+ShardMap::boundOf(const ZoneName& zone) const
+{
+  const auto bound = m_bounds.find(zone);
+  return bound == m_bounds.end() ? mostWorkersPerShard : bound->second;
+}
+
 bool
 ShardMap::update(const WorkerList& workers)
 {
@@ -51,9 +65,10 @@
     const auto [found, isNew] = m_divisions.try_emplace(zone);
     Division& division = found->second;
     division.size = size;
-    if (!isNew && !mustChange(division.count, size))
+    const std::size_t bound = boundOf(zone);
+    if (!isNew && !mustChange(division.count, size, bound))
       continue;
-    division.count = countFor(size);
+    division.count = countFor(size, bound);
     isChanged = isChanged || !isNew;
   }
   return isChanged;
@@ -64,7 +79,7 @@
 {
   const auto found = m_divisions.find(shard.zone());
   if (found == m_divisions.end() || shard.count() <= found->second.count ||
-      mustChange(shard.count(), found->second.size))
+      mustChange(shard.count(), found->second.size, boundOf(shard.zone())))
     return false;
   found->second.count = shard.count();
   return true;
--- a/src/libjobs/shardmap.h
+++ b/src/libjobs/shardmap.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "carriedworkers.h"
+
 #include "libworkers/workerrecord.h"
 
 #include "libcore/shardid.h"
@@ -28,11 +30,9 @@
 class ShardMap
 {
 public:
-  /// Workers that a shard should have at most. A holder spends some 0.1 ms of
-  /// processor time a task; 40 workers run 330 tasks a second, which is a third
-  /// of the smallest machines' 0.12 cores.
-  static constexpr std::size_t workersPerShard = 40;
-
+  /// How many workers a shard of each zone may have, from the next list on;
+  /// `mostWorkersPerShard` in other zones.
+  void setBounds(std::map<ZoneName, std::size_t> bounds);
   /// Takes a list. True if the number of some zone's shards has changed.
   bool update(const WorkerList& workers);
   /// Another daemon divides a zone into more shards: so does this one, if its
@@ -55,6 +55,9 @@
     std::size_t size = 0;
   };
 
+  std::size_t boundOf(const ZoneName& zone) const;
+
+  std::map<ZoneName, std::size_t> m_bounds;
   std::map<ZoneName, Division> m_divisions;
 };
 
--- /dev/null
+++ b/src/libjobs/shardsizes.cpp
@@ -0,0 +1,33 @@
+#include "shardsizes.h"
+
+namespace cowslippin {
+
+namespace {
+
+/// A machine that is restarted or replaced is back within this.
+constexpr Duration raiseAfter = std::chrono::seconds(20);
+
+} // namespace
+
+bool
+ShardSizes::update(const std::map<ZoneName, std::size_t>& weakest,
+                   TimePoint now)
+{
+  bool isChanged = false;
+  for (const auto& [zone, workers] : weakest) {
+    const auto [bound, isNew] = m_bounds.try_emplace(zone, mostWorkersPerShard);
+    if (workers == bound->second) {
+      m_higherSince.erase(zone);
+      continue;
+    }
+    const TimePoint since = m_higherSince.try_emplace(zone, now).first->second;
+    if (!isNew && workers > bound->second && now - since < raiseAfter)
+      continue;
+    m_higherSince.erase(zone);
+    isChanged = isChanged || bound->second != workers;
+    bound->second = workers;
+  }
+  return isChanged;
+}
+
+} // namespace cowslippin
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -61,6 +61,11 @@
   void setList(const WorkerList& list, TimePoint now);
   std::set<ShardId> shards() const { return m_map.shards(); }
   /// See `ShardMap`.
+  void setBounds(const std::map<ZoneName, std::size_t>& bounds)
+  {
+    m_map.setBounds(bounds);
+  }
+  /// See `ShardMap`.
   bool adoptDivision(const ShardId& shard) { return m_map.adopt(shard); }
   ShardId presentShard(const ShardId& shard) const
   {
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -67,7 +67,8 @@
                        beat.configVersion,
                        beat.isStrained,
                        beat.slowness,
-                       beat.isNew });
+                       beat.isNew,
+                       beat.carried });
 }
 
 json
@@ -261,6 +262,9 @@
   beat.isStrained = value.at(5).get<bool>();
   beat.slowness = value.at(6).get<int>();
   beat.isNew = value.at(7).get<bool>();
+  beat.carried = value.at(8).get<std::size_t>();
+  if (beat.carried == 0)
+    throw std::invalid_argument("a daemon that can hold no worker");
   return beat;
 }
 
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -65,6 +65,8 @@
   int slowness = 0;
   /// It has started only just now.
   bool isNew = false;
+  /// How many workers it can hold.
+  std::size_t carried = 1;
   std::map<ShardId, HeldShard> shards;
   /// The highest token that it knows of.
   std::uint64_t highestToken = 0;
--- a/src/libshards/memberview.h
+++ b/src/libshards/memberview.h
@@ -18,6 +18,8 @@
   bool isStrained = false;
   /// How slow its machine is: the logarithm of what a fixed work takes.
   int slowness = 0;
+  /// How many workers it can hold.
+  std::size_t carried = 1;
   /// It had started only just before.
   bool isNew = false;
   /// It has a configuration and a list of workers.
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -10,8 +10,9 @@
 namespace {
 
 /// Who takes a shard that is free: one that isn't strained if there is any,
-/// then the one that holds the fewest, then the one on the fastest machine.
-using Rank = std::tuple<bool, std::size_t, int, std::size_t>;
+/// then the one that would hold the fewest for what it can hold, then the one
+/// on the fastest machine.
+using Rank = std::tuple<bool, double, int, std::size_t>;
 
 /// Whose claim to a shard counts: one that stays goes before one that leaves,
 /// one of the shard's zone before another, then the higher token.
@@ -22,11 +23,13 @@
      const VmId& vm,
      bool isStrained,
      std::size_t shards,
+     std::size_t carried,
      int slowness)
 {
   const std::size_t spread =
     std::hash<std::string>()(shard.toString() + '|' + vm.value());
-  return { isStrained, shards, slowness, spread };
+  const double load = double(shards + 1) / double(carried);
+  return { isStrained, load, slowness, spread };
 }
 
 } // namespace
@@ -203,6 +206,18 @@
   return all;
 }
 
+std::map<ZoneName, std::size_t>
+ShardTable::weakestCarried() const
+{
+  std::map<ZoneName, std::size_t> weakest = { { m_zone, m_carried } };
+  for (const auto& [vm, member] : m_members) {
+    std::size_t& carried =
+      weakest.try_emplace(member.zone, member.carried).first->second;
+    carried = std::min(carried, member.carried);
+  }
+  return weakest;
+}
+
 bool
 ShardTable::isIsolated() const
 {
@@ -319,7 +334,8 @@
                     std::size_t ownShards,
                     bool isForeign) const
 {
-  const Rank own = rank(shard, m_self, m_isStrained, ownShards, m_slowness);
+  const Rank own =
+    rank(shard, m_self, m_isStrained, ownShards, m_carried, m_slowness);
   return std::none_of(
     m_members.begin(), m_members.end(), [&](const auto& item) {
       const MemberView& member = item.second;
@@ -329,6 +345,7 @@
                                  member.id,
                                  member.isStrained,
                                  member.shards.size(),
+                                 member.carried,
                                  member.slowness) < own;
     });
 }
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -86,6 +86,10 @@
   void setStrained(bool isStrained) { m_isStrained = isStrained; }
   /// How slow this machine is: the logarithm of what a fixed work takes.
   void setSlowness(int slowness) { m_slowness = slowness; }
+  /// How many workers this daemon can hold.
+  void setCarried(std::size_t carried) { m_carried = carried; }
+  /// What the weakest daemon of each zone that can be heard can hold.
+  std::map<ZoneName, std::size_t> weakestCarried() const;
   /// Shards of zones without a daemon that can be heard, with the token that
   /// their last holder told, whose workers this daemon is to ask whether
   /// anybody uses them.
@@ -157,6 +161,7 @@
   bool m_isLeaving = false;
   bool m_isStrained = false;
   int m_slowness = 0;
+  std::size_t m_carried = 1;
 };
 
 } // namespace cowslippin
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -32,6 +32,47 @@
   return RoutingTable(1, { route });
 }
 
+/// Sizes on the wire, with headers.
+constexpr std::size_t orderBytes = 300;
+constexpr std::size_t answerBytes = 200;
+constexpr std::size_t runBytes = 50;
+constexpr std::size_t specBytes = 300;
+constexpr std::size_t beatBytes = 100;
+constexpr std::size_t jobBytes = 700;
+
+std::size_t
+wireBytes(const StartOrder&)
+{
+  return orderBytes + specBytes;
+}
+
+std::size_t
+wireBytes(const StopOrder&)
+{
+  return orderBytes;
+}
+
+std::size_t
+wireBytes(const OrderAnswer&)
+{
+  return answerBytes;
+}
+
+std::size_t
+wireBytes(const HoldAnswer& answer)
+{
+  const auto* report = std::get_if<HoldReport>(&answer);
+  const std::size_t runs =
+    report ? report->active.size() + report->ended.size() : 0;
+  return answerBytes + runBytes * runs;
+}
+
+std::size_t
+wireBytes(const PeerMessage& message)
+{
+  return std::holds_alternative<PeerSubmit>(message) ? jobBytes : beatBytes;
+}
+
 JobId
 jobOfTask(const std::string& task)
 {
@@ -294,6 +335,8 @@
   EntryCore::Settings settings;
   settings.vm = node.id;
   settings.zone = ZoneName("z" + std::to_string(node.zone));
+  if (m_settings.isLinkKnown)
+    settings.limits.megabitsPerSecond = m_settings.linkMegabits;
   node.core = std::make_unique<EntryCore>(
     settings, ports(index), links(index), clocks(index));
   node.core->configurationRead(configuration);
@@ -389,8 +432,11 @@
         return false;
       const VmId from = m_nodes[node].id;
       const unsigned life = m_nodes[other].life;
+      const std::size_t bytes = wireBytes(message);
+      const Duration delay =
+        oneWay + sendTime(node, bytes) + receiveTime(other, bytes);
       if (!isCut(node, other))
-        at(oneWay, [this, node, other, life, from, message] {
+        at(delay, [this, node, other, life, from, message] {
           onNode(other, life, [this, node, other, from, message] {
             if (areLinked(node, other))
               m_nodes[other].core->received(from, message);
@@ -557,6 +603,28 @@
   callerBroken(node);
 }
 
+Duration
+Simulation::transit(TimePoint& busyUntil, std::size_t bytes) const
+{
+  if (m_settings.linkMegabits == 0)
+    return Duration::zero();
+  const double microseconds = double(bytes) * 8 / m_settings.linkMegabits;
+  busyUntil = std::max(busyUntil, m_now) + Duration(std::int64_t(microseconds));
+  return busyUntil - m_now;
+}
+
+Duration
+Simulation::sendTime(std::size_t node, std::size_t bytes)
+{
+  return transit(m_nodes[node].sendsUntil, bytes);
+}
+
+Duration
+Simulation::receiveTime(std::size_t node, std::size_t bytes)
+{
+  return transit(m_nodes[node].receivesUntil, bytes);
+}
+
 Simulation::Worker*
 Simulation::findWorker(const WorkerId& id)
 {
@@ -594,14 +662,16 @@
     !isLost && !isAnswerLost && fate < answerLost + m_settings.lateOrders;
   if (isLost)
     return;
-  const Duration delay = isLate ? milliseconds(2000 + below(10000)) : oneWay;
+  const Duration delay = isLate ? milliseconds(2000 + below(10000))
+                                : oneWay + sendTime(node, wireBytes(order));
   at(delay, [=] {
     Worker* worker = findWorker(record.id());
     if (!worker || !reachesWorker(node, *worker))
       return;
     const Answer value = carryOut(*worker, order);
     if (!isAnswerLost && !isLate)
-      at(oneWay, [answer, value] { answer(value); });
+      at(oneWay + receiveTime(node, wireBytes(value)),
+         [answer, value] { answer(value); });
   });
 }
 
@@ -616,7 +686,7 @@
   const unsigned life = m_nodes[node].life;
   const auto answer =
     [this, node, life, isAnswered, done](const HoldAnswer& value) {
-      at(oneWay, [=] {
+      at(oneWay + receiveTime(node, wireBytes(value)), [=] {
         onNode(node, life, [isAnswered, done, value] {
           if (!std::exchange(*isAnswered, true))
             done(value);
@@ -626,7 +696,7 @@
   at(timeout, [answer] { answer(OrderFailure::Unanswered); });
   if (chance() < m_settings.lostOrders + m_settings.lostAnswers)
     return;
-  at(oneWay, [=] {
+  at(oneWay + sendTime(node, orderBytes), [=] {
     Worker* worker = findWorker(record.id());
     if (!worker || !reachesWorker(node, *worker))
       return;
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -37,6 +37,11 @@
     Duration listLag = std::chrono::milliseconds(300);
     /// Whether tasks of one job in a hundred fail.
     bool hasFailures = true;
+    /// Of each daemon's link, each way; 0 for any. Orders to workers, their
+    /// answers and messages between daemons queue for it.
+    double linkMegabits = 0;
+    /// Whether daemons know of the limit.
+    bool isLinkKnown = true;
   };
 
   Simulation(Settings settings, std::uint64_t seed);
@@ -111,6 +116,9 @@
     bool isAlive = false;
     bool isFrozen = false;
     TimePoint cutUntil{};
+    /// Until when its link is busy with what waits in each direction.
+    TimePoint sendsUntil{};
+    TimePoint receivesUntil{};
     std::vector<Action> waiting;
     /// Heartbeats of holders at the platform that it has read.
     std::map<ShardId, unsigned> knownBeats;
@@ -169,6 +177,10 @@
   void connectDaemons();
   void stopNode(std::size_t node);
 
+  /// How long a message takes through a link that is busy until then.
+  Duration transit(TimePoint& busyUntil, std::size_t bytes) const;
+  Duration sendTime(std::size_t node, std::size_t bytes);
+  Duration receiveTime(std::size_t node, std::size_t bytes);
   Worker* findWorker(const WorkerId& id);
   template<class Order, class Answer>
   void order(std::size_t node,
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <functional>
+#include <set>
 #include <string>
 
 namespace cowslippin::testing {
@@ -46,6 +47,44 @@
     EXPECT_EQ(count, 1) << shard.toString();
 }
 
+/// Zones of many small machines: their links carry what four busy workers
+/// need, and one holder of a zone's 24 workers filled its link. Orders and
+/// answers that queued in it counted as lost and were sent again, so that a
+/// calm load was served to a fiftieth, from its first second to its last.
+Simulation::Settings
+withSlowLinks()
+{
+  Simulation::Settings settings;
+  settings.daemonsPerZone = 8;
+  settings.workersPerZone = 24;
+  settings.jobsPerSecond = 80;
+  settings.hasFailures = false;
+  settings.linkMegabits = 1;
+  return settings;
+}
+
+TEST(DaemonGroup, ServesACalmLoadOverSlowLinks)
+{
+  Simulation simulation(withSlowLinks(), 1);
+  simulation.runFor(seconds(20));
+  expectNoViolations(simulation);
+  EXPECT_GE(simulation.completed() + simulation.waitingCallers(),
+            simulation.submitted() * 97 / 100);
+}
+
+TEST(DaemonGroup, SharesAZoneOutByWhatItsWeakestLinkCarries)
+{
+  Simulation simulation(withSlowLinks(), 2);
+  simulation.runFor(seconds(3));
+  std::set<ShardId> held;
+  for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon) {
+    const auto shards = simulation.core(daemon).heldShards();
+    EXPECT_LE(shards.size(), 1u) << daemon;
+    held.insert(shards.begin(), shards.end());
+  }
+  EXPECT_EQ(held.size(), 16u) << "eight of each zone";
+}
+
 /// Zones of one daemon each.
 Simulation::Settings
 withLoneDaemons()
--- /dev/null
+++ b/tests/jobs/shardsizes_test.cpp
@@ -0,0 +1,48 @@
+#include "libjobs/jobs.h"
+
+#include <gtest/gtest.h>
+
+namespace cowslippin::testing {
+namespace {
+
+using std::chrono::seconds;
+
+const ZoneName zone("z1");
+const TimePoint start{ seconds(100) };
+
+TEST(CarriedWorkers, FollowTheLinkAndTheProcessorWhicheverBindsFirst)
+{
+  EXPECT_EQ(carriedWorkers({}), mostWorkersPerShard);
+  EXPECT_EQ(carriedWorkers({ 0.12, 25 }), 40u);
+  EXPECT_EQ(carriedWorkers({ 0.12, 2 }), 8u);
+  EXPECT_EQ(carriedWorkers({ 0.12, 8 }), 30u);
+  EXPECT_EQ(carriedWorkers({ 0.06, 25 }), 20u);
+  EXPECT_EQ(carriedWorkers({ 4, 10000 }), mostWorkersPerShard);
+  EXPECT_EQ(carriedWorkers({ 0.001, 0.1 }), 1u);
+}
+
+TEST(ShardSizes, FallAtOnceAndRiseOnlyAfterAWhile)
+{
+  ShardSizes sizes;
+  EXPECT_FALSE(sizes.update({ { zone, mostWorkersPerShard } }, start));
+  EXPECT_TRUE(sizes.update({ { zone, 8 } }, start));
+  EXPECT_EQ(sizes.bounds().at(zone), 8u);
+  EXPECT_FALSE(sizes.update({ { zone, 40 } }, start + seconds(1)));
+  EXPECT_FALSE(sizes.update({ { zone, 8 } }, start + seconds(5)))
+    << "the weakest was away for a moment";
+  EXPECT_FALSE(sizes.update({ { zone, 40 } }, start + seconds(6)));
+  EXPECT_FALSE(sizes.update({ { zone, 40 } }, start + seconds(25)));
+  EXPECT_TRUE(sizes.update({ { zone, 40 } }, start + seconds(26)));
+  EXPECT_EQ(sizes.bounds().at(zone), 40u);
+}
+
+TEST(ShardSizes, OfAZoneThatCantBeHeardStay)
+{
+  ShardSizes sizes;
+  sizes.update({ { zone, 8 } }, start);
+  EXPECT_FALSE(sizes.update({}, start + seconds(60)));
+  EXPECT_EQ(sizes.bounds().at(zone), 8u);
+}
+
+} // namespace
+} // namespace cowslippin::testing
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -116,6 +116,7 @@
   beat.isStrained = true;
   beat.slowness = 9;
   beat.isNew = true;
+  beat.carried = 9;
   beat.shards[ShardId(ZoneName("z1"), 0)] = { 300243599585797, 12, 77 };
   beat.highestToken = 300243599585799;
   beat.configVersion = 40;
@@ -127,6 +128,7 @@
   EXPECT_EQ(readBeat.isStrained, beat.isStrained);
   EXPECT_EQ(readBeat.slowness, beat.slowness);
   EXPECT_EQ(readBeat.isNew, beat.isNew);
+  EXPECT_EQ(readBeat.carried, beat.carried);
   EXPECT_EQ(readBeat.configVersion, beat.configVersion);
 }
 
--- a/tests/platformadapter/records_test.cpp
+++ b/tests/platformadapter/records_test.cpp
@@ -17,6 +17,7 @@
   "seeds": ["10.2.0.30:8166"],
   "listen_addrs": {"frontend": "10.1.0.13:8161", "readiness": "10.1.0.13:8167"},
   "platform": {"address": "10.200.1.7:8169", "form": "log"},
+  "limits": {"cpu_share": 0.25, "cores": 2, "link_mbps": 25},
   "bounds": {"grace_s": 4.5}})";
 
 TEST(PlatformSettings, ReadsWhatItNeedsAndIgnoresTheRest)
@@ -26,6 +27,7 @@
   EXPECT_EQ(settings->daemon.core.vm, VmId("edge-1"));
   EXPECT_EQ(settings->daemon.core.zone, ZoneName("z1"));
   EXPECT_EQ(settings->daemon.core.grace, std::chrono::milliseconds(4500));
+  EXPECT_EQ(settings->daemon.core.limits, (MachineLimits{ 0.5, 25 }));
   EXPECT_EQ(settings->daemon.peerAddress, Address("10.1.0.13", 7720));
   EXPECT_EQ(settings->daemon.seeds,
             std::vector<Address>{ Address("10.2.0.30", 7720) });
@@ -67,6 +69,8 @@
     WrongSetting{ "Port", "[7720, 7735]", "[99999]", "internal_ports" },
     WrongSetting{ "Callers", "10.1.0.13:8161", "nowhere", "frontend" },
     WrongSetting{ "Store", "10.200.1.7:8169", "", "platform.address" },
+    WrongSetting{ "Link", "25}", "\"fast\"}", "limits.link_mbps" },
+    WrongSetting{ "Share", "0.25", "-1", "limits.cpu_share" },
     WrongSetting{ "Grace", "4.5", "-1", "grace_s" },
     WrongSetting{ "Whole", "{\n", "[", "settings file" }),
   [](const auto& info) { return std::string(info.param.name); });
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -365,6 +365,42 @@
   EXPECT_NE(takes(homeShard), otherTakes);
 }
 
+TEST_F(ShardTableTest, TheOneThatCanHoldMoreWorkersTakesMoreShards)
+{
+  MemberView mate = member("mate", home);
+  mate.carried = 8;
+  mate.slowness = -5;
+  table.setCarried(40);
+  table.setKnownMembers(1);
+  const ShardId half(home, 1, 2);
+  table.setShards({ half });
+  table.memberSeen(mate, now);
+  pass(seconds(1));
+  for (const unsigned held : { 0u, 1u, 2u, 3u }) {
+    EXPECT_TRUE(takes(half)) << held;
+    table.taken(ShardId(home, held, 64), 5);
+  }
+  table.taken(ShardId(home, 4, 64), 5);
+  EXPECT_FALSE(takes(half)) << "it would hold more for what it can hold";
+}
+
+TEST_F(ShardTableTest, TellsWhatTheWeakestDaemonOfEachZoneCanHold)
+{
+  table.setCarried(40);
+  MemberView mate = member("mate", home);
+  mate.carried = 8;
+  MemberView far = member("far", abroad);
+  far.carried = 20;
+  table.memberSeen(mate, now);
+  table.memberSeen(far, now);
+  const std::map<ZoneName, std::size_t> both = { { home, 8 }, { abroad, 20 } };
+  EXPECT_EQ(table.weakestCarried(), both);
+  table.memberGone(VmId("mate"), now);
+  table.memberGone(VmId("far"), now);
+  const std::map<ZoneName, std::size_t> own = { { home, 40 } };
+  EXPECT_EQ(table.weakestCarried(), own);
+}
+
 TEST_F(ShardTableTest, TakesNothingBeforeItIsReadyOrWhenItLeaves)
 {
   table.setKnownMembers(1);
