A refusal asks four shards at most, and what holders tell of places has a budget

Cause of what was left of the collapse under load: two kinds of messages that grow with the number of shards just when load is at its worst. Each refused job asked all shards first, 20 of them on the small twin (9,970 handings over and 7,721 refusals in one zone for 1,579 jobs taken in 18 s, some 110 KB/s of a daemon's 250); and each holder told all others each 30 ms of places that come and go with each task.

Change: after a refusal a job goes to whoever told of the most room, and after four it is refused (gateway; sites of up to four shards are served as before); free places are told at most 100 times a second in all (EntryCore). Ruled out: asking only those who told of places (what is told is older than a task runs).

Tests that failed before: InABurstOnlySoManyShardsAreAsked, and 319 heartbeats a second of each of twelve holders, 200 allowed.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -11,8 +11,11 @@
 
 namespace {
 
-/// Between two messages about free places to other holders.
+/// Between two messages about free places to other holders, at least.
 constexpr Duration placesInterval = std::chrono::milliseconds(30);
+/// The same for each holder that is told, so that what it costs a daemon
+/// doesn't grow with the group.
+constexpr Duration placesIntervalEach = std::chrono::milliseconds(10);
 /// How much earlier than the platform kills it a daemon exits by itself.
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
 
@@ -378,7 +381,11 @@
 void
 EntryCore::beatHolders(TimePoint now)
 {
-  if (m_shards.held().empty() || now - m_lastHolderBeatAt < placesInterval)
+  const Duration since = now - m_lastHolderBeatAt;
+  if (m_shards.held().empty() || since < placesInterval)
+    return;
+  const std::set<VmId> holders = m_shards.holders();
+  if (since < placesIntervalEach * holders.size())
     return;
   const unsigned places = sparePlaces(now);
   const unsigned change =
@@ -388,7 +395,7 @@
   m_lastHolderBeatAt = now;
   m_toldPlaces = places;
   const PeerBeat beat = makeBeat(now);
-  for (const VmId& vm : m_shards.holders()) {
+  for (const VmId& vm : holders) {
     if (vm != m_settings.vm)
       m_links.send(vm, beat);
   }
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -198,8 +198,8 @@
 
 /// A job that is refused as a whole has not run: another shard may have room,
 /// as load and workers are shared unevenly among zones, and the caller is
-/// refused only when all have been asked. A part of one goes back to the holder
-/// at home, which has to wait for room.
+/// refused only when the roomiest of them have been asked. A part of one goes
+/// back to the holder at home, which has to wait for room.
 void
 Gateway::partRefused(Entry& entry, Part& part, const JobEnd& end, TimePoint now)
 {
@@ -211,7 +211,8 @@
   }
   part.refusedBy.insert(part.shard);
   part.retryAfter = std::min(part.retryAfter, end.retryAfter);
-  if (!placeFresh(entry, part, now))
+  const bool mayAsk = part.refusedBy.size() < m_settings.mostAsked;
+  if (!mayAsk || !placeFresh(entry, part, now))
     finish(entry,
            { JobAnswer::Kind::NotRun, part.retryAfter, "no room in time" });
 }
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -60,6 +60,10 @@
     /// Share of its ideal response time that a job waits for a daemon that
     /// holds workers before it is refused.
     double holderWaitShare = 0.25;
+    /// Shards that a job is handed to before it is refused. Load is at its
+    /// worst when jobs are refused: asking all of many shards, at some 700
+    /// bytes each, took more of the links than the jobs that were served.
+    std::size_t mostAsked = 4;
     /// How long runs that a lost daemon left behind may go on: the silence
     /// limit between daemons, the lease and a margin.
     Duration lostRunLimit = std::chrono::milliseconds(1270);
--- a/src/libentry/holderchoice.cpp
+++ b/src/libentry/holderchoice.cpp
@@ -18,4 +18,18 @@
   return one.places >= other.places ? one : other;
 }
 
+std::optional<HolderChoice>
+HolderChooser::roomiest(const std::vector<HolderChoice>& home,
+                        const std::vector<HolderChoice>& abroad)
+{
+  std::optional<HolderChoice> best;
+  for (const auto* choices : { &home, &abroad }) {
+    for (const HolderChoice& choice : *choices) {
+      if (!best || choice.places > best->places)
+        best = choice;
+    }
+  }
+  return best;
+}
+
 } // namespace cowslippin
--- a/src/libentry/holderchoice.h
+++ b/src/libentry/holderchoice.h
@@ -35,6 +35,12 @@
   std::optional<HolderChoice> choose(const std::vector<HolderChoice>& home,
                                      const std::vector<HolderChoice>& abroad);
 
+  /// Where a job goes that others have refused: to whom told of the most room,
+  /// at home if that is the same abroad. Nothing if there is no shard.
+  static std::optional<HolderChoice> roomiest(
+    const std::vector<HolderChoice>& home,
+    const std::vector<HolderChoice>& abroad);
+
 private:
   std::size_t m_turn = 0;
 };
--- a/src/libentry/holderlookup.cpp
+++ b/src/libentry/holderlookup.cpp
@@ -58,7 +58,8 @@
     auto& choices = shard.zone() == m_zone ? home : abroad;
     choices.push_back(choiceOf(*holder, shard, now));
   }
-  return m_chooser.choose(home, abroad);
+  return refusedBy.empty() ? m_chooser.choose(home, abroad)
+                           : HolderChooser::roomiest(home, abroad);
 }
 
 HolderChoice
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -126,6 +126,21 @@
   EXPECT_EQ(answers[0].kind, JobAnswer::Kind::NotRun);
 }
 
+/// A zone of 24 workers was divided into four shards, five zones into 20. In a
+/// burst of twice what the workers can do each job that was refused had asked
+/// all 20: 7,721 refusals by holders for 1,579 jobs that they took.
+TEST_F(GatewayTest, InABurstOnlySoManyShardsAreAskedBeforeARefusal)
+{
+  for (unsigned index = 0; index < 20; ++index)
+    holders[ShardId(ZoneName("z3"), index, 20)] = second;
+  submit("a");
+  for (std::size_t asked = 0; answers.empty() && asked < 30; ++asked)
+    end(asked, JobOutcome::Refused);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::NotRun);
+  EXPECT_EQ(sent.size(), Gateway::Settings().mostAsked);
+}
+
 TEST_F(GatewayTest, AJobIsRefusedOnlyWhenEveryShardHasRefusedIt)
 {
   holders[abroad] = second;
--- a/tests/entry/holderchoice_test.cpp
+++ b/tests/entry/holderchoice_test.cpp
@@ -43,5 +43,16 @@
   EXPECT_LT(chosen[0], 75);
 }
 
+TEST(HolderChooser, AJobThatWasRefusedGoesWhereMostRoomIs)
+{
+  EXPECT_FALSE(HolderChooser::roomiest({}, {}));
+  const auto abroad = HolderChooser::roomiest(
+    { shardWith(0, 1), shardWith(1, 2) }, { shardWith(2, 5), shardWith(3, 3) });
+  EXPECT_EQ(abroad->places, 5u);
+  const auto home =
+    HolderChooser::roomiest({ shardWith(0, 4) }, { shardWith(1, 4) });
+  EXPECT_EQ(home->shard.index(), 0u);
+}
+
 } // namespace
 } // namespace cowslippin::testing
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -432,6 +432,8 @@
         return false;
       const VmId from = m_nodes[node].id;
       const unsigned life = m_nodes[other].life;
+      if (std::holds_alternative<PeerBeat>(message))
+        ++m_nodes[node].beats;
       const std::size_t bytes = wireBytes(message);
       const Duration delay =
         oneWay + sendTime(node, bytes) + receiveTime(other, bytes);
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -90,6 +90,8 @@
   unsigned refused() const { return m_refused; }
   unsigned unknown() const { return m_unknown; }
   unsigned startedTasks() const { return m_startedTasks; }
+  /// Heartbeats that a daemon has sent.
+  unsigned beats(std::size_t daemon) const { return m_nodes[daemon].beats; }
 
   std::mt19937_64& random() { return m_random; }
   TimePoint now() const { return m_now; }
@@ -116,6 +118,7 @@
     bool isAlive = false;
     bool isFrozen = false;
     TimePoint cutUntil{};
+    unsigned beats = 0;
     /// Until when its link is busy with what waits in each direction.
     TimePoint sendsUntil{};
     TimePoint receivesUntil{};
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -85,6 +85,25 @@
   EXPECT_EQ(held.size(), 16u) << "eight of each zone";
 }
 
+/// Twelve holders in a burst that fills all workers: places come and go with
+/// each task, and each holder told all others at each change.
+TEST(DaemonGroup, WhatAHolderTellsOfItsPlacesIsBounded)
+{
+  Simulation::Settings settings;
+  settings.zones = 6;
+  settings.workersPerZone = 62;
+  settings.jobsPerSecond = 1000;
+  settings.hasFailures = false;
+  Simulation simulation(settings, 1);
+  simulation.runFor(seconds(1));
+  std::vector<unsigned> before;
+  for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon)
+    before.push_back(simulation.beats(daemon));
+  simulation.runFor(seconds(1));
+  for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon)
+    EXPECT_LE(simulation.beats(daemon) - before[daemon], 200u) << daemon;
+}
+
 /// Zones of one daemon each.
 Simulation::Settings
 withLoneDaemons()
