--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -371,6 +371,7 @@
 void
 EntryCore::beat(TimePoint now)
 {
+  boundShards(now);
   m_lastBeatAt = now;
   m_lastHolderBeatAt = now;
   m_toldPlaces = sparePlaces(now);
@@ -535,8 +536,8 @@
   view.carried = beat.carried;
   for (const auto& [shard, held] : beat.shards)
     view.shards[shard] = held.token;
-  m_shards.memberSeen(view, now);
-  boundShards(now);
+  if (m_shards.memberSeen(view, now))
+    boundShards(now);
   adoptDivisions(beat, now);
   m_scheduler.forgetPeer(vm);
   if (!beat.isLeaving) {
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -46,14 +46,18 @@
 {
 }
 
-void
+bool
 ShardTable::memberSeen(const MemberView& member, TimePoint now)
 {
-  m_members[member.id] = member;
+  const auto [known, isNew] = m_members.try_emplace(member.id);
+  const bool isSizeNew = isNew || known->second.carried != member.carried ||
+                         known->second.zone != member.zone;
+  known->second = member;
   for (const auto& [shard, token] : member.shards)
     m_lastTokens[shard] = token;
   m_lastHeard = now;
   m_zoneEmptySince.erase(member.zone);
+  return isSizeNew;
 }
 
 void
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -69,7 +69,8 @@
   void setShards(const std::set<ShardId>& shards) { m_shards = shards; }
   /// Daemons that exist, whether or not they can be reached.
   void setKnownMembers(std::size_t count) { m_knownMembers = count; }
-  void memberSeen(const MemberView& member, TimePoint now);
+  /// True if it wasn't known how many workers the member can hold.
+  bool memberSeen(const MemberView& member, TimePoint now);
   void memberGone(const VmId& id, TimePoint now);
   /// A holder's heartbeat was read at the platform.
   void platformBeat(const ShardId& shard, const VmId& holder, TimePoint now);
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -391,8 +391,9 @@
   mate.carried = 8;
   MemberView far = member("far", abroad);
   far.carried = 20;
-  table.memberSeen(mate, now);
-  table.memberSeen(far, now);
+  EXPECT_TRUE(table.memberSeen(mate, now));
+  EXPECT_TRUE(table.memberSeen(far, now));
+  EXPECT_FALSE(table.memberSeen(mate, now));
   const std::map<ZoneName, std::size_t> both = { { home, 8 }, { abroad, 20 } };
   EXPECT_EQ(table.weakestCarried(), both);
   table.memberGone(VmId("mate"), now);
