No job is refused while a holder tells of room

The bound is meant for bursts in which nobody has room; a holder that tells of some is asked beyond it. AJobIsNotRefusedWhileAShardTellsOfRoom.

--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -198,8 +198,8 @@
 
 /// A job that is refused as a whole has not run: another shard may have room,
 /// as load and workers are shared unevenly among zones, and the caller is
-/// refused only when the roomiest of them have been asked. A part of one goes
-/// back to the holder at home, which has to wait for room.
+/// refused only when the roomiest have been asked and no other tells of room. A
+/// part of one goes back to the holder at home, which has to wait for room.
 void
 Gateway::partRefused(Entry& entry, Part& part, const JobEnd& end, TimePoint now)
 {
@@ -211,8 +211,7 @@
   }
   part.refusedBy.insert(part.shard);
   part.retryAfter = std::min(part.retryAfter, end.retryAfter);
-  const bool mayAsk = part.refusedBy.size() < m_settings.mostAsked;
-  if (!mayAsk || !placeFresh(entry, part, now))
+  if (!placeFresh(entry, part, now))
     finish(entry,
            { JobAnswer::Kind::NotRun, part.retryAfter, "no room in time" });
 }
@@ -262,7 +261,8 @@
 {
   part.isSuggested = false;
   const auto best = m_hooks.bestHolder(part.refusedBy);
-  if (!best || !handTo(entry, part, best->holder, best->shard, now))
+  if (!best || !mayAsk(part, *best) ||
+      !handTo(entry, part, best->holder, best->shard, now))
     return false;
   logEvent(LogLevel::Info,
            "job-placed",
@@ -276,6 +276,13 @@
   return true;
 }
 
+/// Whether a holder may be asked for room though others have refused the job.
+bool
+Gateway::mayAsk(const Part& part, const HolderChoice& choice) const
+{
+  return part.refusedBy.size() < m_settings.mostAsked || choice.places > 0;
+}
+
 /// A part whose daemon was lost goes to the next holder of the same workers,
 /// which finds what still runs. If there is none, it starts anew elsewhere once
 /// all that ran is surely over.
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -60,9 +60,10 @@
     /// Share of its ideal response time that a job waits for a daemon that
     /// holds workers before it is refused.
     double holderWaitShare = 0.25;
-    /// Shards that a job is handed to before it is refused. Load is at its
-    /// worst when jobs are refused: asking all of many shards, at some 700
-    /// bytes each, took more of the links than the jobs that were served.
+    /// Shards that a job is handed to before it is refused, not counting those
+    /// that told of room. Load is at its worst when jobs are refused: asking
+    /// all of many shards, at some 700 bytes each, took more of the links than
+    /// the jobs that were served.
     std::size_t mostAsked = 4;
     /// How long runs that a lost daemon left behind may go on: the silence
     /// limit between daemons, the lease and a margin.
@@ -174,6 +175,7 @@
   void place(Entry& entry, Part& part, TimePoint now);
   bool hasWaitedForHolder(const Entry& entry, TimePoint now) const;
   bool placeFresh(Entry& entry, Part& part, TimePoint now);
+  bool mayAsk(const Part& part, const HolderChoice& choice) const;
   bool placeAgain(Entry& entry, Part& part, TimePoint now);
   bool handTo(Entry& entry,
               Part& part,
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -49,6 +49,7 @@
         HolderChoice choice;
         choice.holder = holder;
         choice.shard = shard;
+        choice.places = places;
         return choice;
       }
       return std::nullopt;
@@ -97,6 +98,8 @@
   }
 
   std::optional<ShardDigest> told = 77;
+  /// That each holder tells of.
+  unsigned places = 0;
   TimePoint now{ std::chrono::seconds(100) };
   std::map<ShardId, VmId> holders;
   std::vector<std::pair<VmId, JobRequest>> sent;
@@ -141,6 +144,20 @@
   EXPECT_EQ(sent.size(), Gateway::Settings().mostAsked);
 }
 
+TEST_F(GatewayTest, AJobIsNotRefusedWhileAShardTellsOfRoom)
+{
+  for (unsigned index = 0; index < 20; ++index)
+    holders[ShardId(ZoneName("z3"), index, 20)] = second;
+  places = 1;
+  submit("a");
+  for (std::size_t asked = 0; asked < 10; ++asked)
+    end(asked, JobOutcome::Refused);
+  EXPECT_TRUE(answers.empty());
+  places = 0;
+  end(10, JobOutcome::Refused);
+  EXPECT_EQ(answers.size(), 1u);
+}
+
 TEST_F(GatewayTest, AJobIsRefusedOnlyWhenEveryShardHasRefusedIt)
 {
   holders[abroad] = second;
