--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -418,5 +418,15 @@
                                            Case(17, 183)),
                          caseName);
 
+/// Seeds in which an order to an earlier life of a worker is carried out,
+/// seconds late, by the next life before that one has been claimed. Of
+/// `RestartWorkersAndOrderFaults` and `RestartWorkersAndAll`.
+INSTANTIATE_TEST_SUITE_P(OrdersToAnEarlierLife,
+                         DaemonGroupInTrouble,
+                         ::testing::Values(Case(19, 16),
+                                           Case(20, 44),
+                                           Case(20, 164)),
+                         caseName);
+
 } // namespace
 } // namespace cowslippin::testing
