Nothing is started in a zone that operators have evacuated

Ruled out: marking the zone's workers as draining in the list, as a lease ignores an entry of an earlier life and would go on starting.

Change: the operators' topic is followed for these records too; what is known carries the offset up to which the topic was read, and goes along in heartbeats, so that a daemon that can't reach the platform takes it from one that can. In an evacuated zone runs end, newcomers are refused at once to be handed elsewhere, and what waits goes back to its submitter, who finds a holder in another zone or refuses what wasn't started. Where all zones are evacuated callers are refused at once. Log lines zone-evacuated and zone-reopened, a gauge, a row in the state dump.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -124,6 +124,38 @@
   }
 }
 
+void
+EntryCore::evacuationsRead(const Evacuations& evacuations)
+{
+  adoptEvacuations(evacuations, observeTime());
+}
+
+/// Others are told at once: what they hand to an evacuated zone comes back.
+void
+EntryCore::adoptEvacuations(const Evacuations& evacuations, TimePoint now)
+{
+  if (!evacuations.isNewerThan(m_evacuations))
+    return;
+  const std::set<ZoneName> before = m_evacuations.zones;
+  m_evacuations = evacuations;
+  if (before == evacuations.zones)
+    return;
+  for (const ZoneName& zone : evacuations.zones) {
+    if (before.count(zone) == 0)
+      logEvent(LogLevel::Info,
+               "zone-evacuated",
+               { { "zone", zone }, { "asOf", evacuations.asOf } });
+  }
+  for (const ZoneName& zone : before) {
+    if (evacuations.zones.count(zone) == 0)
+      logEvent(LogLevel::Info,
+               "zone-reopened",
+               { { "zone", zone }, { "asOf", evacuations.asOf } });
+  }
+  beat(now);
+  m_scheduler.setEvacuated(evacuations.zones, now);
+}
+
 void
 EntryCore::holderRead(const ShardId& shard, const VmId& holder)
 {
@@ -201,6 +233,7 @@
   figures.sparePlaces = sparePlaces(m_clocks.steady());
   figures.shardsHeld = m_shards.held().size();
   figures.peersUp = m_links.up().size();
+  figures.evacuatedZones = m_evacuations.zones.size();
   figures.isReady = isReady();
   for (const auto& worker : m_scheduler.pool().view())
     figures.leases.push_back(worker.state);
@@ -222,6 +255,9 @@
     const auto holder = m_shards.holder(shard);
     shards[shard.toString()] = holder ? holder->value() : "";
   }
+  nlohmann::json evacuated = nlohmann::json::array();
+  for (const ZoneName& zone : m_evacuations.zones)
+    evacuated.push_back(zone.value());
   nlohmann::json peers = nlohmann::json::array();
   for (const VmId& vm : m_links.up())
     peers.push_back(vm.value());
@@ -234,6 +270,7 @@
            { "jobsScheduled", m_scheduler.jobCount() },
            { "tasksWaiting", m_scheduler.waitingTasks() },
            { "shards", std::move(shards) },
+           { "evacuatedZones", std::move(evacuated) },
            { "peers", std::move(peers) },
            { "workers", std::move(workers) } };
 }
@@ -297,6 +334,7 @@
   hooks.bestHolder = [this](const std::set<ShardId>& refusedBy) {
     return m_holders.best(refusedBy, m_clocks.steady());
   };
+  hooks.areAllEvacuated = [this] { return m_holders.areAllEvacuated(); };
   hooks.workers = [this](const VmId& vm, const ShardId& shard) {
     return m_reports.workers(vm, shard);
   };
@@ -457,6 +495,7 @@
   beat.carried = carriedWorkers(m_settings.limits);
   beat.highestToken = m_tokens.highest();
   beat.configVersion = m_configuration.version();
+  beat.evacuations = m_evacuations;
   return beat;
 }
 
@@ -524,6 +563,7 @@
 EntryCore::beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now)
 {
   m_reports.received(vm, beat, now);
+  adoptEvacuations(beat.evacuations, now);
   m_tokens.seen(beat.highestToken);
   MemberView view;
   view.id = vm;
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -119,6 +119,8 @@
   /// ignored.
   void configurationRead(const std::string& body);
   void workersRead(const WorkerList& workers);
+  /// The platform's log tells which zones are to be evacuated.
+  void evacuationsRead(const Evacuations& evacuations);
   /// A holder has told the platform anew that it holds a shard.
   void holderRead(const ShardId& shard, const VmId& holder);
   /// Who held a shard last, by what the platform has.
@@ -168,6 +170,7 @@
     unsigned sparePlaces = 0;
     std::size_t shardsHeld = 0;
     std::size_t peersUp = 0;
+    std::size_t evacuatedZones = 0;
     bool isReady = false;
     /// Of each worker of the held shards.
     std::vector<LeaseState> leases;
@@ -204,6 +207,7 @@
   void listWorkers(TimePoint now);
   void divisionRead(TimePoint now);
   void adoptDivisions(const PeerBeat& beat, TimePoint now);
+  void adoptEvacuations(const Evacuations& evacuations, TimePoint now);
   void boundShards(TimePoint now);
   bool submitTo(const VmId& vm, const JobRequest& request);
   void cancelAt(const VmId& vm, const JobKey& key);
@@ -219,6 +223,7 @@
   ConfigurationSync m_configuration;
   bool m_hasWorkers = false;
   WorkerList m_workers;
+  Evacuations m_evacuations;
   PeerReports m_reports;
   HolderLookup m_holders;
   TokenSource m_tokens;
--- a/src/libentry/entrymetrics.cpp
+++ b/src/libentry/entrymetrics.cpp
@@ -105,6 +105,7 @@
   set("spare_places", figures.sparePlaces);
   set("shards_held", double(figures.shardsHeld));
   set("peers_up", double(figures.peersUp));
+  set("evacuated_zones", double(figures.evacuatedZones));
   set("is_ready", figures.isReady ? 1 : 0);
   std::map<std::string, double> byState;
   for (const LeaseState state : { LeaseState::Claiming,
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -108,8 +108,9 @@
       other.tasks.insert(task);
   }
   entry->isSplit = true;
-  other.isSuggested = true;
-  if (!handTo(*entry, other, returned.holder, returned.shard, now))
+  other.isSuggested = !returned.holder.isEmpty();
+  if (!other.isSuggested ||
+      !handTo(*entry, other, returned.holder, returned.shard, now))
     place(*entry, other, now);
 }
 
@@ -237,7 +238,16 @@
   const bool isPlaced =
     part.lostAt ? placeAgain(entry, part, now) : placeFresh(entry, part, now);
   const bool mayRefuse = !part.lostAt && !entry.isSplit;
-  if (isPlaced || !mayRefuse || !hasWaitedForHolder(entry, now))
+  if (isPlaced || !mayRefuse)
+    return;
+  if (m_hooks.areAllEvacuated()) {
+    finish(entry,
+           { JobAnswer::Kind::NotRun,
+             m_settings.evacuatedRetry,
+             "all availability zones are evacuated" });
+    return;
+  }
+  if (!hasWaitedForHolder(entry, now))
     return;
   finish(entry,
          { JobAnswer::Kind::NotRun,
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -70,6 +70,8 @@
     Duration lostRunLimit = std::chrono::milliseconds(1270);
     /// A caller that is refused for want of workers comes back after this.
     Duration noHolderRetry = std::chrono::milliseconds(500);
+    /// The same while all zones are evacuated, which takes seconds at least.
+    Duration evacuatedRetry = std::chrono::seconds(2);
   };
 
   /// None may be empty.
@@ -83,6 +85,9 @@
     std::function<std::optional<HolderChoice>(
       const std::set<ShardId>& refusedBy)>
       bestHolder;
+    /// Whether operators have had all workers' zones evacuated, so that there
+    /// is no holder to wait for.
+    std::function<bool()> areAllEvacuated;
     /// What a daemon told of the workers of a shard that it holds, if it did.
     std::function<std::optional<ShardDigest>(const VmId&, const ShardId&)>
       workers;
--- a/src/libentry/holderlookup.cpp
+++ b/src/libentry/holderlookup.cpp
@@ -35,6 +35,16 @@
   });
 }
 
+bool
+HolderLookup::areAllEvacuated() const
+{
+  const auto shards = m_sources.shards.servedShards();
+  return !shards.empty() &&
+         std::all_of(shards.begin(), shards.end(), [this](const auto& shard) {
+           return m_sources.scheduler.isEvacuated(shard.zone());
+         });
+}
+
 std::optional<HolderChoice>
 HolderLookup::next(const ShardId& shard, TimePoint now) const
 {
@@ -53,7 +63,8 @@
   std::vector<HolderChoice> abroad;
   for (const ShardId& shard : m_sources.shards.servedShards()) {
     const auto holder = reachable(shard);
-    if (!holder || refusedBy.count(shard) > 0)
+    const bool isEvacuated = m_sources.scheduler.isEvacuated(shard.zone());
+    if (!holder || isEvacuated || refusedBy.count(shard) > 0)
       continue;
     auto& choices = shard.zone() == m_zone ? home : abroad;
     choices.push_back(choiceOf(*holder, shard, now));
--- a/src/libentry/holderlookup.h
+++ b/src/libentry/holderlookup.h
@@ -37,11 +37,15 @@
   /// Whether any shard that is served has a holder that can be reached.
   bool hasAny() const;
 
+  /// Whether there are workers, all of them in evacuated zones.
+  bool areAllEvacuated() const;
+
   /// Who holds the shard or, if its zone has been divided anew, that which has
   /// workers of it.
   std::optional<HolderChoice> next(const ShardId& shard, TimePoint now) const;
 
-  /// Where a new job goes, other than to the shards that have refused it.
+  /// Where a new job goes, other than to the shards that have refused it and
+  /// to evacuated zones.
   std::optional<HolderChoice> best(const std::set<ShardId>& refusedBy,
                                    TimePoint now);
 
--- /dev/null
+++ b/src/libjobs/evacuations.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "libcore/core.h"
+
+#include <cstdint>
+#include <set>
+
+namespace cowslippin {
+
+/// The availability zones that the operators have asked to be evacuated: until
+/// that is taken back, nothing is started on their workers.
+struct Evacuations
+{
+  /// How far the platform's log of what operators ask for had been read when
+  /// this was known; 0 if it was never read.
+  std::uint64_t asOf = 0;
+  std::set<ZoneName> zones;
+
+  bool isNewerThan(const Evacuations& other) const { return asOf > other.asOf; }
+
+  friend bool operator==(const Evacuations& a, const Evacuations& b)
+  {
+    return a.asOf == b.asOf && a.zones == b.zones;
+  }
+  friend bool operator!=(const Evacuations& a, const Evacuations& b)
+  {
+    return !(a == b);
+  }
+};
+
+} // namespace cowslippin
--- a/src/libjobs/jobend.h
+++ b/src/libjobs/jobend.h
@@ -48,12 +48,13 @@
   return "unknown";
 }
 
-/// Tasks for which a holder has no room and another one has. They have no run;
-/// the submitter hands them on, so that it always knows who has what.
+/// Tasks for which a holder has no room, as another one has or as its zone is
+/// evacuated. They have no run; the submitter hands them on, so that it always
+/// knows who has what.
 struct TasksReturned
 {
   std::vector<TaskIndex> tasks;
-  /// Who has room, and where.
+  /// Who has room, and where; an empty id if the submitter is to choose.
   VmId holder;
   ShardId shard;
   /// Higher than the number of any run so far.
--- a/src/libjobs/jobs.h
+++ b/src/libjobs/jobs.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "evacuations.h"
 #include "jobend.h"
 #include "jobkey.h"
 #include "jobrequest.h"
--- a/src/libjobs/peerplaces.cpp
+++ b/src/libjobs/peerplaces.cpp
@@ -18,12 +18,16 @@
 void
 PeerPlaces::forget(const VmId& holder)
 {
-  for (auto places = m_places.begin(); places != m_places.end();) {
-    if (places->second.holder == holder)
-      places = m_places.erase(places);
-    else
-      ++places;
-  }
+  forgetIf([&](const ShardId&, const Places& places) {
+    return places.holder == holder;
+  });
+}
+
+void
+PeerPlaces::forget(const ZoneName& zone)
+{
+  forgetIf(
+    [&](const ShardId& shard, const Places&) { return shard.zone() == zone; });
 }
 
 std::optional<PeerPlaces::Offer>
--- a/src/libjobs/peerplaces.h
+++ b/src/libjobs/peerplaces.h
@@ -23,6 +23,7 @@
 
   void set(const VmId& holder, const ShardId& shard, unsigned places);
   void forget(const VmId& holder);
+  void forget(const ZoneName& zone);
 
   /// The shard that has most places to give, if any has one.
   std::optional<Offer> best() const;
@@ -37,6 +38,17 @@
     unsigned count = 0;
   };
 
+  template<class Predicate>
+  void forgetIf(Predicate mustForget)
+  {
+    for (auto place = m_places.begin(); place != m_places.end();) {
+      if (mustForget(place->first, place->second))
+        place = m_places.erase(place);
+      else
+        ++place;
+    }
+  }
+
   std::map<ShardId, Places> m_places;
 };
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -160,6 +160,8 @@
 {
   if (job.request.mayHaveRun)
     return false;
+  if (isEvacuated(job))
+    return true;
   AdmissionRequest request;
   request.tasks = static_cast<unsigned>(job.tasks.size());
   request.freePlaces = m_pool.freePlaces(
@@ -212,6 +214,16 @@
   pump(now);
 }
 
+void
+Scheduler::setEvacuated(const std::set<ZoneName>& zones, TimePoint now)
+{
+  m_now = now;
+  m_pool.setEvacuated(zones);
+  for (const ZoneName& zone : zones)
+    m_peerPlaces.forget(zone);
+  pump(now);
+}
+
 void
 Scheduler::takeShard(const ShardId& shard, FencingToken token, TimePoint now)
 {
@@ -386,6 +398,10 @@
   m_isPumping = true;
   std::int64_t room = m_pool.largestFreeCpuMillis();
   for (Job* job : m_queue.jobs()) {
+    if (isEvacuated(*job)) {
+      leaveEvacuated(*job);
+      continue;
+    }
     if (job->request.needs.resources.cpuMillis() <= room) {
       pumpJob(*job, now);
       room = m_pool.largestFreeCpuMillis();
@@ -454,6 +470,15 @@
   return job.request.mayBeReturned ? m_peerPlaces.best() : std::nullopt;
 }
 
+/// Whether the task waits and no run of it, not even another submitter's, is
+/// here.
+bool
+Scheduler::isFree(const Job& job, const JobTask& task) const
+{
+  return task.state == TaskState::Pending &&
+         !m_pool.isRunning(job.request.taskName(task.index));
+}
+
 void
 Scheduler::returnTasks(Job& job)
 {
@@ -463,18 +488,45 @@
   TasksReturned returned;
   returned.holder = offer->holder;
   returned.shard = offer->shard;
+  for (const JobTask& task : job.tasks) {
+    if (isFree(job, task) && m_peerPlaces.take(offer->shard))
+      returned.tasks.push_back(task.index);
+  }
+  returnTasks(job, returned);
+}
+
+/// Gives back what waits on the workers of an evacuated zone: its submitter
+/// finds another holder or, where nothing was started, may refuse the caller.
+void
+Scheduler::leaveEvacuated(Job& job)
+{
+  if (!job.hasStarted) {
+    finish(job, refusal(job, m_now));
+    return;
+  }
+  TasksReturned returned;
+  for (const JobTask& task : job.tasks) {
+    if (isFree(job, task))
+      returned.tasks.push_back(task.index);
+  }
+  returnTasks(job, returned);
+}
+
+/// Tells the submitter of tasks that it has again.
+void
+Scheduler::returnTasks(Job& job, const TasksReturned& tasks)
+{
+  if (tasks.tasks.empty())
+    return;
+  TasksReturned returned = tasks;
   for (JobTask& task : job.tasks) {
-    const bool isFree = task.state == TaskState::Pending &&
-                        !m_pool.isRunning(job.request.taskName(task.index));
-    if (!isFree || !m_peerPlaces.take(offer->shard))
+    if (std::find(tasks.tasks.begin(), tasks.tasks.end(), task.index) ==
+        tasks.tasks.end())
       continue;
-    returned.tasks.push_back(task.index);
     returned.nextRun = std::max(returned.nextRun, task.nextRun);
     leavePending(job, task, TaskState::Returned);
     ++job.returned;
   }
-  if (returned.tasks.empty())
-    return;
   job.hasStarted = true;
   logTasksReturned(job, returned);
   m_hooks.returned(job.request.key, returned);
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -77,6 +77,13 @@
 
   /// See `WorkerPool`.
   void setList(const WorkerList& list, TimePoint now);
+  /// The availability zones on whose workers nothing may be started. What waits
+  /// there goes back to its submitters at once.
+  void setEvacuated(const std::set<ZoneName>& zones, TimePoint now);
+  bool isEvacuated(const ZoneName& zone) const
+  {
+    return m_pool.isEvacuated(zone);
+  }
   std::set<ShardId> shards() const { return m_pool.shards(); }
   /// See `ShardMap`.
   void setBounds(const std::map<ZoneName, std::size_t>& bounds)
@@ -109,7 +116,8 @@
   /// Places that another holder has on a shard, as it told last.
   void setPeerPlaces(const VmId& vm, const ShardId& shard, unsigned places)
   {
-    m_peerPlaces.set(vm, shard, places);
+    if (!m_pool.isEvacuated(shard.zone()))
+      m_peerPlaces.set(vm, shard, places);
   }
   void forgetPeer(const VmId& vm) { m_peerPlaces.forget(vm); }
 
@@ -158,6 +166,13 @@
   void pumpJob(Job& job, TimePoint now);
   bool startTask(Job& job, std::size_t position, TimePoint now);
   void returnTasks(Job& job);
+  void leaveEvacuated(Job& job);
+  bool isFree(const Job& job, const JobTask& task) const;
+  void returnTasks(Job& job, const TasksReturned& returned);
+  bool isEvacuated(const Job& job) const
+  {
+    return m_pool.isEvacuated(job.request.shard.zone());
+  }
   void noteSize(const Resources& resources);
   std::optional<PeerPlaces::Offer> offerFor(const Job& job) const;
   bool attach(const JobRequest& request);
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -152,7 +152,7 @@
 {
   const auto fits = [&](const auto& item) {
     const WorkerRecord& record = item.second;
-    return isOfKind(record, request) &&
+    return isOfKind(record, request) && !isEvacuated(record.zone()) &&
            request.needs.resources.fitsIn(record.capacity());
   };
   return std::any_of(m_list.begin(), m_list.end(), fits);
@@ -276,7 +276,7 @@
   for (const auto& [id, entry] : m_entries) {
     const WorkerLease& lease = *entry.lease;
     if (entry.shard == shard && entry.health.isUsable(lease.runCount(), now) &&
-        lease.canStart(Resources(cpuMillis, 0, 0)))
+        canStart(entry, Resources(cpuMillis, 0, 0)))
       places +=
         lease.freeRoom().cpuMillis() / std::max<std::int64_t>(cpuMillis, 1);
   }
@@ -290,7 +290,8 @@
   for (const auto& [id, entry] : m_entries) {
     const WorkerLease& lease = *entry.lease;
     if (entry.shard == shard && lease.state() == LeaseState::Held &&
-        !lease.record().isDraining() && !entry.health.isKeptOff(now))
+        !lease.record().isDraining() && !isEvacuated(lease.record().zone()) &&
+        !entry.health.isKeptOff(now))
       total += lease.record().capacity().cpuMillis();
   }
   return total;
@@ -300,8 +301,10 @@
 WorkerPool::largestFreeCpuMillis() const
 {
   std::int64_t largest = 0;
-  for (const auto& [id, entry] : m_entries)
-    largest = std::max(largest, entry.lease->freeRoom().cpuMillis());
+  for (const auto& [id, entry] : m_entries) {
+    if (!isEvacuated(entry.lease->record().zone()))
+      largest = std::max(largest, entry.lease->freeRoom().cpuMillis());
+  }
   return largest;
 }
 
@@ -445,6 +448,13 @@
   }
 }
 
+bool
+WorkerPool::canStart(const Entry& entry, const Resources& resources) const
+{
+  return entry.lease->canStart(resources) &&
+         !isEvacuated(entry.lease->record().zone());
+}
+
 bool
 WorkerPool::isSuitable(const Entry& entry,
                        const JobRequest& request,
@@ -453,7 +463,7 @@
   const WorkerLease& lease = *entry.lease;
   return entry.isListed && entry.shard == request.shard &&
          isOfKind(lease.record(), request) &&
-         lease.canStart(request.needs.resources) &&
+         canStart(entry, request.needs.resources) &&
          entry.health.isUsable(lease.runCount(), now);
 }
 
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -72,6 +72,16 @@
     return m_map.present(shard);
   }
 
+  /// The availability zones on whose workers nothing may be started.
+  void setEvacuated(std::set<ZoneName> zones)
+  {
+    m_evacuated = std::move(zones);
+  }
+  bool isEvacuated(const ZoneName& zone) const
+  {
+    return m_evacuated.count(zone) > 0;
+  }
+
   void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
   /// Of a held shard: the workers on which something may run, which are those
   /// of its leases, listed or not. Of another shard: its listed workers.
@@ -101,7 +111,7 @@
                                  TimePoint now) const;
 
   /// Whether a worker of any size could ever run such a task, going by the
-  /// whole list.
+  /// whole list less the evacuated zones.
   bool canEverRun(const JobRequest& request) const;
 
   void start(const WorkerId& worker,
@@ -188,6 +198,8 @@
   void claimRestarted(const WorkerId& id, Entry& entry, TimePoint now);
   void dropUnlisted();
   void reclaim(TimePoint now);
+  /// Whether a task of this size can be started there now.
+  bool canStart(const Entry& entry, const Resources& resources) const;
   bool isSuitable(const Entry& entry,
                   const JobRequest& request,
                   TimePoint now) const;
@@ -198,6 +210,7 @@
   WorkerList m_list;
   ShardMap m_map;
   std::map<ShardId, FencingToken> m_shards;
+  std::set<ZoneName> m_evacuated;
   Entries m_entries;
 };
 
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with every change that an older daemon can't read.
-constexpr int formatVersion = 5;
+constexpr int formatVersion = 6;
 
 json
 toJson(const ShardId& shard)
@@ -53,6 +53,15 @@
                        toJson(hello.known) });
 }
 
+json
+toJson(const Evacuations& evacuations)
+{
+  json zones = json::array();
+  for (const ZoneName& zone : evacuations.zones)
+    zones.push_back(zone.value());
+  return json::array({ evacuations.asOf, std::move(zones) });
+}
+
 json
 toJson(const PeerBeat& beat)
 {
@@ -68,7 +77,8 @@
                        beat.isStrained,
                        beat.slowness,
                        beat.isNew,
-                       beat.carried });
+                       beat.carried,
+                       toJson(beat.evacuations) });
 }
 
 json
@@ -247,6 +257,16 @@
   return hello;
 }
 
+Evacuations
+readEvacuations(const json& value)
+{
+  Evacuations evacuations;
+  evacuations.asOf = value.at(0).get<std::uint64_t>();
+  for (const json& zone : value.at(1))
+    evacuations.zones.insert(ZoneName(text(zone)));
+  return evacuations;
+}
+
 PeerBeat
 readBeat(const json& value)
 {
@@ -265,6 +285,7 @@
   beat.carried = value.at(8).get<std::size_t>();
   if (beat.carried == 0)
     throw std::invalid_argument("a daemon that can hold no worker");
+  beat.evacuations = readEvacuations(value.at(9));
   return beat;
 }
 
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -72,6 +72,7 @@
   std::uint64_t highestToken = 0;
   /// The version of the configuration in force there.
   std::uint64_t configVersion = 0;
+  Evacuations evacuations;
 };
 
 /// Asks a holder to get a job, or a part of one, done.
--- a/tests/asynchttp/slowanswer_test.cpp
+++ b/tests/asynchttp/slowanswer_test.cpp
@@ -36,9 +36,11 @@
   {
     accept();
     StoreFollower::Hooks hooks;
-    hooks.snapshot = [this](const auto& records) { snapshot = records; };
+    hooks.snapshot = [this](const auto& records, std::uint64_t) {
+      snapshot = records;
+    };
     hooks.record = [](const auto&, const auto&) {};
-    hooks.caughtUp = [] {};
+    hooks.caughtUp = [](std::uint64_t) {};
     hooks.reachable = [](bool) {};
     follower = std::make_unique<StoreFollower>(
       context,
--- a/tests/asynchttp/storefollower_test.cpp
+++ b/tests/asynchttp/storefollower_test.cpp
@@ -34,13 +34,14 @@
     probe.close();
     EXPECT_EQ(server.listen(address), std::nullopt);
     StoreFollower::Hooks hooks;
-    hooks.snapshot = [this](const auto& records) {
+    hooks.snapshot = [this](const auto& records, std::uint64_t end) {
       snapshots.push_back(records);
+      ends.push_back(end);
     };
     hooks.record = [this](const auto& key, const auto& value) {
       records.emplace_back(key, value);
     };
-    hooks.caughtUp = [] {};
+    hooks.caughtUp = [this](std::uint64_t end) { ends.push_back(end); };
     hooks.reachable = [this](bool is) { reachable.push_back(is); };
     follower = std::make_unique<StoreFollower>(
       context, address, "keyed.op", Duration::zero(), hooks);
@@ -105,6 +106,8 @@
   std::vector<std::shared_ptr<HttpTransaction>> held;
   std::vector<std::map<std::string, std::string>> snapshots;
   std::vector<std::pair<std::string, std::optional<std::string>>> records;
+  /// How far was read, as told after each answer.
+  std::vector<std::uint64_t> ends;
   std::vector<bool> reachable;
   std::unique_ptr<StoreFollower> follower;
 };
@@ -126,6 +129,7 @@
   ASSERT_EQ(records.size(), 2u);
   EXPECT_EQ(records[0].second, "3");
   EXPECT_EQ(records[1].second, std::nullopt);
+  EXPECT_EQ(ends, (std::vector<std::uint64_t>{ 7, 9 }));
 }
 
 /// A first answer that is no good, after which the follower must read again.
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -54,6 +54,7 @@
       }
       return std::nullopt;
     };
+    hooks.areAllEvacuated = [this] { return areAllEvacuated; };
     hooks.workers = [this](const VmId&, const ShardId&) { return told; };
     hooks.submit = [this](const VmId& vm, const JobRequest& request) {
       sent.emplace_back(vm, request);
@@ -97,6 +98,7 @@
     gateway.returned(sent[index].first, sent[index].second.key, returned, now);
   }
 
+  bool areAllEvacuated = false;
   std::optional<ShardDigest> told = 77;
   /// That each holder tells of.
   unsigned places = 0;
@@ -288,6 +290,31 @@
   EXPECT_TRUE(answers.empty());
 }
 
+TEST_F(GatewayTest, TasksOfAnEvacuatedZoneGoWhereTheSubmitterFindsAHolder)
+{
+  submit("a");
+  holders = { { abroad, second } };
+  TasksReturned returned;
+  returned.tasks = { 1, 2 };
+  returned.nextRun = 2;
+  gateway.returned(first, sent[0].second.key, returned, now);
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].first, second);
+  EXPECT_EQ(sent[1].second.shard, abroad);
+  EXPECT_EQ(sent[1].second.tasks, (std::vector<TaskIndex>{ 1, 2 }));
+  EXPECT_TRUE(sent[1].second.mayHaveRun) << "a part of a job waits for room";
+}
+
+TEST_F(GatewayTest, WhereAllZonesAreEvacuatedAJobIsRefusedAtOnce)
+{
+  holders.clear();
+  areAllEvacuated = true;
+  submit("a");
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::NotRun);
+  EXPECT_GT(answers[0].retryAfter, Duration::zero());
+}
+
 TEST_F(GatewayTest, AFailedPartFailsTheJobAndTheOthersAreCancelled)
 {
   submit("a");
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -20,6 +20,9 @@
 constexpr Duration storeRead = milliseconds(15);
 constexpr Duration watchfulReads = milliseconds(900);
 constexpr Duration laterReads = milliseconds(2000);
+/// After an operator's request, daemons have read it or heard of it from
+/// another.
+constexpr Duration evacuationLimit = milliseconds(700);
 constexpr const char* configuration = "1";
 /// The time of day at the beginning of the steady clock.
 constexpr std::int64_t firstTimeOfDayMs = 1800000000000;
@@ -295,6 +298,48 @@
     at(milliseconds(below(lag)), [this, node] { readList(node); });
 }
 
+void
+Simulation::evacuate(unsigned zone)
+{
+  m_evacuations.zones.emplace("z" + std::to_string(zone));
+  m_evacuatedSince.emplace(zone, m_now);
+  evacuationsChanged();
+}
+
+void
+Simulation::reopen(unsigned zone)
+{
+  m_evacuations.zones.erase(ZoneName("z" + std::to_string(zone)));
+  m_evacuatedSince.erase(zone);
+  evacuationsChanged();
+}
+
+void
+Simulation::evacuationsChanged()
+{
+  ++m_evacuations.asOf;
+  const auto lag = static_cast<std::size_t>(toMilliseconds(m_settings.listLag));
+  for (std::size_t node = 0; node < m_nodes.size(); ++node)
+    at(milliseconds(below(lag)), [this, node] { readEvacuations(node); });
+}
+
+void
+Simulation::readEvacuations(std::size_t node)
+{
+  if (node < m_settings.uninformedDaemons)
+    return;
+  onNode(node, m_nodes[node].life, [this, node] {
+    m_nodes[node].core->evacuationsRead(m_evacuations);
+  });
+}
+
+unsigned
+Simulation::startedTasks(unsigned zone) const
+{
+  const auto found = m_startedInZone.find(zone);
+  return found == m_startedInZone.end() ? 0 : found->second;
+}
+
 void
 Simulation::killAll(Duration down)
 {
@@ -339,6 +384,7 @@
     settings.limits.megabitsPerSecond = m_settings.linkMegabits;
   node.core = std::make_unique<EntryCore>(
     settings, ports(index), links(index), clocks(index));
+  readEvacuations(index);
   node.core->configurationRead(configuration);
   node.core->workersRead(list());
   at(storeRead, [this, index, life = node.life] { readHolders(index, life); });
@@ -733,6 +779,8 @@
   if (answer || wasRunning)
     return answer;
   ++m_startedTasks;
+  ++m_startedInZone[worker.zone];
+  checkEvacuation(worker, order.key);
   // The specification of a task is its run time and its size.
   const std::size_t comma = order.spec.find(',');
   const Duration duration = milliseconds(std::stoi(order.spec));
@@ -802,6 +850,16 @@
     violated("a start of the refused " + started.task());
 }
 
+void
+Simulation::checkEvacuation(const Worker& worker, const RunKey& started)
+{
+  const auto since = m_evacuatedSince.find(worker.zone);
+  if (since == m_evacuatedSince.end() || m_settings.lateOrders > 0)
+    return;
+  if (m_now - since->second > evacuationLimit)
+    violated("a start in an evacuated zone, of " + started.task());
+}
+
 void
 Simulation::tickWorkers()
 {
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -42,6 +42,8 @@
     double linkMegabits = 0;
     /// Whether daemons know of the limit.
     bool isLinkKnown = true;
+    /// So many daemons never read at the platform which zones are evacuated.
+    unsigned uninformedDaemons = 0;
   };
 
   Simulation(Settings settings, std::uint64_t seed);
@@ -75,6 +77,11 @@
   /// different times.
   void unlist(unsigned zone, double share, Duration duration);
   void killAll(Duration down);
+  /// Operators ask for a zone to be evacuated, and take it back. Daemons read
+  /// that at different times. Where orders are never late, a start there that
+  /// comes more than `evacuationLimit` later is a violation.
+  void evacuate(unsigned zone);
+  void reopen(unsigned zone);
 
   std::size_t daemons() const { return m_nodes.size(); }
   std::size_t workers() const { return m_workers.size(); }
@@ -90,6 +97,8 @@
   unsigned refused() const { return m_refused; }
   unsigned unknown() const { return m_unknown; }
   unsigned startedTasks() const { return m_startedTasks; }
+  /// Tasks that were started on a zone's workers.
+  unsigned startedTasks(unsigned zone) const;
   /// Heartbeats that a daemon has sent.
   unsigned beats(std::size_t daemon) const { return m_nodes[daemon].beats; }
 
@@ -208,6 +217,9 @@
   void beginLife(std::size_t worker, const WorkerId& id);
   void readList(std::size_t node);
   void readListsLater();
+  void evacuationsChanged();
+  void readEvacuations(std::size_t node);
+  void checkEvacuation(const Worker& worker, const RunKey& started);
   void submitLater();
   void submitNew();
   void submit(const JobId& job, std::size_t daemon);
@@ -231,6 +243,10 @@
   std::set<std::pair<std::size_t, std::size_t>> m_links;
   std::map<unsigned, TimePoint> m_zoneCutUntil;
   std::map<ShardId, PublishedHolder> m_published;
+  Evacuations m_evacuations;
+  /// Since when each zone is evacuated.
+  std::map<unsigned, TimePoint> m_evacuatedSince;
+  std::map<unsigned, unsigned> m_startedInZone;
   unsigned m_listedPerZone = 0;
   std::map<JobId, Caller> m_callers;
   std::vector<std::string> m_violations;
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -158,6 +158,70 @@
   expectNoViolations(simulation);
 }
 
+/// A third of the workers is taken away at once, with room enough on the rest.
+Simulation::Settings
+withRoomToEvacuate()
+{
+  Simulation::Settings settings;
+  settings.zones = 3;
+  settings.workersPerZone = 12;
+  settings.jobsPerSecond = 15;
+  settings.hasFailures = false;
+  return settings;
+}
+
+TEST(DaemonGroup, AnEvacuatedZonesCallersAreServedByOtherZones)
+{
+  Simulation simulation(withRoomToEvacuate(), 4);
+  simulation.runFor(seconds(3));
+  const unsigned refused = simulation.refused();
+  simulation.evacuate(0);
+  simulation.runFor(seconds(1));
+  const unsigned started = simulation.startedTasks(0);
+  simulation.runFor(seconds(6));
+  EXPECT_EQ(simulation.startedTasks(0), started);
+  EXPECT_LE(simulation.refused() - refused, 2u);
+  simulation.reopen(0);
+  simulation.runFor(seconds(3));
+  EXPECT_GT(simulation.startedTasks(0), started);
+  EXPECT_GE(simulation.completed() + simulation.waitingCallers() +
+              simulation.refused(),
+            simulation.submitted());
+  expectNoViolations(simulation);
+}
+
+TEST(DaemonGroup, ADaemonThatCannotReadThePlatformHearsOfEvacuationsFromOthers)
+{
+  Simulation::Settings settings = withRoomToEvacuate();
+  settings.uninformedDaemons = settings.daemonsPerZone;
+  Simulation simulation(settings, 5);
+  simulation.runFor(seconds(3));
+  simulation.evacuate(0);
+  simulation.runFor(seconds(1));
+  const unsigned started = simulation.startedTasks(0);
+  simulation.kill(0, milliseconds(300));
+  simulation.runFor(seconds(4));
+  EXPECT_EQ(simulation.startedTasks(0), started);
+  expectNoViolations(simulation);
+}
+
+TEST(DaemonGroup, WhereAllZonesAreEvacuatedCallersAreRefusedAtOnce)
+{
+  Simulation simulation(withRoomToEvacuate(), 6);
+  simulation.runFor(seconds(3));
+  for (unsigned zone = 0; zone < simulation.zones(); ++zone)
+    simulation.evacuate(zone);
+  simulation.runFor(seconds(5));
+  EXPECT_LE(simulation.waitingCallers(), 1u);
+  for (unsigned zone = 0; zone < simulation.zones(); ++zone)
+    simulation.reopen(zone);
+  simulation.runFor(seconds(1));
+  const unsigned completed = simulation.completed();
+  simulation.runFor(seconds(5));
+  EXPECT_GT(simulation.completed() - completed, 60u);
+  expectNoViolations(simulation);
+}
+
 /// A kind of trouble, brought about by `strike` every second and a half.
 struct Trouble
 {
@@ -247,6 +311,8 @@
 strikeUnlisted(Simulation& simulation);
 void
 strikeRestarts(Simulation& simulation);
+void
+strikeEvacuation(Simulation& simulation);
 
 std::vector<Trouble>
 troubles()
@@ -300,6 +366,14 @@
         strikeAny(s);
       },
       withOrderFaults() },
+    { "Evacuate", strikeEvacuation, withRoomToEvacuate() },
+    { "EvacuateAndAll",
+      [](Simulation& s) {
+        strikeEvacuation(s);
+        s.runFor(milliseconds(s.random()() % 300));
+        strikeAny(s);
+      },
+      withRoomToEvacuate() },
   };
 }
 
@@ -354,6 +428,25 @@
   }
 }
 
+/// Zones are evacuated, more than one at a time or one twice in a second, and
+/// taken back, but for the last strikes of a run not all at once.
+void
+strikeEvacuation(Simulation& simulation)
+{
+  const unsigned zone = simulation.random()() % simulation.zones();
+  if (simulation.random()() % 2 == 0) {
+    simulation.reopen(zone);
+    return;
+  }
+  simulation.evacuate(zone);
+  if (simulation.random()() % 2 == 0)
+    return;
+  simulation.runFor(milliseconds(simulation.random()() % 400));
+  simulation.reopen(zone);
+  simulation.runFor(milliseconds(simulation.random()() % 400));
+  simulation.evacuate(zone);
+}
+
 using Case = std::tuple<std::size_t, int>;
 
 class DaemonGroupInTrouble : public ::testing::TestWithParam<Case>
@@ -368,6 +461,8 @@
     trouble.strike(simulation);
     simulation.runFor(milliseconds(700 + simulation.random()() % 1600));
   }
+  for (unsigned zone = 0; zone < simulation.zones(); ++zone)
+    simulation.reopen(zone);
   simulation.runFor(seconds(8));
   expectNoViolations(simulation);
   const unsigned submitted = simulation.submitted();
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -396,6 +396,61 @@
   EXPECT_EQ(fixture.running(), 4u);
 }
 
+TEST_F(SchedulerTest, InAnEvacuatedZoneRunsEndAndNothingStarts)
+{
+  const JobRequest job = fixture.request("a", 6);
+  const JobRequest waiting = fixture.request("b", 2, 6800, 2000);
+  submit(job);
+  submit(waiting);
+  ASSERT_EQ(fixture.running(), 4u);
+  fixture.scheduler.setEvacuated({ ZoneName("z1") }, fixture.now);
+  fixture.settle();
+  EXPECT_EQ(fixture.running(), 4u);
+  ASSERT_EQ(fixture.returns.size(), 1u);
+  EXPECT_EQ(fixture.returns[0].tasks.size(), 2u);
+  EXPECT_TRUE(fixture.returns[0].holder.isEmpty());
+  ASSERT_NE(fixture.endOf(waiting), nullptr);
+  EXPECT_EQ(fixture.endOf(waiting)->outcome, JobOutcome::Refused)
+    << "nothing of it was started";
+  EXPECT_EQ(
+    fixture.scheduler.sparePlaces(SchedulerFixture::shard(), fixture.now), 0u);
+  fixture.end("a.0.0.0", RunEnd::Failed);
+  EXPECT_EQ(fixture.running(), 3u);
+  ASSERT_EQ(fixture.returns.size(), 2u) << "its next attempt is made elsewhere";
+  for (const char* task : { "a.0.0.1", "a.0.0.2", "a.0.0.3" })
+    fixture.end(task, RunEnd::Done);
+  ASSERT_NE(fixture.endOf(job), nullptr);
+  EXPECT_EQ(fixture.endOf(job)->outcome, JobOutcome::Completed);
+}
+
+TEST_F(SchedulerTest, AnEvacuatedZoneRefusesNewcomersAndServesWhenTakenBack)
+{
+  fixture.scheduler.setEvacuated({ ZoneName("z1") }, fixture.now);
+  const JobRequest job = fixture.request("a", 2);
+  submit(job);
+  ASSERT_NE(fixture.endOf(job), nullptr);
+  EXPECT_EQ(fixture.endOf(job)->outcome, JobOutcome::Refused);
+  JobRequest part = fixture.request("b", 2);
+  part.mayHaveRun = true;
+  submit(part);
+  EXPECT_EQ(fixture.running(), 0u);
+  ASSERT_EQ(fixture.returns.size(), 1u) << "parts of a job aren't refused";
+  EXPECT_EQ(fixture.returns[0].tasks.size(), 2u);
+  fixture.scheduler.setEvacuated({}, fixture.now);
+  submit(fixture.request("c", 2));
+  EXPECT_EQ(fixture.running(), 2u);
+}
+
+TEST_F(SchedulerTest, WorkersOfAnEvacuatedZoneAreNoReasonToWait)
+{
+  fixture.scheduler.setPeerPlaces(
+    VmId("other"), ShardId(ZoneName("z2"), 0), 50);
+  fixture.scheduler.setEvacuated({ ZoneName("z2") }, fixture.now);
+  submit(fixture.request("a", 6));
+  EXPECT_TRUE(fixture.returns.empty());
+  EXPECT_EQ(fixture.scheduler.waitingTasks(), 2u);
+}
+
 TEST_F(SchedulerTest, ATaskThatStandsStillIsStartedElsewhere)
 {
   submit(fixture.request("a", 1, 6800, 100));
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -120,7 +120,9 @@
   beat.shards[ShardId(ZoneName("z1"), 0)] = { 300243599585797, 12, 77 };
   beat.highestToken = 300243599585799;
   beat.configVersion = 40;
+  beat.evacuations = { 12, { ZoneName("z1"), ZoneName("z3") } };
   const PeerBeat readBeat = throughTheWire(beat);
+  EXPECT_EQ(readBeat.evacuations, beat.evacuations);
   EXPECT_EQ(readBeat.isLeaving, beat.isLeaving);
   EXPECT_EQ(readBeat.isReady, beat.isReady);
   EXPECT_EQ(readBeat.shards, beat.shards);
