Shards are spread by what each daemon has to do, also after the loss of all

After the loss of all, connecting takes such machines longer than the 450 ms that they wait for others. Each then took all eight shards of its zone, of two claimants the higher token won, so that the last to come was left with the whole zone; its link carries an eighth of it, its workers fell silent by turns (53 starts a second in place of 700), and nothing took shards from it, as it had processor time. Ruled out: strain (none was told), the platform, the retries of callers.

Change: a new daemon that hasn't heard all others takes one shard each 150 ms, in an order of its own; of two that claim a shard the one that holds less for what it can keeps it; a daemon takes shards, one each 500 ms, from one that holds at least two more.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -576,7 +576,7 @@
              { { "shard", shard.toString() },
                { "token", token },
                { "peers", m_links.up().size() } });
-    m_shards.taken(shard, token);
+    m_shards.taken(shard, token, now);
     m_scheduler.takeShard(shard, token, now);
     m_ports.publishHolder(shard, token);
   }
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -18,6 +18,20 @@
 /// one of the shard's zone before another, then the higher token.
 using ClaimRank = std::tuple<bool, bool, std::uint64_t>;
 
+/// Differs from daemon to daemon.
+std::size_t
+spreadOf(const ShardId& shard, const VmId& vm)
+{
+  return std::hash<std::string>()(shard.toString() + '|' + vm.value());
+}
+
+/// How much a daemon has to do for what it can.
+double
+load(std::size_t shards, std::size_t carried)
+{
+  return double(shards) / double(carried);
+}
+
 Rank
 rank(const ShardId& shard,
      const VmId& vm,
@@ -26,10 +40,9 @@
      std::size_t carried,
      int slowness)
 {
-  const std::size_t spread =
-    std::hash<std::string>()(shard.toString() + '|' + vm.value());
-  const double load = double(shards + 1) / double(carried);
-  return { isStrained, load, slowness, spread };
+  return {
+    isStrained, load(shards + 1, carried), slowness, spreadOf(shard, vm)
+  };
 }
 
 } // namespace
@@ -46,6 +59,20 @@
 {
 }
 
+void
+ShardTable::setShards(const std::set<ShardId>& shards)
+{
+  if (shards == m_shards)
+    return;
+  m_shards = shards;
+  m_preferred.assign(shards.begin(), shards.end());
+  std::sort(m_preferred.begin(),
+            m_preferred.end(),
+            [this](const ShardId& a, const ShardId& b) {
+              return spreadOf(a, m_self) < spreadOf(b, m_self);
+            });
+}
+
 bool
 ShardTable::memberSeen(const MemberView& member, TimePoint now)
 {
@@ -133,17 +160,38 @@
     if (mustRelease(shard, now))
       decisions.release.push_back(shard);
   }
-  for (const ShardId& shard : m_shards) {
+  if (!mayTakeNow(now))
+    return decisions;
+  for (const ShardId& shard : m_preferred) {
     const std::size_t own = m_held.size() + decisions.take.size();
-    if (m_held.count(shard) == 0 && mayTake(shard, own, now))
-      decisions.take.push_back(shard);
+    if (m_held.count(shard) > 0 || !mayTake(shard, own, now))
+      continue;
+    decisions.take.push_back(shard);
+    if (takesOneAtATime(now))
+      break;
   }
   return decisions;
 }
 
+/// Whether others may be starting just as this daemon is, so that what it
+/// hasn't heard of may still be theirs in a moment.
+bool
+ShardTable::takesOneAtATime(TimePoint now) const
+{
+  return isNew(now) && !hasHeardAll();
+}
+
+bool
+ShardTable::mayTakeNow(TimePoint now) const
+{
+  return !takesOneAtATime(now) ||
+         now - m_lastTakenAt >= m_settings.takeInterval;
+}
+
 void
-ShardTable::taken(const ShardId& shard, std::uint64_t token)
+ShardTable::taken(const ShardId& shard, std::uint64_t token, TimePoint now)
 {
+  m_lastTakenAt = now;
   m_held[shard] = token;
   m_fencedAt.erase(shard);
 }
@@ -227,14 +275,18 @@
   return m_members.all().empty() && m_knownMembers > 0;
 }
 
+bool
+ShardTable::hasHeardAll() const
+{
+  return m_knownMembers > 0 && m_members.all().size() >= m_knownMembers;
+}
+
 bool
 ShardTable::hasSettled(TimePoint now) const
 {
   const Duration age = now - m_start;
-  const bool hasHeardAll =
-    m_knownMembers > 0 && m_members.all().size() >= m_knownMembers;
   return age >= m_settings.settleLimit ||
-         (hasHeardAll && age >= m_settings.settleTime);
+         (hasHeardAll() && age >= m_settings.settleTime);
 }
 
 /// Whether a daemon that has just started needn't wait for those it hasn't
@@ -267,7 +319,6 @@
 bool
 ShardTable::mustRelease(const ShardId& shard, TimePoint now) const
 {
-  const std::uint64_t token = m_held.at(shard);
   const bool isOwnZone = m_zone == shard.zone();
   for (const auto& [vm, member] : m_members.claimants(shard)) {
     if (m_isLeaving != member->isLeaving) {
@@ -279,7 +330,7 @@
     const bool isTheirZone = member->zone == shard.zone();
     if (isTheirZone && !isOwnZone)
       return true;
-    if (isTheirZone == isOwnZone && member->shards.at(shard) > token)
+    if (isTheirZone == isOwnZone && yieldsTo(*member, shard))
       return true;
   }
   // One that hears nobody and loses its workers is the one that is cut off.
@@ -288,6 +339,19 @@
          now - fenced->second < m_settings.fencedLimit;
 }
 
+/// Whether another daemon keeps a shard that both hold.
+bool
+ShardTable::yieldsTo(const MemberView& member, const ShardId& shard) const
+{
+  if (member.isStrained != m_isStrained)
+    return m_isStrained;
+  const double own = load(m_held.size(), m_carried);
+  const double theirs = load(member.shards.size(), member.carried);
+  if (own != theirs)
+    return own > theirs;
+  return member.shards.at(shard) > m_held.at(shard);
+}
+
 bool
 ShardTable::mayTake(const ShardId& shard,
                     std::size_t ownShards,
@@ -302,7 +366,7 @@
   const auto keptOff = m_keptOffUntil.find(shard);
   if (keptOff != m_keptOffUntil.end() && now < keptOff->second)
     return false;
-  if (hasZoneClaimant(shard))
+  if (hasZoneClaimant(shard, ownShards, now))
     return false;
   const bool isForeign = m_zone != shard.zone();
   if (isForeign && isIsolated())
@@ -350,19 +414,37 @@
     });
 }
 
+/// Whether a daemon of the zone has the shard and keeps it. One that is
+/// strained gives way to one that isn't, and one that holds many to one that
+/// holds few.
 bool
-ShardTable::hasZoneClaimant(const ShardId& shard) const
+ShardTable::hasZoneClaimant(const ShardId& shard,
+                            std::size_t ownShards,
+                            TimePoint now) const
 {
+  const bool mayRebalance = !isNew(now) && !m_isStrained &&
+                            m_zone == shard.zone() &&
+                            ownShards == m_held.size() &&
+                            now - m_lastTakenAt >= m_settings.rebalanceInterval;
   const auto& claimants = m_members.claimants(shard);
   return std::any_of(claimants.begin(), claimants.end(), [&](const auto& item) {
-    const MemberView* member = item.second;
-    // One that is strained gives way to one that isn't.
-    const bool givesWay =
-      member->isLeaving || (member->isStrained && !m_isStrained);
-    return !givesWay && member->zone == shard.zone();
+    const MemberView& member = *item.second;
+    const bool givesWay = member.isLeaving ||
+                          (member.isStrained && !m_isStrained) ||
+                          (mayRebalance && holdsTooMany(member, ownShards));
+    return !givesWay && member.zone == shard.zone();
   });
 }
 
+/// Whether the other daemon has no less to do than this one even when this one
+/// has taken a shard from it.
+bool
+ShardTable::holdsTooMany(const MemberView& member, std::size_t ownShards) const
+{
+  return load(member.shards.size() - 1, member.carried) >=
+         load(ownShards + 1, m_carried);
+}
+
 /// Whether those that are left of the shard's zone say that they leave, and
 /// nobody who stays has the shard. They are heard, so that the zone isn't cut
 /// off, and there is nothing to wait for.
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -13,6 +13,12 @@
 /// daemons that both believe to hold a shard can do no harm but to each other's
 /// speed, so this table aims at few and quick changes, not at agreement.
 ///
+/// Shards are spread over a zone's daemons by what each can hold: of two that
+/// claim one the one that holds less keeps it, and a daemon that holds little
+/// takes shards from one that holds more. After the loss of all daemons they
+/// come back at different times, each hearing few of the others, and one alone
+/// can't serve a zone.
+///
 /// A shard is held by a daemon of its own availability zone as long as one is
 /// there. When the last of them leaves, one of another zone takes over at once:
 /// waiting for the zone's next daemon left its workers unused for 3 s of each
@@ -36,6 +42,11 @@
     /// How long after its start a daemon counts as new. Daemons that lose power
     /// together are back within half a second of each other.
     Duration newTime = std::chrono::seconds(1);
+    /// Between two shards that a daemon takes while it is new and hasn't heard
+    /// all others: their claims are heard in between.
+    Duration takeInterval = std::chrono::milliseconds(150);
+    /// Between two shards that it takes from others that hold more.
+    Duration rebalanceInterval = std::chrono::milliseconds(500);
     /// How long a daemon that hears nobody, though it knows of others, waits
     /// before it takes a shard: it may be the one that is cut off.
     Duration isolatedWait = std::chrono::milliseconds(2500);
@@ -66,7 +77,7 @@
   ShardTable(VmId self, ZoneName zone, Settings settings, TimePoint start);
 
   /// The shards into which the workers are divided.
-  void setShards(const std::set<ShardId>& shards) { m_shards = shards; }
+  void setShards(const std::set<ShardId>& shards);
   /// Daemons that exist, whether or not they can be reached.
   void setKnownMembers(std::size_t count) { m_knownMembers = count; }
   /// True if it wasn't known how many workers the member can hold.
@@ -101,7 +112,7 @@
   void fenced(const ShardId& shard, TimePoint now);
 
   Decisions decide(TimePoint now) const;
-  void taken(const ShardId& shard, std::uint64_t token);
+  void taken(const ShardId& shard, std::uint64_t token, TimePoint now);
   void released(const ShardId& shard, TimePoint now);
   /// The shard's workers are divided anew; it may be taken again at once.
   void dissolved(const ShardId& shard);
@@ -122,7 +133,10 @@
   bool isNew(TimePoint now) const { return now - m_start < m_settings.newTime; }
 
 private:
+  bool hasHeardAll() const;
   bool hasSettled(TimePoint now) const;
+  bool takesOneAtATime(TimePoint now) const;
+  bool mayTakeNow(TimePoint now) const;
   bool isKnownFree(const ShardId& shard, TimePoint now) const;
   bool haveAllJustStarted() const;
   bool mustRelease(const ShardId& shard, TimePoint now) const;
@@ -132,7 +146,11 @@
   bool isFirst(const ShardId& shard,
                std::size_t ownShards,
                bool isForeign) const;
-  bool hasZoneClaimant(const ShardId& shard) const;
+  bool hasZoneClaimant(const ShardId& shard,
+                       std::size_t ownShards,
+                       TimePoint now) const;
+  bool holdsTooMany(const MemberView& member, std::size_t ownShards) const;
+  bool yieldsTo(const MemberView& member, const ShardId& shard) const;
   bool isBeingLeft(const ShardId& shard) const;
   bool isVacant(const ShardId& shard, TimePoint now) const;
   bool isPlatformBeatFresh(const ShardId& shard, TimePoint now) const;
@@ -143,6 +161,9 @@
   const TimePoint m_start;
   std::size_t m_knownMembers = 0;
   std::set<ShardId> m_shards;
+  /// The same in the order in which this daemon takes them, another for each,
+  /// so that daemons which don't hear each other yet seldom take the same.
+  std::vector<ShardId> m_preferred;
   MemberIndex m_members;
   std::map<ShardId, std::uint64_t> m_held;
   std::map<ShardId, TimePoint> m_fencedAt;
@@ -156,6 +177,7 @@
   /// When a zone's last daemon was lost.
   std::map<ZoneName, TimePoint> m_zoneEmptySince;
   TimePoint m_lastHeard;
+  TimePoint m_lastTakenAt{};
   std::optional<TimePoint> m_platformReadAt;
   bool m_isReady = false;
   bool m_isLeaving = false;
