A task doesn't start while a run of it that is being stopped changes holders

Change: a task stays in quarantine while a run of it is in a book; when a shard is given up, tasks of jobs that go on here with a run on its workers are quarantined till the run is surely over.

--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -65,9 +65,7 @@
     /// all of many shards, at some 700 bytes each, took more of the links than
     /// the jobs that were served.
     std::size_t mostAsked = 4;
-    /// How long runs that a lost daemon left behind may go on: the silence
-    /// limit between daemons, the lease and a margin.
-    Duration lostRunLimit = std::chrono::milliseconds(1270);
+    Duration lostRunLimit = cowslippin::lostRunLimit;
     /// A caller that is refused for want of workers comes back after this.
     Duration noHolderRetry = std::chrono::milliseconds(500);
     /// The same while all zones are evacuated, which takes seconds at least.
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -87,6 +87,10 @@
 /// higher numbers: more than it can have used.
 constexpr std::uint64_t staleRunStep = 8;
 
+/// How long runs that a lost daemon left behind may go on: the silence limit
+/// between daemons, the lease and a margin.
+constexpr Duration lostRunLimit = std::chrono::milliseconds(1270);
+
 Duration
 scaled(Duration duration, double factor);
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -242,6 +242,8 @@
   for (const auto& [key, job] : m_jobs) {
     if (job->request.shard == shard)
       ends.emplace_back(job.get(), movedEnd(*job, workerOf));
+    else
+      leaveRunsBehind(*job, shard);
   }
   m_pool.releaseShard(shard);
   for (const auto& [job, end] : ends) {
@@ -255,6 +257,31 @@
   }
 }
 
+/// Runs of a job that goes on here may be at work on a shard that is given up,
+/// when its zone has been divided anew. The next holder stops them; until they
+/// are surely over their tasks don't start again.
+void
+Scheduler::leaveRunsBehind(Job& job, const ShardId& shard)
+{
+  for (JobTask& task : job.tasks) {
+    const RunKey run(job.request.taskName(task.index), task.run);
+    const auto worker = m_pool.workerOf(run.task());
+    const bool mayRun =
+      task.state == TaskState::Running || task.state == TaskState::Pending;
+    if (!mayRun || !worker || !m_pool.isOfShard(*worker, shard))
+      continue;
+    m_runs.erase(run);
+    task.nextRun += staleRunStep;
+    task.lastWorker = *worker;
+    task.quarantinedUntil = m_now + lostRunLimit;
+    job.lostAt = m_now;
+    if (task.state == TaskState::Pending)
+      leavePending(job, task, TaskState::Quarantined);
+    else
+      task.state = TaskState::Quarantined;
+  }
+}
+
 /// A submitter that had lost the connection for a moment goes on under a new
 /// key. Tasks that it has again were returned without its knowledge. False if
 /// nothing of it is here.
@@ -704,6 +731,9 @@
       taskDone(job, task);
       if (isLast)
         return false;
+    } else if (m_pool.isRunning(name)) {
+      // It is being stopped, which the next holder of its worker may prevent.
+      continue;
     } else if (isSurelyOver(job, task) || now >= task.quarantinedUntil) {
       setPending(job, task);
     }
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -158,6 +158,7 @@
   };
 
   WorkerPool::Hooks poolHooks();
+  void leaveRunsBehind(Job& job, const ShardId& shard);
   bool adoptRun(Job& job, std::size_t position, TimePoint now);
   void findRuns(Job& job, TimePoint now);
   bool mustRefuse(const Job& job, TimePoint now) const;
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -200,6 +200,14 @@
   return found;
 }
 
+bool
+WorkerPool::isOfShard(const WorkerId& worker, const ShardId& shard) const
+{
+  const auto found = m_entries.find(worker);
+  return worker.isEmpty() ||
+         (found != m_entries.end() && found->second.shard == shard);
+}
+
 void
 WorkerPool::holdAnswered(const WorkerId& worker,
                          const SentHold& sent,
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -135,6 +135,10 @@
   /// id if there are several.
   std::optional<WorkerId> workerOf(const std::string& task) const;
 
+  /// Whether the worker is held for this shard; also true of an empty id, which
+  /// may be any.
+  bool isOfShard(const WorkerId& worker, const ShardId& shard) const;
+
   void holdAnswered(const WorkerId& worker,
                     const SentHold& sent,
                     const HoldAnswer& answer,
