Two daemons of each zone read the platform's list of workers and pass on what changes

Ways weighed: longer intervals (the bytes stay the same), whole lists less often (more bytes until every 5 s, and a worker that drains would be noticed too late), holders reading only their shards (the platform offers no such read).

Change: the two fastest daemons of a zone read and pass on entries that tell something new, or every 400 ms that nothing does, each with the part of the log that it covers. A daemon that has no gap reads nothing; one that misses a part, or hears nothing for 1.3 s, reads by itself from where it is. A daemon that hears nobody reads by itself, so no bound hangs on the others alone.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -48,6 +48,7 @@
               m_links.isUp)
   , m_tokens(m_clocks.timeOfDay, m_clocks.processNumber)
   , m_vacancy(m_settings.vacancy, m_ports.hold)
+  , m_readers(m_settings.vm, m_settings.zone, m_settings.slowness)
   , m_strain(m_settings.strain)
   , m_heartbeats(m_settings.heartbeats)
   , m_lastBootTime(m_clocks.sinceBoot())
@@ -125,6 +126,12 @@
   }
 }
 
+void
+EntryCore::passOn(const PeerWorkerNews& news)
+{
+  m_links.sendToEach(m_readers.followers(m_shards.members()), news);
+}
+
 void
 EntryCore::evacuationsRead(const Evacuations& evacuations)
 {
@@ -422,6 +429,7 @@
 {
   boundShards(now);
   updateClose();
+  m_isDirectoryReader = m_readers.isReader(m_shards.members());
   m_lastBeatAt = now;
   const auto due = m_heartbeats.due(m_links.up(), m_close, now);
   if (m_heartbeats.isEachDue()) {
@@ -611,6 +619,8 @@
     m_gateway.ended(vm, ended->key, ended->end, now);
   else if (const auto* back = std::get_if<PeerTasksReturned>(&message))
     m_gateway.returned(vm, back->key, back->returned, now);
+  else if (const auto* news = std::get_if<PeerWorkerNews>(&message))
+    m_ports.workerNews(*news);
   else
     m_configuration.received(vm, message, now);
 }
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "configurationsync.h"
+#include "directoryreaders.h"
 #include "gateway.h"
 #include "heartbeatplan.h"
 #include "holderlookup.h"
@@ -84,6 +85,8 @@
     std::function<Result<RoutingTable>(const std::string&)> readConfiguration;
     /// Whether an answer of the platform with a configuration is on its way.
     std::function<bool()> isConfigurationArriving;
+    /// Another daemon of the zone has read the platform's list of workers.
+    std::function<void(const PeerWorkerNews&)> workerNews;
   };
 
   /// The connections to other daemons. None may be empty.
@@ -123,6 +126,11 @@
   /// ignored.
   void configurationRead(const std::string& body);
   void workersRead(const WorkerList& workers);
+  /// Whether this daemon is to read the platform's list of workers for others
+  /// of its zone.
+  bool isDirectoryReader() const { return m_isDirectoryReader; }
+  /// Passes on what it has read to those that don't read.
+  void passOn(const PeerWorkerNews& news);
   /// The platform's log tells which zones are to be evacuated.
   void evacuationsRead(const Evacuations& evacuations);
   /// A holder has told the platform anew that it holds a shard.
@@ -237,6 +245,8 @@
   HolderLookup m_holders;
   TokenSource m_tokens;
   VacancyProbe m_vacancy;
+  DirectoryReaders m_readers;
+  bool m_isDirectoryReader = true;
   StrainMeter m_strain;
   HeartbeatPlan m_heartbeats;
   /// Daemons that have jobs in common with this one.
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -205,6 +205,15 @@
   return json::array();
 }
 
+json
+toJson(const PeerWorkerNews& news)
+{
+  json entries = json::array();
+  for (const auto& [id, entry] : news.entries)
+    entries.push_back(json::array({ id, entry }));
+  return json::array({ news.from, news.end, std::move(entries) });
+}
+
 std::string
 text(const json& value)
 {
@@ -406,6 +415,17 @@
   return part;
 }
 
+PeerWorkerNews
+readWorkerNews(const json& value)
+{
+  PeerWorkerNews news;
+  news.from = value.at(0).get<std::uint64_t>();
+  news.end = value.at(1).get<std::uint64_t>();
+  for (const json& entry : value.at(2))
+    news.entries[text(entry.at(0))] = text(entry.at(1));
+  return news;
+}
+
 PeerMessage
 readMessage(std::size_t kind, const json& value)
 {
@@ -432,6 +452,8 @@
                                 value.at(2).get<std::uint64_t>() };
     case 9:
       return PeerConfigBusy{};
+    case 10:
+      return readWorkerNews(value);
     default:
       throw std::invalid_argument("an unknown kind");
   }
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -134,6 +134,23 @@
   }
 };
 
+/// Changes of the platform's list of workers, as a daemon that reads it passes
+/// them on to others of its zone.
+struct PeerWorkerNews
+{
+  /// The part of the platform's log that they were read from.
+  std::uint64_t from = 0;
+  std::uint64_t end = 0;
+  /// By id, the entries that tell something new as the platform has them; an
+  /// empty one was removed.
+  std::map<std::string, std::string> entries;
+
+  friend bool operator==(const PeerWorkerNews& a, const PeerWorkerNews& b)
+  {
+    return a.from == b.from && a.end == b.end && a.entries == b.entries;
+  }
+};
+
 using PeerMessage = std::variant<PeerHello,
                                  PeerBeat,
                                  PeerSubmit,
@@ -143,6 +160,7 @@
                                  PeerTasksReturned,
                                  PeerKnown,
                                  PeerConfigRequest,
-                                 PeerConfigBusy>;
+                                 PeerConfigBusy,
+                                 PeerWorkerNews>;
 
 } // namespace cowslippin
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -127,6 +127,8 @@
   std::set<VmId> holders() const;
   const std::map<ShardId, std::uint64_t>& held() const { return m_held; }
   const std::set<ShardId>& shards() const { return m_shards; }
+  /// The other daemons that can be heard.
+  const MemberIndex::Members& members() const { return m_members.all(); }
   /// Whether no other daemon can be reached though others exist.
   bool isIsolated() const;
   /// Whether this daemon has started only just now.
--- a/tests/asynchttp/storefollower_test.cpp
+++ b/tests/asynchttp/storefollower_test.cpp
@@ -132,6 +132,33 @@
   EXPECT_EQ(ends, (std::vector<std::uint64_t>{ 7, 9 }));
 }
 
+TEST_F(StoreFollowerTest, WhatAnotherHasToldIsNotReadAgain)
+{
+  script = { newest("a", "1", 7, false), std::nullopt };
+  follower->start();
+  await([&] { return requests.size() >= 2; });
+  follower->skipTo(8);
+  held.back()->answer(read(renderStoreRecord({ "a", "2" })));
+  await([&] { return requests.size() >= 3; });
+  EXPECT_TRUE(records.empty()) << "the answer is older than what was told";
+  EXPECT_NE(requests[2].find("from=8"), std::string::npos);
+}
+
+TEST_F(StoreFollowerTest, ReadsNothingWhileAnotherReadsInItsPlace)
+{
+  script = { newest("a", "1", 7, false),
+             read(renderStoreRecord({ "a", "2" })) };
+  follower->setPaused(true);
+  follower->start();
+  await([&] { return ends.size() >= 2; });
+  for (int i = 0; i < 5; ++i)
+    follower->tick(steadyNow() + seconds(10));
+  EXPECT_EQ(requests.size(), 2u);
+  follower->setPaused(false);
+  await([&] { return requests.size() >= 3; });
+  EXPECT_NE(requests[2].find("from=8"), std::string::npos);
+}
+
 /// A first answer that is no good, after which the follower must read again.
 struct BadAnswer
 {
--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -464,6 +464,7 @@
     return routing();
   };
   ports.isConfigurationArriving = [] { return false; };
+  ports.workerNews = [](const PeerWorkerNews&) {};
   return ports;
 }
 
--- a/tests/entry/slownetwork.cpp
+++ b/tests/entry/slownetwork.cpp
@@ -116,6 +116,7 @@
     return RoutingTable(std::stoull(body), {});
   };
   ports.isConfigurationArriving = [this, node] { return m_nodes[node].isTold; };
+  ports.workerNews = [](const PeerWorkerNews&) {};
   return ports;
 }
 
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -95,6 +95,12 @@
   EXPECT_EQ(read.quarantine->remaining, sent.quarantine->remaining);
 }
 
+TEST(PeerCodec, CarriesNewsOfWorkers)
+{
+  const PeerWorkerNews news{ 7, 9, { { "w1", "{}" }, { "w2", "" } } };
+  EXPECT_EQ(throughTheWire(news), news);
+}
+
 TEST(PeerCodec, CarriesGreetingsAndBeats)
 {
   PeerHello hello;
--- a/tests/platformadapter/workerdirectory_test.cpp
+++ b/tests/platformadapter/workerdirectory_test.cpp
@@ -109,6 +109,27 @@
   EXPECT_EQ(worker().birth(), WorkerBirth(5));
 }
 
+TEST_F(WorkerDirectoryTest, NewsAreWhatHasChanged)
+{
+  directory.takeNews();
+  directory.read("w1", entry(5), now);
+  EXPECT_TRUE(directory.takeNews().empty()) << "a renewal";
+  directory.read("w1", entry(6), now);
+  directory.read("w2", entry(1), now);
+  directory.read("w2", "", now);
+  const std::map<std::string, std::string> news = { { "w1", entry(6) },
+                                                    { "w2", "" } };
+  EXPECT_EQ(directory.takeNews(), news);
+  EXPECT_TRUE(directory.takeNews().empty());
+}
+
+TEST_F(WorkerDirectoryTest, WhileAnotherReadsALifeThatItTellsNothingOfGoesOn)
+{
+  directory.relayed(now + seconds(9));
+  directory.read("w1", entry(4), now + seconds(10));
+  EXPECT_EQ(worker().birth(), WorkerBirth(5));
+}
+
 TEST_F(WorkerDirectoryTest, AForeignEntryNamesNoWorkerAndHarmsNoOther)
 {
   directory.read("w2", entry(5), now);
