A run that was found before its job's loss is asked for at once and adopted

Change: when a job with a lost task arrives, the worker that has a run of it is asked for a report that is answered at once. Test: a holder that had claimed the worker before adopts the run.

--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -153,6 +153,10 @@
   }
   leavePending(job, task, TaskState::Quarantined);
   task.quarantinedUntil = now + quarantine->remaining;
+  // A report from before the loss doesn't count, and the next one would come
+  // when the run, taken for nobody's, is being stopped.
+  if (const auto worker = m_pool.workerOf(job.request.taskName(task.index)))
+    m_pool.refresh(*worker, now);
 }
 
 bool
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -175,6 +175,13 @@
     entry->lease->stop(key, now);
 }
 
+void
+WorkerPool::refresh(const WorkerId& worker, TimePoint now)
+{
+  if (Entry* entry = find(worker))
+    entry->lease->refresh(now);
+}
+
 std::optional<std::pair<WorkerId, RunKey>>
 WorkerPool::adopt(const std::string& task,
                   const Resources& resources,
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -120,6 +120,8 @@
              const std::string& spec,
              TimePoint now);
   void stop(const WorkerId& worker, const RunKey& key, TimePoint now);
+  /// Asks a held worker at once what runs there.
+  void refresh(const WorkerId& worker, TimePoint now);
   /// Takes a run that nobody has asked for into the book of its worker. Only
   /// what the worker has told when it was asked `since` then or later counts:
   /// before that, other holders may have ended the run and begun another.
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -179,8 +179,14 @@
   if (answer)
     return;
   run.stopAnsweredAt = now;
-  // The report that is under way may wait for an end; this one tells at once
-  // whether the run is over, so that its task can start elsewhere.
+  // Tells at once whether the run is over, so that its task can start
+  // elsewhere.
+  refresh(now);
+}
+
+void
+WorkerLease::refresh(TimePoint now)
+{
   if (m_state == LeaseState::Held && m_holdsUnderWay <= 1)
     sendHold(Duration::zero(), now);
 }
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -113,6 +113,10 @@
   /// Stops a run of the book. Its end comes by a hook.
   void stop(const RunKey& key, TimePoint now);
 
+  /// Asks for a report that is answered at once, beside one that waits for an
+  /// end, if none is under way.
+  void refresh(TimePoint now);
+
   /// Takes a stray run of this task into the book. Nothing if there is none.
   std::optional<RunKey> adopt(const std::string& task,
                               const Resources& resources);
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -220,6 +220,32 @@
   EXPECT_EQ(next.endOf(job)->outcome, JobOutcome::Completed);
 }
 
+/// A holder that had claimed the worker before the loss adopts the run though
+/// the report that is under way waits for an end.
+TEST_F(SchedulerTest, ARunThatWasFoundBeforeTheLossIsAskedForAndAdopted)
+{
+  SchedulerFixture next;
+  next.addWorker("w1");
+  next.workers[WorkerId("w1")].start(
+    { 5, RunKey("a.0.0.0", 3), "", 1000 * 1000 + 50000 + 700 }, next.now);
+  next.scheduler.takeShard(SchedulerFixture::shard(), 10, next.now);
+  next.deliver();
+  next.now += std::chrono::milliseconds(60);
+  JobRequest job = next.request("a", 1);
+  job.mayHaveRun = true;
+  job.quarantine = Quarantine{ next.workersAsListed(),
+                               std::chrono::milliseconds(5),
+                               std::chrono::milliseconds(1200) };
+  next.scheduler.submit(job, next.now);
+  for (int step = 0; step < 15; ++step) {
+    next.deliver();
+    next.now += std::chrono::milliseconds(20);
+    next.scheduler.tick(next.now);
+  }
+  EXPECT_EQ(next.running(), 1u);
+  EXPECT_EQ(next.workers[WorkerId("w1")].starts("a.0.0.0"), 1u);
+}
+
 TEST_F(SchedulerTest, ATaskThatMayRunWaitsUntilAllWorkersAnswered)
 {
   SchedulerFixture next;
