Two daemons that dial each other at once keep one connection without a loss

Change: which connection is kept is decided as before, but the other one stays open for a second and what comes over it is heeded; only where there are jobs in common is the exchange a loss, as messages could overtake each other.

--- a/src/libentry/directoryreaders.cpp
+++ b/src/libentry/directoryreaders.cpp
@@ -42,6 +42,7 @@
   }
   std::sort(ranks.begin(), ranks.end());
   std::vector<VmId> vms;
+  vms.reserve(ranks.size());
   for (const auto& [slowness, vm] : ranks)
     vms.push_back(vm);
   return vms;
--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -690,6 +690,7 @@
 EntryCore::peerDown(const VmId& vm, PeerLoss loss)
 {
   const TimePoint now = m_clocks.steady();
+  m_close.erase(vm);
   m_shards.memberGone(vm, now);
   m_configuration.lost(vm);
   m_scheduler.daemonLost(vm, loss == PeerLoss::Silent, now);
--- a/src/libpeers/peerlinks.cpp
+++ b/src/libpeers/peerlinks.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t maxBufferedBytes = std::size_t(8) << 20;
 /// How much later than the other side the one with the higher address dials.
 constexpr Duration secondDialDelay = std::chrono::milliseconds(400);
+/// How long a connection that isn't kept stays open: longer than greetings are
+/// on their way, also between machines that have just started.
+constexpr Duration retireTime = std::chrono::milliseconds(1000);
 /// A daemon that has just started dials everyone: the others may be waiting
 /// before they try its address again.
 constexpr Duration startTime = std::chrono::milliseconds(1000);
@@ -158,6 +161,7 @@
 void
 PeerLinks::tick(TimePoint now)
 {
+  dropRetired(now);
   std::vector<Address> forgotten;
   for (auto& [address, peer] : m_peers) {
     if (peer.link) {
@@ -271,15 +275,20 @@
     peer.dialled.reset();
     write(link, this->hello());
   }
-  if (peer.link && peer.incarnation == hello.incarnation &&
-      isRedundant(peer, link, hello.address)) {
-    m_transport.drop(link);
-    m_links.erase(link);
+  const bool haveBothDialled = peer.link &&
+                               peer.incarnation == hello.incarnation &&
+                               isOfOtherSide(peer, link);
+  m_links[link].peer = hello.address;
+  if (haveBothDialled && !isPreferred(link, hello.address)) {
+    retire(link, now);
     return;
   }
-  if (peer.link)
+  // What is under way on the other connection may come after what follows on
+  // this one, which matters only where there are jobs in common.
+  if (haveBothDialled && !m_links.at(*peer.link).silence.isClose())
+    retire(*peer.link, now);
+  else if (peer.link)
     lost(peer, PeerLoss::Closed, now);
-  m_links[link].peer = hello.address;
   peer.link = link;
   peer.backoff = Duration::zero();
   peer.vm = hello.vm;
@@ -313,18 +322,40 @@
     write(link, news);
 }
 
+/// Whether the connection was dialled by the side that hasn't dialled the
+/// present one. A second one from the same side means that it has given up the
+/// first.
+bool
+PeerLinks::isOfOtherSide(const Peer& peer, LinkId link) const
+{
+  return m_links.at(link).isDialled != m_links.at(*peer.link).isDialled;
+}
+
 /// Two daemons may dial each other at the same time. Both keep the connection
-/// that the one with the lower address dialled. A second one from the same side
-/// means that it has given up the first.
+/// that the one with the lower address dialled.
 bool
-PeerLinks::isRedundant(const Peer& peer,
-                       LinkId link,
-                       const Address& address) const
+PeerLinks::isPreferred(LinkId link, const Address& address) const
 {
-  const bool isNewDialled = m_links.at(link).isDialled;
-  const bool isOldDialled = m_links.at(*peer.link).isDialled;
-  const bool dialsFirst = m_self.address < address;
-  return isNewDialled != isOldDialled && isNewDialled != dialsFirst;
+  return m_links.at(link).isDialled == (m_self.address < address);
+}
+
+/// The other side may not have seen yet which connection is kept: to drop this
+/// one at once would look like a loss.
+void
+PeerLinks::retire(LinkId link, TimePoint now)
+{
+  m_retired.emplace_back(link, now + retireTime);
+}
+
+void
+PeerLinks::dropRetired(TimePoint now)
+{
+  while (!m_retired.empty() && now >= m_retired.front().second) {
+    const LinkId link = m_retired.front().first;
+    m_retired.pop_front();
+    if (m_links.erase(link) > 0)
+      m_transport.drop(link);
+  }
 }
 
 void
--- a/src/libpeers/peerlinks.h
+++ b/src/libpeers/peerlinks.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -100,7 +101,10 @@
   void received(LinkId link, const std::string& bytes);
   void closed(LinkId link);
   void greeted(LinkId link, const PeerHello& hello);
-  bool isRedundant(const Peer& peer, LinkId link, const Address& address) const;
+  bool isOfOtherSide(const Peer& peer, LinkId link) const;
+  bool isPreferred(LinkId link, const Address& address) const;
+  void retire(LinkId link, TimePoint now);
+  void dropRetired(TimePoint now);
   void lost(Peer& peer, PeerLoss loss, TimePoint now);
   Link* linkTo(const VmId& vm);
   void tellUnknown(LinkId link, const PeerHello& hello);
@@ -117,6 +121,8 @@
   std::map<Address, Peer> m_peers;
   std::map<VmId, Address> m_addresses;
   std::map<LinkId, Link> m_links;
+  /// Connections that aren't kept, and when each is dropped.
+  std::deque<std::pair<LinkId, TimePoint>> m_retired;
 };
 
 } // namespace cowslippin
--- a/src/libpeers/silencewatch.h
+++ b/src/libpeers/silencewatch.h
@@ -39,6 +39,8 @@
     m_isClose = isClose;
   }
 
+  bool isClose() const { return m_isClose; }
+
   bool isSilent(const Settings& settings, TimePoint now) const
   {
     if (m_isClose)
--- a/tests/entry/entrydaemon_test.cpp
+++ b/tests/entry/entrydaemon_test.cpp
@@ -22,6 +22,7 @@
     return Result<RoutingTable>(RoutingTable(std::stoull(body), { Route() }));
   };
   ports.isConfigurationArriving = [] { return false; };
+  ports.workerNews = [](const PeerWorkerNews&) {};
   return ports;
 }
 
--- a/tests/entry/heartbeatplan_test.cpp
+++ b/tests/entry/heartbeatplan_test.cpp
@@ -46,7 +46,7 @@
     ++total;
   }
 
-  const HeartbeatPlan::Settings settings;
+  const HeartbeatPlan::Settings settings{};
   /// A promise may be missed by no more than a tick.
   const Duration lateness = milliseconds(20);
   TimePoint now{ seconds(100) };
