A task that ends the workers which start it is isolated and given up; a worker that shrinks is small only for a while

Cause: the loss of a worker cost a task nothing, so that one task could end one worker after the other, with the runs beside it. Ways weighed: a count against each task on a worker that was lost, given up at two (bystanders of two losses would fail); suspects told by which run is newest (two of three runs are new at any time). Chosen: after two losses a task runs on a worker of its own, where a bystander is cleared and nothing else can be lost with it; after three its job has failed. The counts go with the tasks from holder to holder by way of their submitter; where holder and submitter are lost together they begin anew.

A worker's room followed its entries already; a job that no worker has room for just now isn't called impossible any more if one has said to have more before.

Tests: three workers are lost and no fourth, the third with nothing else on it; counts go on; a worker that shrinks isn't overfilled and serves when it has grown.

--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -103,6 +103,7 @@
   Part& other = addPart(*entry);
   other.firstRun = std::max(part->firstRun, returned.nextRun);
   other.mayBeReturned = false;
+  other.crashes = returned.crashes;
   for (const TaskIndex task : returned.tasks) {
     if (part->tasks.erase(task) > 0)
       other.tasks.insert(task);
@@ -240,6 +241,7 @@
     return;
   }
   part.firstRun = std::max(part.firstRun, end.nextRun);
+  part.crashes = end.crashes;
   markLost(part, now);
   part.underWay = end.underWay;
   place(entry, part, now);
@@ -336,6 +338,7 @@
   request.taskPrefix = entry.submission.taskPrefix;
   request.tasks.assign(part.tasks.begin(), part.tasks.end());
   request.firstRun = part.firstRun;
+  request.crashes = part.crashes;
   request.age = now - entry.arrivedAt;
   request.timeLeft = entry.expiresAt - now;
   request.mayBeReturned = part.mayBeReturned;
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -136,6 +136,7 @@
     JobKey key;
     std::set<TaskIndex> tasks;
     std::uint64_t firstRun = 1;
+    CrashCounts crashes;
     /// The daemon that has the part now, and the shard of its workers.
     std::optional<VmId> holder;
     ShardId shard;
--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -34,6 +34,9 @@
     JobTask task;
     task.index = index;
     task.nextRun = request.firstRun;
+    const auto crashes = request.crashes.find(index);
+    if (crashes != request.crashes.end())
+      task.crashes = crashes->second;
     job->tasks.push_back(task);
   }
   job->pending = job->tasks.size();
@@ -76,6 +79,8 @@
   end.outcome = JobOutcome::Moved;
   end.nextRun = job.request.firstRun;
   for (const JobTask& task : job.tasks) {
+    if (task.crashes > 0)
+      end.crashes[task.index] = task.crashes;
     if (task.state == TaskState::Done)
       end.done.push_back(task.index);
     end.nextRun = std::max(end.nextRun, task.nextRun + staleRunStep);
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -35,6 +35,8 @@
   TaskState state = TaskState::Pending;
   std::uint64_t nextRun = 1;
   unsigned failures = 0;
+  /// Workers that were lost while a run of it was at work there.
+  unsigned crashes = 0;
   /// Runs that were stopped because they made no progress, and whether the
   /// present one is among them.
   unsigned restarts = 0;
--- a/src/libjobs/jobend.h
+++ b/src/libjobs/jobend.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "crashcounts.h"
+
 #include "libcore/clock.h"
 #include "libcore/ids.h"
 #include "libcore/shardid.h"
@@ -59,6 +61,7 @@
   ShardId shard;
   /// Higher than the number of any run so far.
   std::uint64_t nextRun = 1;
+  CrashCounts crashes = {};
 };
 
 /// A task that may be at work, and where.
@@ -91,6 +94,8 @@
   /// Of `Moved`: tasks that may be at work. Others that are not done have no
   /// run and can start at once.
   std::vector<TaskPlace> underWay = {};
+  /// Of `Moved`.
+  CrashCounts crashes = {};
 };
 
 } // namespace cowslippin
--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -55,6 +55,18 @@
              { "ranMs", toMilliseconds(now - task.startedAt) } });
 }
 
+void
+logTaskCrashed(const Job& job, const JobTask& task)
+{
+  logEvent(LogLevel::Warning,
+           "worker-lost-with-task",
+           { { "job", job.request.key.job() },
+             { "task", task.index },
+             { "run", task.run },
+             { "worker", task.worker },
+             { "crashes", task.crashes } });
+}
+
 void
 logStartRejected(const Job& job, const JobTask& task, OrderFailure failure)
 {
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -27,6 +27,10 @@
 void
 logRunEnded(const Job& job, const JobTask& task, RunEnd end, TimePoint now);
 
+/// The task's worker was lost with its run.
+void
+logTaskCrashed(const Job& job, const JobTask& task);
+
 void
 logStartRejected(const Job& job, const JobTask& task, OrderFailure failure);
 
--- a/src/libjobs/jobrequest.h
+++ b/src/libjobs/jobrequest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crashcounts.h"
 #include "jobend.h"
 #include "jobkey.h"
 #include "libcore/shardid.h"
@@ -106,6 +107,7 @@
   /// Whether its tasks may be returned to be handed to another holder. If not,
   /// it is refused at once where there is no room at all.
   bool mayBeReturned = true;
+  CrashCounts crashes = {};
 
   std::string taskName(TaskIndex task) const
   {
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -471,8 +471,9 @@
   // A run of the same task that another submitter left is still being stopped.
   if (m_pool.isRunning(name))
     return true;
-  const auto worker =
-    m_pool.choose(job.request, task.avoided, runsPerWorker(job), now);
+  const bool isSuspect = task.crashes >= m_settings.suspectCrashes;
+  const auto worker = m_pool.choose(
+    job.request, task.avoided, runsPerWorker(job), isSuspect, now);
   if (!worker)
     return false;
   const RunKey key(name, task.nextRun++);
@@ -490,6 +491,8 @@
   logTaskStarted(job, task, now);
   m_pool.start(
     *worker, key, job.request.needs.resources, job.request.spec, now);
+  if (isSuspect)
+    m_pool.reserve(*worker, key);
   return true;
 }
 
@@ -564,6 +567,8 @@
         tasks.tasks.end())
       continue;
     returned.nextRun = std::max(returned.nextRun, task.nextRun);
+    if (task.crashes > 0)
+      returned.crashes[task.index] = task.crashes;
     leavePending(job, task, TaskState::Returned);
     ++job.returned;
   }
@@ -594,6 +599,19 @@
     setPending(job, task);
 }
 
+/// A worker was lost while a run of the task was at work there. Others that ran
+/// beside it are counted as well; alone on a worker they clear themselves.
+void
+Scheduler::taskCrashed(Job& job, JobTask& task)
+{
+  ++task.crashes;
+  logTaskCrashed(job, task);
+  if (task.crashes >= m_settings.mostCrashes)
+    finish(job, { JobOutcome::Failed, Duration::zero(), {}, 1 });
+  else
+    setPending(job, task);
+}
+
 void
 Scheduler::runEnded(const WorkerId& worker, const RunKey& key, RunEnd end)
 {
@@ -612,6 +630,8 @@
   } else if (end == RunEnd::Failed) {
     m_pool.runFailed(worker, m_now);
     taskFailed(job, task);
+  } else if (m_pool.isLost(worker)) {
+    taskCrashed(job, task);
   } else {
     setPending(job, task);
   }
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -49,6 +49,12 @@
     double stallFactor = 2.0;
     Duration stallMargin = std::chrono::milliseconds(150);
     unsigned maxRestarts = 3;
+    /// A task with which so many workers were lost runs on a worker of its own:
+    /// it may be what ends them.
+    unsigned suspectCrashes = 2;
+    /// A task with which so many workers were lost is given up, and its job
+    /// has failed.
+    unsigned mostCrashes = 3;
     /// How long ends that nobody asked for are kept for who may ask.
     Duration strayEndsKept = std::chrono::seconds(2);
   };
@@ -181,6 +187,7 @@
   bool attach(const JobRequest& request);
   void taskDone(Job& job, JobTask& task);
   void taskFailed(Job& job, JobTask& task);
+  void taskCrashed(Job& job, JobTask& task);
   void runEnded(const WorkerId& worker, const RunKey& key, RunEnd end);
   void startRejected(const WorkerId& worker,
                      const RunKey& key,
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -40,6 +40,7 @@
 {
   m_list = list;
   m_map.update(list);
+  noteCapacities();
   for (auto& [id, entry] : m_entries)
     entry.isListed = m_list.count(id) > 0;
   for (const auto& [id, record] : m_list) {
@@ -53,6 +54,19 @@
   dropUnlisted();
 }
 
+void
+WorkerPool::noteCapacities()
+{
+  std::map<WorkerId, Resources> full;
+  for (const auto& [id, record] : m_list) {
+    const auto known = m_fullCapacity.find(id);
+    full[id] = known == m_fullCapacity.end()
+                 ? record.capacity()
+                 : largerOf(known->second, record.capacity());
+  }
+  m_fullCapacity = std::move(full);
+}
+
 ShardDigest
 WorkerPool::digest(const ShardId& shard) const
 {
@@ -124,12 +138,14 @@
 WorkerPool::choose(const JobRequest& request,
                    const std::set<WorkerId>& avoided,
                    const std::map<WorkerId, unsigned>& perWorker,
+                   bool mustBeIdle,
                    TimePoint now) const
 {
   using Rank = std::tuple<bool, bool, std::int64_t>;
   std::optional<std::pair<Rank, WorkerId>> best;
   for (const auto& [id, entry] : m_entries) {
-    if (!isSuitable(entry, request, now))
+    const bool isTooFull = mustBeIdle && entry.lease->runCount() > 0;
+    if (isTooFull || !isSuitable(entry, request, now))
       continue;
     const auto here = perWorker.find(id);
     if (request.needs.maxPerWorker > 0 && here != perWorker.end() &&
@@ -153,7 +169,7 @@
   const auto fits = [&](const auto& item) {
     const WorkerRecord& record = item.second;
     return isOfKind(record, request) && !isEvacuated(record.zone()) &&
-           request.needs.resources.fitsIn(record.capacity());
+           request.needs.resources.fitsIn(m_fullCapacity.at(record.id()));
   };
   return std::any_of(m_list.begin(), m_list.end(), fits);
 }
@@ -168,6 +184,23 @@
   m_entries.at(worker).lease->start(key, resources, spec, now);
 }
 
+void
+WorkerPool::reserve(const WorkerId& worker, const RunKey& key)
+{
+  m_entries.at(worker).reservedFor = key.task();
+}
+
+bool
+WorkerPool::isLost(const WorkerId& worker) const
+{
+  const auto found = m_entries.find(worker);
+  if (found == m_entries.end())
+    return false;
+  const LeaseState state = found->second.lease->state();
+  return state == LeaseState::Restarted || state == LeaseState::Ended ||
+         state == LeaseState::Silent;
+}
+
 void
 WorkerPool::stop(const WorkerId& worker, const RunKey& key, TimePoint now)
 {
@@ -466,7 +499,9 @@
 bool
 WorkerPool::canStart(const Entry& entry, const Resources& resources) const
 {
-  return entry.lease->canStart(resources) &&
+  const bool isReserved =
+    !entry.reservedFor.empty() && entry.lease->isRunning(entry.reservedFor);
+  return !isReserved && entry.lease->canStart(resources) &&
          !isEvacuated(entry.lease->record().zone());
 }
 
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -103,11 +103,13 @@
   bool isClaimed(const WorkerId& worker, TimePoint since) const;
 
   /// The worker that a task should go to, or nothing if none has room. The
-  /// fullest that still fits is taken, so that large tasks find room. Workers
+  /// fullest that still fits is taken, so that large tasks find room; only one
+  /// that runs nothing if it must be idle. Workers
   /// in `avoided` are taken only if `mayUseAvoided`.
   std::optional<WorkerId> choose(const JobRequest& request,
                                  const std::set<WorkerId>& avoided,
                                  const std::map<WorkerId, unsigned>& perWorker,
+                                 bool mustBeIdle,
                                  TimePoint now) const;
 
   /// Whether a worker of any size could ever run such a task, going by the
@@ -119,6 +121,11 @@
              const Resources& resources,
              const std::string& spec,
              TimePoint now);
+  /// Starts nothing beside this run until it is over.
+  void reserve(const WorkerId& worker, const RunKey& key);
+  /// Whether the worker has started again, is gone or has fallen silent, so
+  /// that what ran there was lost with it.
+  bool isLost(const WorkerId& worker) const;
   void stop(const WorkerId& worker, const RunKey& key, TimePoint now);
   /// Asks a held worker at once what runs there.
   void refresh(const WorkerId& worker, TimePoint now);
@@ -184,6 +191,8 @@
     std::unique_ptr<WorkerLease> lease;
     WorkerHealth health;
     bool isListed = true;
+    /// A task beside which nothing is started while it runs here.
+    std::string reservedFor;
     /// When a tick first saw that another daemon had taken it.
     std::optional<TimePoint> fencedAt;
     Duration reclaimWait = Duration::zero();
@@ -203,6 +212,7 @@
   WorkerLease::Hooks leaseHooks(const WorkerId& id);
   void claimRestarted(const WorkerId& id, Entry& entry, TimePoint now);
   void dropUnlisted();
+  void noteCapacities();
   void reclaim(TimePoint now);
   /// Whether a task of this size can be started there now.
   bool canStart(const Entry& entry, const Resources& resources) const;
@@ -217,6 +227,9 @@
   ShardMap m_map;
   std::map<ShardId, FencingToken> m_shards;
   std::set<ZoneName> m_evacuated;
+  /// The most that each listed worker has said to have: one that is smaller for
+  /// a while may grow again.
+  std::map<WorkerId, Resources> m_fullCapacity;
   Entries m_entries;
 };
 
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -135,6 +135,15 @@
                        underWay });
 }
 
+json
+toJson(const CrashCounts& crashes)
+{
+  json list = json::array();
+  for (const auto& [task, count] : crashes)
+    list.push_back(json::array({ task, count }));
+  return list;
+}
+
 json
 toJson(const PeerSubmit& submit)
 {
@@ -152,7 +161,8 @@
                        toJson(request.quarantine),
                        request.previousPart,
                        request.mayHaveRun,
-                       request.mayBeReturned });
+                       request.mayBeReturned,
+                       toJson(request.crashes) });
 }
 
 json
@@ -163,7 +173,8 @@
                        ended.end.retryAfter.count(),
                        ended.end.done,
                        ended.end.nextRun,
-                       toJson(ended.end.underWay) });
+                       toJson(ended.end.underWay),
+                       toJson(ended.end.crashes) });
 }
 
 json
@@ -173,7 +184,8 @@
                        message.returned.tasks,
                        message.returned.holder.value(),
                        toJson(message.returned.shard),
-                       message.returned.nextRun });
+                       message.returned.nextRun,
+                       toJson(message.returned.crashes) });
 }
 
 json
@@ -354,6 +366,15 @@
   return quarantine;
 }
 
+CrashCounts
+readCrashes(const json& value)
+{
+  CrashCounts crashes;
+  for (const json& count : value)
+    crashes[count.at(0).get<TaskIndex>()] = count.at(1).get<unsigned>();
+  return crashes;
+}
+
 PeerSubmit
 readSubmit(const json& value)
 {
@@ -372,6 +393,7 @@
   request.previousPart = value.at(11).get<std::uint64_t>();
   request.mayHaveRun = value.at(12).get<bool>();
   request.mayBeReturned = value.at(13).get<bool>();
+  request.crashes = readCrashes(value.at(14));
   return { std::move(request) };
 }
 
@@ -388,6 +410,7 @@
   ended.end.done = value.at(3).get<std::vector<TaskIndex>>();
   ended.end.nextRun = value.at(4).get<std::uint64_t>();
   ended.end.underWay = readPlaces(value.at(5));
+  ended.end.crashes = readCrashes(value.at(6));
   return ended;
 }
 
@@ -400,6 +423,7 @@
   message.returned.holder = VmId(text(value.at(2)));
   message.returned.shard = readShard(value.at(3));
   message.returned.nextRun = value.at(4).get<std::uint64_t>();
+  message.returned.crashes = readCrashes(value.at(5));
   return message;
 }
 
--- a/src/libworkers/resources.h
+++ b/src/libworkers/resources.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 namespace cowslippin {
@@ -53,6 +54,14 @@
     return !(a == b);
   }
 
+  /// The larger of the two of each.
+  friend Resources largerOf(const Resources& a, const Resources& b)
+  {
+    return { std::max(a.m_cpuMillis, b.m_cpuMillis),
+             std::max(a.m_memoryMb, b.m_memoryMb),
+             std::max(a.m_accelerators, b.m_accelerators) };
+  }
+
 private:
   std::int64_t m_cpuMillis = 0;
   std::int64_t m_memoryMb = 0;
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -354,6 +354,17 @@
   EXPECT_TRUE(sent[1].second.quarantine);
 }
 
+TEST_F(GatewayTest, HowManyWorkersWereLostWithATaskIsPassedOn)
+{
+  submit("a");
+  JobEnd moved;
+  moved.outcome = JobOutcome::Moved;
+  moved.crashes = { { 1, 2 } };
+  gateway.ended(first, sent[0].second.key, moved, now);
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].second.crashes, moved.crashes);
+}
+
 TEST_F(GatewayTest, WhereAMovedPartsRunsAreIsPassedOn)
 {
   submit("a");
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -477,6 +477,68 @@
   EXPECT_EQ(fixture.scheduler.waitingTasks(), 2u);
 }
 
+/// Each worker that starts the task is back under its id with nothing.
+TEST_F(SchedulerTest, ATaskThatEndsItsWorkersRunsAloneAndIsThenGivenUp)
+{
+  std::int64_t birth = 100;
+  for (const char* id : { "w1", "w2" })
+    fixture.restartWorker(WorkerId(id), ++birth);
+  const JobRequest bad = fixture.request("bad", 1, 4000, 5000);
+  submit(bad);
+  submit(fixture.request("good", 2, 4000, 5000));
+  for (unsigned crashes = 1; crashes <= 3; ++crashes) {
+    fixture.pass(100);
+    const auto worker = fixture.workerOf("bad.0.0.0");
+    ASSERT_TRUE(worker) << crashes;
+    if (crashes == 3) {
+      EXPECT_EQ(fixture.workers[*worker].runCount(), 1u)
+        << "nothing else is lost with it";
+    }
+    EXPECT_EQ(fixture.endOf(bad), nullptr);
+    fixture.restartWorker(*worker, ++birth);
+  }
+  fixture.pass(100);
+  EXPECT_FALSE(fixture.workerOf("bad.0.0.0"));
+  ASSERT_NE(fixture.endOf(bad), nullptr);
+  EXPECT_EQ(fixture.endOf(bad)->outcome, JobOutcome::Failed);
+}
+
+TEST_F(SchedulerTest, CrashesOfBeforeCountWhereATaskGoesOn)
+{
+  JobRequest job = fixture.request("a", 1);
+  job.crashes = { { 0, 2 } };
+  submit(fixture.request("b", 1));
+  submit(job);
+  EXPECT_EQ(fixture.running(), 2u);
+  for (const auto& [id, worker] : fixture.workers)
+    EXPECT_EQ(worker.runCount(), 1u) << "each on a worker of its own";
+  submit(fixture.request("c", 2));
+  for (const auto& [id, worker] : fixture.workers) {
+    if (worker.starts("a.0.0.0") > 0) {
+      EXPECT_EQ(worker.runCount(), 1u);
+    }
+  }
+  fixture.scheduler.releaseShard(SchedulerFixture::shard(), fixture.now);
+  ASSERT_NE(fixture.endOf(job), nullptr);
+  EXPECT_EQ(fixture.endOf(job)->crashes, job.crashes);
+}
+
+TEST_F(SchedulerTest,
+       AWorkerThatShrinksIsNotOverfilledAndNothingIsCalledImpossible)
+{
+  fixture.addWorker("w1", 4000);
+  fixture.addWorker("w2", 4000);
+  const JobRequest job = fixture.request("a", 1, 6800);
+  submit(job);
+  EXPECT_EQ(fixture.running(), 0u);
+  EXPECT_EQ(fixture.endOf(job), nullptr) << "it waits for the worker to grow";
+  submit(fixture.request("small", 2, 3000));
+  EXPECT_EQ(fixture.running(), 2u) << "one on each";
+  fixture.addWorker("w1", 16000);
+  fixture.pass(20);
+  EXPECT_EQ(fixture.running(), 3u);
+}
+
 TEST_F(SchedulerTest, ATaskThatStandsStillIsStartedElsewhere)
 {
   submit(fixture.request("a", 1, 6800, 100));
--- a/tests/jobs/schedulerfixture.h
+++ b/tests/jobs/schedulerfixture.h
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <random>
 #include <vector>
 
@@ -35,6 +36,34 @@
     scheduler.setList(list, now);
   }
 
+  /// The worker loses all that runs there and is back under its id. Births
+  /// rise.
+  void restartWorker(const WorkerId& id, std::int64_t birth)
+  {
+    WorkerRecord::Fields fields;
+    fields.id = id;
+    fields.birth = WorkerBirth(birth);
+    fields.service = list.at(id).service();
+    fields.zone = list.at(id).zone();
+    fields.capacity = list.at(id).capacity();
+    list[id] = WorkerRecord(fields);
+    workers[id] = FakeWorker(50000, fields.birth);
+    scheduler.setList(list, now);
+    settle();
+  }
+
+  /// The worker on which a run of the task is, or nothing.
+  std::optional<WorkerId> workerOf(const std::string& task) const
+  {
+    for (const auto& [id, worker] : workers) {
+      for (const RunKey& key : worker.runs()) {
+        if (key.task() == task)
+          return id;
+      }
+    }
+    return std::nullopt;
+  }
+
   void take()
   {
     scheduler.takeShard(shard(), 10, now);
