--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -553,8 +553,12 @@
 INSTANTIATE_TEST_SUITE_P(OrdersToAnEarlierLife,
                          DaemonGroupInTrouble,
                          ::testing::Values(Case(19, 16),
+                                           Case(19, 130),
                                            Case(20, 44),
-                                           Case(20, 164)),
+                                           Case(20, 47),
+                                           Case(20, 104),
+                                           Case(20, 164),
+                                           Case(20, 179)),
                          caseName);
 
 } // namespace
