--- a/src/libpeers/peerlinks.cpp
+++ b/src/libpeers/peerlinks.cpp
@@ -175,14 +175,37 @@
         dialFailed(peer, now);
     } else if (now - peer.lastUp > m_settings.forgetAfter) {
       forgotten.push_back(address);
-    } else if (now >= peer.nextDialAt) {
-      dial(address, peer, now);
     }
   }
   for (const Address& address : forgotten) {
     m_addresses.erase(m_peers.at(address).vm);
     m_peers.erase(address);
   }
+  dialDue(now);
+}
+
+/// Begins with the addresses after the own one, so that not everybody dials the
+/// same daemons first.
+void
+PeerLinks::dialDue(TimePoint now)
+{
+  auto dialling = static_cast<std::size_t>(
+    std::count_if(m_peers.begin(), m_peers.end(), [](const auto& item) {
+      return item.second.dialled.has_value();
+    }));
+  const auto dialRange = [&](auto first, auto last) {
+    for (auto item = first; item != last; ++item) {
+      auto& [address, peer] = *item;
+      const bool isDue = !peer.link && !peer.dialled && now >= peer.nextDialAt;
+      if (!isDue || dialling >= m_settings.maxDialling)
+        continue;
+      dial(address, peer, now);
+      ++dialling;
+    }
+  };
+  const auto own = m_peers.upper_bound(m_self.address);
+  dialRange(own, m_peers.end());
+  dialRange(m_peers.begin(), own);
 }
 
 void
--- a/src/libpeers/peerlinks.h
+++ b/src/libpeers/peerlinks.h
@@ -29,6 +29,9 @@
     SilenceWatch::Settings silence;
     /// How long a new connection may take, its greeting included.
     Duration connectTimeout = std::chrono::milliseconds(600);
+    /// Connections that are being made at a time: a large group that starts all
+    /// at once would else make none within the timeout.
+    std::size_t maxDialling = 24;
     Duration reconnectMin = std::chrono::milliseconds(150);
     Duration reconnectMax = std::chrono::milliseconds(1200);
     /// Where to listen, if not at the host that others connect to: that may be
@@ -108,6 +111,7 @@
   void lost(Peer& peer, PeerLoss loss, TimePoint now);
   Link* linkTo(const VmId& vm);
   void tellUnknown(LinkId link, const PeerHello& hello);
+  void dialDue(TimePoint now);
   void dial(const Address& address, Peer& peer, TimePoint now);
   void dialFailed(Peer& peer, TimePoint now);
   void write(LinkId link, const PeerMessage& message);
--- a/tests/peers/peerlinks_test.cpp
+++ b/tests/peers/peerlinks_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -108,5 +109,22 @@
   });
 }
 
+/// Forty daemons that start together, each with a limit of few dials at a time.
+TEST_F(PeerLinksTest, AGroupThatStartsTogetherConnectsThoughFewDialAtATime)
+{
+  constexpr unsigned size = 40;
+  for (unsigned number = 1; number <= size; ++number)
+    add(number);
+  for (const auto& end : m_ends) {
+    for (unsigned number = 1; number <= size; ++number)
+      end->links->addKnown(at(number), steadyNow());
+  }
+  await([&] {
+    return std::all_of(m_ends.begin(), m_ends.end(), [](const auto& end) {
+      return end->links->up().size() == size - 1;
+    });
+  });
+}
+
 } // namespace
 } // namespace cowslippin::testing
