A run that lapses on a silent worker is no crash of its task

Change: only a worker that has started again, or whose address another one has, counts. A worker that crashes and is back only after its runs have lapsed is not counted: that is left open. Test: a task whose workers are silent by turns goes on (failed before).

--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -630,7 +630,7 @@
   } else if (end == RunEnd::Failed) {
     m_pool.runFailed(worker, m_now);
     taskFailed(job, task);
-  } else if (m_pool.isLost(worker)) {
+  } else if (m_pool.isLifeOver(worker)) {
     taskCrashed(job, task);
   } else {
     setPending(job, task);
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -191,14 +191,13 @@
 }
 
 bool
-WorkerPool::isLost(const WorkerId& worker) const
+WorkerPool::isLifeOver(const WorkerId& worker) const
 {
   const auto found = m_entries.find(worker);
   if (found == m_entries.end())
     return false;
   const LeaseState state = found->second.lease->state();
-  return state == LeaseState::Restarted || state == LeaseState::Ended ||
-         state == LeaseState::Silent;
+  return state == LeaseState::Restarted || state == LeaseState::Ended;
 }
 
 void
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -123,9 +123,9 @@
              TimePoint now);
   /// Starts nothing beside this run until it is over.
   void reserve(const WorkerId& worker, const RunKey& key);
-  /// Whether the worker has started again, is gone or has fallen silent, so
-  /// that what ran there was lost with it.
-  bool isLost(const WorkerId& worker) const;
+  /// Whether the worker has started again or another one is at its address, so
+  /// that what ran there was lost with it. One that is silent may be cut off.
+  bool isLifeOver(const WorkerId& worker) const;
   void stop(const WorkerId& worker, const RunKey& key, TimePoint now);
   /// Asks a held worker at once what runs there.
   void refresh(const WorkerId& worker, TimePoint now);
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -503,6 +503,24 @@
   EXPECT_EQ(fixture.endOf(bad)->outcome, JobOutcome::Failed);
 }
 
+/// Workers that are cut off by turns end a task's runs as often as that; a job
+/// that could be done must not be shown as failed.
+TEST_F(SchedulerTest, RunsThatLapseOnSilentWorkersAreNoCrashes)
+{
+  JobRequest job = fixture.request("a", 1, 4000, 5000);
+  job.timeLeft = std::chrono::seconds(60);
+  submit(job);
+  fixture.lostShare = 1;
+  for (int step = 0; step < 1200; ++step) {
+    fixture.now += std::chrono::milliseconds(20);
+    fixture.scheduler.tick(fixture.now);
+    fixture.deliver();
+    // A worker that answers for a moment gets the task again.
+    fixture.lostShare = step % 120 < 100 ? 1 : 0;
+  }
+  EXPECT_EQ(fixture.endOf(job), nullptr);
+}
+
 TEST_F(SchedulerTest, CrashesOfBeforeCountWhereATaskGoesOn)
 {
   JobRequest job = fixture.request("a", 1);
--- a/tests/peers/peerlinks_test.cpp
+++ b/tests/peers/peerlinks_test.cpp
@@ -38,7 +38,7 @@
     return { "127.0.0." + std::to_string(number), m_port };
   }
 
-  End& add(unsigned number, PeerLinks::Settings settings = {})
+  End& add(unsigned number, const PeerLinks::Settings& settings = {})
   {
     m_ends.push_back(std::make_unique<End>());
     End& end = *m_ends.back();
