Complete a job only when all its tasks are reported as done

Symptom: a caller was told that a job had completed although some of its tasks had not run.

Cause: when two daemons dial each other at the same time, they keep one of the two connections. A side whose replaced connection is marked close (it has jobs in common with the peer) treats the replacement as a loss. The mark is stored per connection but was not set if the daemon already counted as close, so a later connection stayed unmarked for up to 140 ms. If the connection was unmarked on the gateway's side but not on the holder's, the holder detected a loss and the gateway did not. Tasks that the holder returned while there was no connection were not reported to the gateway. If the rest of the job ended within 200 ms, the holder reported the job as completed, and the gateway took this for the whole part. If it took longer than 200 ms, the holder dropped the job and the caller waited until the job expired.

The wrong answer itself did not recur: that it was caused this way is inferred from its timing and from the code.

Change: mark each new connection according to whether there are jobs in common, and mark the connection of each job that is handed over. The holder reports which tasks of a completed part are done, and the gateway places all others again.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -360,6 +360,9 @@
 {
   const TimePoint now = observeTime();
   m_reports.setZone(hello.vm, hello.zone);
+  // The close flag is stored per connection, and one connection may replace
+  // another without a reported loss.
+  m_links.setClose(hello.vm, m_close.count(hello.vm) > 0);
   sendBeats({ hello.vm }, now);
 }
 
@@ -475,8 +478,8 @@
 void
 EntryCore::addClose(const VmId& vm)
 {
-  if (m_close.insert(vm).second)
-    m_links.setClose(vm, true);
+  m_close.insert(vm);
+  m_links.setClose(vm, true);
 }
 
 /// Tells other holders soon when places have become free or rare.
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -68,9 +68,6 @@
   if (!part)
     return;
   switch (end.outcome) {
-    case JobOutcome::Completed:
-      partDone(*entry, *part);
-      return;
     case JobOutcome::Failed:
       finish(*entry, { JobAnswer::Kind::Failed, Duration::zero(), "" });
       return;
@@ -81,6 +78,7 @@
     case JobOutcome::Refused:
       partRefused(*entry, *part, end, now);
       return;
+    case JobOutcome::Completed:
     case JobOutcome::Moved:
       partMoved(*entry, *part, end, now);
       return;
@@ -231,6 +229,9 @@
            { JobAnswer::Kind::NotRun, part.retryAfter, "no room in time" });
 }
 
+/// Removes the tasks that are done and places the others again. A completed
+/// part has others if the message that returned them was lost with its
+/// connection.
 void
 Gateway::partMoved(Entry& entry, Part& part, const JobEnd& end, TimePoint now)
 {
--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -71,12 +71,9 @@
 }
 
 JobEnd
-movedEnd(
-  const Job& job,
-  const std::function<std::optional<WorkerId>(const std::string&)>& workerOf)
+completedEnd(const Job& job)
 {
   JobEnd end;
-  end.outcome = JobOutcome::Moved;
   end.nextRun = job.request.firstRun;
   for (const JobTask& task : job.tasks) {
     if (task.crashes > 0)
@@ -84,6 +81,18 @@
     if (task.state == TaskState::Done)
       end.done.push_back(task.index);
     end.nextRun = std::max(end.nextRun, task.nextRun + staleRunStep);
+  }
+  return end;
+}
+
+JobEnd
+movedEnd(
+  const Job& job,
+  const std::function<std::optional<WorkerId>(const std::string&)>& workerOf)
+{
+  JobEnd end = completedEnd(job);
+  end.outcome = JobOutcome::Moved;
+  for (const JobTask& task : job.tasks) {
     if (task.state == TaskState::Done || task.state == TaskState::Returned)
       continue;
     if (task.state == TaskState::Quarantined)
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -118,6 +118,12 @@
 std::map<WorkerId, unsigned>
 runsPerWorker(const Job& job);
 
+/// What the submitter is told when all tasks are done or have been returned.
+/// The done tasks are listed because the message that returned the others may
+/// have been lost with its connection.
+JobEnd
+completedEnd(const Job& job);
+
 /// What the submitter is told when the job has to go on elsewhere: what is
 /// done, what may be at work, and which run numbers are free. `workerOf` tells
 /// the worker on which a task of a name runs, for whomever.
--- a/src/libjobs/jobend.h
+++ b/src/libjobs/jobend.h
@@ -14,7 +14,7 @@
 /// What a job, or a part of one, has come to.
 enum class JobOutcome
 {
-  /// All its tasks are done.
+  /// All its tasks are done or have been returned to the submitter.
   Completed,
   /// A task has failed as often as it may.
   Failed,
@@ -87,14 +87,15 @@
   JobOutcome outcome = JobOutcome::Completed;
   /// Of a refusal: when it makes sense to come back.
   Duration retryAfter = Duration::zero();
-  /// Of `Moved`: tasks that are done.
+  /// Of `Moved` and `Completed`: tasks that are done. Returned tasks are not
+  /// included.
   std::vector<TaskIndex> done;
-  /// Of `Moved`: higher than the number of any run so far.
+  /// Of `Moved` and `Completed`: higher than any run number used so far.
   std::uint64_t nextRun = 1;
   /// Of `Moved`: tasks that may be at work. Others that are not done have no
   /// run and can start at once.
   std::vector<TaskPlace> underWay = {};
-  /// Of `Moved`.
+  /// Of `Moved` and `Completed`.
   CrashCounts crashes = {};
 };
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -85,7 +85,7 @@
   logJob("job-accepted", job, nullptr, m_now);
   findRuns(job, now);
   if (job.isOver()) {
-    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
+    finish(job, completedEnd(job));
     return;
   }
   m_queue.add(job);
@@ -576,7 +576,7 @@
   logTasksReturned(job, returned);
   m_hooks.returned(job.request.key, returned);
   if (job.isOver())
-    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
+    finish(job, completedEnd(job));
 }
 
 void
@@ -585,7 +585,7 @@
   task.state = TaskState::Done;
   ++job.done;
   if (job.isOver())
-    finish(job, { JobOutcome::Completed, Duration::zero(), {}, 1 });
+    finish(job, completedEnd(job));
 }
 
 void
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -85,6 +85,8 @@
   {
     JobEnd end;
     end.outcome = outcome;
+    if (outcome == JobOutcome::Completed)
+      end.done = sent[index].second.tasks;
     gateway.ended(sent[index].first, sent[index].second.key, end, now);
   }
 
@@ -279,6 +281,25 @@
   EXPECT_EQ(answers[0].kind, JobAnswer::Kind::Completed);
 }
 
+/// Guards against a job answered as completed after returned tasks were lost.
+TEST_F(GatewayTest, TasksThatACompletedPartDoesNotReportAsDoneArePlacedAgain)
+{
+  submit("a");
+  JobEnd end;
+  end.outcome = JobOutcome::Completed;
+  end.done = { 0 };
+  end.nextRun = 9;
+  gateway.ended(sent[0].first, sent[0].second.key, end, now);
+  EXPECT_TRUE(answers.empty());
+  ASSERT_EQ(sent.size(), 2u);
+  EXPECT_EQ(sent[1].second.tasks, (std::vector<TaskIndex>{ 1, 2 }));
+  EXPECT_EQ(sent[1].second.firstRun, 9u);
+  EXPECT_TRUE(sent[1].second.mayHaveRun);
+  this->end(1, JobOutcome::Completed);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::Completed);
+}
+
 TEST_F(GatewayTest, APartThatTheNamedHolderRefusesGoesHomeAndIsNotCalledNotRun)
 {
   submit("a");
--- a/tests/jobs/scheduler_test.cpp
+++ b/tests/jobs/scheduler_test.cpp
@@ -422,6 +422,20 @@
   EXPECT_EQ(fixture.running(), 4u);
 }
 
+/// Guards against a submitter that takes returned tasks for done.
+TEST_F(SchedulerTest, ACompletedJobReportsItsDoneTasksButNotReturnedOnes)
+{
+  fixture.scheduler.setPeerPlaces(VmId("peer"), ShardId(ZoneName("z2"), 0), 5);
+  const JobRequest job = fixture.request("a", 6);
+  submit(job);
+  ASSERT_EQ(fixture.returns.size(), 1u);
+  for (int task = 0; task < 4; ++task)
+    fixture.end("a.0.0." + std::to_string(task), RunEnd::Done);
+  ASSERT_NE(fixture.endOf(job), nullptr);
+  EXPECT_EQ(fixture.endOf(job)->outcome, JobOutcome::Completed);
+  EXPECT_EQ(fixture.endOf(job)->done, (std::vector<TaskIndex>{ 0, 1, 2, 3 }));
+}
+
 TEST_F(SchedulerTest, InAnEvacuatedZoneRunsEndAndNothingStarts)
 {
   const JobRequest job = fixture.request("a", 6);
