Require a recent report where late starts could exceed a worker's capacity

Symptom: a worker runs over its capacity when it restarts under the same id and orders arrive seconds late.

Cause: an unanswered start is stopped and its room is reused. This is correct in the life of the worker that answered the stop. If the worker restarts, its next life knows neither the stop nor any fencing token, and carries out the late start if it arrives before the next claim. The holder has not detected the restart yet and starts as much as the earlier life had room for.

Change: the lease keeps unanswered starts for 12 s. If these and the runs that no report has listed yet would leave no room for a start in a new life, the holder requests a report from the worker and starts the task after the answer. This costs a round trip for such a start. Only workers that report their birth are affected; others have a new id in each life, and orders name that id.

lateOrderLimit is raised from 10 s to 12 s. It also bounds how long orders to an earlier life are assumed to have an effect on a restarted worker.

Rejected alternatives, all tried: - Keeping the room until the late start can no longer arrive (12 s).

--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -474,8 +474,10 @@
   const bool isSuspect = task.crashes >= m_settings.suspectCrashes;
   const auto worker = m_pool.choose(
     job.request, task.avoided, runsPerWorker(job), isSuspect, now);
-  if (!worker)
+  if (!worker) {
+    m_pool.refreshForStart(job.request, now);
     return false;
+  }
   const RunKey key(name, task.nextRun++);
   leavePending(job, task, TaskState::Running);
   task.worker = *worker;
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -214,6 +214,15 @@
     entry->lease->refresh(now);
 }
 
+void
+WorkerPool::refreshForStart(const JobRequest& request, TimePoint now)
+{
+  for (auto& [id, entry] : m_entries) {
+    if (isEligible(entry, request, now) && !isSuitable(entry, request, now))
+      entry.lease->refresh(now);
+  }
+}
+
 std::optional<std::pair<WorkerId, RunKey>>
 WorkerPool::adopt(const std::string& task,
                   const Resources& resources,
@@ -508,6 +517,15 @@
 WorkerPool::isSuitable(const Entry& entry,
                        const JobRequest& request,
                        TimePoint now) const
+{
+  return isEligible(entry, request, now) &&
+         entry.lease->isSafeToStart(request.needs.resources, now);
+}
+
+bool
+WorkerPool::isEligible(const Entry& entry,
+                       const JobRequest& request,
+                       TimePoint now) const
 {
   const WorkerLease& lease = *entry.lease;
   return entry.isListed && entry.shard == request.shard &&
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -129,6 +129,9 @@
   void stop(const WorkerId& worker, const RunKey& key, TimePoint now);
   /// Asks a held worker at once what runs there.
   void refresh(const WorkerId& worker, TimePoint now);
+  /// Requests a report from each worker that has room for such a task but needs
+  /// a recent report before the task can safely start there.
+  void refreshForStart(const JobRequest& request, TimePoint now);
   /// Takes a run that nobody has asked for into the book of its worker. Only
   /// what the worker has told when it was asked `since` then or later counts:
   /// before that, other holders may have ended the run and begun another.
@@ -216,6 +219,13 @@
   void reclaim(TimePoint now);
   /// Whether a task of this size can be started there now.
   bool canStart(const Entry& entry, const Resources& resources) const;
+  /// Whether the worker, in its present life, can run such a task and has free
+  /// room for it.
+  bool isEligible(const Entry& entry,
+                  const JobRequest& request,
+                  TimePoint now) const;
+  /// Whether the worker is eligible and would stay within its capacity even
+  /// after an undetected restart.
   bool isSuitable(const Entry& entry,
                   const JobRequest& request,
                   TimePoint now) const;
--- a/src/libworkers/lifetracker.h
+++ b/src/libworkers/lifetracker.h
@@ -28,6 +28,10 @@
 public:
   LifeTracker(WorkerBirth birth, TimePoint now);
 
+  /// Whether the worker reports its birth. Only such a worker keeps its id when
+  /// it restarts.
+  bool isBirthKnown() const { return m_present.isKnown(); }
+
   /// An entry of the platform's list. If it is of the next life, that is the
   /// present one from now on.
   WorkerLife seenInList(const WorkerBirth& birth, TimePoint now);
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -87,6 +87,8 @@
   m_used = m_used + resources;
   const StartOrder order{ m_token, key, spec, run.startDeadlineMs };
   m_runs.emplace(key, run);
+  if (m_life.isBirthKnown())
+    m_unansweredStarts.add(key, resources, now + m_settings.lateOrderLimit);
   m_hooks.sendStart(order, m_times->answerWait());
 }
 
@@ -136,6 +138,8 @@
                            const OrderAnswer& answer,
                            TimePoint now)
 {
+  if (answer != OrderFailure::Unanswered)
+    m_unansweredStarts.remove(key);
   const auto found = m_runs.find(key);
   if (found == m_runs.end())
     return;
@@ -199,6 +203,7 @@
     return;
   if (m_state == LeaseState::Silent && !m_runs.empty() && now >= lapsedBy())
     endAll(RunEnd::Lapsed);
+  m_unansweredStarts.expire(now);
   tickRuns(now);
   if (m_holdsUnderWay == 0 && now >= m_nextHoldAt)
     sendHold(Duration::zero(), now);
@@ -211,6 +216,30 @@
          !m_record.isDraining() && resources.fitsIn(freeRoom());
 }
 
+bool
+WorkerLease::isSafeToStart(const Resources& resources, TimePoint now) const
+{
+  const bool isReportFresh =
+    now - m_reportAt <= m_settings.freshReportLimit &&
+    m_reportAt - m_reportAskedAt <= m_times->answerWait();
+  return m_unansweredStarts.isEmpty() || isReportFresh ||
+         resources.fitsIn(freeRoomInNextLife());
+}
+
+/// The least free room of a worker after an undetected restart. Its new life
+/// has none of the listed runs, but may carry out any unanswered start, and may
+/// have been the one that answered the starts not listed yet.
+Resources
+WorkerLease::freeRoomInNextLife() const
+{
+  Resources used = m_unansweredStarts.total();
+  for (const auto& [key, run] : m_runs) {
+    if (!run.isListed && !m_unansweredStarts.contains(key))
+      used = used + run.resources;
+  }
+  return m_record.capacity() - used;
+}
+
 Resources
 WorkerLease::freeRoom() const
 {
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -2,6 +2,7 @@
 
 #include "answertimes.h"
 #include "lifetracker.h"
+#include "unansweredstarts.h"
 #include "workerorder.h"
 #include "workerrecord.h"
 
@@ -68,9 +69,11 @@
     Duration lapseMargin = std::chrono::milliseconds(60);
     /// The longest lease that a worker grants, whatever deadline an order has.
     Duration longestLease = std::chrono::milliseconds(1000);
-    /// After this a start that was on its way when the worker started again is
-    /// taken as lost, if the new life has answered nothing since.
-    Duration lateOrderLimit = std::chrono::seconds(10);
+    /// How long after it was sent an unanswered start may still be carried out.
+    Duration lateOrderLimit = std::chrono::seconds(12);
+    /// How long after its arrival a report that was answered promptly is taken
+    /// to be of the present life.
+    Duration freshReportLimit = std::chrono::milliseconds(5);
   };
 
   /// None may be empty. They are called from within the functions below and
@@ -140,6 +143,12 @@
   void setRecord(const WorkerRecord& record, TimePoint now);
 
   bool canStart(const Resources& resources) const;
+  /// Whether a start of this size keeps the worker within its capacity even
+  /// after an undetected restart, when earlier unanswered starts may still be
+  /// carried out. Without room for all of them, it takes a prompt report that
+  /// arrived within `freshReportLimit`, for example one requested by `refresh`.
+  /// Doesn't include the conditions of `canStart`.
+  bool isSafeToStart(const Resources& resources, TimePoint now) const;
   /// Capacity that nothing counts against; nothing while that isn't known.
   Resources freeRoom() const;
   bool isIdle() const { return m_runs.empty(); }
@@ -201,6 +210,7 @@
   void endRun(Runs::iterator found, RunEnd end);
   void rejectRun(Runs::iterator found, OrderFailure failure);
   void endAll(RunEnd end);
+  Resources freeRoomInNextLife() const;
   void tickRuns(TimePoint now);
   std::int64_t deadline(TimePoint now);
 
@@ -212,6 +222,7 @@
   LeaseState m_state = LeaseState::Claiming;
   FencingToken m_token = 0;
   Runs m_runs;
+  UnansweredStarts m_unansweredStarts;
   Resources m_used;
   std::size_t m_strays = 0;
   std::uint64_t m_acknowledged = 0;
--- a/src/libworkers/workers.h
+++ b/src/libworkers/workers.h
@@ -5,6 +5,7 @@
 #include "lifetracker.h"
 #include "resources.h"
 #include "runkey.h"
+#include "unansweredstarts.h"
 #include "workerbirth.h"
 #include "workerhealth.h"
 #include "workerlease.h"
--- a/tests/workers/restartedworker_test.cpp
+++ b/tests/workers/restartedworker_test.cpp
@@ -205,6 +205,36 @@
   EXPECT_EQ(fixture.ended[0].second, RunEnd::Lapsed);
 }
 
+/// Guards against exceeding the capacity of a new life that carries out both a
+/// late start and a new one before the restart is detected.
+TEST_F(RestartedWorker, AStartWaitsForAReportWhereALateOneWouldLeaveNoRoom)
+{
+  const Resources large(12000, 10, 0);
+  fixture.start(run1, 12000);
+  fixture.deliver(Delivery::Late, 1);
+  fixture.deliver(Delivery::Normal, 1);
+  fixture.pass(100);
+  fixture.deliver(Delivery::Normal, 8);
+  ASSERT_EQ(fixture.ended.size(), 1u) << "the present life has stopped it";
+  fixture.now += std::chrono::milliseconds(20);
+  EXPECT_TRUE(fixture.lease.canStart(large));
+  EXPECT_FALSE(fixture.lease.isSafeToStart(large, fixture.now));
+  EXPECT_TRUE(fixture.lease.isSafeToStart(Resources(4000, 10, 0), fixture.now));
+  seeReport();
+  EXPECT_TRUE(fixture.lease.isSafeToStart(large, fixture.now));
+  const SentHold sent{ fixture.lease.token(), fixture.now };
+  fixture.now += std::chrono::milliseconds(20);
+  fixture.lease.holdAnswered(
+    sent,
+    fixture.worker.hold({ sent.token, std::nullopt, 0, {} }, fixture.now),
+    fixture.now);
+  EXPECT_TRUE(fixture.lease.isSafeToStart(large, fixture.now))
+    << "a round trip of 20 ms";
+  fixture.now += std::chrono::seconds(12);
+  fixture.lease.tick(fixture.now);
+  EXPECT_TRUE(fixture.lease.isSafeToStart(large, fixture.now));
+}
+
 TEST_F(RestartedWorker, MayStartAgainTwiceInARow)
 {
   fixture.start(run1);
