Look at a worker's unanswered starts before its room

WorkerPool::refreshForStart runs at each start that finds no place, for every worker. Nearly all have no unanswered start, which is known at once; whether they have room takes longer to find out. The condition is the same. Ran: test_jobs and OrdersToAnEarlierLife of test_entry.

--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -218,7 +218,9 @@
 WorkerPool::refreshForStart(const JobRequest& request, TimePoint now)
 {
   for (auto& [id, entry] : m_entries) {
-    if (isEligible(entry, request, now) && !isSuitable(entry, request, now))
+    const bool isSafe =
+      entry.lease->isSafeToStart(request.needs.resources, now);
+    if (!isSafe && isEligible(entry, request, now))
       entry.lease->refresh(now);
   }
 }
