Keep a share of the log for rare decisions

Cause: one record limit and one queue served all events. The queue of the writing thread holds 8,192 records and drops what finds it full, so that a burst of task-started lines displaced others, and nothing told of the dropped ones.

logDecision writes with a limit of its own (200 a second for each event), and 2,048 places of the queue take only such records. What finds no place is counted as suppressed.

Ruled out: a second queue with a thread of its own, as two threads would write to one stream.

--- a/src/libobserve/eventratelimiter.cpp
+++ b/src/libobserve/eventratelimiter.cpp
@@ -11,13 +11,22 @@
 } // namespace
 
 EventRateLimiter::EventRateLimiter(unsigned eventsPerSecond)
+  : EventRateLimiter(eventsPerSecond, eventsPerSecond)
+{
+}
+
+EventRateLimiter::EventRateLimiter(unsigned eventsPerSecond,
+                                   unsigned decisionsPerSecond)
   : m_eventsPerSecond(eventsPerSecond)
+  , m_decisionsPerSecond(decisionsPerSecond)
 {
 }
 
 bool
-EventRateLimiter::admit(std::string_view event, TimePoint now)
+EventRateLimiter::admit(std::string_view event, TimePoint now, LogRank rank)
 {
+  const unsigned limit =
+    rank == LogRank::Decisive ? m_decisionsPerSecond : m_eventsPerSecond;
   const std::lock_guard lock(m_mutex);
   auto found = m_windows.find(event);
   if (found == m_windows.end()) {
@@ -26,7 +35,7 @@
   Window& window = found->second;
   startWindowIfEnded(found->first, window, now);
   ++window.total;
-  if (window.admitted >= m_eventsPerSecond) {
+  if (window.admitted >= limit) {
     ++window.suppressed;
     return false;
   }
@@ -34,6 +43,15 @@
   return true;
 }
 
+void
+EventRateLimiter::notWritten(std::string_view event)
+{
+  const std::lock_guard lock(m_mutex);
+  const auto found = m_windows.find(event);
+  if (found != m_windows.end())
+    ++found->second.suppressed;
+}
+
 std::map<std::string, std::uint64_t>
 EventRateLimiter::totals() const
 {
--- a/src/libobserve/eventratelimiter.h
+++ b/src/libobserve/eventratelimiter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "logrank.h"
+
 #include "libcore/clock.h"
 
 #include <cstdint>
@@ -45,9 +47,14 @@
 {
 public:
   explicit EventRateLimiter(unsigned eventsPerSecond);
+  EventRateLimiter(unsigned eventsPerSecond, unsigned decisionsPerSecond);
 
   /// Whether the event may be logged at `now`. If not, it is counted.
-  bool admit(std::string_view event, TimePoint now);
+  bool admit(std::string_view event,
+             TimePoint now,
+             LogRank rank = LogRank::Frequent);
+  /// Counts an admitted record that could not be written as suppressed.
+  void notWritten(std::string_view event);
 
   /// How often each event came, admitted or not.
   std::map<std::string, std::uint64_t> totals() const;
@@ -72,6 +79,7 @@
                           TimePoint now);
 
   const unsigned m_eventsPerSecond;
+  const unsigned m_decisionsPerSecond;
   mutable std::mutex m_mutex;
   std::map<std::string, Window, std::less<>> m_windows;
   std::vector<SuppressedEvents> m_ended;
--- a/src/libobserve/logging.cpp
+++ b/src/libobserve/logging.cpp
@@ -1,6 +1,8 @@
 #include "logging.h"
 
 #include "eventratelimiter.h"
+#include "queueshare.h"
+
 #include "libcore/clock.h"
 
 #include <boost/core/null_deleter.hpp>
@@ -30,9 +32,30 @@
 namespace sinks = boost::log::sinks;
 
 constexpr std::size_t maxQueuedRecords = 8192;
+/// Of these.
+constexpr std::size_t reservedForDecisive = 2048;
 constexpr int nothingIsLogged = static_cast<int>(LogLevel::Error) + 1;
 
-using Backend = sinks::text_ostream_backend;
+/// Gives a record's place in the queue back once it is written.
+class Backend : public sinks::text_ostream_backend
+{
+public:
+  explicit Backend(std::shared_ptr<QueueShare> share)
+    : m_share(std::move(share))
+  {
+  }
+
+  void consume(const boost::log::record_view& record,
+               const string_type& message)
+  {
+    m_share->leave();
+    sinks::text_ostream_backend::consume(record, message);
+  }
+
+private:
+  const std::shared_ptr<QueueShare> m_share;
+};
+
 using SynchronousSink = sinks::synchronous_sink<Backend>;
 using AsynchronousSink = sinks::asynchronous_sink<
   Backend,
@@ -45,7 +68,8 @@
 public:
   void start(const LogSettings& settings);
   void stop();
-  void log(LogLevel level,
+  void log(LogRank rank,
+           LogLevel level,
            const char* event,
            std::initializer_list<LogField> fields);
   void reportSuppressed();
@@ -53,12 +77,13 @@
 
 private:
   void stopLocked();
-  void write(const std::string& line);
+  bool write(LogRank rank, const std::string& line);
   void writeSuppressed(const std::vector<SuppressedEvents>& suppressed);
 
   std::mutex m_setUpMutex;
   std::atomic<int> m_threshold{ nothingIsLogged };
   std::shared_ptr<EventRateLimiter> m_limiter;
+  std::shared_ptr<QueueShare> m_share;
   std::function<void()> m_removeSink;
   boost::log::sources::logger_mt m_source;
 };
@@ -105,9 +130,9 @@
 }
 
 boost::shared_ptr<Backend>
-makeBackend(std::ostream& stream)
+makeBackend(std::ostream& stream, std::shared_ptr<QueueShare> share)
 {
-  auto backend = boost::make_shared<Backend>();
+  auto backend = boost::make_shared<Backend>(std::move(share));
   backend->add_stream(
     boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
   backend->auto_flush(true);
@@ -118,17 +143,17 @@
 
 template<class Sink>
 boost::shared_ptr<Sink>
-addSink(std::ostream& stream)
+addSink(std::ostream& stream, std::shared_ptr<QueueShare> share)
 {
-  auto sink = boost::make_shared<Sink>(makeBackend(stream));
+  auto sink = boost::make_shared<Sink>(makeBackend(stream, std::move(share)));
   boost::log::core::get()->add_sink(sink);
   return sink;
 }
 
 std::function<void()>
-addSynchronousSink(std::ostream& stream)
+addSynchronousSink(std::ostream& stream, std::shared_ptr<QueueShare> share)
 {
-  auto sink = addSink<SynchronousSink>(stream);
+  auto sink = addSink<SynchronousSink>(stream, std::move(share));
   return [sink] {
     boost::log::core::get()->remove_sink(sink);
     sink->flush();
@@ -136,9 +161,9 @@
 }
 
 std::function<void()>
-addAsynchronousSink(std::ostream& stream)
+addAsynchronousSink(std::ostream& stream, std::shared_ptr<QueueShare> share)
 {
-  auto sink = addSink<AsynchronousSink>(stream);
+  auto sink = addSink<AsynchronousSink>(stream, std::move(share));
   return [sink] {
     boost::log::core::get()->remove_sink(sink);
     sink->stop();
@@ -151,11 +176,15 @@
 {
   const std::lock_guard lock(m_setUpMutex);
   stopLocked();
-  std::atomic_store(
-    &m_limiter, std::make_shared<EventRateLimiter>(settings.eventsPerSecond));
+  std::atomic_store(&m_limiter,
+                    std::make_shared<EventRateLimiter>(
+                      settings.eventsPerSecond, settings.decisionsPerSecond));
+  auto share =
+    std::make_shared<QueueShare>(maxQueuedRecords, reservedForDecisive);
+  std::atomic_store(&m_share, share);
   m_removeSink = settings.delivery == LogDelivery::Synchronous
-                   ? addSynchronousSink(*settings.stream)
-                   : addAsynchronousSink(*settings.stream);
+                   ? addSynchronousSink(*settings.stream, share)
+                   : addAsynchronousSink(*settings.stream, share);
   boost::log::core::get()->set_logging_enabled(true);
   m_threshold = static_cast<int>(settings.level);
 }
@@ -182,7 +211,8 @@
 }
 
 void
-ProcessLogger::log(LogLevel level,
+ProcessLogger::log(LogRank rank,
+                   LogLevel level,
                    const char* event,
                    std::initializer_list<LogField> fields)
 {
@@ -191,11 +221,10 @@
   }
   const auto limiter = std::atomic_load(&m_limiter);
   const TimePoint now = steadyNow();
-  const bool isAdmitted = limiter->admit(event, now);
+  const bool isAdmitted = limiter->admit(event, now, rank);
   writeSuppressed(limiter->takeEnded(now));
-  if (isAdmitted) {
-    write(jsonLine(level, event, fields));
-  }
+  if (isAdmitted && !write(rank, jsonLine(level, event, fields)))
+    limiter->notWritten(event);
 }
 
 void
@@ -214,20 +243,34 @@
   return limiter ? limiter->totals() : std::map<std::string, std::uint64_t>();
 }
 
-void
-ProcessLogger::write(const std::string& line)
+/// False if the queue has no place for it.
+bool
+ProcessLogger::write(LogRank rank, const std::string& line)
 {
-  BOOST_LOG(m_source) << line << '\n';
+  const auto share = std::atomic_load(&m_share);
+  if (!share->enter(rank))
+    return false;
+  boost::log::record record = m_source.open_record();
+  if (!record) {
+    share->leave();
+    return true;
+  }
+  boost::log::record_ostream stream(record);
+  stream << line << '\n';
+  stream.flush();
+  m_source.push_record(std::move(record));
+  return true;
 }
 
 void
 ProcessLogger::writeSuppressed(const std::vector<SuppressedEvents>& suppressed)
 {
   for (const SuppressedEvents& events : suppressed) {
-    write(jsonLine(
-      LogLevel::Warning,
-      "log-suppressed",
-      { { "suppressedEvent", events.event() }, { "count", events.count() } }));
+    write(LogRank::Decisive,
+          jsonLine(LogLevel::Warning,
+                   "log-suppressed",
+                   { { "suppressedEvent", events.event() },
+                     { "count", events.count() } }));
   }
 }
 
@@ -250,7 +293,15 @@
          const char* event,
          std::initializer_list<LogField> fields)
 {
-  processLogger().log(level, event, fields);
+  processLogger().log(LogRank::Frequent, level, event, fields);
+}
+
+void
+logDecision(LogLevel level,
+            const char* event,
+            std::initializer_list<LogField> fields)
+{
+  processLogger().log(LogRank::Decisive, level, event, fields);
 }
 
 std::map<std::string, std::uint64_t>
--- a/src/libobserve/logging.h
+++ b/src/libobserve/logging.h
@@ -17,7 +17,8 @@
   /// The thread that logs; a record has been written when `logEvent` returns.
   Synchronous,
   /// A thread of the logger's own. Its queue is bounded: records that find it
-  /// full are dropped, so that a blocked stream holds up no other thread.
+  /// full are dropped and counted as suppressed, so that a blocked stream holds
+  /// up no other thread. Part of it is kept for what `logDecision` writes.
   Asynchronous,
 };
 
@@ -32,6 +33,8 @@
   unsigned eventsPerSecond = 20;
   /// Where lines go. It must live until `stopLogging` has returned.
   std::ostream* stream = &std::clog;
+  /// The same as `eventsPerSecond`, of those that `logDecision` writes.
+  unsigned decisionsPerSecond = 200;
 };
 
 /// Starts logging. Until then, and after `stopLogging`, records are dropped.
@@ -54,6 +57,13 @@
          const char* event,
          std::initializer_list<LogField> fields = {});
 
+/// Writes such a line for a rare decision that an incident is reconstructed
+/// from. Its limit is higher, and frequent events can't displace it.
+void
+logDecision(LogLevel level,
+            const char* event,
+            std::initializer_list<LogField> fields = {});
+
 /// How often each event was logged since logging was set up, the suppressed
 /// ones included. Events below the level are not counted.
 std::map<std::string, std::uint64_t>
--- a/src/libobserve/observe.h
+++ b/src/libobserve/observe.h
@@ -9,5 +9,7 @@
 #include "logfield.h"
 #include "logging.h"
 #include "loglevel.h"
+#include "logrank.h"
 #include "metrics.h"
+#include "queueshare.h"
 #include "statedump.h"
--- a/tests/observe/eventratelimitertest.cpp
+++ b/tests/observe/eventratelimitertest.cpp
@@ -79,5 +79,25 @@
   EXPECT_EQ(limiter.totals().at("peer-up"), 1u);
 }
 
+/// Guards against a burst of decisions that is cut as if they were frequent.
+TEST(EventRateLimiter, DecisionsHaveALimitOfTheirOwn)
+{
+  EventRateLimiter limiter(1, 3);
+  int count = 0;
+  for (int i = 0; i < 10; ++i)
+    count += limiter.admit("lease-lapsed", at(0), LogRank::Decisive) ? 1 : 0;
+  EXPECT_EQ(count, 3);
+}
+
+/// Guards against records that are lost in the queue without a trace.
+TEST(EventRateLimiter, WhatWasNotWrittenCountsAsSuppressed)
+{
+  EventRateLimiter limiter(limit);
+  admitted(limiter, 2, at(0));
+  limiter.notWritten("peer-down");
+  const std::vector<SuppressedEvents> expected = { { "peer-down", 1 } };
+  EXPECT_EQ(limiter.takeEnded(at(1000)), expected);
+}
+
 } // namespace
 } // namespace cowslippin
--- a/tests/observe/loggingtest.cpp
+++ b/tests/observe/loggingtest.cpp
@@ -5,7 +5,10 @@
 #include <nlohmann/json.hpp>
 
 #include <cmath>
+#include <condition_variable>
 #include <limits>
+#include <map>
+#include <mutex>
 #include <regex>
 #include <sstream>
 #include <thread>
@@ -155,6 +158,80 @@
   EXPECT_TRUE(stopAndRead().empty());
 }
 
+/// A stream that takes nothing until it is opened.
+class BlockedStream
+  : public std::streambuf
+  , public std::ostream
+{
+public:
+  BlockedStream()
+    : std::ostream(this)
+  {
+  }
+
+  void open()
+  {
+    const std::lock_guard lock(m_mutex);
+    m_isOpen = true;
+    m_opened.notify_all();
+  }
+
+  const std::string& text() const { return m_text; }
+
+private:
+  std::streamsize xsputn(const char* bytes, std::streamsize count) override
+  {
+    std::unique_lock lock(m_mutex);
+    m_opened.wait(lock, [this] { return m_isOpen; });
+    m_text.append(bytes, static_cast<std::size_t>(count));
+    return count;
+  }
+
+  std::mutex m_mutex;
+  std::condition_variable m_opened;
+  bool m_isOpen = false;
+  std::string m_text;
+};
+
+/// Guards against frequent records that fill the queue and displace decisions.
+TEST(LogQueue, AFloodOfFrequentRecordsLeavesRoomForDecisions)
+{
+  constexpr int flood = 20000;
+  BlockedStream stream;
+  initialiseLogging(
+    { LogLevel::Info, LogDelivery::Asynchronous, flood, &stream, 200 });
+  for (int i = 0; i < flood; ++i)
+    logEvent(LogLevel::Info, "task-started", { { "task", i } });
+  for (int i = 0; i < 150; ++i)
+    logDecision(LogLevel::Warning, "task-restarted", { { "task", i } });
+  stream.open();
+  stopLogging();
+  std::map<std::string, int> counts;
+  int suppressed = 0;
+  std::istringstream lines(stream.text());
+  for (std::string line; std::getline(lines, line);) {
+    const auto record = nlohmann::json::parse(line);
+    ++counts[record["event"]];
+    if (record["event"] == "log-suppressed")
+      suppressed += record["count"].get<int>();
+  }
+  EXPECT_EQ(counts["task-restarted"], 150);
+  EXPECT_LT(counts["task-started"], flood);
+  EXPECT_EQ(counts["task-started"] + suppressed, flood);
+}
+
+TEST(LogQueue, DecisionsAreBoundedByTheWholeQueue)
+{
+  QueueShare share(3, 2);
+  EXPECT_TRUE(share.enter(LogRank::Frequent));
+  EXPECT_FALSE(share.enter(LogRank::Frequent));
+  EXPECT_TRUE(share.enter(LogRank::Decisive));
+  EXPECT_TRUE(share.enter(LogRank::Decisive));
+  EXPECT_FALSE(share.enter(LogRank::Decisive));
+  share.leave();
+  EXPECT_TRUE(share.enter(LogRank::Decisive));
+}
+
 INSTANTIATE_TEST_SUITE_P(BothDeliveries,
                          Logging,
                          testing::Values(LogDelivery::Synchronous,
