Log what happens to leases: lapses, strays, failed stops, renewals over them

Cause: a stop without an answer, a stray that is stopped, a lease that lapses and a renewal over a run that is to end left no line; run-found shared the limit of frequent events.

found-run-stopped, found-run-ended, stop-unanswered, stop-refused, lease-renewed-over (once for each run) and lease-lapsed name task, run, worker and ages. A task's name begins with the id of its job. Lists for lines are bounded to 20 ids and a count. No decision changes.

--- /dev/null
+++ b/src/libjobs/leaselog.cpp
@@ -0,0 +1,81 @@
+#include "leaselog.h"
+
+#include "libobserve/observe.h"
+
+namespace cowslippin {
+
+void
+logStrayFound(const WorkerId& worker, const RunKey& key)
+{
+  logDecision(
+    LogLevel::Info,
+    "run-found",
+    { { "worker", worker }, { "task", key.task() }, { "run", key.run() } });
+}
+
+void
+logStrayEnded(const WorkerId& worker, const RunKey& key, RunEnd end)
+{
+  logDecision(LogLevel::Info,
+              "found-run-ended",
+              { { "worker", worker },
+                { "task", key.task() },
+                { "run", key.run() },
+                { "end", toString(end) } });
+}
+
+void
+logNote(const WorkerId& worker, const StrayStopped& note)
+{
+  logDecision(LogLevel::Info,
+              "found-run-stopped",
+              { { "worker", worker },
+                { "task", note.key.task() },
+                { "run", note.key.run() },
+                { "ageMs", toMilliseconds(note.age) } });
+}
+
+void
+logNote(const WorkerId& worker, const StopFailed& note)
+{
+  const bool isUnanswered = note.failure == OrderFailure::Unanswered ||
+                            note.failure == OrderFailure::NotSent;
+  logDecision(LogLevel::Warning,
+              isUnanswered ? "stop-unanswered" : "stop-refused",
+              { { "worker", worker },
+                { "task", note.key.task() },
+                { "run", note.key.run() },
+                { "reason", toString(note.failure) },
+                { "sent", note.sent },
+                { "sinceFirstMs", toMilliseconds(note.sinceFirst) },
+                { "sinceLastMs", toMilliseconds(note.sinceLast) } });
+}
+
+void
+logNote(const WorkerId& worker, const UnwantedRenewal& note)
+{
+  logDecision(LogLevel::Warning,
+              "lease-renewed-over",
+              { { "worker", worker },
+                { "task", note.key.task() },
+                { "run", note.key.run() },
+                { "cause", note.isStray ? "found" : "stopping" },
+                { "ageMs", toMilliseconds(note.age) } });
+}
+
+void
+logNote(const WorkerId& worker, const LeaseLapsed& note)
+{
+  IdList tasks;
+  for (const RunKey& key : note.runs)
+    tasks.add(key.task());
+  logDecision(LogLevel::Warning,
+              "lease-lapsed",
+              { { "worker", worker },
+                { "runs", tasks.count() },
+                { "tasks", tasks.text() },
+                { "sinceReportMs", toMilliseconds(note.sinceReport) },
+                { "sinceLapseMs", toMilliseconds(note.sinceLapse) } });
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libjobs/leaselog.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "libworkers/leasenote.h"
+
+#include "libcore/core.h"
+
+namespace cowslippin {
+
+/// The lines on a worker's lease. A task's name begins with its job's id.
+
+void
+logStrayFound(const WorkerId& worker, const RunKey& key);
+void
+logStrayEnded(const WorkerId& worker, const RunKey& key, RunEnd end);
+void
+logNote(const WorkerId& worker, const StrayStopped& note);
+void
+logNote(const WorkerId& worker, const StopFailed& note);
+void
+logNote(const WorkerId& worker, const UnwantedRenewal& note);
+void
+logNote(const WorkerId& worker, const LeaseLapsed& note);
+
+} // namespace cowslippin
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -1,5 +1,7 @@
 #include "workerpool.h"
 
+#include "leaselog.h"
+
 #include "libobserve/observe.h"
 
 #include <algorithm>
@@ -421,13 +423,13 @@
   hooks.runActive = [this, id](const RunKey& key, int percent) {
     m_hooks.runActive(id, key, percent);
   };
-  hooks.strayFound = [id](const RunKey& key) {
-    logEvent(
-      LogLevel::Info,
-      "run-found",
-      { { "worker", id }, { "task", key.task() }, { "run", key.run() } });
-  };
+  hooks.strayFound = [id](const RunKey& key) { logStrayFound(id, key); };
+  hooks.strayStopped = [id](const auto& note) { logNote(id, note); };
+  hooks.stopFailed = [id](const auto& note) { logNote(id, note); };
+  hooks.unwantedRenewal = [id](const auto& note) { logNote(id, note); };
+  hooks.lapsed = [id](const auto& note) { logNote(id, note); };
   hooks.strayEnded = [this, id](const RunKey& key, RunEnd end) {
+    logStrayEnded(id, key, end);
     m_hooks.strayEnded(id, key, end);
   };
   hooks.stateChanged = [this, id](LeaseState state) {
@@ -460,11 +462,11 @@
   const FencingToken token = m_hooks.higherToken(0);
   m_shards[entry.shard] = token;
   entry.health = WorkerHealth(m_settings.health);
-  logEvent(LogLevel::Info,
-           "worker-restarted",
-           { { "worker", id },
-             { "token", token },
-             { "unansweredRuns", entry.lease->runCount() } });
+  logDecision(LogLevel::Info,
+              "worker-restarted",
+              { { "worker", id },
+                { "token", token },
+                { "unansweredRuns", entry.lease->runCount() } });
   entry.lease->claim(token, now);
 }
 
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -180,8 +180,14 @@
     return;
   Run& run = found->second;
   // What failed is sent again by a later tick.
-  if (answer)
+  if (answer) {
+    m_hooks.stopFailed({ key,
+                         *answer,
+                         run.stopsSent,
+                         now - run.firstStopAt,
+                         now - run.stopSentAt.value_or(now) });
     return;
+  }
   run.stopAnsweredAt = now;
   // Tells at once whether the run is over, so that its task can start
   // elsewhere.
@@ -202,7 +208,7 @@
       m_state == LeaseState::Ended)
     return;
   if (m_state == LeaseState::Silent && !m_runs.empty() && now >= lapsedBy())
-    endAll(RunEnd::Lapsed);
+    lapse(now);
   m_unansweredStarts.expire(now);
   tickRuns(now);
   if (m_holdsUnderWay == 0 && now >= m_nextHoldAt)
@@ -285,12 +291,16 @@
     order.deadlineMs = deadline(now);
   ++m_holdsUnderWay;
   m_hooks.sendHold(order, wait + m_times->answerWait());
+  if (order.deadlineMs)
+    tellUnwanted(now);
 }
 
 void
 WorkerLease::sendStop(const RunKey& key, Run& run, TimePoint now)
 {
   run.stopSentAt = now;
+  if (run.stopsSent++ == 0)
+    run.firstStopAt = now;
   m_hooks.sendStop({ m_token, key }, m_times->answerWait());
 }
 
@@ -511,6 +521,32 @@
     endRun(m_runs.begin(), end);
 }
 
+void
+WorkerLease::lapse(TimePoint now)
+{
+  LeaseLapsed note{ {}, Duration::zero(), now - lapsedBy() };
+  if (m_reportAt != TimePoint())
+    note.sinceReport = now - m_reportAt;
+  for (const auto& [key, run] : m_runs)
+    note.runs.push_back(key);
+  m_hooks.lapsed(note);
+  endAll(RunEnd::Lapsed);
+}
+
+/// Tells once for each run that is to end and that a renewal lets go on.
+void
+WorkerLease::tellUnwanted(TimePoint now)
+{
+  for (auto& [key, run] : m_runs) {
+    const bool isStopping = run.state == RunState::Stopping;
+    if (run.isRenewalTold || (!isStopping && !run.isStray))
+      continue;
+    run.isRenewalTold = true;
+    const TimePoint since = isStopping ? run.firstStopAt : run.since;
+    m_hooks.unwantedRenewal({ key, run.isStray, now - since });
+  }
+}
+
 void
 WorkerLease::tickRuns(TimePoint now)
 {
@@ -518,6 +554,7 @@
     if (run.isStray && run.state != RunState::Stopping &&
         now - run.since >= m_settings.strayLimit) {
       run.state = RunState::Stopping;
+      m_hooks.strayStopped({ key, now - run.since });
       sendStop(key, run, now);
     }
     if (run.state == RunState::Stopping && !run.stopAnsweredAt &&
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "answertimes.h"
+#include "leasenote.h"
 #include "lifetracker.h"
 #include "unansweredstarts.h"
 #include "workerorder.h"
@@ -93,6 +94,10 @@
     std::function<void(const RunKey&)> strayFound;
     /// A run that isn't in the book has ended.
     std::function<void(const RunKey&, RunEnd)> strayEnded;
+    std::function<void(const StrayStopped&)> strayStopped;
+    std::function<void(const StopFailed&)> stopFailed;
+    std::function<void(const UnwantedRenewal&)> unwantedRenewal;
+    std::function<void(const LeaseLapsed&)> lapsed;
     std::function<void(LeaseState)> stateChanged;
   };
 
@@ -188,6 +193,10 @@
     bool isListed = false;
     /// Its start was sent before the present life was known.
     bool isOfEarlierLife = false;
+    TimePoint firstStopAt{};
+    unsigned stopsSent = 0;
+    /// Whether it was told that the lease was renewed although it is to end.
+    bool isRenewalTold = false;
     std::optional<TimePoint> confirmedAt;
     std::optional<TimePoint> stopSentAt;
     std::optional<TimePoint> stopAnsweredAt;
@@ -211,6 +220,8 @@
   void rejectRun(Runs::iterator found, OrderFailure failure);
   void endAll(RunEnd end);
   Resources freeRoomInNextLife() const;
+  void lapse(TimePoint now);
+  void tellUnwanted(TimePoint now);
   void tickRuns(TimePoint now);
   std::int64_t deadline(TimePoint now);
 
--- a/src/libworkers/workers.h
+++ b/src/libworkers/workers.h
@@ -2,6 +2,7 @@
 
 #include "answertimes.h"
 #include "holdreport.h"
+#include "leasenote.h"
 #include "lifetracker.h"
 #include "resources.h"
 #include "runkey.h"
--- a/tests/observe/loggingtest.cpp
+++ b/tests/observe/loggingtest.cpp
@@ -220,6 +220,15 @@
   EXPECT_EQ(counts["task-started"] + suppressed, flood);
 }
 
+TEST(IdList, ListsTheFirstAndCountsAll)
+{
+  IdList ids;
+  for (int i = 0; i < 25; ++i)
+    ids.add(std::to_string(i));
+  EXPECT_EQ(ids.count(), 25u);
+  EXPECT_EQ(ids.text(), "0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19");
+}
+
 TEST(LogQueue, DecisionsAreBoundedByTheWholeQueue)
 {
   QueueShare share(3, 2);
--- a/tests/workers/leasefixture.h
+++ b/tests/workers/leasefixture.h
@@ -96,6 +96,10 @@
   std::vector<std::pair<RunKey, OrderFailure>> rejected;
   std::vector<RunKey> strays;
   std::vector<std::pair<RunKey, RunEnd>> straysEnded;
+  std::vector<RunKey> straysStopped;
+  std::vector<StopFailed> stopsFailed;
+  std::vector<UnwantedRenewal> unwantedRenewals;
+  std::vector<LeaseLapsed> lapses;
   std::vector<LeaseState> states;
   std::shared_ptr<AnswerTimes> times;
   WorkerLease lease;
@@ -151,6 +155,16 @@
     hooks.strayEnded = [this](const RunKey& key, RunEnd end) {
       straysEnded.emplace_back(key, end);
     };
+    hooks.strayStopped = [this](const auto& note) {
+      straysStopped.push_back(note.key);
+    };
+    hooks.stopFailed = [this](const auto& note) {
+      stopsFailed.push_back(note);
+    };
+    hooks.unwantedRenewal = [this](const auto& note) {
+      unwantedRenewals.push_back(note);
+    };
+    hooks.lapsed = [this](const auto& note) { lapses.push_back(note); };
     hooks.stateChanged = [this](LeaseState state) { states.push_back(state); };
     return hooks;
   }
