Log second starts, quarantines and abandoned jobs as events of their own

Cause: a second start was one more task-started, of which hundreds a second were left out, and nothing said what allowed it. job-abandoned told no wait and no runs, a moved job was one more job-ended.

task-restarted has its cause (a failure, a lost worker, a lapse, a hand-over, or after a loss the worker's word, a claimed shard, time alone), the worker before and the age of the loss. task-quarantined, quarantine-ended, run-adopted, job-moved, job-reattached are new; job-abandoned and job-cancelled count the runs that they stop. A task whose start was rejected without being carried out is still task-started. No decision changes.

--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -34,6 +34,8 @@
     JobTask task;
     task.index = index;
     task.nextRun = request.firstRun;
+    if (request.firstRun > 1)
+      task.restartCause = RestartCause::HandedOver;
     const auto crashes = request.crashes.find(index);
     if (crashes != request.crashes.end())
       task.crashes = crashes->second;
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -2,6 +2,7 @@
 
 #include "jobend.h"
 #include "jobrequest.h"
+#include "restartcause.h"
 
 #include "libworkers/runkey.h"
 
@@ -34,6 +35,7 @@
   TaskIndex index = 0;
   TaskState state = TaskState::Pending;
   std::uint64_t nextRun = 1;
+  RestartCause restartCause = RestartCause::None;
   unsigned failures = 0;
   /// Workers that were lost while a run of it was at work there.
   unsigned crashes = 0;
@@ -81,6 +83,8 @@
   TimePoint lostAt{};
   /// Set while its submitter can't be reached: when it is given up.
   std::optional<TimePoint> dropAt;
+  /// When it was last lost.
+  TimePoint submitterLostAt{};
 
   bool isOver() const { return done + returned == tasks.size(); }
 };
--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -20,6 +20,21 @@
              { "retryAfterMs", end ? toMilliseconds(end->retryAfter) : 0 } });
 }
 
+void
+logJobMoved(const Job& job, const JobEnd& end, TimePoint now)
+{
+  logDecision(LogLevel::Info,
+              "job-moved",
+              { { "job", job.request.key.job() },
+                { "submitter", job.request.key.submitter() },
+                { "shard", job.request.shard.toString() },
+                { "tasks", job.tasks.size() },
+                { "done", job.done },
+                { "underWay", end.underWay.size() },
+                { "nextRun", end.nextRun },
+                { "ageMs", toMilliseconds(now - job.arrivedAt) } });
+}
+
 void
 logTaskStarted(const Job& job, const JobTask& task, TimePoint now)
 {
@@ -58,13 +73,13 @@
 void
 logTaskCrashed(const Job& job, const JobTask& task)
 {
-  logEvent(LogLevel::Warning,
-           "worker-lost-with-task",
-           { { "job", job.request.key.job() },
-             { "task", task.index },
-             { "run", task.run },
-             { "worker", task.worker },
-             { "crashes", task.crashes } });
+  logDecision(LogLevel::Warning,
+              "worker-lost-with-task",
+              { { "job", job.request.key.job() },
+                { "task", task.index },
+                { "run", task.run },
+                { "worker", task.worker },
+                { "crashes", task.crashes } });
 }
 
 void
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -15,7 +15,11 @@
 void
 logJob(const char* event, const Job& job, const JobEnd* end, TimePoint now);
 
-/// A start was sent to the task's worker.
+/// The submitter is told to hand the job to another holder.
+void
+logJobMoved(const Job& job, const JobEnd& end, TimePoint now);
+
+/// The first start was sent to the task's worker.
 void
 logTaskStarted(const Job& job, const JobTask& task, TimePoint now);
 
--- /dev/null
+++ b/src/libjobs/restartcause.h
@@ -0,0 +1,63 @@
+#pragma once
+
+namespace cowslippin {
+
+/// Why a task may be started although it may have been started before.
+enum class RestartCause
+{
+  /// It has not been started, as far as is known.
+  None,
+  /// The last run failed.
+  Failed,
+  /// The worker was lost with the last run.
+  WorkerLost,
+  /// The lease of a worker that doesn't answer ran out.
+  Lapsed,
+  /// The worker doesn't have the last run, or stopped it.
+  RunLost,
+  /// The last run was stopped because it made no progress.
+  Stalled,
+  /// The worker knows a run with a higher number.
+  StaleRun,
+  /// Another daemon had the job before, and no run of the task is known.
+  HandedOver,
+  /// After the loss of a daemon: the worker that had the last run told that it
+  /// has none.
+  WorkerTold,
+  /// The same of all workers of the lost daemon's shard.
+  ShardClaimed,
+  /// After the loss of a daemon: nobody told, but its runs are over by now.
+  TimePassed,
+};
+
+constexpr const char*
+toString(RestartCause cause)
+{
+  switch (cause) {
+    case RestartCause::None:
+      return "none";
+    case RestartCause::Failed:
+      return "failed";
+    case RestartCause::WorkerLost:
+      return "worker-lost";
+    case RestartCause::Lapsed:
+      return "lapsed";
+    case RestartCause::RunLost:
+      return "run-lost";
+    case RestartCause::Stalled:
+      return "stalled";
+    case RestartCause::StaleRun:
+      return "stale-run";
+    case RestartCause::HandedOver:
+      return "handed-over";
+    case RestartCause::WorkerTold:
+      return "worker-told";
+    case RestartCause::ShardClaimed:
+      return "shard-claimed";
+    case RestartCause::TimePassed:
+      return "time-passed";
+  }
+  return "other";
+}
+
+} // namespace cowslippin
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -13,6 +13,14 @@
 /// Weight of the newest task in the mean of what tasks need.
 constexpr double sizeWeight = 0.05;
 
+RestartCause
+causeOf(RunEnd end, bool wasStalled)
+{
+  if (wasStalled)
+    return RestartCause::Stalled;
+  return end == RunEnd::Lapsed ? RestartCause::Lapsed : RestartCause::RunLost;
+}
+
 } // namespace
 
 Scheduler::Scheduler(VmId self, Settings settings, Hooks hooks)
@@ -127,10 +135,12 @@
       ++job.done;
       continue;
     }
-    if (adoptRun(job, i, now))
+    if (adoptRun(job, i, now)) {
       leavePending(job, task, TaskState::Running);
-    else
+      logRunAdopted(job, task, now);
+    } else {
       quarantine(job, task, now);
+    }
   }
 }
 
@@ -153,6 +163,7 @@
   }
   leavePending(job, task, TaskState::Quarantined);
   task.quarantinedUntil = now + quarantine->remaining;
+  logQuarantined(job, task, now);
   // A report from before the loss doesn't count, and the next one would come
   // when the run, taken for nobody's, is being stopped.
   if (const auto worker = m_pool.workerOf(job.request.taskName(task.index)))
@@ -193,7 +204,7 @@
   const auto found = m_jobs.find(key);
   if (found == m_jobs.end())
     return;
-  logJob("job-cancelled", *found->second, nullptr, m_now);
+  logJobCancelled(*found->second, m_now);
   drop(*found->second);
   pump(now);
 }
@@ -204,9 +215,11 @@
   m_now = now;
   forgetPeer(vm);
   for (auto& [key, job] : m_jobs) {
-    if (key.submitter() == vm && !job->dropAt)
-      job->dropAt = now + (wasSilent ? m_settings.silentDetachedLimit
-                                     : m_settings.detachedLimit);
+    if (key.submitter() != vm || job->dropAt)
+      continue;
+    job->submitterLostAt = now;
+    job->dropAt = now + (wasSilent ? m_settings.silentDetachedLimit
+                                   : m_settings.detachedLimit);
   }
 }
 
@@ -279,6 +292,7 @@
     task.lastWorker = *worker;
     task.quarantinedUntil = m_now + lostRunLimit;
     job.lostAt = m_now;
+    logQuarantined(job, task, m_now);
     if (task.state == TaskState::Pending)
       leavePending(job, task, TaskState::Quarantined);
     else
@@ -300,6 +314,8 @@
   node.key() = request.key;
   Job& job = *node.mapped();
   job.request.key = request.key;
+  if (job.dropAt)
+    logJobReattached(job, m_now);
   job.dropAt.reset();
   m_jobs.insert(std::move(node));
   const std::set<TaskIndex> wanted(request.tasks.begin(), request.tasks.end());
@@ -413,6 +429,17 @@
   return submitters;
 }
 
+IdList
+Scheduler::jobsOf(const VmId& submitter) const
+{
+  IdList jobs;
+  for (const auto& [key, job] : m_jobs) {
+    if (key.submitter() == submitter)
+      jobs.add(key.job().value());
+  }
+  return jobs;
+}
+
 void
 Scheduler::setPending(Job& job, JobTask& task)
 {
@@ -480,6 +507,8 @@
   }
   const RunKey key(name, task.nextRun++);
   leavePending(job, task, TaskState::Running);
+  const WorkerId previous =
+    task.worker.isEmpty() ? task.lastWorker : task.worker;
   task.worker = *worker;
   task.run = key.run();
   task.startedAt = now;
@@ -490,7 +519,7 @@
   job.hasStarted = true;
   m_runs[key] = { &job, position };
   noteSize(job.request.needs.resources);
-  logTaskStarted(job, task, now);
+  m_losses.taskStarted(job, task, previous, now);
   m_pool.start(
     *worker, key, job.request.needs.resources, job.request.spec, now);
   if (isSuspect)
@@ -594,6 +623,7 @@
 Scheduler::taskFailed(Job& job, JobTask& task)
 {
   ++task.failures;
+  task.restartCause = RestartCause::Failed;
   task.avoided.insert(task.worker);
   if (task.failures >= job.request.policy.maxAttempts)
     finish(job, { JobOutcome::Failed, Duration::zero(), {}, 1 });
@@ -607,6 +637,7 @@
 Scheduler::taskCrashed(Job& job, JobTask& task)
 {
   ++task.crashes;
+  task.restartCause = RestartCause::WorkerLost;
   logTaskCrashed(job, task);
   if (task.crashes >= m_settings.mostCrashes)
     finish(job, { JobOutcome::Failed, Duration::zero(), {}, 1 });
@@ -635,6 +666,7 @@
   } else if (m_pool.isLifeOver(worker)) {
     taskCrashed(job, task);
   } else {
+    task.restartCause = causeOf(end, task.isBeingStopped);
     setPending(job, task);
   }
 }
@@ -651,8 +683,10 @@
   JobTask& task = job.tasks[found->second.task];
   m_runs.erase(found);
   logStartRejected(job, task, failure);
-  if (failure == OrderFailure::StaleRun)
+  if (failure == OrderFailure::StaleRun) {
     task.nextRun += staleRunStep;
+    task.restartCause = RestartCause::StaleRun;
+  }
   if (failure == OrderFailure::Invalid) {
     taskFailed(job, task);
     return;
@@ -690,6 +724,8 @@
 {
   const JobKey key = job.request.key;
   logJob("job-ended", job, &end, m_now);
+  if (end.outcome == JobOutcome::Moved)
+    logJobMoved(job, end, m_now);
   drop(job);
   m_hooks.ended(key, end);
 }
@@ -724,7 +760,7 @@
 Scheduler::tickJob(Job& job, TimePoint now)
 {
   if (job.dropAt && now >= *job.dropAt) {
-    logJob("job-abandoned", job, nullptr, m_now);
+    logJobAbandoned(job, m_now);
     drop(job);
     return;
   }
@@ -752,7 +788,9 @@
     const std::string name = job.request.taskName(task.index);
     if (adoptRun(job, i, now)) {
       task.state = TaskState::Running;
+      logRunAdopted(job, task, now);
     } else if (m_strayDone.erase(name) > 0) {
+      logQuarantineEnded(job, task, true, now);
       const bool isLast = job.done + job.returned + 1 == job.tasks.size();
       taskDone(job, task);
       if (isLast)
@@ -760,13 +798,29 @@
     } else if (m_pool.isRunning(name)) {
       // It is being stopped, which the next holder of its worker may prevent.
       continue;
-    } else if (isSurelyOver(job, task) || now >= task.quarantinedUntil) {
+    } else if (const auto cause = causeToRestart(job, task, now);
+               cause != RestartCause::None) {
+      task.restartCause = cause;
+      logQuarantineEnded(job, task, false, now);
       setPending(job, task);
     }
   }
   return true;
 }
 
+/// Nothing while a run of before may be at work.
+RestartCause
+Scheduler::causeToRestart(const Job& job,
+                          const JobTask& task,
+                          TimePoint now) const
+{
+  if (isSurelyOver(job, task))
+    return task.lastWorker.isEmpty() ? RestartCause::ShardClaimed
+                                     : RestartCause::WorkerTold;
+  return now >= task.quarantinedUntil ? RestartCause::TimePassed
+                                      : RestartCause::None;
+}
+
 /// Whether no run of before can be at work, as the workers on which it may be
 /// have told. That the platform doesn't list a worker says nothing.
 bool
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -4,10 +4,13 @@
 #include "job.h"
 #include "jobend.h"
 #include "jobqueue.h"
+#include "losslog.h"
 #include "peerplaces.h"
 #include "runtimes.h"
 #include "workerpool.h"
 
+#include "libobserve/idlist.h"
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -153,6 +156,8 @@
   std::size_t jobCount() const { return m_jobs.size(); }
   /// The daemons whose jobs these are.
   std::set<VmId> submitters() const;
+  IdList jobsOf(const VmId& submitter) const;
+  const LossLog::Counts& restarts() const { return m_losses.restarts(); }
   std::size_t waitingTasks() const { return m_queue.waitingTasks(); }
   const WorkerPool& pool() const { return m_pool; }
 
@@ -202,6 +207,9 @@
   void quarantine(Job& job, JobTask& task, TimePoint now);
   bool endQuarantine(Job& job, TimePoint now);
   bool isSurelyOver(const Job& job, const JobTask& task) const;
+  RestartCause causeToRestart(const Job& job,
+                              const JobTask& task,
+                              TimePoint now) const;
   void checkProgress(Job& job, TimePoint now);
   bool isStalled(const Job& job, const JobTask& task, TimePoint now) const;
 
@@ -215,6 +223,7 @@
   AdmittedLoad m_load;
   std::map<RunKey, RunOwner> m_runs;
   PeerPlaces m_peerPlaces;
+  LossLog m_losses;
   /// Tasks that were found done without a job that had asked.
   std::unordered_map<std::string, TimePoint> m_strayDone;
   /// Moving mean of what a task needs.
--- /dev/null
+++ b/tests/jobs/losslog_test.cpp
@@ -0,0 +1,133 @@
+#include "schedulerfixture.h"
+
+#include "support/logcapture.h"
+
+#include <gtest/gtest.h>
+
+namespace cowslippin::testing {
+namespace {
+
+class LossLogTest : public ::testing::Test
+{
+protected:
+  void SetUp() override
+  {
+    fixture.addWorker("w1");
+    fixture.addWorker("w2");
+    fixture.take();
+  }
+
+  void submit(const JobRequest& request)
+  {
+    fixture.scheduler.submit(request, fixture.now);
+    fixture.settle();
+  }
+
+  /// Nothing that is sent to the workers is answered meanwhile.
+  void passUnanswered(int milliseconds)
+  {
+    fixture.lostShare = 1;
+    for (int passed = 0; passed < milliseconds; passed += 20) {
+      fixture.now += std::chrono::milliseconds(20);
+      fixture.deliver();
+      fixture.scheduler.tick(fixture.now);
+    }
+  }
+
+  LogCapture log;
+  SchedulerFixture fixture;
+};
+
+/// Guards against second starts that can't be told from the many first ones.
+TEST_F(LossLogTest, ASecondStartIsAnEventOfItsOwn)
+{
+  submit(fixture.request("a", 1));
+  const auto first = fixture.workerOf("a.0.0.0");
+  fixture.end("a.0.0.0", RunEnd::Failed);
+  EXPECT_EQ(log.of("task-started").size(), 1u);
+  const auto lines = log.of("task-restarted");
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0]["job"], "a");
+  EXPECT_EQ(lines[0]["task"], 0);
+  EXPECT_EQ(lines[0]["run"], 2);
+  EXPECT_EQ(lines[0]["cause"], "failed");
+  EXPECT_EQ(lines[0]["previousWorker"], first->value());
+  EXPECT_EQ(lines[0]["sinceLossMs"], -1);
+  EXPECT_EQ(fixture.scheduler.restarts().at(RestartCause::Failed), 1u);
+}
+
+TEST_F(LossLogTest, AnAbandonedJobTellsItsWaitAndWhatItStops)
+{
+  submit(fixture.request("a", 2));
+  fixture.scheduler.daemonLost(VmId("gateway"), false, fixture.now);
+  fixture.pass(260);
+  const auto lines = log.of("job-abandoned");
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0]["job"], "a");
+  EXPECT_EQ(lines[0]["submitter"], "gateway");
+  EXPECT_EQ(lines[0]["stoppedRuns"], 2);
+  EXPECT_EQ(lines[0]["waitedMs"], 200);
+}
+
+TEST_F(LossLogTest, ATaskThatTimeAloneLetsStartSaysSo)
+{
+  JobRequest job = fixture.request("a", 1);
+  job.mayHaveRun = true;
+  job.quarantine = Quarantine{ std::nullopt,
+                               std::chrono::milliseconds(100),
+                               std::chrono::milliseconds(400) };
+  submit(job);
+  ASSERT_EQ(log.of("task-quarantined").size(), 1u);
+  EXPECT_EQ(log.of("task-quarantined")[0]["leftMs"], 400);
+  fixture.pass(500);
+  const auto ends = log.of("quarantine-ended");
+  ASSERT_EQ(ends.size(), 1u);
+  EXPECT_EQ(ends[0]["cause"], "time-passed");
+  EXPECT_EQ(ends[0]["sinceLossMs"], 500);
+  const auto starts = log.of("task-restarted");
+  ASSERT_EQ(starts.size(), 1u);
+  EXPECT_EQ(starts[0]["cause"], "time-passed");
+}
+
+TEST_F(LossLogTest, ATaskThatAClaimedShardLetsStartSaysSo)
+{
+  JobRequest job = fixture.request("a", 1);
+  job.mayHaveRun = true;
+  job.quarantine = Quarantine{ fixture.workersAsListed(),
+                               {},
+                               std::chrono::milliseconds(1200) };
+  submit(job);
+  fixture.pass(200);
+  const auto ends = log.of("quarantine-ended");
+  ASSERT_EQ(ends.size(), 1u);
+  EXPECT_EQ(ends[0]["cause"], "shard-claimed");
+}
+
+TEST_F(LossLogTest, AnUnansweredStopNamesItsTaskAndTimes)
+{
+  const JobRequest job = fixture.request("a", 1);
+  submit(job);
+  fixture.lostShare = 1;
+  fixture.scheduler.cancel(job.key, fixture.now);
+  EXPECT_EQ(log.of("job-cancelled").at(0)["stoppedRuns"], 1);
+  passUnanswered(600);
+  const auto lines = log.of("stop-unanswered");
+  ASSERT_GE(lines.size(), 2u);
+  EXPECT_EQ(lines[1]["task"], "a.0.0.0");
+  EXPECT_EQ(lines[1]["sent"], 2);
+  EXPECT_GT(lines[1]["sinceFirstMs"], lines[1]["sinceLastMs"]);
+}
+
+TEST_F(LossLogTest, ALapsedLeaseNamesItsTasks)
+{
+  submit(fixture.request("a", 1));
+  passUnanswered(2000);
+  const auto lines = log.of("lease-lapsed");
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0]["runs"], 1);
+  EXPECT_EQ(lines[0]["tasks"], "a.0.0.0");
+  EXPECT_GT(lines[0]["sinceReportMs"], 750);
+}
+
+} // namespace
+} // namespace cowslippin::testing
