Log a lost daemon with the jobs in common; find them in traces

Cause: peer-down named no job, and neither how old the last word was.

peer-lost tells how the loss was noticed, how long ago something was last read and which jobs were handed to that daemon and held for it. job-resubmitted tells why, under which keys and how long after the loss. These, peer-up, peer-down, caller-gone, the lines on shards and pauses count as decisions. cowslippin trace finds a job in the lists of such lines.

--- a/src/libcli/logtrace.cpp
+++ b/src/libcli/logtrace.cpp
@@ -13,6 +13,21 @@
 
 using nlohmann::ordered_json;
 
+/// Whether a field lists the job, or a task of it, among others.
+bool
+lists(const ordered_json& line, const char* field, const std::string& job)
+{
+  const auto found = line.find(field);
+  if (found == line.end() || !found->is_string())
+    return false;
+  std::istringstream ids(found->get<std::string>());
+  for (std::string id; ids >> id;) {
+    if (id == job || id.rfind(job + '.', 0) == 0)
+      return true;
+  }
+  return false;
+}
+
 bool
 isAbout(const ordered_json& line, const std::string& job)
 {
@@ -20,7 +35,8 @@
                              ? line["task"].get<std::string>()
                              : "";
   return line.value("job", ordered_json()) == job ||
-         task.rfind(job + '.', 0) == 0;
+         task.rfind(job + '.', 0) == 0 || lists(line, "tasks", job) ||
+         lists(line, "handedTo", job) || lists(line, "heldFor", job);
 }
 
 /// The last word before the JSON.
--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -119,7 +119,7 @@
   for (const auto& [shard, token] : held) {
     if (shards.count(shard) > 0)
       continue;
-    logEvent(
+    logDecision(
       LogLevel::Info, "shard-dissolved", { { "shard", shard.toString() } });
     m_shards.dissolved(shard);
     m_scheduler.releaseShard(shard, now);
@@ -150,15 +150,15 @@
     return;
   for (const ZoneName& zone : evacuations.zones) {
     if (before.count(zone) == 0)
-      logEvent(LogLevel::Info,
-               "zone-evacuated",
-               { { "zone", zone }, { "asOf", evacuations.asOf } });
+      logDecision(LogLevel::Info,
+                  "zone-evacuated",
+                  { { "zone", zone }, { "asOf", evacuations.asOf } });
   }
   for (const ZoneName& zone : before) {
     if (evacuations.zones.count(zone) == 0)
-      logEvent(LogLevel::Info,
-               "zone-reopened",
-               { { "zone", zone }, { "asOf", evacuations.asOf } });
+      logDecision(LogLevel::Info,
+                  "zone-reopened",
+                  { { "zone", zone }, { "asOf", evacuations.asOf } });
   }
   beat(now);
   m_scheduler.setEvacuated(evacuations.zones, now);
@@ -243,6 +243,7 @@
   figures.peersUp = m_links.up().size();
   figures.evacuatedZones = m_evacuations.zones.size();
   figures.isReady = isReady();
+  figures.restarts = m_scheduler.restarts();
   for (const auto& worker : m_scheduler.pool().view())
     figures.leases.push_back(worker.state);
   return figures;
@@ -359,6 +360,7 @@
 EntryCore::peerUp(const PeerHello& hello)
 {
   const TimePoint now = observeTime();
+  m_lastReadAt[hello.vm] = now;
   m_reports.setZone(hello.vm, hello.zone);
   // The close flag is stored per connection, and one connection may replace
   // another without a reported loss.
@@ -383,7 +385,7 @@
 void
 EntryCore::pauseNoticed(TimePoint now, Duration gap)
 {
-  logEvent(
+  logDecision(
     LogLevel::Warning, "pause-noticed", { { "gapMs", toMilliseconds(gap) } });
   m_resumeAt = now + m_settings.wakeTime;
   m_scheduler.suspend(now);
@@ -522,9 +524,9 @@
 EntryCore::noticeStrain(TimePoint now)
 {
   if (m_strain.ticked(now))
-    logEvent(LogLevel::Info,
-             m_strain.isStrained() ? "strained" : "strain-over",
-             { { "latenessMs", toMilliseconds(m_strain.lateness()) } });
+    logDecision(LogLevel::Info,
+                m_strain.isStrained() ? "strained" : "strain-over",
+                { { "latenessMs", toMilliseconds(m_strain.lateness()) } });
   m_shards.setStrained(m_strain.isStrained());
 }
 
@@ -538,9 +540,9 @@
     m_vacancy.probe(shard, token, m_scheduler.workersOf(shard), now);
     if (!m_vacancy.isVacant(shard))
       continue;
-    logEvent(LogLevel::Info,
-             "shard-vacant",
-             { { "shard", shard.toString() }, { "lastToken", token } });
+    logDecision(LogLevel::Info,
+                "shard-vacant",
+                { { "shard", shard.toString() }, { "lastToken", token } });
     m_shards.setVacant(shard, now);
   }
   m_vacancy.keepOnly(asked);
@@ -573,20 +575,20 @@
     m_shards.fenced(shard, now);
   const ShardTable::Decisions decisions = m_shards.decide(now);
   for (const ShardId& shard : decisions.release) {
-    logEvent(LogLevel::Info,
-             "shard-released",
-             { { "shard", shard.toString() },
-               { "isIsolated", m_shards.isIsolated() } });
+    logDecision(LogLevel::Info,
+                "shard-released",
+                { { "shard", shard.toString() },
+                  { "isIsolated", m_shards.isIsolated() } });
     m_shards.released(shard, now);
     m_scheduler.releaseShard(shard, now);
   }
   for (const ShardId& shard : decisions.take) {
     const FencingToken token = m_tokens.next();
-    logEvent(LogLevel::Info,
-             "shard-taken",
-             { { "shard", shard.toString() },
-               { "token", token },
-               { "peers", m_links.up().size() } });
+    logDecision(LogLevel::Info,
+                "shard-taken",
+                { { "shard", shard.toString() },
+                  { "token", token },
+                  { "peers", m_links.up().size() } });
     m_shards.taken(shard, token, now);
     m_scheduler.takeShard(shard, token, now);
     m_ports.publishHolder(shard, token);
@@ -612,6 +614,7 @@
 EntryCore::received(const VmId& vm, const PeerMessage& message)
 {
   const TimePoint now = observeTime();
+  m_lastReadAt[vm] = now;
   if (const auto* beat = std::get_if<PeerBeat>(&message))
     beatReceived(vm, *beat, now);
   else if (const auto* submit = std::get_if<PeerSubmit>(&message))
@@ -689,10 +692,29 @@
     divisionRead(now);
 }
 
+void
+EntryCore::logPeerLost(const VmId& vm, PeerLoss loss, TimePoint now)
+{
+  const auto lastRead = m_lastReadAt.extract(vm);
+  const TimePoint lastReadAt = lastRead ? lastRead.mapped() : now;
+  const IdList handedTo = m_gateway.jobsAt(vm);
+  const IdList heldFor = m_scheduler.jobsOf(vm);
+  logDecision(LogLevel::Info,
+              "peer-lost",
+              { { "peer", vm },
+                { "cause", loss == PeerLoss::Silent ? "silent" : "closed" },
+                { "sinceReadMs", toMilliseconds(now - lastReadAt) },
+                { "jobsHandedTo", handedTo.count() },
+                { "jobsHeldFor", heldFor.count() },
+                { "handedTo", handedTo.text() },
+                { "heldFor", heldFor.text() } });
+}
+
 void
 EntryCore::peerDown(const VmId& vm, PeerLoss loss)
 {
   const TimePoint now = m_clocks.steady();
+  logPeerLost(vm, loss, now);
   m_close.erase(vm);
   m_shards.memberGone(vm, now);
   m_configuration.lost(vm);
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -186,6 +186,7 @@
     bool isReady = false;
     /// Of each worker of the held shards.
     std::vector<LeaseState> leases;
+    LossLog::Counts restarts;
   };
   Figures figures() const;
 
@@ -212,6 +213,7 @@
   PeerBeat makeBeat(TimePoint now) const;
   void updateClose();
   void addClose(const VmId& vm);
+  void logPeerLost(const VmId& vm, PeerLoss loss, TimePoint now);
   void applyDecisions(TimePoint now);
   void checkLeaving(TimePoint now);
   void submitted(const VmId& vm, const JobRequest& request, TimePoint now);
@@ -252,6 +254,8 @@
   /// Daemons that have jobs in common with this one.
   std::set<VmId> m_close;
   std::set<ShardId> m_fenced;
+  /// When something was last read from each other daemon.
+  std::map<VmId, TimePoint> m_lastReadAt;
   TimePoint m_lastBeatAt{};
   TimePoint m_lastHolderBeatAt{};
   unsigned m_toldPlaces = 0;
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -51,7 +51,7 @@
   entry.callers.erase(ticket);
   if (!entry.callers.empty())
     return;
-  logEvent(
+  logDecision(
     LogLevel::Info,
     "caller-gone",
     { { "job", entry.submission.job }, { "parts", entry.parts.size() } });
@@ -164,6 +164,20 @@
   }
 }
 
+IdList
+Gateway::jobsAt(const VmId& holder) const
+{
+  IdList jobs;
+  for (const auto& [number, entry] : m_jobs) {
+    const auto isThere = [&](const auto& item) {
+      return item.second.holder == holder;
+    };
+    if (std::any_of(entry.parts.begin(), entry.parts.end(), isThere))
+      jobs.add(entry.submission.job.value());
+  }
+  return jobs;
+}
+
 std::set<VmId>
 Gateway::holders() const
 {
@@ -361,11 +375,16 @@
   part.holder = vm;
   part.shard = shard;
   if (part.lostAt)
-    logEvent(LogLevel::Info,
-             "job-resubmitted",
-             { { "job", entry.submission.job },
-               { "holder", vm },
-               { "tasks", request.tasks.size() } });
+    logDecision(LogLevel::Info,
+                "job-resubmitted",
+                { { "job", entry.submission.job },
+                  { "holder", vm },
+                  { "shard", shard.toString() },
+                  { "part", request.key.part() },
+                  { "previousPart", request.previousPart },
+                  { "tasks", request.tasks.size() },
+                  { "cause", part.underWay ? "moved" : "holder-lost" },
+                  { "sinceLossMs", toMilliseconds(lostFor) } });
   return true;
 }
 
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -5,6 +5,7 @@
 #include "libjobs/jobs.h"
 
 #include "libcore/core.h"
+#include "libobserve/idlist.h"
 
 #include <functional>
 #include <map>
@@ -125,6 +126,8 @@
   std::size_t waiting() const { return m_jobs.size(); }
   /// The daemons that have something of a job.
   std::set<VmId> holders() const;
+  /// The jobs of which a daemon has something.
+  IdList jobsAt(const VmId& holder) const;
 
 private:
   /// Tasks of a job that one holder has.
--- a/src/libpeers/peerlinks.cpp
+++ b/src/libpeers/peerlinks.cpp
@@ -319,11 +319,11 @@
   m_addresses[hello.vm] = hello.address;
   for (const Address& address : hello.known)
     addKnown(address, now);
-  logEvent(LogLevel::Info,
-           "peer-up",
-           { { "peer", hello.vm },
-             { "zone", hello.zone },
-             { "incarnation", hello.incarnation } });
+  logDecision(LogLevel::Info,
+              "peer-up",
+              { { "peer", hello.vm },
+                { "zone", hello.zone },
+                { "incarnation", hello.incarnation } });
   tellUnknown(link, hello);
   m_hooks.up(hello);
 }
@@ -389,9 +389,10 @@
   peer.nextDialAt = now;
   m_transport.drop(link);
   m_links.erase(link);
-  logEvent(LogLevel::Info,
-           "peer-down",
-           { { "peer", peer.vm }, { "wasSilent", loss == PeerLoss::Silent } });
+  logDecision(
+    LogLevel::Info,
+    "peer-down",
+    { { "peer", peer.vm }, { "wasSilent", loss == PeerLoss::Silent } });
   m_hooks.down(peer.vm, loss);
 }
 
--- a/tests/cowslippin/logtrace_test.cpp
+++ b/tests/cowslippin/logtrace_test.cpp
@@ -25,6 +25,21 @@
   EXPECT_EQ(lines[1].fields, "worker=w1 task=9c338009f9fead95.0.0.1 run=3");
 }
 
+/// Guards against lines on many jobs that no trace of one of them shows.
+TEST(LogTrace, FindsTheJobInLists)
+{
+  std::istringstream log(
+    R"({"time":"T1","event":"peer-lost","handedTo":"x 9c338009f9fead95 y"}
+{"time":"T2","event":"peer-lost","heldFor":"9c338009f9fead95"}
+{"time":"T3","event":"lease-lapsed","tasks":"x.0.0.1 9c338009f9fead95.0.0.1"}
+{"time":"T4","event":"lease-lapsed","tasks":"9c338009f9fead951.0.0.1"}
+{"time":"T5","event":"job-ended","job":"other","tasks":5}
+)");
+  const auto lines = readTrace(log, "a.log", job);
+  ASSERT_EQ(lines.size(), 3u);
+  EXPECT_EQ(lines[2].event, "lease-lapsed");
+}
+
 TEST(LogTrace, TextBeforeALineNamesItsProcess)
 {
   std::istringstream log(
--- a/tests/entry/entrycore_test.cpp
+++ b/tests/entry/entrycore_test.cpp
@@ -1,5 +1,7 @@
 #include "libentry/entrycore.h"
 
+#include "support/logcapture.h"
+
 #include <gtest/gtest.h>
 
 #include <utility>
@@ -114,6 +116,39 @@
   EXPECT_EQ(closeUpdates.back(), CloseUpdate(peer, true));
 }
 
+/// Guards against a loss that doesn't tell whose jobs it concerns.
+TEST_F(EntryCoreTest, ALostDaemonIsToldWithTheJobsInCommon)
+{
+  LogCapture log;
+  connect();
+  WorkerRecord::Fields fields;
+  fields.id = WorkerId("w1");
+  fields.service = ServiceName("booking");
+  fields.zone = ZoneName("z1");
+  fields.capacity = Resources(16000, 1000, 0);
+  core.workersRead({ { fields.id, WorkerRecord(fields) } });
+  PeerBeat beat;
+  beat.isReady = true;
+  beat.shards[{ ZoneName("z1"), 0 }] = { 5, 4, 0 };
+  core.received(peer, beat);
+  JobSubmission submission;
+  submission.job = JobId("mine");
+  submission.policy.service = ServiceName("booking");
+  submission.taskCount = 1;
+  submission.timeLeft = std::chrono::seconds(5);
+  core.submit(submission, [](const JobAnswer&) {});
+  now += std::chrono::milliseconds(120);
+  core.peerDown(peer, PeerLoss::Silent);
+  const auto lines = log.of("peer-lost");
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0]["peer"], "peer");
+  EXPECT_EQ(lines[0]["cause"], "silent");
+  EXPECT_EQ(lines[0]["sinceReadMs"], 120);
+  EXPECT_EQ(lines[0]["jobsHandedTo"], 1);
+  EXPECT_EQ(lines[0]["handedTo"], "mine");
+  EXPECT_EQ(lines[0]["jobsHeldFor"], 0);
+}
+
 TEST_F(EntryCoreTest, AConnectionWithoutJobsInCommonIsNotMarkedClose)
 {
   connect();
