Count second starts by cause in the metrics

cowslippin_task_restarts_total{cause}. Abandoned jobs and unanswered stops are counted by cowslippin_events_total already. The causes are those of task-restarted; a test follows the jobs of lost daemons through the lines.

--- a/src/libentry/entrymetrics.cpp
+++ b/src/libentry/entrymetrics.cpp
@@ -56,6 +56,10 @@
                 .Name("cowslippin_workers")
                 .Help("Workers of the held shards by the state of their lease")
                 .Register(registry))
+    , restarts(prometheus::BuildCounter()
+                 .Name("cowslippin_task_restarts_total")
+                 .Help("Second and later starts of tasks by their cause")
+                 .Register(registry))
   {
   }
 
@@ -63,6 +67,7 @@
   prometheus::Family<prometheus::Histogram>& responses;
   prometheus::Family<prometheus::Gauge>& gauges;
   prometheus::Family<prometheus::Gauge>& workers;
+  prometheus::Family<prometheus::Counter>& restarts;
 };
 
 EntryMetrics::EntryMetrics()
@@ -119,6 +124,10 @@
     ++byState[toString(state)];
   for (const auto& [state, count] : byState)
     m_families->workers.Add({ { "lease", state } }).Set(count);
+  for (const auto& [cause, count] : figures.restarts) {
+    auto& counter = m_families->restarts.Add({ { "cause", toString(cause) } });
+    counter.Increment(double(count) - counter.Value());
+  }
 }
 
 void
--- /dev/null
+++ b/tests/entry/losstrace_test.cpp
@@ -0,0 +1,101 @@
+#include "simulation.h"
+
+#include "libentry/entrymetrics.h"
+
+#include "support/logcapture.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+
+namespace cowslippin::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::vector<std::string>
+wordsOf(const std::string& text)
+{
+  std::istringstream stream(text);
+  std::vector<std::string> words;
+  for (std::string word; stream >> word;)
+    words.push_back(word);
+  return words;
+}
+
+/// Turns every daemon off for a while, one after the other.
+void
+loseEachDaemon(Simulation& simulation)
+{
+  for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon) {
+    simulation.runFor(seconds(2));
+    simulation.powerOff(daemon, milliseconds(900));
+  }
+  simulation.runFor(seconds(3));
+}
+
+/// Guards against a lost holder's jobs whose fate can't be read from the log.
+TEST(LossTrace, EachJobThatALostHolderHadIsHandedOnOrEnds)
+{
+  LogCapture log;
+  Simulation simulation({}, 7);
+  loseEachDaemon(simulation);
+  std::map<std::string, int> resubmitted;
+  for (const auto& line : log.of("job-resubmitted"))
+    ++resubmitted[line["job"]];
+  std::set<std::string> over;
+  for (const char* event : { "caller-gone", "job-cancelled" }) {
+    for (const auto& line : log.of(event))
+      over.insert(line["job"]);
+  }
+  unsigned handedTo = 0;
+  for (const auto& line : log.of("peer-lost")) {
+    for (const std::string& job : wordsOf(line["handedTo"])) {
+      ++handedTo;
+      EXPECT_TRUE(resubmitted.count(job) > 0 || over.count(job) > 0) << line;
+    }
+  }
+  EXPECT_GT(handedTo, 0u);
+  EXPECT_FALSE(resubmitted.empty());
+}
+
+/// Guards against a start after a loss that doesn't say what allowed it.
+TEST(LossTrace, AStartAfterAQuarantineHasTheCauseThatEndedIt)
+{
+  LogCapture log;
+  Simulation simulation({}, 7);
+  loseEachDaemon(simulation);
+  const auto ends = log.of("quarantine-ended");
+  EXPECT_FALSE(ends.empty());
+  std::set<std::string> causes;
+  for (const auto& line : log.of("task-restarted"))
+    causes.insert(line["cause"]);
+  for (const auto& line : ends) {
+    const std::string cause = line["cause"];
+    EXPECT_TRUE(cause == "done" || causes.count(cause) > 0) << line;
+    EXPECT_GE(line["sinceLossMs"], 0);
+  }
+}
+
+TEST(LossTrace, MetricsCountStartsAgainByCause)
+{
+  Simulation simulation({}, 7);
+  simulation.runFor(seconds(5));
+  simulation.killAll(milliseconds(300));
+  simulation.runFor(seconds(20));
+  std::uint64_t counted = 0;
+  std::string rendered;
+  for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon) {
+    for (const auto& [cause, count] :
+         simulation.core(daemon).figures().restarts)
+      counted += count;
+    rendered += EntryMetrics().render(simulation.core(daemon));
+  }
+  EXPECT_GT(counted, 0u);
+  EXPECT_NE(rendered.find("cowslippin_task_restarts_total{cause=\"failed\"}"),
+            std::string::npos);
+}
+
+} // namespace
+} // namespace cowslippin::testing
