--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -533,16 +533,19 @@
   endAll(RunEnd::Lapsed);
 }
 
-/// Tells once for each run that is to end and that a renewal lets go on.
+/// Tells once for each run that is to end and that a renewal lets go on. A
+/// renewal beside the first stop is usual; what a worker has stopped doesn't go
+/// on.
 void
 WorkerLease::tellUnwanted(TimePoint now)
 {
   for (auto& [key, run] : m_runs) {
-    const bool isStopping = run.state == RunState::Stopping;
-    if (run.isRenewalTold || (!isStopping && !run.isStray))
+    const bool isStopLate = run.stopsSent > 1;
+    if (run.isRenewalTold || run.stopAnsweredAt ||
+        (!isStopLate && !run.isStray))
       continue;
     run.isRenewalTold = true;
-    const TimePoint since = isStopping ? run.firstStopAt : run.since;
+    const TimePoint since = isStopLate ? run.firstStopAt : run.since;
     m_hooks.unwantedRenewal({ key, run.isStray, now - since });
   }
 }
