--- a/src/libjobs/losslog.cpp
+++ b/src/libjobs/losslog.cpp
@@ -63,6 +63,16 @@
                 { "sinceLossMs", sinceLossMs(job, now) } });
 }
 
+void
+logFoundDone(const Job& job, const JobTask& task, TimePoint now)
+{
+  logDecision(LogLevel::Info,
+              "task-found-done",
+              { { "job", job.request.key.job() },
+                { "task", task.index },
+                { "sinceLossMs", sinceLossMs(job, now) } });
+}
+
 void
 logQuarantined(const Job& job, const JobTask& task, TimePoint now)
 {
--- a/src/libjobs/losslog.h
+++ b/src/libjobs/losslog.h
@@ -30,6 +30,10 @@
 void
 logRunAdopted(const Job& job, const JobTask& task, TimePoint now);
 
+/// A job has come of which a task is done already.
+void
+logFoundDone(const Job& job, const JobTask& task, TimePoint now);
+
 /// A task is kept from being started while a run of before may be at work.
 void
 logQuarantined(const Job& job, const JobTask& task, TimePoint now);
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -131,6 +131,7 @@
     JobTask& task = job.tasks[i];
     const std::string name = job.request.taskName(task.index);
     if (m_strayDone.erase(name) > 0) {
+      logFoundDone(job, task, now);
       leavePending(job, task, TaskState::Done);
       ++job.done;
       continue;
--- a/tests/jobs/losslog_test.cpp
+++ b/tests/jobs/losslog_test.cpp
@@ -103,6 +103,24 @@
   EXPECT_EQ(ends[0]["cause"], "shard-claimed");
 }
 
+/// Guards against a task that is over without a line on it.
+TEST_F(LossLogTest, ATaskThatIsFoundDoneIsTold)
+{
+  JobRequest job = fixture.request("a", 1);
+  submit(job);
+  fixture.scheduler.releaseShard(SchedulerFixture::shard(), fixture.now);
+  fixture.workers[*fixture.workerOf("a.0.0.0")].end(RunKey("a.0.0.0", 1),
+                                                    RunEnd::Done);
+  fixture.scheduler.takeShard(SchedulerFixture::shard(), 20, fixture.now);
+  fixture.settle();
+  EXPECT_EQ(log.of("job-moved").at(0)["underWay"], 1);
+  EXPECT_EQ(log.of("found-run-ended").size(), 1u);
+  job.key = fixture.request("a", 1).key;
+  job.mayHaveRun = true;
+  submit(job);
+  EXPECT_EQ(log.of("task-found-done").size(), 1u);
+}
+
 TEST_F(LossLogTest, AnUnansweredStopNamesItsTaskAndTimes)
 {
   const JobRequest job = fixture.request("a", 1);
