Split the simulation of a daemon group by job

Daemons, links, workers and callers get a file each; the kinds of trouble and the cases that play them part from the tests of single events. Test names stay.

--- /dev/null
+++ b/tests/entry/daemongroup_test.cpp
@@ -0,0 +1,144 @@
+#include "troubles.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <string>
+#include <tuple>
+
+namespace cowslippin::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+void
+expectNoViolations(const Simulation& simulation)
+{
+  for (const std::string& violation : simulation.violations())
+    ADD_FAILURE() << violation;
+}
+
+using Case = std::tuple<std::size_t, int>;
+
+class DaemonGroupInTrouble : public ::testing::TestWithParam<Case>
+{};
+
+TEST_P(DaemonGroupInTrouble, KeepsEveryPromiseAndServesAgainAfterIt)
+{
+  const Trouble trouble = troubles()[std::get<0>(GetParam())];
+  Simulation simulation(trouble.settings, std::get<1>(GetParam()));
+  simulation.runFor(seconds(3));
+  for (int strike = 0; strike < 8; ++strike) {
+    trouble.strike(simulation);
+    simulation.runFor(milliseconds(700 + simulation.random()() % 1600));
+  }
+  for (unsigned zone = 0; zone < simulation.zones(); ++zone)
+    simulation.reopen(zone);
+  simulation.runFor(seconds(8));
+  expectNoViolations(simulation);
+  const unsigned submitted = simulation.submitted();
+  const unsigned completed = simulation.completed();
+  simulation.runFor(seconds(5));
+  EXPECT_GT(simulation.completed() - completed,
+            (simulation.submitted() - submitted) / 3);
+  expectNoViolations(simulation);
+}
+
+std::string
+caseName(const ::testing::TestParamInfo<Case>& info)
+{
+  return std::string(troubles()[std::get<0>(info.param)].name) +
+         std::to_string(std::get<1>(info.param));
+}
+
+/// The seeds that are played: 1 to 8, or up to what the variable
+/// COWSLIPPIN_TEST_SEEDS says.
+int
+lastSeed()
+{
+  const char* text = std::getenv("COWSLIPPIN_TEST_SEEDS");
+  return text ? std::stoi(text) : 8;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  Seeds,
+  DaemonGroupInTrouble,
+  ::testing::Combine(::testing::Range<std::size_t>(0, troubles().size()),
+                     ::testing::Range(1, lastSeed() + 1)),
+  caseName);
+
+/// Seeds beyond the first eight that have failed: of `Leave`, `CutOff`,
+/// `DividedAnew`, `AllAndDividedAnew`, `Unlisted` and `UnlistedManyWorkers`.
+INSTANTIATE_TEST_SUITE_P(FailedOnce,
+                         DaemonGroupInTrouble,
+                         ::testing::Values(Case(3, 34),
+                                           Case(3, 35),
+                                           Case(4, 25),
+                                           Case(4, 409),
+                                           Case(4, 523),
+                                           Case(4, 574),
+                                           Case(11, 40),
+                                           Case(11, 81),
+                                           Case(12, 27),
+                                           Case(16, 48),
+                                           Case(17, 17),
+                                           Case(17, 67),
+                                           Case(17, 183)),
+                         caseName);
+
+/// Seeds in which an order to an earlier life of a worker is carried out,
+/// seconds late, by the next life before that one has been claimed. Of
+/// `RestartWorkersAndOrderFaults` and `RestartWorkersAndAll`.
+INSTANTIATE_TEST_SUITE_P(OrdersToAnEarlierLife,
+                         DaemonGroupInTrouble,
+                         ::testing::Values(Case(19, 16),
+                                           Case(19, 130),
+                                           Case(19, 393),
+                                           Case(19, 504),
+                                           Case(19, 913),
+                                           Case(19, 922),
+                                           Case(19, 962),
+                                           Case(19, 983),
+                                           Case(19, 1016),
+                                           Case(19, 1211),
+                                           Case(19, 1274),
+                                           Case(20, 44),
+                                           Case(20, 47),
+                                           Case(20, 66),
+                                           Case(20, 104),
+                                           Case(20, 164),
+                                           Case(20, 179),
+                                           Case(20, 295),
+                                           Case(20, 405),
+                                           Case(20, 448),
+                                           Case(20, 471),
+                                           Case(20, 483),
+                                           Case(20, 600),
+                                           Case(20, 629),
+                                           Case(20, 684),
+                                           Case(20, 802),
+                                           Case(20, 1122),
+                                           Case(20, 1189),
+                                           Case(20, 1234),
+                                           Case(20, 1450)),
+                         caseName);
+
+/// Seeds in which the next life of a worker carries out a late start that is
+/// unknown to the daemon that holds the worker or starts the task again, or two
+/// late starts of one task. Of `RestartWorkersAndAll`.
+INSTANTIATE_TEST_SUITE_P(UnknownLateStarts,
+                         DaemonGroupInTrouble,
+                         ::testing::Values(Case(20, 45),
+                                           Case(20, 166),
+                                           Case(20, 222),
+                                           Case(20, 481),
+                                           Case(20, 1004),
+                                           Case(20, 1100),
+                                           Case(20, 1121),
+                                           Case(20, 1131),
+                                           Case(20, 1389)),
+                         caseName);
+
+} // namespace
+} // namespace cowslippin::testing
--- /dev/null
+++ b/tests/entry/simulationcallers.cpp
@@ -0,0 +1,133 @@
+#include "simulation.h"
+#include "simulationtimes.h"
+
+#include <algorithm>
+
+namespace cowslippin::testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// When a caller whose connection broke submits again.
+constexpr Duration resendAfter = milliseconds(1300);
+
+} // namespace
+
+void
+Simulation::submitLater()
+{
+  const double seconds =
+    std::exponential_distribution<>(m_settings.jobsPerSecond)(m_random);
+  at(Duration(std::int64_t(seconds * 1e6)), [this] {
+    submitNew();
+    submitLater();
+  });
+}
+
+void
+Simulation::submitNew()
+{
+  const JobId job("job" + std::to_string(++m_lastJob));
+  const unsigned taskMs = below(5) == 0 ? 500 + below(900) : 40 + below(160);
+  const std::int64_t cpu = 5000 + std::int64_t(below(4000));
+  Caller caller;
+  caller.submission.job = job;
+  caller.submission.policy.queue = taskMs < 300 ? "short" : "long";
+  caller.submission.policy.service = ServiceName("booking");
+  caller.submission.policy.maxAttempts = 3;
+  caller.submission.policy.stretch = 1.6;
+  caller.submission.policy.target = milliseconds(60);
+  caller.submission.needs.resources = Resources(cpu, 10, 0);
+  caller.submission.needs.estimate = milliseconds(taskMs);
+  caller.submission.spec = std::to_string(taskMs) + "," + std::to_string(cpu);
+  caller.submission.taskPrefix = job.value() + ".0.0.";
+  caller.submission.taskCount = 1 + static_cast<unsigned>(below(6));
+  caller.submission.timeLeft = milliseconds(5 * (2 * taskMs + 60));
+  m_callers[job] = caller;
+  ++m_submitted;
+  submit(job, below(m_nodes.size()));
+}
+
+void
+Simulation::submit(const JobId& job, std::size_t daemon)
+{
+  Caller& caller = m_callers.at(job);
+  for (std::size_t tried = 0; !m_nodes[daemon].isAlive; ++tried) {
+    if (tried == m_nodes.size()) {
+      m_callers.erase(job);
+      ++m_unknown;
+      return;
+    }
+    daemon = (daemon + 1) % m_nodes.size();
+  }
+  caller.daemon = daemon;
+  caller.daemonLife = m_nodes[daemon].life;
+  caller.isWaiting = true;
+  onNode(daemon, caller.daemonLife, [this, job, daemon] {
+    const auto found = m_callers.find(job);
+    if (found == m_callers.end() || found->second.daemon != daemon)
+      return;
+    found->second.ticket = m_nodes[daemon].core->submit(
+      found->second.submission, [this, job](const JobAnswer& answer) {
+        at(oneWay, [this, job, answer] { answered(job, answer); });
+      });
+  });
+}
+
+/// The callers of a daemon that has ended submit again elsewhere.
+void
+Simulation::callerBroken(std::size_t daemon)
+{
+  for (auto& [job, caller] : m_callers) {
+    if (!caller.isWaiting || caller.daemon != daemon)
+      continue;
+    caller.isWaiting = false;
+    caller.wasAlwaysRefused = false;
+    at(resendAfter, [this, job = job] {
+      if (m_callers.count(job) > 0)
+        submit(job, below(m_nodes.size()));
+    });
+  }
+}
+
+void
+Simulation::answered(const JobId& job, const JobAnswer& answer)
+{
+  const auto found = m_callers.find(job);
+  if (found == m_callers.end() || !found->second.isWaiting)
+    return;
+  Caller& caller = found->second;
+  caller.isWaiting = false;
+  switch (answer.kind) {
+    case JobAnswer::Kind::Completed:
+      ++m_completed;
+      m_callers.erase(found);
+      return;
+    case JobAnswer::Kind::Failed:
+      ++m_failed;
+      m_callers.erase(found);
+      return;
+    case JobAnswer::Kind::NotRun:
+      ++m_refused;
+      caller.isRefused = caller.wasAlwaysRefused;
+      if (caller.wasAlwaysRefused && caller.hasStarted)
+        violated("refused though it had run: " + job.value());
+      return;
+    case JobAnswer::Kind::Unknown:
+      ++m_unknown;
+      m_callers.erase(found);
+      return;
+  }
+}
+
+unsigned
+Simulation::waitingCallers() const
+{
+  return static_cast<unsigned>(
+    std::count_if(m_callers.begin(), m_callers.end(), [](const auto& item) {
+      return item.second.isWaiting;
+    }));
+}
+
+} // namespace cowslippin::testing
