Simulate daemons that notice the loss of a connection at different times

Both ends of a connection between simulated daemons were told of its loss in one instant, so no case could show what a holder does that goes by a connection which its submitter has given up.

--- a/tests/entry/daemongroup_test.cpp
+++ b/tests/entry/daemongroup_test.cpp
@@ -87,6 +87,19 @@
                                            Case(17, 183)),
                          caseName);
 
+/// Seeds in which runs go on for too long after the contact was lost.
+INSTANTIATE_TEST_SUITE_P(LostContacts,
+                         DaemonGroupInTrouble,
+                         ::testing::Values(Case(23, 9),
+                                           Case(23, 17),
+                                           Case(23, 21),
+                                           Case(23, 30),
+                                           Case(24, 14),
+                                           Case(24, 37),
+                                           Case(24, 38),
+                                           Case(24, 51)),
+                         caseName);
+
 /// Seeds in which an order to an earlier life of a worker is carried out,
 /// seconds late, by the next life before that one has been claimed. Of
 /// `RestartWorkersAndOrderFaults` and `RestartWorkersAndAll`.
--- a/tests/entry/troubles.cpp
+++ b/tests/entry/troubles.cpp
@@ -58,6 +58,27 @@
   return settings;
 }
 
+/// Tasks that outlast the time after which lost callers submit again.
+Simulation::Settings
+withLongTasks()
+{
+  Simulation::Settings settings;
+  settings.workersPerZone = 12;
+  settings.jobsPerSecond = 20;
+  settings.longestTaskMs = 3500;
+  return settings;
+}
+
+Simulation::Settings
+withLongTasksAndOrderFaults()
+{
+  Simulation::Settings settings = withLongTasks();
+  settings.lostOrders = withOrderFaults().lostOrders;
+  settings.lostAnswers = withOrderFaults().lostAnswers;
+  settings.lateOrders = withOrderFaults().lateOrders;
+  return settings;
+}
+
 /// Daemons that read the store seconds after others.
 Simulation::Settings
 withLateLists()
@@ -150,6 +171,14 @@
   simulation.evacuate(zone);
 }
 
+void
+loseUnevenly(Simulation& simulation)
+{
+  const Duration duration = milliseconds(900 + simulation.random()() % 5000);
+  const Duration lag = milliseconds(100 + simulation.random()() % 1400);
+  simulation.loseUnevenly(anyDaemon(simulation), duration, lag);
+}
+
 } // namespace
 
 Simulation::Settings
@@ -223,6 +252,8 @@
         strikeAny(s);
       },
       withRoomToEvacuate() },
+    { "UnevenLoss", loseUnevenly, withLongTasks() },
+    { "UnevenLossAndOrderFaults", loseUnevenly, withLongTasksAndOrderFaults() },
   };
 }
 
