Simulate daemons that run behind, and callers that leave a living daemon

No case let a daemon handle late what had come in, nor callers leave a daemon that goes on. A daemon that runs behind handles messages, answers, callers and its own ticks in order and with a lag that grows; it goes by a lost connection until it has handled the loss.

--- a/tests/entry/daemongroup_test.cpp
+++ b/tests/entry/daemongroup_test.cpp
@@ -97,7 +97,11 @@
                                            Case(24, 14),
                                            Case(24, 37),
                                            Case(24, 38),
-                                           Case(24, 51)),
+                                           Case(24, 51),
+                                           Case(27, 25),
+                                           Case(27, 42),
+                                           Case(28, 15),
+                                           Case(28, 16)),
                          caseName);
 
 /// Seeds in which an order to an earlier life of a worker is carried out,
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "ramp.h"
+
 #include "support/fakeworker.h"
 
 #include "libentry/entrycore.h"
@@ -69,6 +71,11 @@
   void loseUnevenly(std::size_t daemon, Duration duration, Duration lag);
   /// A zone's daemons and workers are cut off from those of other zones.
   void cutZone(unsigned zone, Duration duration);
+  /// All that comes in is handled in order and with a lag: messages, answers of
+  /// workers, callers and its own ticks. The clocks that it reads are right.
+  void runBehind(std::size_t daemon, const Ramp::Shape& lag);
+  /// Its callers lose their connections and submit again at any daemon.
+  void loseCallers(std::size_t daemon);
   /// Every connection between daemons is reset.
   void resetLinks();
   void crashWorker(std::size_t worker);
@@ -138,6 +145,9 @@
     TimePoint sendsUntil{};
     TimePoint receivesUntil{};
     std::vector<Action> waiting;
+    Ramp lag;
+    /// When it handles what came in last.
+    TimePoint handlesUntil{};
     /// Heartbeats of holders at the platform that it has read.
     std::map<ShardId, unsigned> knownBeats;
   };
@@ -172,7 +182,9 @@
     std::size_t daemon = 0;
     unsigned daemonLife = 0;
     TimePoint deadline{};
-    Gateway::Ticket ticket = 0;
+    unsigned attempt = 0;
+    /// Known to the daemon once it has handled the submission.
+    std::shared_ptr<Gateway::Ticket> ticket;
     bool isWaiting = false;
     bool wasAlwaysRefused = true;
     bool hasStarted = false;
@@ -184,7 +196,10 @@
   using ConnectionNumber = std::uint64_t;
 
   void at(Duration delay, Action action);
+  /// Something comes in at a daemon.
   void onNode(std::size_t node, unsigned life, const Action& action);
+  void handle(std::size_t node, unsigned life, const Action& action);
+  bool isBehind(std::size_t node) const;
   void startNode(std::size_t node);
   void tickNode(std::size_t node, unsigned life);
   void readHolders(std::size_t node, unsigned life);
@@ -243,7 +258,7 @@
   void submitNew();
   void submit(const JobId& job, std::size_t daemon);
   void callerBroken(std::size_t daemon);
-  void answered(const JobId& job, const JobAnswer& answer);
+  void answered(const JobId& job, unsigned attempt, const JobAnswer& answer);
   WorkerList list() const;
   double chance() { return std::uniform_real_distribution<>(0, 1)(m_random); }
   std::size_t below(std::size_t bound)
--- a/tests/entry/simulationcallers.cpp
+++ b/tests/entry/simulationcallers.cpp
@@ -66,18 +66,40 @@
   caller.daemon = daemon;
   caller.daemonLife = m_nodes[daemon].life;
   caller.isWaiting = true;
-  onNode(daemon, caller.daemonLife, [this, job, daemon] {
-    const auto found = m_callers.find(job);
-    if (found == m_callers.end() || found->second.daemon != daemon)
-      return;
-    found->second.ticket = m_nodes[daemon].core->submit(
-      found->second.submission, [this, job](const JobAnswer& answer) {
-        at(oneWay, [this, job, answer] { answered(job, answer); });
-      });
-  });
+  caller.ticket = std::make_shared<Gateway::Ticket>(0);
+  const unsigned attempt = ++caller.attempt;
+  const auto done = [this, job, attempt](const JobAnswer& answer) {
+    at(oneWay,
+       [this, job, attempt, answer] { answered(job, attempt, answer); });
+  };
+  onNode(daemon,
+         caller.daemonLife,
+         [this,
+          daemon,
+          submission = caller.submission,
+          ticket = caller.ticket,
+          done] { *ticket = m_nodes[daemon].core->submit(submission, done); });
 }
 
-/// The callers of a daemon that has ended submit again elsewhere.
+void
+Simulation::loseCallers(std::size_t daemon)
+{
+  if (!m_nodes[daemon].isAlive)
+    return;
+  for (const auto& [job, caller] : m_callers) {
+    if (!caller.isWaiting || caller.daemon != daemon)
+      continue;
+    at(oneWay,
+       [this, daemon, life = caller.daemonLife, ticket = caller.ticket] {
+         onNode(daemon, life, [this, daemon, ticket] {
+           m_nodes[daemon].core->callerGone(*ticket);
+         });
+       });
+  }
+  callerBroken(daemon);
+}
+
+/// The callers of a daemon submit again at any.
 void
 Simulation::callerBroken(std::size_t daemon)
 {
@@ -94,12 +116,16 @@
 }
 
 void
-Simulation::answered(const JobId& job, const JobAnswer& answer)
+Simulation::answered(const JobId& job,
+                     unsigned attempt,
+                     const JobAnswer& answer)
 {
   const auto found = m_callers.find(job);
   if (found == m_callers.end() || !found->second.isWaiting)
     return;
   Caller& caller = found->second;
+  if (caller.attempt != attempt)
+    return;
   caller.isWaiting = false;
   switch (answer.kind) {
     case JobAnswer::Kind::Completed:
--- a/tests/entry/simulationdaemons.cpp
+++ b/tests/entry/simulationdaemons.cpp
@@ -1,6 +1,8 @@
 #include "simulation.h"
 #include "simulationtimes.h"
 
+#include <algorithm>
+
 namespace cowslippin::testing {
 
 namespace {
@@ -45,17 +47,43 @@
 
 void
 Simulation::onNode(std::size_t index, unsigned life, const Action& action)
+{
+  if (!isBehind(index)) {
+    handle(index, life, action);
+    return;
+  }
+  Node& node = m_nodes[index];
+  node.handlesUntil = std::max(node.handlesUntil, m_now + node.lag.at(m_now));
+  at(node.handlesUntil - m_now,
+     [this, index, life, action] { handle(index, life, action); });
+}
+
+void
+Simulation::handle(std::size_t index, unsigned life, const Action& action)
 {
   Node& node = m_nodes[index];
   if (!node.isAlive || node.life != life)
     return;
   if (node.isFrozen)
     node.waiting.push_back(
-      [this, index, life, action] { onNode(index, life, action); });
+      [this, index, life, action] { handle(index, life, action); });
   else
     action();
 }
 
+bool
+Simulation::isBehind(std::size_t index) const
+{
+  const Node& node = m_nodes[index];
+  return node.handlesUntil >= m_now || node.lag.at(m_now) > Duration::zero();
+}
+
+void
+Simulation::runBehind(std::size_t daemon, const Ramp::Shape& lag)
+{
+  m_nodes[daemon].lag = Ramp(lag, m_now);
+}
+
 void
 Simulation::startNode(std::size_t index)
 {
@@ -136,6 +164,8 @@
   m_nodes[node].isAlive = false;
   m_nodes[node].isFrozen = false;
   m_nodes[node].waiting.clear();
+  m_nodes[node].lag = Ramp();
+  m_nodes[node].handlesUntil = {};
   callerBroken(node);
 }
 
--- a/tests/entry/simulationlinks.cpp
+++ b/tests/entry/simulationlinks.cpp
@@ -124,6 +124,8 @@
       if (!areLinked(node, other))
         continue;
       unlink(other, node, oneWay);
+      if (isBehind(node))
+        m_ends.erase({ node, other });
       m_nodes[node].core->peerDown(m_nodes[other].id, PeerLoss::Closed);
     }
   };
@@ -180,17 +182,24 @@
 }
 
 /// The daemon notices that the connection of this number is lost, if it has not
-/// yet.
+/// yet. One that is behind goes by it until then.
 void
 Simulation::loseEnd(const End& end, ConnectionNumber number, PeerLoss loss)
 {
-  const auto [node, other] = end;
-  if (number == 0 || connection(node, other) != number)
+  if (number == 0 || connection(end.first, end.second) != number)
     return;
-  m_ends.erase(end);
-  onNode(node, m_nodes[node].life, [this, node = node, other = other, loss] {
+  const bool isAtOnce = !isBehind(end.first);
+  if (isAtOnce)
+    m_ends.erase(end);
+  const auto notice = [this, end, number, loss, isAtOnce] {
+    const auto [node, other] = end;
+    if (!isAtOnce && connection(node, other) != number)
+      return;
+    if (!isAtOnce)
+      m_ends.erase(end);
     m_nodes[node].core->peerDown(m_nodes[other].id, loss);
-  });
+  };
+  onNode(end.first, m_nodes[end.first].life, notice);
 }
 
 void
--- a/tests/entry/troubles.cpp
+++ b/tests/entry/troubles.cpp
@@ -179,6 +179,47 @@
   simulation.loseUnevenly(anyDaemon(simulation), duration, lag);
 }
 
+Ramp::Shape
+anyLag(Simulation& simulation)
+{
+  Ramp::Shape lag;
+  lag.peak = milliseconds(300 + simulation.random()() % 1200);
+  lag.rise = milliseconds(1000 + simulation.random()() % 1000);
+  lag.hold = milliseconds(simulation.random()() % 1500);
+  return lag;
+}
+
+/// The callers of one daemon leave while one, mostly another, runs behind.
+void
+loseCallersBehind(Simulation& simulation)
+{
+  simulation.runBehind(anyDaemon(simulation), anyLag(simulation));
+  simulation.runFor(milliseconds(500 + simulation.random()() % 1500));
+  simulation.loseCallers(anyDaemon(simulation));
+}
+
+/// Daemons that hear of losses late, and others that are lost meanwhile.
+void
+strikeLateNews(Simulation& simulation)
+{
+  switch (simulation.random()() % 3) {
+    case 0:
+      loseUnevenly(simulation);
+      break;
+    case 1:
+      simulation.runBehind(anyDaemon(simulation), anyLag(simulation));
+      break;
+    default:
+      loseCallersBehind(simulation);
+      break;
+  }
+  simulation.runFor(milliseconds(simulation.random()() % 1500));
+  if (simulation.random()() % 2 == 0)
+    simulation.kill(anyDaemon(simulation), milliseconds(600));
+  else
+    simulation.loseCallers(anyDaemon(simulation));
+}
+
 } // namespace
 
 Simulation::Settings
@@ -254,6 +295,14 @@
       withRoomToEvacuate() },
     { "UnevenLoss", loseUnevenly, withLongTasks() },
     { "UnevenLossAndOrderFaults", loseUnevenly, withLongTasksAndOrderFaults() },
+    { "Behind",
+      [](Simulation& s) { s.runBehind(anyDaemon(s), anyLag(s)); },
+      withLongTasks() },
+    { "LoseCallers",
+      [](Simulation& s) { s.loseCallers(anyDaemon(s)); },
+      withLongTasks() },
+    { "LoseCallersBehind", loseCallersBehind, withLongTasks() },
+    { "LateNews", strikeLateNews, withLongTasksAndOrderFaults() },
   };
 }
 
