Bound every lease by the submitter's last acknowledged heartbeat

Cause: a holder counted the silence of a submitter from when it read a message. What had waited in a socket, on a link or behind a busy loop counted as new, so that the sum of bounds (450 + 50 + 765 ms) began later than the caller's 1,300 ms. Besides, a worker has one lease for all its runs, and a renewal wasn't bound to who wanted each of them: runs whose submitter was lost, runs that were being stopped and runs that a new holder had found were renewed along with the others.

Why it works: heartbeats carry the time when they were sent; submitters send it back after a whole round of their event loop, on the connection on which they also cancel. No lease lasts beyond 1,240 ms after the newest time that came back, for any run in a worker's book, so that nothing depends on who notices a loss when, or on a stop that gets through. Runs that nobody has asked for aren't renewed. Nothing is started with a contact older than 490 ms, which with a lease of 750 ms makes up the bound, as a worker never shortens a lease. Jobs whose submitter is late by 850 ms are given back to it. A job that comes over a connection that isn't kept is dropped: the sender takes it for lost and would not cancel it.

Ruled out: limits of silence alone (a constant delay is never silent); a shorter lease alone (it is renewed for others).

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -42,6 +42,7 @@
   , m_scheduler(m_settings.vm, m_settings.scheduler, schedulerHooks())
   , m_gateway(m_settings.vm, m_settings.gateway, gatewayHooks())
   , m_configuration(configurationSettings(m_settings), configurationHooks())
+  , m_contact(m_clocks.steady())
   , m_holders(m_settings.vm,
               m_settings.zone,
               { m_shards, m_scheduler, m_reports },
@@ -330,6 +331,10 @@
     return m_tokens.nextAfterRefusal(refusals);
   };
   hooks.fenced = [this](const ShardId& shard) { m_fenced.insert(shard); };
+  hooks.lastContact = [this](const VmId& vm) {
+    return vm == m_settings.vm ? m_contact.ownContact()
+                               : m_contact.lastContact(vm);
+  };
   return hooks;
 }
 
@@ -405,6 +410,8 @@
   probeOrphans(now);
   applyDecisions(now);
   m_configuration.tick(now);
+  m_contact.tick(now);
+  acknowledgeBeats(now);
   m_scheduler.tick(now);
   m_gateway.tick(now);
   if (now - m_lastBeatAt >= m_settings.heartbeats.interval)
@@ -465,7 +472,8 @@
 void
 EntryCore::updateClose()
 {
-  std::set<VmId> close = m_gateway.holders();
+  m_jobHolders = m_gateway.holders();
+  std::set<VmId> close = m_jobHolders;
   close.merge(m_scheduler.submitters());
   close.erase(m_settings.vm);
   for (const VmId& vm : m_close) {
@@ -565,6 +573,7 @@
   beat.highestToken = m_tokens.highest();
   beat.configVersion = m_configuration.version();
   beat.evacuations = m_evacuations;
+  beat.sentAt = PeerContact::stamp(now);
   return beat;
 }
 
@@ -618,7 +627,9 @@
   if (const auto* beat = std::get_if<PeerBeat>(&message))
     beatReceived(vm, *beat, now);
   else if (const auto* submit = std::get_if<PeerSubmit>(&message))
-    submitted(vm, submit->request, now);
+    submitted(vm, *submit, now);
+  else if (const auto* ack = std::get_if<PeerBeatAck>(&message))
+    beatAcknowledged(vm, *ack, now);
   else if (const auto* cancel = std::get_if<PeerCancel>(&message))
     m_scheduler.cancel(cancel->key, now);
   else if (const auto* ended = std::get_if<PeerJobEnd>(&message))
@@ -635,6 +646,7 @@
 EntryCore::beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now)
 {
   m_reports.received(vm, beat, now);
+  m_contact.beatReceived(vm, beat.sentAt);
   adoptEvacuations(beat.evacuations, now);
   m_tokens.seen(beat.highestToken);
   MemberView view;
@@ -660,10 +672,34 @@
 }
 
 void
-EntryCore::submitted(const VmId& vm, const JobRequest& request, TimePoint now)
+EntryCore::submitted(const VmId& vm, const PeerSubmit& submit, TimePoint now)
 {
   addClose(vm);
-  m_scheduler.submit(request, now);
+  m_contact.acknowledged(vm, submit.ack.sentAt, now);
+  if (m_contact.takeAsking(vm, now))
+    sendBeats({ vm }, now);
+  m_scheduler.submit(submit.request, now);
+}
+
+/// Tells the holders of this daemon's jobs that it is there.
+void
+EntryCore::acknowledgeBeats(TimePoint now)
+{
+  for (const VmId& vm : m_jobHolders) {
+    if (const auto sentAt = m_contact.takeDue(vm, now))
+      m_links.send(vm, PeerBeatAck{ *sentAt });
+  }
+}
+
+void
+EntryCore::beatAcknowledged(const VmId& vm,
+                            const PeerBeatAck& ack,
+                            TimePoint now)
+{
+  const Duration before = now - m_contact.lastContact(vm);
+  m_contact.acknowledged(vm, ack.sentAt, now);
+  if (before > m_settings.scheduler.startContactLimit)
+    m_scheduler.contactRenewed(now);
 }
 
 /// Divides zones anew whose daemons can hold more or fewer workers than was
@@ -716,6 +752,8 @@
   const TimePoint now = m_clocks.steady();
   logPeerLost(vm, loss, now);
   m_close.erase(vm);
+  m_jobHolders.erase(vm);
+  m_contact.lost(vm);
   m_shards.memberGone(vm, now);
   m_configuration.lost(vm);
   m_scheduler.daemonLost(vm, loss == PeerLoss::Silent, now);
@@ -751,7 +789,9 @@
 {
   if (vm != m_settings.vm) {
     addClose(vm);
-    return m_links.send(vm, PeerSubmit{ request });
+    m_jobHolders.insert(vm);
+    const PeerBeatAck ack{ m_contact.acknowledgement(vm) };
+    return m_links.send(vm, PeerSubmit{ request, ack });
   }
   m_scheduler.submit(request, m_clocks.steady());
   return true;
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -5,6 +5,7 @@
 #include "gateway.h"
 #include "heartbeatplan.h"
 #include "holderlookup.h"
+#include "peercontact.h"
 #include "peerreports.h"
 #include "strainmeter.h"
 #include "tokensource.h"
@@ -216,7 +217,9 @@
   void logPeerLost(const VmId& vm, PeerLoss loss, TimePoint now);
   void applyDecisions(TimePoint now);
   void checkLeaving(TimePoint now);
-  void submitted(const VmId& vm, const JobRequest& request, TimePoint now);
+  void submitted(const VmId& vm, const PeerSubmit& submit, TimePoint now);
+  void acknowledgeBeats(TimePoint now);
+  void beatAcknowledged(const VmId& vm, const PeerBeatAck& ack, TimePoint now);
   void beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now);
   void jobEnded(const JobKey& key, const JobEnd& end);
   void tasksReturned(const JobKey& key, const TasksReturned& returned);
@@ -244,6 +247,7 @@
   WorkerList m_workers;
   Evacuations m_evacuations;
   PeerReports m_reports;
+  PeerContact m_contact;
   HolderLookup m_holders;
   TokenSource m_tokens;
   VacancyProbe m_vacancy;
@@ -253,6 +257,8 @@
   HeartbeatPlan m_heartbeats;
   /// Daemons that have jobs in common with this one.
   std::set<VmId> m_close;
+  /// Those of them that have jobs of this one.
+  std::set<VmId> m_jobHolders;
   std::set<ShardId> m_fenced;
   /// When something was last read from each other daemon.
   std::map<VmId, TimePoint> m_lastReadAt;
--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -20,6 +20,7 @@
   auto job = std::make_unique<Job>();
   const QueuePolicy& policy = request.policy;
   job->arrivedAt = now - request.age;
+  job->receivedAt = now;
   job->expiresAt = now + request.timeLeft;
   job->expected = expected;
   if (request.quarantine)
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -64,6 +64,8 @@
   JobRequest request;
   /// When the caller's request arrived, by this daemon's clock.
   TimePoint arrivedAt{};
+  /// When the job came to this daemon.
+  TimePoint receivedAt{};
   TimePoint expiresAt{};
   /// Expected run time of a task.
   Duration expected = Duration::zero();
@@ -93,8 +95,13 @@
 /// higher numbers: more than it can have used.
 constexpr std::uint64_t staleRunStep = 8;
 
-/// How long runs that a lost daemon left behind may go on: the silence limit
-/// between daemons, the lease and a margin.
+/// How long a run may go on after its submitter was last surely alive. A caller
+/// whose connection breaks submits again 1,300 ms later; the rest covers a
+/// worker's clock that is 2% slow.
+constexpr Duration wantedRunLimit = std::chrono::milliseconds(1240);
+
+/// How long runs that a lost daemon left behind may go on. Its submitter has
+/// told it of itself until it noticed the loss; the margin is as above.
 constexpr Duration lostRunLimit = std::chrono::milliseconds(1270);
 
 Duration
--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -82,6 +82,16 @@
                 { "crashes", task.crashes } });
 }
 
+void
+logContactLost(const Job& job, Duration age)
+{
+  logEvent(LogLevel::Warning,
+           "submitter-late",
+           { { "job", job.request.key.job() },
+             { "submitter", job.request.key.submitter() },
+             { "contactAgeMs", toMilliseconds(age) } });
+}
+
 void
 logStartRejected(const Job& job, const JobTask& task, OrderFailure failure)
 {
--- a/src/libjobs/joblog.h
+++ b/src/libjobs/joblog.h
@@ -35,6 +35,10 @@
 void
 logTaskCrashed(const Job& job, const JobTask& task);
 
+/// The submitter was not heard in time and is told that it has the job again.
+void
+logContactLost(const Job& job, Duration age);
+
 void
 logStartRejected(const Job& job, const JobTask& task, OrderFailure failure);
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -39,6 +39,7 @@
   hooks.orders = m_hooks.orders;
   hooks.higherToken = m_hooks.higherToken;
   hooks.fenced = m_hooks.fenced;
+  hooks.wantedUntil = [this](const RunKey& key) { return wantedUntil(key); };
   hooks.runEnded = [this](const WorkerId& worker,
                           const RunKey& key,
                           RunEnd end) { runEnded(worker, key, end); };
@@ -100,6 +101,40 @@
   pump(now);
 }
 
+/// The submitter of a job that is given up may have handed it to another
+/// daemon: being heard again renews nothing.
+std::optional<TimePoint>
+Scheduler::wantedUntil(const RunKey& key) const
+{
+  const auto found = m_runs.find(key);
+  if (found == m_runs.end() || found->second.job->dropAt)
+    return std::nullopt;
+  const VmId& submitter = found->second.job->request.key.submitter();
+  return m_hooks.lastContact(submitter) + wantedRunLimit;
+}
+
+Duration
+Scheduler::sinceContact(const Job& job, TimePoint now) const
+{
+  return now - m_hooks.lastContact(job.request.key.submitter());
+}
+
+/// Whether the submitter surely wants the job now.
+bool
+Scheduler::mayStart(const Job& job, TimePoint now) const
+{
+  return !job.dropAt && sinceContact(job, now) <= m_settings.startContactLimit;
+}
+
+/// A submitter that has just come may not have been heard yet.
+bool
+Scheduler::hasLostContact(const Job& job, TimePoint now) const
+{
+  const Duration since = std::min(sinceContact(job, now), now - job.receivedAt);
+  return !job.dropAt && job.request.key.submitter() != m_self &&
+         since > m_settings.contactLimit;
+}
+
 /// Takes a run of the task that is on a held worker into the job. False if
 /// there is none.
 bool
@@ -117,6 +152,7 @@
   task.wasFound = true;
   task.progressAt = now;
   m_runs[run->second] = { &job, position };
+  m_pool.renewAdopted(run->first, now);
   return true;
 }
 
@@ -224,6 +260,13 @@
   }
 }
 
+void
+Scheduler::contactRenewed(TimePoint now)
+{
+  m_now = now;
+  pump(now);
+}
+
 void
 Scheduler::setList(const WorkerList& list, TimePoint now)
 {
@@ -318,6 +361,7 @@
   if (job.dropAt)
     logJobReattached(job, m_now);
   job.dropAt.reset();
+  job.receivedAt = m_now;
   m_jobs.insert(std::move(node));
   const std::set<TaskIndex> wanted(request.tasks.begin(), request.tasks.end());
   for (JobTask& task : job.tasks) {
@@ -470,6 +514,8 @@
       leaveEvacuated(*job);
       continue;
     }
+    if (!mayStart(*job, now))
+      continue;
     if (job->request.needs.resources.cpuMillis() <= room) {
       pumpJob(*job, now);
       room = m_pool.largestFreeCpuMillis();
@@ -769,6 +815,10 @@
     finish(job, { JobOutcome::TimedOut, Duration::zero(), {}, 1 });
     return;
   }
+  if (hasLostContact(job, now)) {
+    giveBack(job, now);
+    return;
+  }
   if (!job.hasStarted && now + job.expected > job.worthlessAt) {
     finish(job, refusal(job, now));
     return;
@@ -778,6 +828,21 @@
   checkProgress(job, now);
 }
 
+/// Stops what runs of the job while there is time for that, and tells the
+/// submitter, which may be there and hand it over again.
+void
+Scheduler::giveBack(Job& job, TimePoint now)
+{
+  logContactLost(job, sinceContact(job, now));
+  if (!job.hasStarted) {
+    finish(job, refusal(job, now));
+    return;
+  }
+  finish(job, movedEnd(job, [this](const std::string& task) {
+           return m_pool.workerOf(task);
+         }));
+}
+
 /// Takes up or releases quarantined tasks. False if that ended the job.
 bool
 Scheduler::endQuarantine(Job& job, TimePoint now)
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -58,6 +58,13 @@
     /// A task with which so many workers were lost is given up, and its job
     /// has failed.
     unsigned mostCrashes = 3;
+    /// A job whose submitter was heard so long ago is given back to it: what
+    /// comes from there is late.
+    Duration contactLimit = std::chrono::milliseconds(850);
+    /// Nothing is started for a submitter that was heard so long ago. A run
+    /// has at least the lease that its worker has by then, as leases are never
+    /// shortened: together they make up `wantedRunLimit`.
+    Duration startContactLimit = std::chrono::milliseconds(490);
     /// How long ends that nobody asked for are kept for who may ask.
     Duration strayEndsKept = std::chrono::seconds(2);
   };
@@ -74,6 +81,10 @@
     std::function<FencingToken(unsigned refusals)> higherToken;
     /// A worker of a held shard was taken by another daemon.
     std::function<void(const ShardId&)> fenced;
+    /// When a submitter, this daemon included, was surely alive and knew which
+    /// of its callers were there, by this daemon's clock. Long ago if that was
+    /// never heard.
+    std::function<TimePoint(const VmId&)> lastContact;
   };
 
   Scheduler(VmId self, Settings settings, Hooks hooks);
@@ -83,6 +94,8 @@
   void cancel(const JobKey& key, TimePoint now);
   /// A daemon can't be reached: its jobs end soon unless it submits them again.
   void daemonLost(const VmId& vm, bool wasSilent, TimePoint now);
+  /// A submitter that had not been heard for a while has been.
+  void contactRenewed(TimePoint now);
 
   /// See `WorkerPool`.
   void setList(const WorkerList& list, TimePoint now);
@@ -170,6 +183,10 @@
 
   WorkerPool::Hooks poolHooks();
   void leaveRunsBehind(Job& job, const ShardId& shard);
+  std::optional<TimePoint> wantedUntil(const RunKey& key) const;
+  Duration sinceContact(const Job& job, TimePoint now) const;
+  bool mayStart(const Job& job, TimePoint now) const;
+  bool hasLostContact(const Job& job, TimePoint now) const;
   bool adoptRun(Job& job, std::size_t position, TimePoint now);
   void findRuns(Job& job, TimePoint now);
   bool mustRefuse(const Job& job, TimePoint now) const;
@@ -204,6 +221,7 @@
   void drop(Job& job);
   void tickJobs(TimePoint now);
   void tickJob(Job& job, TimePoint now);
+  void giveBack(Job& job, TimePoint now);
   void quarantine(Job& job, JobTask& task, TimePoint now);
   bool endQuarantine(Job& job, TimePoint now);
   bool isSurelyOver(const Job& job, const JobTask& task) const;
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -241,6 +241,14 @@
   return std::nullopt;
 }
 
+void
+WorkerPool::renewAdopted(const WorkerId& worker, TimePoint now)
+{
+  Entry* entry = find(worker);
+  if (entry != nullptr && !entry->lease->hasStrays())
+    entry->lease->refresh(now);
+}
+
 std::optional<WorkerId>
 WorkerPool::workerOf(const std::string& task) const
 {
@@ -432,6 +440,7 @@
     logStrayEnded(id, key, end);
     m_hooks.strayEnded(id, key, end);
   };
+  hooks.wantedUntil = m_hooks.wantedUntil;
   hooks.stateChanged = [this, id](LeaseState state) {
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -50,6 +50,8 @@
     /// worker has refused ours; then it is higher by a margin, as somebody has
     /// one that isn't known here.
     std::function<FencingToken(unsigned refusals)> higherToken;
+    /// See `WorkerLease`.
+    std::function<std::optional<TimePoint>(const RunKey&)> wantedUntil;
   };
 
   WorkerPool(Settings settings, Hooks hooks);
@@ -138,6 +140,8 @@
   std::optional<std::pair<WorkerId, RunKey>> adopt(const std::string& task,
                                                    const Resources& resources,
                                                    TimePoint since);
+  /// Renews the lease of a worker whose last stray run was adopted.
+  void renewAdopted(const WorkerId& worker, TimePoint now);
   /// Whether a task of this name runs, or may run, on a held worker.
   bool isRunning(const std::string& task) const
   {
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with every change that an older daemon can't read.
-constexpr int formatVersion = 6;
+constexpr int formatVersion = 7;
 
 json
 toJson(const ShardId& shard)
@@ -79,7 +79,8 @@
                        beat.isNew,
                        beat.carried,
                        toJson(beat.evacuations),
-                       beat.nextWithin.count() });
+                       beat.nextWithin.count(),
+                       beat.sentAt });
 }
 
 json
@@ -162,7 +163,8 @@
                        request.previousPart,
                        request.mayHaveRun,
                        request.mayBeReturned,
-                       toJson(request.crashes) });
+                       toJson(request.crashes),
+                       submit.ack.sentAt });
 }
 
 json
@@ -226,6 +228,12 @@
   return json::array({ news.from, news.end, std::move(entries) });
 }
 
+json
+toJson(const PeerBeatAck& ack)
+{
+  return json::array({ ack.sentAt });
+}
+
 std::string
 text(const json& value)
 {
@@ -309,6 +317,7 @@
     throw std::invalid_argument("a daemon that can hold no worker");
   beat.evacuations = readEvacuations(value.at(9));
   beat.nextWithin = duration(value.at(10));
+  beat.sentAt = value.at(11).get<std::int64_t>();
   return beat;
 }
 
@@ -394,7 +403,7 @@
   request.mayHaveRun = value.at(12).get<bool>();
   request.mayBeReturned = value.at(13).get<bool>();
   request.crashes = readCrashes(value.at(14));
-  return { std::move(request) };
+  return { std::move(request), { value.at(15).get<std::int64_t>() } };
 }
 
 PeerJobEnd
@@ -478,6 +487,8 @@
       return PeerConfigBusy{};
     case 10:
       return readWorkerNews(value);
+    case 11:
+      return PeerBeatAck{ value.at(0).get<std::int64_t>() };
     default:
       throw std::invalid_argument("an unknown kind");
   }
--- a/src/libpeers/peerlinks.cpp
+++ b/src/libpeers/peerlinks.cpp
@@ -259,11 +259,28 @@
   }
   if (!found->second.peer)
     return;
+  const auto peer = m_peers.find(*found->second.peer);
+  if (peer == m_peers.end() || isRetiredSubmit(peer->second, link, *message))
+    return;
   if (const auto* beat = std::get_if<PeerBeat>(&*message))
     found->second.silence.promised(beat->nextWithin);
-  const auto peer = m_peers.find(*found->second.peer);
-  if (peer != m_peers.end())
-    m_hooks.received(peer->second.vm, *message);
+  m_hooks.received(peer->second.vm, *message);
+}
+
+/// Whether a job comes over a connection that isn't kept. The sender takes such
+/// a job for lost with the connection, and would not cancel it here.
+bool
+PeerLinks::isRetiredSubmit(const Peer& peer,
+                           LinkId link,
+                           const PeerMessage& message) const
+{
+  const auto* submit = std::get_if<PeerSubmit>(&message);
+  if (submit == nullptr || peer.link == link)
+    return false;
+  logDecision(LogLevel::Info,
+              "job-on-retired-connection",
+              { { "peer", peer.vm }, { "job", submit->request.key.job() } });
+  return true;
 }
 
 void
--- a/src/libpeers/peerlinks.h
+++ b/src/libpeers/peerlinks.h
@@ -102,6 +102,9 @@
   WebSocketTransport::Hooks transportHooks();
   void accepted(LinkId link);
   void received(LinkId link, const std::string& bytes);
+  bool isRetiredSubmit(const Peer& peer,
+                       LinkId link,
+                       const PeerMessage& message) const;
   void closed(LinkId link);
   void greeted(LinkId link, const PeerHello& hello);
   bool isOfOtherSide(const Peer& peer, LinkId link) const;
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -75,12 +75,33 @@
   Evacuations evacuations;
   /// Within what time the next one follows.
   Duration nextWithin = Duration::zero();
+  /// By the sender's steady clock, which others only send back.
+  std::int64_t sentAt = 0;
+};
+
+/// Sent to daemons that have jobs of this one: the newest of their heartbeats
+/// that was read a while ago.
+struct PeerBeatAck
+{
+  /// As the heartbeat had it.
+  std::int64_t sentAt = 0;
+
+  friend bool operator==(const PeerBeatAck& a, const PeerBeatAck& b)
+  {
+    return a.sentAt == b.sentAt;
+  }
+  friend bool operator!=(const PeerBeatAck& a, const PeerBeatAck& b)
+  {
+    return !(a == b);
+  }
 };
 
 /// Asks a holder to get a job, or a part of one, done.
 struct PeerSubmit
 {
   JobRequest request;
+  /// The same as in a `PeerBeatAck`; of time 0 if there was no heartbeat.
+  PeerBeatAck ack = {};
 };
 
 /// What has become of a job that was submitted.
@@ -161,6 +182,7 @@
                                  PeerKnown,
                                  PeerConfigRequest,
                                  PeerConfigBusy,
-                                 PeerWorkerNews>;
+                                 PeerWorkerNews,
+                                 PeerBeatAck>;
 
 } // namespace cowslippin
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -83,10 +83,10 @@
   run.resources = resources;
   run.token = m_token;
   run.since = now;
-  run.startDeadlineMs = deadline(now);
   m_used = m_used + resources;
-  const StartOrder order{ m_token, key, spec, run.startDeadlineMs };
-  m_runs.emplace(key, run);
+  Run& added = m_runs.emplace(key, run).first->second;
+  added.startDeadlineMs = deadline(leaseEnd(now));
+  const StartOrder order{ m_token, key, spec, added.startDeadlineMs };
   if (m_life.isBirthKnown())
     m_unansweredStarts.add(key, resources, now + m_settings.lateOrderLimit);
   m_hooks.sendStart(order, m_times->answerWait());
@@ -228,8 +228,10 @@
   const bool isReportFresh =
     now - m_reportAt <= m_settings.freshReportLimit &&
     m_reportAt - m_reportAskedAt <= m_times->answerWait();
-  return m_unansweredStarts.isEmpty() || isReportFresh ||
-         resources.fitsIn(freeRoomInNextLife());
+  const bool isLeaseShort =
+    !m_runs.empty() && m_wantedUntil < now + m_settings.shortestLease;
+  return !isLeaseShort && (m_unansweredStarts.isEmpty() || isReportFresh ||
+                           resources.fitsIn(freeRoomInNextLife()));
 }
 
 /// The least free room of a worker after an undetected restart. Its new life
@@ -264,9 +266,9 @@
 TimePoint
 WorkerLease::lapsedBy() const
 {
-  const auto lease = std::chrono::duration_cast<Duration>(
-    m_settings.leaseTime * m_settings.slowestClock);
-  return std::max(m_renewedAt + lease + m_settings.lapseMargin,
+  const auto clockError = std::chrono::duration_cast<Duration>(
+    m_settings.leaseTime * (m_settings.slowestClock - 1));
+  return std::max(m_leasedUntil + clockError + m_settings.lapseMargin,
                   m_earlierOrdersUntil);
 }
 
@@ -287,8 +289,11 @@
   order.acknowledged = m_acknowledged;
   order.wait = wait;
   // A claim leaves the leases as they are: nobody may want these runs.
-  if (m_state == LeaseState::Held && !m_runs.empty())
-    order.deadlineMs = deadline(now);
+  if (m_state == LeaseState::Held && !m_runs.empty()) {
+    const TimePoint end = leaseEnd(now);
+    if (end > now)
+      order.deadlineMs = deadline(end);
+  }
   ++m_holdsUnderWay;
   m_hooks.sendHold(order, wait + m_times->answerWait());
   if (order.deadlineMs)
@@ -372,6 +377,8 @@
     m_settings.longestLease * m_settings.slowestClock);
   m_earlierOrdersUntil =
     std::min(m_earlierOrdersUntil, now + lease + m_settings.lapseMargin);
+  // The holder before may have renewed the lease just now.
+  m_leasedUntil = std::max(m_leasedUntil, now + m_settings.leaseTime);
 }
 
 /// All that was seen in the earlier life is over, and its clock and its count
@@ -566,12 +573,26 @@
   }
 }
 
+/// The worker has one lease for all its runs, so it may last no longer than
+/// each of them is wanted.
+TimePoint
+WorkerLease::leaseEnd(TimePoint now)
+{
+  m_wantedUntil = TimePoint::max();
+  for (auto& [key, run] : m_runs) {
+    const auto wanted = run.isStray ? std::nullopt : m_hooks.wantedUntil(key);
+    run.wantedUntil = std::max(run.wantedUntil, wanted.value_or(TimePoint{}));
+    m_wantedUntil = std::min(m_wantedUntil, run.wantedUntil);
+  }
+  return std::min(now + m_settings.leaseTime, m_wantedUntil);
+}
+
 std::int64_t
-WorkerLease::deadline(TimePoint now)
+WorkerLease::deadline(TimePoint leaseEnd)
 {
-  m_renewedAt = now;
-  return toMilliseconds(now.time_since_epoch()) + m_clockOffsetMs.value_or(0) +
-         toMilliseconds(m_settings.leaseTime);
+  m_leasedUntil = std::max(m_leasedUntil, leaseEnd);
+  return toMilliseconds(leaseEnd.time_since_epoch()) +
+         m_clockOffsetMs.value_or(0);
 }
 
 } // namespace cowslippin
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -50,11 +50,12 @@
 public:
   struct Settings
   {
-    /// How long a run goes on without a renewal. Together with the silence
-    /// limit between daemons (450 ms) and the time that a stop takes (50 ms) it
-    /// stays below the 1,300 ms after which a caller submits again, also on a
-    /// worker whose clock is 2% slow: 450 + 765 + 50 = 1,265 ms.
+    /// How long a run goes on without a renewal, unless `wantedUntil` ends it
+    /// sooner.
     Duration leaseTime = std::chrono::milliseconds(750);
+    /// With less of a lease nothing is started: the start would be rejected as
+    /// late, or the run would be lost before it is done.
+    Duration shortestLease = std::chrono::milliseconds(300);
     /// The wait before an order that could not be sent is tried again.
     Duration unsentRetry = std::chrono::milliseconds(90);
     /// Unanswered reports in a row after which the worker counts as silent.
@@ -99,6 +100,9 @@
     std::function<void(const UnwantedRenewal&)> unwantedRenewal;
     std::function<void(const LeaseLapsed&)> lapsed;
     std::function<void(LeaseState)> stateChanged;
+    /// Until when a run may go on by what is known now of who wants it; nothing
+    /// if nobody does any more, so that what was said last holds.
+    std::function<std::optional<TimePoint>(const RunKey&)> wantedUntil;
   };
 
   /// `times` may be shared with other leases; it must not be null.
@@ -126,6 +130,7 @@
   void refresh(TimePoint now);
 
   /// Takes a stray run of this task into the book. Nothing if there is none.
+  /// Renewals, which strays hold up, go on with `refresh`.
   std::optional<RunKey> adopt(const std::string& task,
                               const Resources& resources);
 
@@ -152,7 +157,8 @@
   /// after an undetected restart, when earlier unanswered starts may still be
   /// carried out. Without room for all of them, it takes a prompt report that
   /// arrived within `freshReportLimit`, for example one requested by `refresh`.
-  /// Doesn't include the conditions of `canStart`.
+  /// Neither is it safe where another run keeps the lease short. Doesn't
+  /// include the conditions of `canStart`.
   bool isSafeToStart(const Resources& resources, TimePoint now) const;
   /// Capacity that nothing counts against; nothing while that isn't known.
   Resources freeRoom() const;
@@ -200,6 +206,9 @@
     std::optional<TimePoint> confirmedAt;
     std::optional<TimePoint> stopSentAt;
     std::optional<TimePoint> stopAnsweredAt;
+    /// No lease may let it go on for longer. A stray has none of its own: who
+    /// wanted it may have started its task elsewhere.
+    TimePoint wantedUntil{};
   };
   using Runs = std::map<RunKey, Run>;
 
@@ -223,7 +232,8 @@
   void lapse(TimePoint now);
   void tellUnwanted(TimePoint now);
   void tickRuns(TimePoint now);
-  std::int64_t deadline(TimePoint now);
+  TimePoint leaseEnd(TimePoint now);
+  std::int64_t deadline(TimePoint leaseEnd);
 
   WorkerRecord m_record;
   const Settings m_settings;
@@ -248,8 +258,10 @@
   int m_unanswered = 0;
   TimePoint m_nextHoldAt{};
   TimePoint m_reportAskedAt{};
-  /// When an order last carried a deadline.
-  TimePoint m_renewedAt{};
+  /// The latest deadline that an order has carried, on this daemon's clock.
+  TimePoint m_leasedUntil{};
+  /// The bound on the lease by who wants the runs, as of the last renewal.
+  TimePoint m_wantedUntil = TimePoint::max();
   /// Orders to an earlier life may have effect up to then.
   TimePoint m_earlierOrdersUntil{};
 };
--- a/tests/jobs/schedulerfixture.h
+++ b/tests/jobs/schedulerfixture.h
@@ -180,7 +180,11 @@
   std::uint64_t lastPart = 0;
   /// Share of the orders that get no answer and are carried out late.
   double lostShare = 0;
+  /// Whether no stop arrives or is answered.
+  bool isStopLost = false;
   FencingToken lastToken = 10;
+  /// Of each daemon; just now if it isn't here.
+  std::map<VmId, TimePoint> contacts;
   Scheduler scheduler;
 
 private:
@@ -234,6 +238,8 @@
     hooks.orders.stop = [this](const WorkerRecord& record,
                                const StopOrder& order,
                                Duration timeout) {
+      if (isStopLost)
+        return;
       if (isLost()) {
         lose([this, id = record.id(), order] { workers[id].stop(order, now); },
              [this, id = record.id(), key = order.key] {
@@ -255,6 +261,10 @@
     };
     hooks.higherToken = [this](unsigned) { return lastToken += 10; };
     hooks.fenced = [](const ShardId&) {};
+    hooks.lastContact = [this](const VmId& vm) {
+      const auto found = contacts.find(vm);
+      return found == contacts.end() ? now : found->second;
+    };
     return hooks;
   }
 
--- /dev/null
+++ b/tests/jobs/submittercontact_test.cpp
@@ -0,0 +1,154 @@
+#include "schedulerfixture.h"
+
+#include <gtest/gtest.h>
+
+namespace cowslippin::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+const VmId gateway("gateway");
+
+class SubmitterContact : public ::testing::Test
+{
+protected:
+  SubmitterContact()
+  {
+    fixture.addWorker("w1");
+    fixture.take();
+  }
+
+  /// With tasks that are long enough not to be taken for stalled.
+  JobRequest job(unsigned tasks)
+  {
+    return fixture.request("a", tasks, 6800, 2000);
+  }
+
+  void submit(const JobRequest& request)
+  {
+    fixture.scheduler.submit(request, fixture.now);
+    fixture.settle();
+  }
+
+  /// No message of the submitter that was sent later is read from now on.
+  void loseContact() { fixture.contacts[gateway] = fixture.now; }
+
+  SchedulerFixture fixture;
+};
+
+TEST_F(SubmitterContact, NothingIsStartedForASubmitterWhoseMessagesAreLate)
+{
+  loseContact();
+  fixture.now += milliseconds(800);
+  submit(job(1));
+  EXPECT_EQ(fixture.running(), 0u);
+  fixture.contacts[gateway] = fixture.now;
+  fixture.scheduler.contactRenewed(fixture.now);
+  fixture.settle();
+  EXPECT_EQ(fixture.running(), 1u);
+}
+
+TEST_F(SubmitterContact, AJobWhoseSubmitterIsLateIsGivenBackAndItsRunsStopped)
+{
+  const JobRequest request = job(2);
+  submit(request);
+  fixture.end("a.0.0.1", RunEnd::Done);
+  loseContact();
+  fixture.pass(840);
+  EXPECT_EQ(fixture.endOf(request), nullptr);
+  fixture.pass(40);
+  ASSERT_NE(fixture.endOf(request), nullptr);
+  EXPECT_EQ(fixture.endOf(request)->outcome, JobOutcome::Moved);
+  EXPECT_EQ(fixture.endOf(request)->done, std::vector<TaskIndex>{ 1 });
+  ASSERT_EQ(fixture.endOf(request)->underWay.size(), 1u);
+  EXPECT_EQ(fixture.endOf(request)->underWay[0].worker, WorkerId("w1"));
+  EXPECT_EQ(fixture.running(), 0u);
+}
+
+TEST_F(SubmitterContact,
+       RunsLapseInTimeForASubmitterThatIsGoneThoughNoStopArrives)
+{
+  submit(job(2));
+  loseContact();
+  fixture.pass(820);
+  ASSERT_EQ(fixture.running(), 2u);
+  fixture.isStopLost = true;
+  fixture.pass(440);
+  EXPECT_EQ(fixture.running(), 0u);
+}
+
+TEST_F(SubmitterContact, ASubmitterThatIsHeardAgainRenewsNothingThatItHasLost)
+{
+  submit(job(1));
+  loseContact();
+  fixture.pass(400);
+  fixture.isStopLost = true;
+  fixture.scheduler.daemonLost(gateway, false, fixture.now);
+  fixture.pass(100);
+  ASSERT_EQ(fixture.running(), 1u);
+  fixture.contacts.clear();
+  fixture.pass(760);
+  EXPECT_EQ(fixture.running(), 0u);
+}
+
+TEST_F(SubmitterContact, ASubmitterThatIsBackAfterAResetGoesOnWithItsRuns)
+{
+  const JobRequest request = job(1);
+  submit(request);
+  fixture.pass(1000);
+  ASSERT_EQ(fixture.running(), 1u);
+  fixture.scheduler.daemonLost(gateway, false, fixture.now);
+  fixture.contacts[gateway] = TimePoint{};
+  fixture.pass(20);
+  JobRequest again = job(1);
+  again.previousPart = request.key.part();
+  again.mayHaveRun = true;
+  submit(again);
+  fixture.pass(60);
+  EXPECT_EQ(fixture.endOf(again), nullptr);
+  fixture.contacts[gateway] = fixture.now;
+  fixture.scheduler.contactRenewed(fixture.now);
+  fixture.pass(60);
+  EXPECT_EQ(fixture.running(), 1u);
+}
+
+TEST_F(SubmitterContact, AJobThatWaitsForContactIsNotSentElsewhereForWantOfRoom)
+{
+  fixture.scheduler.setPeerPlaces(VmId("other"), ShardId(ZoneName("z2"), 0), 5);
+  loseContact();
+  fixture.now += milliseconds(800);
+  submit(job(1));
+  EXPECT_TRUE(fixture.returns.empty());
+}
+
+TEST_F(SubmitterContact, AnAdoptedRunIsRenewedBeforeItsOldLeaseIsOver)
+{
+  fixture.addWorker("w2");
+  const auto end = toMilliseconds(fixture.now.time_since_epoch()) + 60;
+  auto& worker = fixture.workers[WorkerId("w2")];
+  worker.start({ 15, RunKey("a.0.0.0", 1), "spec", end + 50000 }, fixture.now);
+  fixture.scheduler.releaseShard(SchedulerFixture::shard(), fixture.now);
+  fixture.scheduler.takeShard(SchedulerFixture::shard(), 20, fixture.now);
+  fixture.settle();
+  JobRequest request = job(1);
+  request.mayHaveRun = true;
+  submit(request);
+  fixture.now += milliseconds(200);
+  worker.lapse(fixture.now);
+  EXPECT_TRUE(worker.isRunning(RunKey("a.0.0.0", 1)));
+}
+
+TEST(SubmitterContactBounds, RunsAreOverBeforeACallerSubmitsAgain)
+{
+  const Scheduler::Settings settings;
+  const auto& lease = settings.pool.lease;
+  const auto clockError = std::chrono::duration_cast<Duration>(
+    lease.leaseTime * (lease.slowestClock - 1));
+  EXPECT_LE(settings.startContactLimit + lease.leaseTime, wantedRunLimit);
+  EXPECT_LT(settings.contactLimit, wantedRunLimit);
+  EXPECT_LT(wantedRunLimit + clockError, lostRunLimit);
+  EXPECT_LT(wantedRunLimit + 2 * clockError, milliseconds(1300));
+}
+
+} // namespace
+} // namespace cowslippin::testing
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -95,6 +95,13 @@
   EXPECT_EQ(read.quarantine->remaining, sent.quarantine->remaining);
 }
 
+TEST(PeerCodec, CarriesAcknowledgementsOfHeartbeats)
+{
+  const PeerBeatAck ack{ 1200300400500 };
+  EXPECT_EQ(throughTheWire(ack), ack);
+  EXPECT_EQ(throughTheWire(PeerSubmit{ request(), ack }).ack, ack);
+}
+
 TEST(PeerCodec, CarriesNewsOfWorkers)
 {
   const PeerWorkerNews news{ 7, 9, { { "w1", "{}" }, { "w2", "" } } };
@@ -127,8 +134,10 @@
   beat.highestToken = 300243599585799;
   beat.configVersion = 40;
   beat.evacuations = { 12, { ZoneName("z1"), ZoneName("z3") } };
+  beat.sentAt = 1200300400500;
   const PeerBeat readBeat = throughTheWire(beat);
   EXPECT_EQ(readBeat.evacuations, beat.evacuations);
+  EXPECT_EQ(readBeat.sentAt, beat.sentAt);
   EXPECT_EQ(readBeat.isLeaving, beat.isLeaving);
   EXPECT_EQ(readBeat.isReady, beat.isReady);
   EXPECT_EQ(readBeat.shards, beat.shards);
--- a/tests/workers/leasefixture.h
+++ b/tests/workers/leasefixture.h
@@ -5,7 +5,10 @@
 #include "libworkers/workers.h"
 
 #include <deque>
+#include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace cowslippin::testing {
@@ -101,6 +104,12 @@
   std::vector<UnwantedRenewal> unwantedRenewals;
   std::vector<LeaseLapsed> lapses;
   std::vector<LeaseState> states;
+  /// Of each run; for good if it isn't here.
+  std::map<RunKey, TimePoint> wantedUntil;
+  /// Runs that nobody wants any more.
+  std::set<RunKey> unwanted;
+  /// Whether no stop arrives, however it is delivered.
+  bool isStopLost = false;
   std::shared_ptr<AnswerTimes> times;
   WorkerLease lease;
 
@@ -134,7 +143,8 @@
       });
     };
     hooks.sendStop = [this](const StopOrder& order, Duration) {
-      orders.push_back([this, order](Delivery delivery) {
+      orders.push_back([this, order](Delivery asked) {
+        const Delivery delivery = isStopLost ? Delivery::Lost : asked;
         const auto carryOut = [this, order] { return worker.stop(order, now); };
         OrderAnswer answer = OrderFailure::Unanswered;
         if (delivery == Delivery::Normal)
@@ -166,6 +176,12 @@
     };
     hooks.lapsed = [this](const auto& note) { lapses.push_back(note); };
     hooks.stateChanged = [this](LeaseState state) { states.push_back(state); };
+    hooks.wantedUntil = [this](const RunKey& key) -> std::optional<TimePoint> {
+      if (unwanted.count(key) > 0)
+        return std::nullopt;
+      const auto found = wantedUntil.find(key);
+      return found == wantedUntil.end() ? TimePoint::max() : found->second;
+    };
     return hooks;
   }
 
