Start tasks only on workers that the submitter has been told of

Callers saw all waiting tasks of several jobs start a second time in one moment, while the first runs went on: on workers that a cut-off holder had listed only just before.

Cause: a submitter that loses a holder hands on what that holder told last of its workers. The next holder starts the tasks anew when it has claimed workers with the same digest. Workers that were listed and used after the last heartbeat that the submitter has read aren't among them: what was read last was taken for what is.

Why it works: submitters acknowledge heartbeats, so a holder knows up to which one it has been read, and starts nothing for a submitter on a worker that came later. The newest heartbeat read goes along with each job, so that a new holder need not wait. A digest that the submitter hands on then names every worker that may be at work, and one that a successor lacks keeps its tasks waiting.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -335,6 +335,9 @@
     return vm == m_settings.vm ? m_contact.ownContact()
                                : m_contact.lastContact(vm);
   };
+  hooks.toldUntil = [this](const VmId& vm) {
+    return vm == m_settings.vm ? TimePoint::max() : m_contact.toldUntil(vm);
+  };
   return hooks;
 }
 
@@ -573,7 +576,7 @@
   beat.highestToken = m_tokens.highest();
   beat.configVersion = m_configuration.version();
   beat.evacuations = m_evacuations;
-  beat.sentAt = PeerContact::stamp(now);
+  beat.sentAt = PeerContact::stamp(m_clocks.steady());
   return beat;
 }
 
@@ -675,7 +678,7 @@
 EntryCore::submitted(const VmId& vm, const PeerSubmit& submit, TimePoint now)
 {
   addClose(vm);
-  m_contact.acknowledged(vm, submit.ack.sentAt, now);
+  m_contact.acknowledged(vm, submit.ack, now);
   if (m_contact.takeAsking(vm, now))
     sendBeats({ vm }, now);
   m_scheduler.submit(submit.request, now);
@@ -686,8 +689,8 @@
 EntryCore::acknowledgeBeats(TimePoint now)
 {
   for (const VmId& vm : m_jobHolders) {
-    if (const auto sentAt = m_contact.takeDue(vm, now))
-      m_links.send(vm, PeerBeatAck{ *sentAt });
+    if (const auto ack = m_contact.takeDue(vm, now))
+      m_links.send(vm, *ack);
   }
 }
 
@@ -697,7 +700,7 @@
                             TimePoint now)
 {
   const Duration before = now - m_contact.lastContact(vm);
-  m_contact.acknowledged(vm, ack.sentAt, now);
+  m_contact.acknowledged(vm, ack, now);
   if (before > m_settings.scheduler.startContactLimit)
     m_scheduler.contactRenewed(now);
 }
@@ -790,8 +793,8 @@
   if (vm != m_settings.vm) {
     addClose(vm);
     m_jobHolders.insert(vm);
-    const PeerBeatAck ack{ m_contact.acknowledgement(vm) };
-    return m_links.send(vm, PeerSubmit{ request, ack });
+    return m_links.send(vm,
+                        PeerSubmit{ request, m_contact.acknowledgement(vm) });
   }
   m_scheduler.submit(request, m_clocks.steady());
   return true;
--- a/src/libentry/peercontact.cpp
+++ b/src/libentry/peercontact.cpp
@@ -21,25 +21,28 @@
   peer.newest = std::max(peer.newest, sentAt);
 }
 
-PeerContact::SentAt
+PeerBeatAck
 PeerContact::acknowledgement(const VmId& vm) const
 {
   const auto found = m_peers.find(vm);
-  return found == m_peers.end() ? 0 : found->second.settled;
+  if (found == m_peers.end())
+    return {};
+  return { found->second.settled, found->second.newest };
 }
 
-std::optional<PeerContact::SentAt>
+std::optional<PeerBeatAck>
 PeerContact::takeDue(const VmId& vm, TimePoint now)
 {
   const auto found = m_peers.find(vm);
   if (found == m_peers.end())
     return std::nullopt;
   Peer& peer = found->second;
-  if (peer.settled <= peer.told || now - peer.toldAt < acknowledgementInterval)
+  if (peer.settled <= peer.acknowledged ||
+      now - peer.acknowledgedAt < acknowledgementInterval)
     return std::nullopt;
-  peer.told = peer.settled;
-  peer.toldAt = now;
-  return peer.settled;
+  peer.acknowledged = peer.settled;
+  peer.acknowledgedAt = now;
+  return acknowledgement(vm);
 }
 
 bool
@@ -54,14 +57,16 @@
 }
 
 void
-PeerContact::acknowledged(const VmId& vm, SentAt sentAt, TimePoint now)
+PeerContact::acknowledged(const VmId& vm, const PeerBeatAck& ack, TimePoint now)
 {
-  const TimePoint at{ Duration(sentAt) };
+  const TimePoint settled{ Duration(ack.settled) };
+  const TimePoint newest{ Duration(ack.newest) };
   // Of an earlier life of this machine, whose clock went further.
-  if (at > now)
+  if (std::max(settled, newest) > now)
     return;
   Peer& peer = m_peers[vm];
-  peer.contact = std::max(peer.contact, at);
+  peer.contact = std::max(peer.contact, settled);
+  peer.toldUntil = std::max(peer.toldUntil, newest);
 }
 
 void
@@ -88,4 +93,11 @@
   return found == m_peers.end() ? TimePoint{} : found->second.contact;
 }
 
+TimePoint
+PeerContact::toldUntil(const VmId& vm) const
+{
+  const auto found = m_peers.find(vm);
+  return found == m_peers.end() ? TimePoint{} : found->second.toldUntil;
+}
+
 } // namespace cowslippin
--- a/src/libentry/peercontact.h
+++ b/src/libentry/peercontact.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "libpeers/peermessage.h"
+
 #include "libcore/clock.h"
 #include "libcore/core.h"
 
@@ -37,19 +39,18 @@
 
   /// A heartbeat of another daemon was read.
   void beatReceived(const VmId& vm, SentAt sentAt);
-  /// What to acknowledge to it with a message that is sent anyway; 0 if there
-  /// is nothing.
-  SentAt acknowledgement(const VmId& vm) const;
+  /// What to acknowledge to it with a message that is sent anyway.
+  PeerBeatAck acknowledgement(const VmId& vm) const;
   /// The same if it has not been acknowledged yet, nor another one shortly
   /// before; it is from then on.
-  std::optional<SentAt> takeDue(const VmId& vm, TimePoint now);
+  std::optional<PeerBeatAck> takeDue(const VmId& vm, TimePoint now);
 
   /// Whether it is to be sent a heartbeat out of turn, so that it acknowledges
   /// it; false shortly after it was true.
   bool takeAsking(const VmId& vm, TimePoint now);
 
   /// Another daemon has acknowledged a heartbeat of this one.
-  void acknowledged(const VmId& vm, SentAt sentAt, TimePoint now);
+  void acknowledged(const VmId& vm, const PeerBeatAck& ack, TimePoint now);
   /// The connection to it was lost. What was told over it no longer counts.
   void lost(const VmId& vm);
 
@@ -58,6 +59,9 @@
 
   /// Long ago if it never acknowledged anything.
   TimePoint lastContact(const VmId& vm) const;
+  /// Until when it has been told of this daemon: when the newest heartbeat that
+  /// it has read was sent.
+  TimePoint toldUntil(const VmId& vm) const;
   /// The same of this daemon and its own callers.
   TimePoint ownContact() const { return m_previousTickAt; }
 
@@ -69,10 +73,11 @@
     SentAt newest = 0;
     SentAt atTick = 0;
     SentAt settled = 0;
-    SentAt told = 0;
-    TimePoint toldAt{};
+    SentAt acknowledged = 0;
+    TimePoint acknowledgedAt{};
     TimePoint askedAt{};
     TimePoint contact{};
+    TimePoint toldUntil{};
   };
 
   std::map<VmId, Peer> m_peers;
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -546,8 +546,9 @@
   if (m_pool.isRunning(name))
     return true;
   const bool isSuspect = task.crashes >= m_settings.suspectCrashes;
+  const TimePoint toldUntil = m_hooks.toldUntil(job.request.key.submitter());
   const auto worker = m_pool.choose(
-    job.request, task.avoided, runsPerWorker(job), isSuspect, now);
+    job.request, task.avoided, runsPerWorker(job), isSuspect, toldUntil, now);
   if (!worker) {
     m_pool.refreshForStart(job.request, now);
     return false;
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -85,6 +85,9 @@
     /// of its callers were there, by this daemon's clock. Long ago if that was
     /// never heard.
     std::function<TimePoint(const VmId&)> lastContact;
+    /// Until when a submitter has been told which workers are held here, by
+    /// this daemon's clock; always this daemon itself.
+    std::function<TimePoint(const VmId&)> toldUntil;
   };
 
   Scheduler(VmId self, Settings settings, Hooks hooks);
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -141,13 +141,15 @@
                    const std::set<WorkerId>& avoided,
                    const std::map<WorkerId, unsigned>& perWorker,
                    bool mustBeIdle,
+                   TimePoint toldUntil,
                    TimePoint now) const
 {
   using Rank = std::tuple<bool, bool, std::int64_t>;
   std::optional<std::pair<Rank, WorkerId>> best;
   for (const auto& [id, entry] : m_entries) {
     const bool isTooFull = mustBeIdle && entry.lease->runCount() > 0;
-    if (isTooFull || !isSuitable(entry, request, now))
+    const bool isUnknown = entry.addedAt > toldUntil;
+    if (isTooFull || isUnknown || !isSuitable(entry, request, now))
       continue;
     const auto here = perWorker.find(id);
     if (request.needs.maxPerWorker > 0 && here != perWorker.end() &&
@@ -403,6 +405,7 @@
   const ShardId shard = m_map.shardOf(record);
   Entry entry(m_settings.health);
   entry.shard = shard;
+  entry.addedAt = now;
   entry.lease = std::make_unique<WorkerLease>(
     record, m_settings.lease, leaseHooks(record.id()), m_answerTimes, now);
   const auto added = m_entries.emplace(record.id(), std::move(entry)).first;
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -107,11 +107,14 @@
   /// The worker that a task should go to, or nothing if none has room. The
   /// fullest that still fits is taken, so that large tasks find room; only one
   /// that runs nothing if it must be idle. Workers
-  /// in `avoided` are taken only if `mayUseAvoided`.
+  /// in `avoided` are taken only if `mayUseAvoided`. None is taken that has
+  /// come after `toldUntil`: the submitter doesn't know of it, and would not
+  /// miss it among the workers of the next holder.
   std::optional<WorkerId> choose(const JobRequest& request,
                                  const std::set<WorkerId>& avoided,
                                  const std::map<WorkerId, unsigned>& perWorker,
                                  bool mustBeIdle,
+                                 TimePoint toldUntil,
                                  TimePoint now) const;
 
   /// Whether a worker of any size could ever run such a task, going by the
@@ -195,6 +198,7 @@
   struct Entry
   {
     ShardId shard;
+    TimePoint addedAt{};
     std::unique_ptr<WorkerLease> lease;
     WorkerHealth health;
     bool isListed = true;
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -145,6 +145,12 @@
   return list;
 }
 
+json
+toJson(const PeerBeatAck& ack)
+{
+  return json::array({ ack.settled, ack.newest });
+}
+
 json
 toJson(const PeerSubmit& submit)
 {
@@ -164,7 +170,7 @@
                        request.mayHaveRun,
                        request.mayBeReturned,
                        toJson(request.crashes),
-                       submit.ack.sentAt });
+                       toJson(submit.ack) });
 }
 
 json
@@ -228,12 +234,6 @@
   return json::array({ news.from, news.end, std::move(entries) });
 }
 
-json
-toJson(const PeerBeatAck& ack)
-{
-  return json::array({ ack.sentAt });
-}
-
 std::string
 text(const json& value)
 {
@@ -384,6 +384,12 @@
   return crashes;
 }
 
+PeerBeatAck
+readBeatAck(const json& value)
+{
+  return { value.at(0).get<std::int64_t>(), value.at(1).get<std::int64_t>() };
+}
+
 PeerSubmit
 readSubmit(const json& value)
 {
@@ -403,7 +409,7 @@
   request.mayHaveRun = value.at(12).get<bool>();
   request.mayBeReturned = value.at(13).get<bool>();
   request.crashes = readCrashes(value.at(14));
-  return { std::move(request), { value.at(15).get<std::int64_t>() } };
+  return { std::move(request), readBeatAck(value.at(15)) };
 }
 
 PeerJobEnd
@@ -488,7 +494,7 @@
     case 10:
       return readWorkerNews(value);
     case 11:
-      return PeerBeatAck{ value.at(0).get<std::int64_t>() };
+      return readBeatAck(value);
     default:
       throw std::invalid_argument("an unknown kind");
   }
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -79,16 +79,18 @@
   std::int64_t sentAt = 0;
 };
 
-/// Sent to daemons that have jobs of this one: the newest of their heartbeats
-/// that was read a while ago.
+/// Sent to daemons that have jobs of this one. Both times are as in the
+/// heartbeat; 0 if there was none.
 struct PeerBeatAck
 {
-  /// As the heartbeat had it.
-  std::int64_t sentAt = 0;
+  /// The newest that was read before a whole round of the event loop.
+  std::int64_t settled = 0;
+  /// The newest that was read.
+  std::int64_t newest = 0;
 
   friend bool operator==(const PeerBeatAck& a, const PeerBeatAck& b)
   {
-    return a.sentAt == b.sentAt;
+    return a.settled == b.settled && a.newest == b.newest;
   }
   friend bool operator!=(const PeerBeatAck& a, const PeerBeatAck& b)
   {
@@ -100,7 +102,6 @@
 struct PeerSubmit
 {
   JobRequest request;
-  /// The same as in a `PeerBeatAck`; of time 0 if there was no heartbeat.
   PeerBeatAck ack = {};
 };
 
--- a/tests/entry/peercontact_test.cpp
+++ b/tests/entry/peercontact_test.cpp
@@ -18,6 +18,11 @@
     contact.tick(now);
   }
 
+  static PeerBeatAck ack(TimePoint sentAt)
+  {
+    return { PeerContact::stamp(sentAt), PeerContact::stamp(sentAt) };
+  }
+
   TimePoint now{ std::chrono::seconds(1000) };
   PeerContact contact{ now };
 };
@@ -27,7 +32,7 @@
 {
   const TimePoint sent = now;
   now += milliseconds(900);
-  contact.acknowledged(peer, PeerContact::stamp(sent), now);
+  contact.acknowledged(peer, ack(sent), now);
   EXPECT_EQ(contact.lastContact(peer), sent);
 }
 
@@ -35,8 +40,8 @@
 {
   const TimePoint older = now;
   now += milliseconds(100);
-  contact.acknowledged(peer, PeerContact::stamp(now), now);
-  contact.acknowledged(peer, PeerContact::stamp(older), now);
+  contact.acknowledged(peer, ack(now), now);
+  contact.acknowledged(peer, ack(older), now);
   EXPECT_EQ(contact.lastContact(peer), now);
 }
 
@@ -47,11 +52,22 @@
   tick();
   EXPECT_FALSE(contact.takeDue(peer, now));
   tick();
-  EXPECT_EQ(contact.takeDue(peer, now), 7);
-  EXPECT_EQ(contact.acknowledgement(peer), 7);
+  contact.beatReceived(peer, 8);
+  EXPECT_EQ(contact.takeDue(peer, now), (PeerBeatAck{ 7, 8 }));
+  EXPECT_EQ(contact.acknowledgement(peer), (PeerBeatAck{ 7, 8 }));
   EXPECT_FALSE(contact.takeDue(peer, now)) << "once each";
 }
 
+TEST_F(PeerContactTest, ADaemonIsToldOfWhatItsNewestHeartbeatSays)
+{
+  const TimePoint settled = now;
+  now += milliseconds(30);
+  contact.acknowledged(
+    peer, { PeerContact::stamp(settled), PeerContact::stamp(now) }, now);
+  EXPECT_EQ(contact.lastContact(peer), settled);
+  EXPECT_EQ(contact.toldUntil(peer), now);
+}
+
 TEST_F(PeerContactTest, ManyHeartbeatsAreAcknowledgedAtIntervals)
 {
   unsigned acknowledged = 0;
@@ -66,7 +82,7 @@
 
 TEST_F(PeerContactTest, WhatWasToldOverALostConnectionNoLongerCounts)
 {
-  contact.acknowledged(peer, PeerContact::stamp(now), now);
+  contact.acknowledged(peer, ack(now), now);
   contact.beatReceived(peer, 7);
   contact.lost(peer);
   tick();
@@ -78,7 +94,7 @@
 TEST_F(PeerContactTest, ATimeOfAnEarlierLifeOfTheMachineDoesNotCount)
 {
   const TimePoint later = now + std::chrono::hours(1);
-  contact.acknowledged(peer, PeerContact::stamp(later), now);
+  contact.acknowledged(peer, ack(later), now);
   EXPECT_EQ(contact.lastContact(peer), TimePoint{});
 }
 
--- a/tests/jobs/schedulerfixture.h
+++ b/tests/jobs/schedulerfixture.h
@@ -185,6 +185,8 @@
   FencingToken lastToken = 10;
   /// Of each daemon; just now if it isn't here.
   std::map<VmId, TimePoint> contacts;
+  /// The same of when it was told of this daemon.
+  std::map<VmId, TimePoint> toldUntil;
   Scheduler scheduler;
 
 private:
@@ -265,6 +267,10 @@
       const auto found = contacts.find(vm);
       return found == contacts.end() ? now : found->second;
     };
+    hooks.toldUntil = [this](const VmId& vm) {
+      const auto found = toldUntil.find(vm);
+      return found == toldUntil.end() ? now : found->second;
+    };
     return hooks;
   }
 
--- a/tests/jobs/submittercontact_test.cpp
+++ b/tests/jobs/submittercontact_test.cpp
@@ -138,6 +138,20 @@
   EXPECT_TRUE(worker.isRunning(RunKey("a.0.0.0", 1)));
 }
 
+TEST_F(SubmitterContact, NothingIsStartedOnAWorkerThatTheSubmitterDoesNotKnowOf)
+{
+  fixture.toldUntil[gateway] = fixture.now;
+  fixture.now += milliseconds(10);
+  fixture.addWorker("w2");
+  fixture.settle();
+  submit(job(4));
+  EXPECT_EQ(fixture.running(), 2u);
+  EXPECT_EQ(fixture.workers[WorkerId("w2")].runCount(), 0u);
+  fixture.toldUntil[gateway] = fixture.now;
+  fixture.pass(20);
+  EXPECT_EQ(fixture.workers[WorkerId("w2")].runCount(), 2u);
+}
+
 TEST(SubmitterContactBounds, RunsAreOverBeforeACallerSubmitsAgain)
 {
   const Scheduler::Settings settings;
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -97,7 +97,7 @@
 
 TEST(PeerCodec, CarriesAcknowledgementsOfHeartbeats)
 {
-  const PeerBeatAck ack{ 1200300400500 };
+  const PeerBeatAck ack{ 1200300400500, 1200300400600 };
   EXPECT_EQ(throughTheWire(ack), ack);
   EXPECT_EQ(throughTheWire(PeerSubmit{ request(), ack }).ack, ack);
 }
