Soak: proxy delays resets like bytes and grows delays

Cause: a reset passed a delayed or silent direction at once, so that both ends learnt of a lost process together, which a network doesn't do. A delay could only be constant.

A reset is now held in order with the bytes of its direction, also when it answers bytes written to an end that is gone. A delay can grow steadily and shrink again, so that no long silence arises.

--- a/tests/soak/loopbackproxy.cpp
+++ b/tests/soak/loopbackproxy.cpp
@@ -46,6 +46,7 @@
 LoopbackProxy::setFaults(Fault towards, Fault back)
 {
   m_faults = { towards, back };
+  m_faultsSince = steadyNow();
 }
 
 void
@@ -113,12 +114,12 @@
       if (link->isOver)
         return;
       if (error && error != boost::asio::error::eof) {
-        abort(*link);
+        holdReset(link, direction);
         return;
       }
       Pipe& read = link->pipes[direction];
       const TimePoint now = steadyNow();
-      read.held.push_back({ now + m_faults[direction].delay,
+      read.held.push_back({ now + delayOf(direction, now),
                             std::string(read.buffer.data(), count) });
       pass(link, direction, now);
       if (!error)
@@ -126,6 +127,29 @@
     });
 }
 
+void
+LoopbackProxy::holdReset(const LinkPtr& link, std::size_t direction)
+{
+  const TimePoint now = steadyNow();
+  Chunk reset;
+  reset.dueAt = now + delayOf(direction, now);
+  reset.isReset = true;
+  link->pipes[direction].held.push_back(reset);
+  pass(link, direction, now);
+}
+
+Duration
+LoopbackProxy::delayOf(std::size_t direction, TimePoint now) const
+{
+  const Fault& fault = m_faults[direction];
+  const Duration passed = now - m_faultsSince;
+  const Duration nearEnd = std::min(passed, fault.rampTime - passed);
+  if (nearEnd <= Duration::zero())
+    return fault.delay;
+  return fault.delay +
+         fault.peakDelay * (2 * nearEnd.count()) / fault.rampTime.count();
+}
+
 void
 LoopbackProxy::pass(const LinkPtr& link, std::size_t direction, TimePoint now)
 {
@@ -133,6 +157,10 @@
   if (link->isOver || pipe.isWriting || pipe.held.empty() ||
       m_faults[direction].isSilent || pipe.held.front().dueAt > now)
     return;
+  if (pipe.held.front().isReset) {
+    abort(*link);
+    return;
+  }
   Socket& to = link->sockets[1 - direction];
   if (pipe.held.front().bytes.empty()) {
     error_code ignored; // The other side may have closed before.
@@ -148,8 +176,12 @@
     [this, link, direction](error_code error, std::size_t) {
       Pipe& written = link->pipes[direction];
       written.isWriting = false;
-      if (error || link->isOver) {
-        abort(*link);
+      if (link->isOver)
+        return;
+      if (error) {
+        // The sender learns it as late as anything else from that end.
+        written.held.clear();
+        holdReset(link, 1 - direction);
         return;
       }
       written.held.pop_front();
--- a/tests/soak/loopbackproxy.h
+++ b/tests/soak/loopbackproxy.h
@@ -25,6 +25,10 @@
     Duration delay = Duration::zero();
     /// Nothing passes until the fault is over.
     bool isSilent = false;
+    /// A delay that grows steadily to this for half of `rampTime` and shrinks
+    /// again.
+    Duration peakDelay = Duration::zero();
+    Duration rampTime = Duration::zero();
   };
 
   /// Begins to listen. Throws boost::system::system_error if it can't.
@@ -52,6 +56,7 @@
     TimePoint dueAt{};
     /// Empty for the end of the stream.
     std::string bytes;
+    bool isReset = false;
   };
   /// One direction of a connection.
   struct Pipe
@@ -79,6 +84,9 @@
   void accept();
   void accepted(const LinkPtr& link);
   void read(const LinkPtr& link, std::size_t direction);
+  /// Passes on a reset no sooner than the bytes of that direction.
+  void holdReset(const LinkPtr& link, std::size_t direction);
+  Duration delayOf(std::size_t direction, TimePoint now) const;
   void pass(const LinkPtr& link, std::size_t direction, TimePoint now);
   static void abort(Link& link);
 
@@ -86,6 +94,7 @@
   const boost::asio::ip::tcp::endpoint m_target;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::array<Fault, 2> m_faults;
+  TimePoint m_faultsSince{};
   std::vector<LinkPtr> m_links;
 };
 
--- a/tests/soak/loopbackproxy_test.cpp
+++ b/tests/soak/loopbackproxy_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <deque>
 #include <functional>
 
 namespace cowslippin::testing {
@@ -111,5 +113,81 @@
   EXPECT_EQ(lastError, boost::asio::error::connection_reset);
 }
 
+TEST_F(LoopbackProxyTest, GrowsADelayWithoutALongSilenceAndShrinksItAgain)
+{
+  LoopbackProxy::Fault ramp;
+  ramp.peakDelay = milliseconds(300);
+  ramp.rampTime = milliseconds(600);
+  proxy.setFaults(ramp, {});
+  collect(target, received);
+  const TimePoint start = steadyNow();
+  TimePoint lastArrival = start;
+  Duration longestSilence = Duration::zero();
+  Duration longestDelay = Duration::zero();
+  std::deque<TimePoint> sent;
+  while (steadyNow() - start < milliseconds(900)) {
+    boost::asio::write(caller, boost::asio::buffer("x", 1));
+    sent.push_back(steadyNow());
+    const std::size_t before = received.size();
+    runFor(milliseconds(10));
+    for (std::size_t i = before; i < received.size(); ++i) {
+      longestDelay = std::max(longestDelay, steadyNow() - sent.front());
+      sent.pop_front();
+    }
+    if (received.size() > before) {
+      longestSilence = std::max(longestSilence, steadyNow() - lastArrival);
+      lastArrival = steadyNow();
+    }
+  }
+  EXPECT_GE(longestDelay, milliseconds(250));
+  EXPECT_LT(longestSilence, milliseconds(200));
+  EXPECT_LE(sent.size(), 2u);
+}
+
+TEST_F(LoopbackProxyTest, DelaysAResetLikeTheBytesBeforeIt)
+{
+  LoopbackProxy::Fault slow;
+  slow.delay = milliseconds(80);
+  proxy.setFaults(slow, {});
+  collect(target, received);
+  const TimePoint sent = steadyNow();
+  boost::asio::write(caller, boost::asio::buffer("last", 4));
+  caller.set_option(boost::asio::socket_base::linger(true, 0));
+  caller.close();
+  runUntil([this] { return bool(lastError); });
+  EXPECT_EQ(lastError, boost::asio::error::connection_reset);
+  EXPECT_GE(steadyNow() - sent, slow.delay);
+}
+
+TEST_F(LoopbackProxyTest, HoldsAResetBackDuringSilence)
+{
+  LoopbackProxy::Fault silent;
+  silent.isSilent = true;
+  proxy.setFaults(silent, {});
+  collect(target, received);
+  caller.set_option(boost::asio::socket_base::linger(true, 0));
+  caller.close();
+  runFor(milliseconds(100));
+  EXPECT_FALSE(lastError);
+  proxy.setFaults({}, {});
+  runUntil([this] { return bool(lastError); });
+  EXPECT_EQ(lastError, boost::asio::error::connection_reset);
+}
+
+TEST_F(LoopbackProxyTest, TellsALostTargetAsLateAsItsBytes)
+{
+  LoopbackProxy::Fault slow;
+  slow.delay = milliseconds(80);
+  proxy.setFaults({}, slow);
+  collect(caller, received);
+  const TimePoint sent = steadyNow();
+  target.set_option(boost::asio::socket_base::linger(true, 0));
+  target.close();
+  boost::asio::write(caller, boost::asio::buffer("lost", 4));
+  runUntil([this] { return bool(lastError); });
+  EXPECT_EQ(lastError, boost::asio::error::connection_reset);
+  EXPECT_GE(steadyNow() - sent, slow.delay);
+}
+
 } // namespace
 } // namespace cowslippin::testing
