Soak: strikes of connections and processes that overlap, callers that keep connections

Cause: the incident of two runs at once was never seen by the soak. It had no daemon that runs behind without noticing, no growing delay, no cut that the ends notice at different moments, and strikes overlapped only by chance; its callers had a connection a call, could come back to the same daemon, and no run outlasted the 1,300 ms until they submitted again.

New strikes, each with its name in the report: growing delay, one way cut, uneven cut, runs behind, pause, callers reset, kill again, roll; half of them with one or two others. A tenth of the jobs has runs of 1.5 to 3 s.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -43,6 +43,7 @@
   : m_settings(std::move(settings))
   , m_random(seed)
   , m_linkRandom(seed + 1)
+  , m_moreRandom(seed + 2)
   , m_platform(m_context, platformSettings(m_settings), seed)
 {
   const unsigned count = m_settings.zones * m_settings.daemonsPerZone;
@@ -76,6 +77,7 @@
   m_nextJobAt = start + std::chrono::seconds(2);
   m_nextStrikeAt = start + std::chrono::seconds(3);
   m_nextLinkStrikeAt = m_nextStrikeAt;
+  m_nextMoreAt = m_nextStrikeAt;
   runUntil(start + std::chrono::seconds(3) + struckTime);
   m_isStruck = false;
   // What strikes still hold back ends within seconds; then all must be well.
@@ -188,9 +190,8 @@
       proxy.setFaults(silent, silent);
   }
   m_harmed[&proxy] = steadyNow() + time;
-  const std::string strike = std::string(kind) + ", " + name;
-  m_report.strikes.push_back(strike);
-  note("strike " + strike + " ms " + std::to_string(time.count()));
+  struck(std::string(kind) + ", " + name + " ms " +
+         std::to_string(time.count()));
 }
 
 void
@@ -242,6 +243,9 @@
     strike(now);
   if (m_isStruck && m_settings.strikesLinks && now >= m_nextLinkStrikeAt)
     strikeLink(now);
+  if (m_isStruck && m_settings.strikesLinks && now >= m_nextMoreAt)
+    strikeMore(now);
+  tickMore(now);
   tickProxies(now);
   if (now >= m_nextJobAt)
     submitNew();
@@ -253,14 +257,11 @@
       waiting.emplace_back(at, job);
   }
   m_resends.insert(m_resends.end(), waiting.begin(), waiting.end());
-  const auto channels = m_channels;
-  for (const auto& channel : channels)
-    channel->expire(now);
-  m_channels.erase(
-    std::remove_if(m_channels.begin(),
-                   m_channels.end(),
-                   [](const auto& channel) { return !channel->isBusy(); }),
-    m_channels.end());
+  for (Daemon& daemon : m_daemons) {
+    const auto channels = daemon.channels;
+    for (const auto& channel : channels)
+      channel->expire(now);
+  }
 }
 
 void
@@ -313,7 +314,9 @@
   Daemon& daemon = m_daemons[below(m_daemons.size())];
   const Duration time = milliseconds(200 + below(3000));
   const auto note = [&](const std::string& what) {
-    m_report.strikes.push_back(what + " " + daemon.host);
+    struck(
+      what + " " + daemon.host + " ms " +
+      std::to_string(std::chrono::duration_cast<milliseconds>(time).count()));
   };
   switch (below(7)) {
     case 0:
@@ -374,6 +377,11 @@
     static_cast<unsigned>(below(5) == 0 ? 500 + below(700) : 40 + below(160));
   caller.cpu = 5000 + std::int64_t(below(4000));
   caller.tasks = static_cast<unsigned>(1 + below(5));
+  // Runs that outlast the time until a caller submits again show late stops.
+  if (below(10) == 0) {
+    caller.taskMs = static_cast<unsigned>(1500 + below(1500));
+    caller.tasks = static_cast<unsigned>(1 + below(2));
+  }
   caller.isCalm = !m_isStruck;
   const std::string job = "job" + std::to_string(++m_lastJob);
   m_callers[job] = caller;
@@ -389,9 +397,9 @@
     return;
   Caller& caller = found->second;
   ++caller.tries;
-  const std::string& host = m_daemons[below(m_daemons.size())].host;
+  Daemon& daemon = chooseDaemon(caller);
   const Duration wait = milliseconds(5 * (2 * caller.taskMs + 60));
-  note(job + " try " + std::to_string(caller.tries) + " at " + host);
+  note(job + " try " + std::to_string(caller.tries) + " at " + daemon.host);
   HttpCallOrder order;
   order.method = "POST";
   order.target = "/jobs/" + job;
@@ -407,15 +415,42 @@
           { "cpu", caller.cpu },
           { "estimate_ms", caller.taskMs } } } }
   }.dump();
-  const auto channel = std::make_shared<HttpChannel>(
+  channelTo(daemon)->call(
+    order, steadyNow() + wait, [this, job](const HttpCallEnd& end) {
+      answered(job, end);
+    });
+}
+
+Soak::Daemon&
+Soak::chooseDaemon(Caller& caller)
+{
+  const std::size_t count = m_daemons.size();
+  if (caller.tries == 1 || count == 1)
+    caller.daemon = below(count);
+  else
+    caller.daemon = (caller.daemon + 1 + below(count - 1)) % count;
+  return m_daemons[caller.daemon];
+}
+
+std::shared_ptr<HttpChannel>
+Soak::channelTo(Daemon& daemon)
+{
+  auto& channels = daemon.channels;
+  const auto isDead = [](const auto& channel) {
+    return !channel->isBusy() && !channel->isOpen();
+  };
+  channels.erase(std::remove_if(channels.begin(), channels.end(), isDead),
+                 channels.end());
+  for (const auto& channel : channels) {
+    if (!channel->isBusy())
+      return channel;
+  }
+  channels.push_back(std::make_shared<HttpChannel>(
     m_context,
-    Address(host,
+    Address(daemon.host,
             static_cast<std::uint16_t>(m_settings.firstPort + callerPort)),
-    "jobs.example");
-  m_channels.push_back(channel);
-  channel->call(order, steadyNow() + wait, [this, job](const HttpCallEnd& end) {
-    answered(job, end);
-  });
+    "jobs.example"));
+  return channels.back();
 }
 
 void
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -74,6 +75,10 @@
     TimePoint startAt{};
     TimePoint continueAt{};
     TimePoint killAt{};
+    TimePoint isBehindUntil{};
+    TimePoint nextPauseAt{};
+    /// Callers keep them open until the daemon closes them.
+    std::vector<std::shared_ptr<HttpChannel>> channels;
   };
   struct Caller
   {
@@ -81,6 +86,7 @@
     std::int64_t cpu = 0;
     unsigned tasks = 0;
     unsigned tries = 0;
+    std::size_t daemon = 0;
     bool wasOnlyRefused = true;
     bool isCalm = false;
   };
@@ -93,8 +99,29 @@
   void tickProxies(TimePoint now);
   void strikeLink(TimePoint now);
   void harm(LoopbackProxy& proxy, const std::string& name, bool isCallers);
+  /// A strike at a time of its own, perhaps with others that overlap.
+  void strikeMore(TimePoint now);
+  void strikeOnce(Daemon& daemon, std::size_t kind);
+  void growDelay(Daemon& daemon);
+  void cutOneWay(Daemon& daemon);
+  void cutUnevenly(Daemon& daemon);
+  void runBehind(Daemon& daemon);
+  void pause(Daemon& daemon);
+  void resetCallers(Daemon& daemon);
+  void kill(Daemon& daemon);
+  void roll(Daemon& daemon);
+  void tickMore(TimePoint now);
+  /// Slows a daemon down by many pauses, each too short to be noticed.
+  void tickPauses(Daemon& daemon, TimePoint now);
+  void stopFor(Daemon& daemon, Duration time);
+  void later(Duration delay, const std::function<void()>& action);
+  void struck(const std::string& what);
+  void noteViolations();
   void submitNew();
   void submit(const std::string& job);
+  /// Another one than the last time.
+  Daemon& chooseDaemon(Caller& caller);
+  std::shared_ptr<HttpChannel> channelTo(Daemon& daemon);
   void answered(const std::string& job, const HttpCallEnd& end);
   /// A line of this soak's own log, beside those of the daemons.
   void note(const std::string& line);
@@ -112,17 +139,20 @@
   std::mt19937_64 m_random;
   /// Of its own, so that a seed strikes processes as it did before.
   std::mt19937_64 m_linkRandom;
+  std::mt19937_64 m_moreRandom;
   boost::asio::io_context m_context;
   LeasedPlatform m_platform;
   std::vector<Daemon> m_daemons;
   std::vector<std::unique_ptr<LoopbackProxy>> m_workerLinks;
   std::map<LoopbackProxy*, TimePoint> m_harmed;
   std::map<std::string, Caller> m_callers;
-  std::vector<std::shared_ptr<HttpChannel>> m_channels;
   std::vector<std::pair<TimePoint, std::string>> m_resends;
   TimePoint m_nextJobAt{};
   TimePoint m_nextStrikeAt{};
   TimePoint m_nextLinkStrikeAt{};
+  TimePoint m_nextMoreAt{};
+  std::vector<std::pair<TimePoint, std::function<void()>>> m_later;
+  std::size_t m_notedViolations = 0;
   TimePoint m_storeBackAt{};
   TimePoint m_ordersWellAt{};
   bool m_isStruck = true;
