--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -54,6 +54,12 @@
   options.add_options()("strike-links",
                         po::value<bool>()->default_value(true),
                         "whether connections are struck, too");
+  options.add_options()("strike-at-random",
+                        po::value<bool>()->default_value(true),
+                        "whether processes, store and workers are struck");
+  options.add_options()("only-kind",
+                        po::value<int>()->default_value(-1),
+                        "the only kind of overlapping strike, 0 to 8");
   options.add_options()("first-port",
                         po::value<std::uint16_t>()->default_value(21000),
                         "the first of 100 free ports");
@@ -75,6 +81,8 @@
   settings.daemonsPerZone = values["daemons-per-zone"].as<unsigned>();
   settings.firstPort = values["first-port"].as<std::uint16_t>();
   settings.strikesLinks = values["strike-links"].as<bool>();
+  settings.strikesAtRandom = values["strike-at-random"].as<bool>();
+  settings.onlyKind = values["only-kind"].as<int>();
   settings.logFolder = values["log-folder"].as<std::string>();
   unsigned failed = 0;
   const unsigned first = values["first-seed"].as<unsigned>();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -239,11 +239,11 @@
     m_platform.setStoreDown(false);
   if (now >= m_ordersWellAt)
     m_platform.setOrderFaults(0, 0);
-  if (m_isStruck && now >= m_nextStrikeAt)
+  if (m_isStruck && m_settings.strikesAtRandom && now >= m_nextStrikeAt)
     strike(now);
   if (m_isStruck && m_settings.strikesLinks && now >= m_nextLinkStrikeAt)
     strikeLink(now);
-  if (m_isStruck && m_settings.strikesLinks && now >= m_nextMoreAt)
+  if (m_isStruck && now >= m_nextMoreAt)
     strikeMore(now);
   tickMore(now);
   tickProxies(now);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -36,6 +36,10 @@
     std::uint16_t firstPort = 0;
     /// Whether connections are struck, too.
     bool strikesLinks = true;
+    /// Whether processes, the store and workers are struck at random times.
+    bool strikesAtRandom = true;
+    /// The only kind of overlapping strike, one at a time; all if negative.
+    int onlyKind = -1;
     /// Where the daemons' logs are left; nowhere if empty.
     std::string logFolder;
   };
@@ -101,8 +105,10 @@
   void harm(LoopbackProxy& proxy, const std::string& name, bool isCallers);
   /// A strike at a time of its own, perhaps with others that overlap.
   void strikeMore(TimePoint now);
+  void strikeOverlapping(Daemon& daemon);
   void strikeOnce(Daemon& daemon, std::size_t kind);
   void growDelay(Daemon& daemon);
+  void growDelayEverywhere(Daemon& daemon);
   void cutOneWay(Daemon& daemon);
   void cutUnevenly(Daemon& daemon);
   void runBehind(Daemon& daemon);
--- a/tests/soak/soakstrikes.cpp
+++ b/tests/soak/soakstrikes.cpp
@@ -10,8 +10,8 @@
 using std::chrono::milliseconds;
 
 /// Kinds of `strikeOnce`; the last two end a process.
-constexpr std::size_t harmKinds = 6;
-constexpr std::size_t allKinds = 8;
+constexpr std::size_t harmKinds = 7;
+constexpr std::size_t allKinds = 9;
 
 std::string
 inMs(Duration time)
@@ -22,12 +22,21 @@
 
 } // namespace
 
-/// Half of the strikes are several at once, of which one ends a process.
 void
 Soak::strikeMore(TimePoint now)
 {
   m_nextMoreAt = now + milliseconds(600 + below(2000, m_moreRandom));
   Daemon& daemon = m_daemons[below(m_daemons.size(), m_moreRandom)];
+  if (m_settings.onlyKind < 0)
+    strikeOverlapping(daemon);
+  else
+    strikeOnce(daemon, static_cast<std::size_t>(m_settings.onlyKind));
+}
+
+/// Half of the strikes are several at once, of which one ends a process.
+void
+Soak::strikeOverlapping(Daemon& daemon)
+{
   strikeOnce(daemon, below(harmKinds, m_moreRandom));
   if (below(2, m_moreRandom) == 0)
     return;
@@ -67,6 +76,9 @@
       resetCallers(daemon);
       break;
     case 6:
+      growDelayEverywhere(daemon);
+      break;
+    case 7:
       kill(daemon);
       break;
     default:
@@ -94,6 +106,35 @@
          inMs(slow.rampTime));
 }
 
+/// Callers submit again while what their daemon says of them is still under way
+/// to the holders.
+void
+Soak::growDelayEverywhere(Daemon& daemon)
+{
+  LoopbackProxy::Fault slow;
+  slow.peakDelay = milliseconds(1500 + below(1001, m_moreRandom));
+  slow.rampTime = slow.peakDelay * 2;
+  const bool isTowards = below(2, m_moreRandom) == 0;
+  for (const Daemon& each : m_daemons) {
+    if (isTowards)
+      each.peers->setFaults(slow, {});
+    else
+      each.peers->setFaults({}, slow);
+    m_harmed[each.peers.get()] = steadyNow() + slow.rampTime;
+  }
+  m_nextMoreAt = std::max(m_nextMoreAt, steadyNow() + slow.rampTime);
+  const bool isKill = below(2, m_moreRandom) == 0;
+  later(slow.rampTime / 2, [this, &daemon, isKill] {
+    if (isKill)
+      kill(daemon);
+    else
+      for (Daemon& each : m_daemons)
+        resetCallers(each);
+  });
+  struck(std::string("growing delay everywhere ") +
+         (isTowards ? "towards" : "back") + ", peak" + inMs(slow.peakDelay));
+}
+
 void
 Soak::cutOneWay(Daemon& daemon)
 {
