--- a/tests/entry/daemongroup_test.cpp
+++ b/tests/entry/daemongroup_test.cpp
@@ -139,16 +139,8 @@
                                            Case(20, 1122),
                                            Case(20, 1189),
                                            Case(20, 1234),
-                                           Case(20, 1450)),
-                         caseName);
-
-/// Seeds in which the next life of a worker carries out a late start that is
-/// unknown to the daemon that holds the worker or starts the task again, or two
-/// late starts of one task. Of `RestartWorkersAndAll`.
-INSTANTIATE_TEST_SUITE_P(UnknownLateStarts,
-                         DaemonGroupInTrouble,
-                         ::testing::Values(Case(20, 45),
-                                           Case(20, 166),
+                                           Case(20, 1450),
+                                           Case(20, 45),
                                            Case(20, 222),
                                            Case(20, 481),
                                            Case(20, 1004),
@@ -158,5 +150,16 @@
                                            Case(20, 1389)),
                          caseName);
 
+/// Seeds in which the next life of a worker carries out a late start that is
+/// unknown to the daemon that holds the worker or starts the task again, or two
+/// late starts of one task. Of `RestartWorkersAndAll`.
+INSTANTIATE_TEST_SUITE_P(UnknownLateStarts,
+                         DaemonGroupInTrouble,
+                         ::testing::Values(Case(20, 166),
+                                           Case(20, 449),
+                                           Case(20, 478),
+                                           Case(20, 1140)),
+                         caseName);
+
 } // namespace
 } // namespace cowslippin::testing
