Known failures: put back what was reworded, list the property test of the lease

New on the list: 17 of the seeds 1 to 300 of the property test of the lease fail at RC_ASSERT(!isRunning(key)). They are a test of their own with these seeds, so that the passing test stays counted. Traced (seeds 13, 15, 44 and 82, with a print of each step): a start without an answer is stopped, the stop is answered and the end told; the worker starts again and carries the start out.

--- a/tests/entry/daemongroup_test.cpp
+++ b/tests/entry/daemongroup_test.cpp
@@ -155,10 +155,18 @@
 /// late starts of one task. Of `RestartWorkersAndAll`.
 INSTANTIATE_TEST_SUITE_P(UnknownLateStarts,
                          DaemonGroupInTrouble,
-                         ::testing::Values(Case(20, 166),
+                         ::testing::Values(Case(20, 45),
+                                           Case(20, 166),
+                                           Case(20, 222),
                                            Case(20, 449),
                                            Case(20, 478),
-                                           Case(20, 1140)),
+                                           Case(20, 481),
+                                           Case(20, 1004),
+                                           Case(20, 1100),
+                                           Case(20, 1121),
+                                           Case(20, 1131),
+                                           Case(20, 1140),
+                                           Case(20, 1389)),
                          caseName);
 
 } // namespace
--- a/tests/workers/leaseproperty_test.cpp
+++ b/tests/workers/leaseproperty_test.cpp
@@ -119,15 +119,54 @@
   std::map<RunKey, std::int64_t> m_sizes;
 };
 
+void
+driveLease()
+{
+  RandomLease lease;
+  const int steps = *rc::gen::inRange(20, 250);
+  for (int i = 0; i < steps; ++i)
+    lease.step();
+}
+
 TEST(WorkerLease, NeverOverfillsAWorkerNorEndsARunningTaskWhateverIsLost)
 {
-  EXPECT_TRUE(rc::check([] {
-    RandomLease lease;
-    const int steps = *rc::gen::inRange(20, 250);
-    for (int i = 0; i < steps; ++i)
-      lease.step();
-  }));
+  EXPECT_TRUE(rc::check(driveLease));
+}
+
+class EndToldBeforeALateStart : public ::testing::TestWithParam<std::uint64_t>
+{};
+
+/// Guards against telling the end of a run whose start may still be carried
+/// out.
+TEST_P(EndToldBeforeALateStart, IsNotToldWhateverIsLost)
+{
+  rc::detail::TestParams params = rc::detail::configuration().testParams;
+  params.seed = GetParam();
+  const auto result =
+    rc::detail::checkTestable(driveLease, rc::detail::TestMetadata(), params);
+  EXPECT_TRUE(result.is<rc::detail::SuccessResult>());
 }
 
+/// Seeds of the property above that have failed.
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         EndToldBeforeALateStart,
+                         ::testing::Values(13,
+                                           15,
+                                           44,
+                                           82,
+                                           109,
+                                           140,
+                                           162,
+                                           174,
+                                           183,
+                                           185,
+                                           230,
+                                           243,
+                                           247,
+                                           250,
+                                           264,
+                                           266,
+                                           289));
+
 } // namespace
 } // namespace cowslippin::testing
