Bind a task to the worker of a start that may still be carried out

What callers saw: two runs of one task at once, on platforms whose workers start again under their ids.

Cause: a start without an answer was stopped, and when the worker had answered the stop its task started anywhere. A stop holds for one life of the worker: the next one knows neither stops nor fencing tokens and carries the start out if it arrives before the first order with a higher token.

Change: * The lease counts the copies of each start. It tells no end of a run that no report has shown while a copy may be carried out, but that the start is unresolved. * Such a start is sent again to its worker, under the same number and right after a prompt report: the copies are one run, in whichever life. A report that shows the run, whose answer was lost, saves the second copy. * Until 12 s after the last copy the task is started on that worker only. One of its lives ends before the next, so that two runs can't overlap. Where the worker can't be reached or used within the caller's time the job ends at once as one that may have run, with Retry-After. * Other daemons are told when the answer is missing, as a caller may submit the job again at any of them.

Workers that don't tell a birth have a new id in each life: nothing changes there.

Three checks of unit tests said that an end is told of an unanswered start. Of a worker that keeps its id that is the fault; they now ask that no end is told and that the start is told as unresolved. ATaskWhoseStartIsLostMayStartElsewhere... stays as it was for a worker that tells no birth, which its fixture had not been.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -330,6 +330,9 @@
   hooks.higherToken = [this](unsigned refusals) {
     return m_tokens.nextAfterRefusal(refusals);
   };
+  hooks.startUnresolved = [this](const UnresolvedStart& start) {
+    m_newUnresolved.push_back(start);
+  };
   hooks.fenced = [this](const ShardId& shard) { m_fenced.insert(shard); };
   hooks.lastContact = [this](const VmId& vm) {
     return vm == m_settings.vm ? m_contact.ownContact()
@@ -374,6 +377,7 @@
   // another without a reported loss.
   m_links.setClose(hello.vm, m_close.count(hello.vm) > 0);
   sendBeats({ hello.vm }, now);
+  tellUnresolved({ hello.vm }, m_scheduler.unresolvedStarts().all(), now);
 }
 
 TimePoint
@@ -416,6 +420,7 @@
   m_contact.tick(now);
   acknowledgeBeats(now);
   m_scheduler.tick(now);
+  tellNewUnresolved(now);
   m_gateway.tick(now);
   if (now - m_lastBeatAt >= m_settings.heartbeats.interval)
     beatInTurn(now);
@@ -639,6 +644,8 @@
     m_gateway.ended(vm, ended->key, ended->end, now);
   else if (const auto* back = std::get_if<PeerTasksReturned>(&message))
     m_gateway.returned(vm, back->key, back->returned, now);
+  else if (const auto* starts = std::get_if<PeerUnresolvedStarts>(&message))
+    unresolvedReceived(*starts, now);
   else if (const auto* news = std::get_if<PeerWorkerNews>(&message))
     m_ports.workerNews(*news);
   else
@@ -674,6 +681,35 @@
   m_configuration.told(vm, view.zone, beat.configVersion);
 }
 
+void
+EntryCore::tellUnresolved(const std::vector<VmId>& vms,
+                          const std::vector<UnresolvedStart>& starts,
+                          TimePoint now)
+{
+  PeerUnresolvedStarts message;
+  for (const UnresolvedStart& start : starts)
+    message.starts.push_back({ start.key, start.worker, start.until - now });
+  if (!message.starts.empty())
+    m_links.sendToEach(vms, message);
+}
+
+void
+EntryCore::tellNewUnresolved(TimePoint now)
+{
+  const auto starts = std::exchange(m_newUnresolved, {});
+  const std::set<VmId> up = m_links.up();
+  tellUnresolved({ up.begin(), up.end() }, starts, now);
+}
+
+void
+EntryCore::unresolvedReceived(const PeerUnresolvedStarts& message,
+                              TimePoint now)
+{
+  for (const auto& start : message.starts)
+    m_scheduler.addUnresolved(
+      { start.key, start.worker, now + start.remaining });
+}
+
 void
 EntryCore::submitted(const VmId& vm, const PeerSubmit& submit, TimePoint now)
 {
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -221,6 +221,11 @@
   void acknowledgeBeats(TimePoint now);
   void beatAcknowledged(const VmId& vm, const PeerBeatAck& ack, TimePoint now);
   void beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now);
+  void tellUnresolved(const std::vector<VmId>& vms,
+                      const std::vector<UnresolvedStart>& starts,
+                      TimePoint now);
+  void tellNewUnresolved(TimePoint now);
+  void unresolvedReceived(const PeerUnresolvedStarts& message, TimePoint now);
   void jobEnded(const JobKey& key, const JobEnd& end);
   void tasksReturned(const JobKey& key, const TasksReturned& returned);
   unsigned sparePlaces(TimePoint now) const;
@@ -260,6 +265,8 @@
   /// Those of them that have jobs of this one.
   std::set<VmId> m_jobHolders;
   std::set<ShardId> m_fenced;
+  /// Not yet told to other daemons.
+  std::vector<UnresolvedStart> m_newUnresolved;
   /// When something was last read from each other daemon.
   std::map<VmId, TimePoint> m_lastReadAt;
   TimePoint m_lastBeatAt{};
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -75,6 +75,12 @@
       finish(*entry,
              { JobAnswer::Kind::Unknown, Duration::zero(), "out of time" });
       return;
+    case JobOutcome::Unresolved:
+      finish(*entry,
+             { JobAnswer::Kind::Unknown,
+               end.retryAfter,
+               "a worker didn't answer a start and may still carry it out" });
+      return;
     case JobOutcome::Refused:
       partRefused(*entry, *part, end, now);
       return;
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -44,7 +44,7 @@
   };
 
   Kind kind = Kind::Completed;
-  /// Of `NotRun`: when to come back.
+  /// Of `NotRun`, and of `Unknown` where it isn't zero: when to come back.
   Duration retryAfter = Duration::zero();
   std::string reason;
 };
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -45,6 +45,9 @@
   bool isBeingStopped = false;
   WorkerId worker;
   std::uint64_t run = 0;
+  /// Whether `run` was neither begun nor refused, as far as is known, so that
+  /// it is started again under its number: the copies are one run.
+  bool mayReuseRun = false;
   /// When it was started or, if a lost daemon had done so, found.
   TimePoint startedAt{};
   bool wasFound = false;
--- a/src/libjobs/jobend.h
+++ b/src/libjobs/jobend.h
@@ -28,6 +28,10 @@
   /// This daemon doesn't hold the workers that the job was meant for, and has
   /// done nothing.
   NotHolder,
+  /// The worker of a start that had no answer may still carry it out when the
+  /// job's time is over, and its task can't be started there. Whatever ran has
+  /// been stopped.
+  Unresolved,
 };
 
 inline const char*
@@ -46,6 +50,8 @@
       return "moved";
     case JobOutcome::NotHolder:
       return "not-holder";
+    case JobOutcome::Unresolved:
+      return "unresolved";
   }
   return "unknown";
 }
@@ -85,7 +91,7 @@
 struct JobEnd
 {
   JobOutcome outcome = JobOutcome::Completed;
-  /// Of a refusal: when it makes sense to come back.
+  /// Of `Refused` and `Unresolved`: when it makes sense to come back.
   Duration retryAfter = Duration::zero();
   /// Of `Moved` and `Completed`: tasks that are done. Returned tasks are not
   /// included.
--- a/src/libjobs/jobs.h
+++ b/src/libjobs/jobs.h
@@ -9,4 +9,5 @@
 #include "scheduler.h"
 #include "shardmap.h"
 #include "shardsizes.h"
+#include "unresolvedstarts.h"
 #include "workerpool.h"
--- a/src/libjobs/leaselog.cpp
+++ b/src/libjobs/leaselog.cpp
@@ -24,6 +24,15 @@
                 { "end", toString(end) } });
 }
 
+void
+logStartUnresolved(const WorkerId& worker, const RunKey& key)
+{
+  logDecision(
+    LogLevel::Warning,
+    "start-unresolved",
+    { { "worker", worker }, { "task", key.task() }, { "run", key.run() } });
+}
+
 void
 logNote(const WorkerId& worker, const StrayStopped& note)
 {
--- a/src/libjobs/leaselog.h
+++ b/src/libjobs/leaselog.h
@@ -13,6 +13,8 @@
 void
 logStrayEnded(const WorkerId& worker, const RunKey& key, RunEnd end);
 void
+logStartUnresolved(const WorkerId& worker, const RunKey& key);
+void
 logNote(const WorkerId& worker, const StrayStopped& note);
 void
 logNote(const WorkerId& worker, const StopFailed& note);
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -47,13 +47,20 @@
     [this](const WorkerId& worker, const RunKey& key, OrderFailure failure) {
       startRejected(worker, key, failure);
     };
+  hooks.startUnresolved =
+    [this](const WorkerId& worker, const RunKey& key, TimePoint until) {
+      startUnresolved({ key, worker, until });
+    };
+  hooks.mayResend = [this](const RunKey& key) { return mayResend(key); };
   hooks.runActive = [this](const WorkerId& worker,
                            const RunKey& key,
                            int percent) { runActive(worker, key, percent); };
-  hooks.strayEnded = [this](const WorkerId&, const RunKey& key, RunEnd end) {
-    if (end == RunEnd::Done)
-      m_strayDone[key.task()] = m_now;
-  };
+  hooks.strayEnded =
+    [this](const WorkerId& worker, const RunKey& key, RunEnd end) {
+      m_unresolved.resolve(worker, key);
+      if (end == RunEnd::Done)
+        m_strayDone[key.task()] = m_now;
+    };
   return hooks;
 }
 
@@ -145,6 +152,7 @@
     job.request.taskName(task.index), job.request.needs.resources, job.lostAt);
   if (!run)
     return false;
+  m_unresolved.resolve(run->first, run->second);
   task.worker = run->first;
   task.run = run->second.run();
   task.nextRun = std::max(task.nextRun, task.run + 1);
@@ -306,6 +314,8 @@
     else
       leaveRunsBehind(*job, shard);
   }
+  for (const auto& [worker, start] : m_pool.unansweredStarts(shard))
+    tellUnresolved({ start.key, worker, start.until });
   m_pool.releaseShard(shard);
   for (const auto& [job, end] : ends) {
     for (auto run = m_runs.begin(); run != m_runs.end();) {
@@ -392,6 +402,8 @@
 {
   m_now = now;
   m_pool.startAnswered(worker, key, answer, now);
+  if (answer == OrderFailure::Unanswered)
+    noteCopies(worker, key);
   if (answer)
     pump(now);
 }
@@ -432,6 +444,7 @@
 Scheduler::tick(TimePoint now)
 {
   m_now = now;
+  m_unresolved.expire(now);
   m_pool.tick(now);
   tickJobs(now);
   for (auto done = m_strayDone.begin(); done != m_strayDone.end();) {
@@ -543,17 +556,21 @@
   JobTask& task = job.tasks[position];
   const std::string name = job.request.taskName(task.index);
   // A run of the same task that another submitter left is still being stopped.
-  if (m_pool.isRunning(name))
+  if (m_pool.isRunning(name)) {
+    adoptPending(job, position, now);
     return true;
-  const bool isSuspect = task.crashes >= m_settings.suspectCrashes;
-  const TimePoint toldUntil = m_hooks.toldUntil(job.request.key.submitter());
-  const auto worker = m_pool.choose(
-    job.request, task.avoided, runsPerWorker(job), isSuspect, toldUntil, now);
+  }
+  const auto binding = m_unresolved.binding(name);
+  const WorkerLimits limits = limitsOf(job, task, binding);
+  const auto worker = m_pool.choose(job.request, limits, now);
   if (!worker) {
-    m_pool.refreshForStart(job.request, now);
-    return false;
+    m_pool.refreshForStart(job.request, limits, now);
+    return binding.has_value();
   }
-  const RunKey key(name, task.nextRun++);
+  if (binding && !task.mayReuseRun)
+    task.nextRun = std::max(task.nextRun, binding->nextRun);
+  const RunKey key(name, task.mayReuseRun ? task.run : task.nextRun++);
+  task.mayReuseRun = false;
   leavePending(job, task, TaskState::Running);
   const WorkerId previous =
     task.worker.isEmpty() ? task.lastWorker : task.worker;
@@ -570,11 +587,41 @@
   m_losses.taskStarted(job, task, previous, now);
   m_pool.start(
     *worker, key, job.request.needs.resources, job.request.spec, now);
-  if (isSuspect)
+  if (limits.mustBeIdle)
     m_pool.reserve(*worker, key);
   return true;
 }
 
+WorkerLimits
+Scheduler::limitsOf(
+  const Job& job,
+  const JobTask& task,
+  const std::optional<UnresolvedStarts::Binding>& binding) const
+{
+  WorkerLimits limits;
+  limits.avoided = task.avoided;
+  limits.perWorker = runsPerWorker(job);
+  limits.mustBeIdle = task.crashes >= m_settings.suspectCrashes;
+  limits.toldUntil = m_hooks.toldUntil(job.request.key.submitter());
+  // An empty id is no worker's.
+  if (binding)
+    limits.boundTo = binding->worker.value_or(WorkerId());
+  return limits;
+}
+
+/// The worker of an unresolved start has carried it out: the run is the task's.
+void
+Scheduler::adoptPending(Job& job, std::size_t position, TimePoint now)
+{
+  JobTask& task = job.tasks[position];
+  const bool isUnresolved =
+    m_unresolved.binding(job.request.taskName(task.index)).has_value();
+  if (!isUnresolved || !adoptRun(job, position, now))
+    return;
+  leavePending(job, task, TaskState::Running);
+  logRunAdopted(job, task, now);
+}
+
 void
 Scheduler::noteSize(const Resources& resources)
 {
@@ -593,12 +640,13 @@
 }
 
 /// Whether the task waits and no run of it, not even another submitter's, is
-/// here.
+/// here or may begin.
 bool
 Scheduler::isFree(const Job& job, const JobTask& task) const
 {
-  return task.state == TaskState::Pending &&
-         !m_pool.isRunning(job.request.taskName(task.index));
+  const std::string name = job.request.taskName(task.index);
+  return task.state == TaskState::Pending && !m_pool.isRunning(name) &&
+         !m_unresolved.binding(name);
 }
 
 void
@@ -696,6 +744,7 @@
 void
 Scheduler::runEnded(const WorkerId& worker, const RunKey& key, RunEnd end)
 {
+  noteCopies(worker, key);
   const auto found = m_runs.find(key);
   if (found == m_runs.end())
     return;
@@ -724,6 +773,7 @@
                          const RunKey& key,
                          OrderFailure failure)
 {
+  noteCopies(worker, key);
   const auto found = m_runs.find(key);
   if (found == m_runs.end())
     return;
@@ -744,9 +794,56 @@
   setPending(job, task);
 }
 
+/// The task may be started again where the start may be carried out, and
+/// nowhere else until that can no longer be.
+void
+Scheduler::startUnresolved(const UnresolvedStart& start)
+{
+  tellUnresolved(start);
+  const auto found = m_runs.find(start.key);
+  if (found == m_runs.end())
+    return;
+  Job& job = *found->second.job;
+  JobTask& task = job.tasks[found->second.task];
+  m_runs.erase(found);
+  logRunEnded(job, task, RunEnd::Lost, m_now);
+  task.restartCause = RestartCause::RunLost;
+  task.mayReuseRun = true;
+  setPending(job, task);
+}
+
+/// Notes whether a copy of the start may still be carried out, whatever has
+/// become of the run.
 void
-Scheduler::runActive(const WorkerId&, const RunKey& key, int percent)
+Scheduler::noteCopies(const WorkerId& worker, const RunKey& key)
 {
+  if (const auto until = m_pool.unansweredUntil(worker, key))
+    tellUnresolved({ key, worker, *until });
+  else
+    m_unresolved.resolve(worker, key);
+}
+
+bool
+Scheduler::mayResend(const RunKey& key) const
+{
+  const auto found = m_runs.find(key);
+  return found != m_runs.end() && !m_isSuspended &&
+         mayStart(*found->second.job, m_now) &&
+         !isEvacuated(*found->second.job);
+}
+
+void
+Scheduler::tellUnresolved(const UnresolvedStart& start)
+{
+  m_unresolved.add(start);
+  m_hooks.startUnresolved(start);
+}
+
+void
+Scheduler::runActive(const WorkerId& worker, const RunKey& key, int percent)
+{
+  if (!m_unresolved.isEmpty() && !m_pool.unansweredUntil(worker, key))
+    m_unresolved.resolve(worker, key);
   const auto found = m_runs.find(key);
   if (found == m_runs.end())
     return;
@@ -826,9 +923,33 @@
   }
   if (!endQuarantine(job, now))
     return;
+  if (const auto until = unresolvedUntil(job)) {
+    finish(job, { JobOutcome::Unresolved, *until - now, {}, 1 });
+    return;
+  }
   checkProgress(job, now);
 }
 
+/// Until when a task of the job can't be placed, if that is beyond the time
+/// that its caller waits.
+std::optional<TimePoint>
+Scheduler::unresolvedUntil(const Job& job) const
+{
+  if (m_unresolved.isEmpty())
+    return std::nullopt;
+  for (const JobTask& task : job.tasks) {
+    if (task.state != TaskState::Pending)
+      continue;
+    const std::string name = job.request.taskName(task.index);
+    const auto binding = m_unresolved.binding(name);
+    if (!binding || binding->until < job.expiresAt || m_pool.isRunning(name))
+      continue;
+    if (!binding->worker || !m_pool.isInUse(*binding->worker, job.request))
+      return binding->until;
+  }
+  return std::nullopt;
+}
+
 /// Stops what runs of the job while there is time for that, and tells the
 /// submitter, which may be there and hand it over again.
 void
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -7,6 +7,7 @@
 #include "losslog.h"
 #include "peerplaces.h"
 #include "runtimes.h"
+#include "unresolvedstarts.h"
 #include "workerpool.h"
 
 #include "libobserve/idlist.h"
@@ -79,6 +80,8 @@
     std::function<void(const JobKey&, const TasksReturned&)> returned;
     /// See `WorkerPool`.
     std::function<FencingToken(unsigned refusals)> higherToken;
+    /// Other holders are to know of this start, as its job may come to them.
+    std::function<void(const UnresolvedStart&)> startUnresolved;
     /// A worker of a held shard was taken by another daemon.
     std::function<void(const ShardId&)> fenced;
     /// When a submitter, this daemon included, was surely alive and knew which
@@ -145,6 +148,10 @@
       m_peerPlaces.set(vm, shard, places);
   }
   void forgetPeer(const VmId& vm) { m_peerPlaces.forget(vm); }
+  /// Another holder has told of this start.
+  void addUnresolved(const UnresolvedStart& start) { m_unresolved.add(start); }
+  /// All that are known, those that others have told of included.
+  const UnresolvedStarts& unresolvedStarts() const { return m_unresolved; }
 
   void holdAnswered(const WorkerId& worker,
                     const SentHold& sent,
@@ -199,6 +206,11 @@
   void pump(TimePoint now);
   void pumpJob(Job& job, TimePoint now);
   bool startTask(Job& job, std::size_t position, TimePoint now);
+  WorkerLimits limitsOf(
+    const Job& job,
+    const JobTask& task,
+    const std::optional<UnresolvedStarts::Binding>& binding) const;
+  void adoptPending(Job& job, std::size_t position, TimePoint now);
   void returnTasks(Job& job);
   void leaveEvacuated(Job& job);
   bool isFree(const Job& job, const JobTask& task) const;
@@ -217,6 +229,10 @@
   void startRejected(const WorkerId& worker,
                      const RunKey& key,
                      OrderFailure failure);
+  void startUnresolved(const UnresolvedStart& start);
+  void noteCopies(const WorkerId& worker, const RunKey& key);
+  bool mayResend(const RunKey& key) const;
+  void tellUnresolved(const UnresolvedStart& start);
   void runActive(const WorkerId& worker, const RunKey& key, int percent);
   void learn(const Job& job, const JobTask& task, const WorkerId& worker);
   void finish(Job& job, const JobEnd& end);
@@ -225,6 +241,7 @@
   void tickJobs(TimePoint now);
   void tickJob(Job& job, TimePoint now);
   void giveBack(Job& job, TimePoint now);
+  std::optional<TimePoint> unresolvedUntil(const Job& job) const;
   void quarantine(Job& job, JobTask& task, TimePoint now);
   bool endQuarantine(Job& job, TimePoint now);
   bool isSurelyOver(const Job& job, const JobTask& task) const;
@@ -243,6 +260,7 @@
   JobQueue m_queue;
   AdmittedLoad m_load;
   std::map<RunKey, RunOwner> m_runs;
+  UnresolvedStarts m_unresolved;
   PeerPlaces m_peerPlaces;
   LossLog m_losses;
   /// Tasks that were found done without a job that had asked.
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -138,27 +138,26 @@
 
 std::optional<WorkerId>
 WorkerPool::choose(const JobRequest& request,
-                   const std::set<WorkerId>& avoided,
-                   const std::map<WorkerId, unsigned>& perWorker,
-                   bool mustBeIdle,
-                   TimePoint toldUntil,
+                   const WorkerLimits& limits,
                    TimePoint now) const
 {
   using Rank = std::tuple<bool, bool, std::int64_t>;
   std::optional<std::pair<Rank, WorkerId>> best;
   for (const auto& [id, entry] : m_entries) {
-    const bool isTooFull = mustBeIdle && entry.lease->runCount() > 0;
-    const bool isUnknown = entry.addedAt > toldUntil;
-    if (isTooFull || isUnknown || !isSuitable(entry, request, now))
+    const bool isBoundElsewhere = limits.boundTo && *limits.boundTo != id;
+    const bool isTooFull = limits.mustBeIdle && entry.lease->runCount() > 0;
+    const bool isUnknown = entry.addedAt > limits.toldUntil;
+    if (isBoundElsewhere || isTooFull || isUnknown ||
+        !isSuitable(entry, request, limits, now))
       continue;
-    const auto here = perWorker.find(id);
-    if (request.needs.maxPerWorker > 0 && here != perWorker.end() &&
+    const auto here = limits.perWorker.find(id);
+    if (request.needs.maxPerWorker > 0 && here != limits.perWorker.end() &&
         here->second >= request.needs.maxPerWorker)
       continue;
     const std::string& rack = request.needs.preferredRack;
     const bool isFar = !rack.empty() && !entry.lease->record().hasLabel(rack);
     const Resources left = entry.lease->freeRoom() - request.needs.resources;
-    const Rank rank(avoided.count(id) > 0, isFar, left.cpuMillis());
+    const Rank rank(limits.avoided.count(id) > 0, isFar, left.cpuMillis());
     if (!best || rank < best->first)
       best.emplace(rank, id);
   }
@@ -219,16 +218,55 @@
 }
 
 void
-WorkerPool::refreshForStart(const JobRequest& request, TimePoint now)
+WorkerPool::refreshForStart(const JobRequest& request,
+                            const WorkerLimits& limits,
+                            TimePoint now)
 {
   for (auto& [id, entry] : m_entries) {
-    const bool isSafe =
-      entry.lease->isSafeToStart(request.needs.resources, now);
-    if (!isSafe && isEligible(entry, request, now))
+    const bool isBoundElsewhere = limits.boundTo && *limits.boundTo != id;
+    if (!isBoundElsewhere && isEligible(entry, request, now) &&
+        !isSuitable(entry, request, limits, now))
       entry.lease->refresh(now);
   }
 }
 
+std::optional<TimePoint>
+WorkerPool::unansweredUntil(const WorkerId& worker, const RunKey& key) const
+{
+  const auto found = m_entries.find(worker);
+  return found == m_entries.end() ? std::nullopt
+                                  : found->second.lease->unansweredUntil(key);
+}
+
+std::vector<std::pair<WorkerId, UnansweredStart>>
+WorkerPool::unansweredStarts(const ShardId& shard) const
+{
+  std::vector<std::pair<WorkerId, UnansweredStart>> starts;
+  for (const auto& [id, entry] : m_entries) {
+    if (entry.shard != shard)
+      continue;
+    for (const UnansweredStart& start : entry.lease->unansweredStarts())
+      starts.emplace_back(id, start);
+  }
+  return starts;
+}
+
+bool
+WorkerPool::isInUse(const WorkerId& worker, const JobRequest& request) const
+{
+  const auto found = m_entries.find(worker);
+  if (found == m_entries.end())
+    return false;
+  const Entry& entry = found->second;
+  const WorkerLease& lease = *entry.lease;
+  const bool isReachable = lease.state() == LeaseState::Held ||
+                           lease.state() == LeaseState::Claiming ||
+                           lease.state() == LeaseState::Restarted;
+  return isReachable && entry.isListed && entry.shard == request.shard &&
+         isOfKind(lease.record(), request) && !lease.record().isDraining() &&
+         !isEvacuated(lease.record().zone());
+}
+
 std::optional<std::pair<WorkerId, RunKey>>
 WorkerPool::adopt(const std::string& task,
                   const Resources& resources,
@@ -431,6 +469,10 @@
   hooks.startRejected = [this, id](const RunKey& key, OrderFailure failure) {
     m_hooks.startRejected(id, key, failure);
   };
+  hooks.startUnresolved = [this, id](const RunKey& key, TimePoint until) {
+    logStartUnresolved(id, key);
+    m_hooks.startUnresolved(id, key, until);
+  };
   hooks.runActive = [this, id](const RunKey& key, int percent) {
     m_hooks.runActive(id, key, percent);
   };
@@ -444,6 +486,7 @@
     m_hooks.strayEnded(id, key, end);
   };
   hooks.wantedUntil = m_hooks.wantedUntil;
+  hooks.mayResend = m_hooks.mayResend;
   hooks.stateChanged = [this, id](LeaseState state) {
     const auto found = m_entries.find(id);
     if (found == m_entries.end())
@@ -532,10 +575,12 @@
 bool
 WorkerPool::isSuitable(const Entry& entry,
                        const JobRequest& request,
+                       const WorkerLimits& limits,
                        TimePoint now) const
 {
   return isEligible(entry, request, now) &&
-         entry.lease->isSafeToStart(request.needs.resources, now);
+         entry.lease->isSafeToStart(request.needs.resources, now) &&
+         (!limits.boundTo || entry.lease->isReportFresh(now));
 }
 
 bool
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -17,6 +17,24 @@
 
 namespace cowslippin {
 
+/// What limits the choice of a worker for a task.
+struct WorkerLimits
+{
+  /// Taken only if no other has room.
+  std::set<WorkerId> avoided;
+  /// Runs of the job on each worker, if their number is limited.
+  std::map<WorkerId, unsigned> perWorker;
+  /// Whether only one that runs nothing will do.
+  bool mustBeIdle = false;
+  /// None is taken that has come later: the submitter doesn't know of it, and
+  /// would not miss it among the workers of the next holder.
+  TimePoint toldUntil{};
+  /// The only one on which a start of the task can't run beside another: both
+  /// are on one worker, and one of its lives ends before the next. It takes a
+  /// prompt report, as nothing tells the lives apart otherwise.
+  std::optional<WorkerId> boundTo = std::nullopt;
+};
+
 /// The workers of the shards that this daemon holds: their leases, how well
 /// they work, and the choice among them.
 class WorkerPool
@@ -42,6 +60,11 @@
     std::function<void(const WorkerId&, const RunKey&, RunEnd)> runEnded;
     std::function<void(const WorkerId&, const RunKey&, OrderFailure)>
       startRejected;
+    /// See `WorkerLease`.
+    std::function<void(const WorkerId&, const RunKey&, TimePoint until)>
+      startUnresolved;
+    /// See `WorkerLease`.
+    std::function<bool(const RunKey&)> mayResend;
     std::function<void(const WorkerId&, const RunKey&, int percent)> runActive;
     std::function<void(const WorkerId&, const RunKey&, RunEnd)> strayEnded;
     /// A worker was taken from a shard that this daemon holds.
@@ -105,17 +128,13 @@
   bool isClaimed(const WorkerId& worker, TimePoint since) const;
 
   /// The worker that a task should go to, or nothing if none has room. The
-  /// fullest that still fits is taken, so that large tasks find room; only one
-  /// that runs nothing if it must be idle. Workers
-  /// in `avoided` are taken only if `mayUseAvoided`. None is taken that has
-  /// come after `toldUntil`: the submitter doesn't know of it, and would not
-  /// miss it among the workers of the next holder.
+  /// fullest that still fits is taken, so that large tasks find room.
   std::optional<WorkerId> choose(const JobRequest& request,
-                                 const std::set<WorkerId>& avoided,
-                                 const std::map<WorkerId, unsigned>& perWorker,
-                                 bool mustBeIdle,
-                                 TimePoint toldUntil,
+                                 const WorkerLimits& limits,
                                  TimePoint now) const;
+  /// Whether the worker can be reached and may run such a task when it has
+  /// room.
+  bool isInUse(const WorkerId& worker, const JobRequest& request) const;
 
   /// Whether a worker of any size could ever run such a task, going by the
   /// whole list less the evacuated zones.
@@ -136,7 +155,15 @@
   void refresh(const WorkerId& worker, TimePoint now);
   /// Requests a report from each worker that has room for such a task but needs
   /// a recent report before the task can safely start there.
-  void refreshForStart(const JobRequest& request, TimePoint now);
+  void refreshForStart(const JobRequest& request,
+                       const WorkerLimits& limits,
+                       TimePoint now);
+  /// See `WorkerLease`.
+  std::optional<TimePoint> unansweredUntil(const WorkerId& worker,
+                                           const RunKey& key) const;
+  /// Starts on the workers of a held shard that may still be carried out.
+  std::vector<std::pair<WorkerId, UnansweredStart>> unansweredStarts(
+    const ShardId& shard) const;
   /// Takes a run that nobody has asked for into the book of its worker. Only
   /// what the worker has told when it was asked `since` then or later counts:
   /// before that, other holders may have ended the run and begun another.
@@ -236,6 +263,7 @@
   /// after an undetected restart.
   bool isSuitable(const Entry& entry,
                   const JobRequest& request,
+                  const WorkerLimits& limits,
                   TimePoint now) const;
 
   const Settings m_settings;
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with every change that an older daemon can't read.
-constexpr int formatVersion = 7;
+constexpr int formatVersion = 8;
 
 json
 toJson(const ShardId& shard)
@@ -234,6 +234,18 @@
   return json::array({ news.from, news.end, std::move(entries) });
 }
 
+json
+toJson(const PeerUnresolvedStarts& message)
+{
+  json starts = json::array();
+  for (const auto& start : message.starts)
+    starts.push_back(json::array({ start.key.task(),
+                                   start.key.run(),
+                                   start.worker.value(),
+                                   start.remaining.count() }));
+  return json::array({ std::move(starts) });
+}
+
 std::string
 text(const json& value)
 {
@@ -418,7 +430,7 @@
   PeerJobEnd ended;
   ended.key = readKey(value.at(0));
   const int outcome = value.at(1).get<int>();
-  if (outcome < 0 || outcome > static_cast<int>(JobOutcome::NotHolder))
+  if (outcome < 0 || outcome > static_cast<int>(JobOutcome::Unresolved))
     throw std::invalid_argument("an unknown outcome");
   ended.end.outcome = static_cast<JobOutcome>(outcome);
   ended.end.retryAfter = duration(value.at(2));
@@ -465,6 +477,18 @@
   return news;
 }
 
+PeerUnresolvedStarts
+readUnresolvedStarts(const json& value)
+{
+  PeerUnresolvedStarts message;
+  for (const json& start : value.at(0))
+    message.starts.push_back(
+      { RunKey(text(start.at(0)), start.at(1).get<std::uint64_t>()),
+        WorkerId(text(start.at(2))),
+        duration(start.at(3)) });
+  return message;
+}
+
 PeerMessage
 readMessage(std::size_t kind, const json& value)
 {
@@ -495,6 +519,8 @@
       return readWorkerNews(value);
     case 11:
       return readBeatAck(value);
+    case 12:
+      return readUnresolvedStarts(value);
     default:
       throw std::invalid_argument("an unknown kind");
   }
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -173,6 +173,28 @@
   }
 };
 
+/// Starts that workers didn't answer. Sent to all daemons, as a caller may
+/// submit a job again at any of them.
+struct PeerUnresolvedStarts
+{
+  struct Start
+  {
+    RunKey key;
+    WorkerId worker;
+    /// For how long the worker may still carry it out.
+    Duration remaining = Duration::zero();
+
+    friend bool operator==(const Start& a, const Start& b)
+    {
+      return a.key == b.key && a.worker == b.worker &&
+             a.remaining == b.remaining;
+    }
+    friend bool operator!=(const Start& a, const Start& b) { return !(a == b); }
+  };
+
+  std::vector<Start> starts;
+};
+
 using PeerMessage = std::variant<PeerHello,
                                  PeerBeat,
                                  PeerSubmit,
@@ -184,6 +206,7 @@
                                  PeerConfigRequest,
                                  PeerConfigBusy,
                                  PeerWorkerNews,
-                                 PeerBeatAck>;
+                                 PeerBeatAck,
+                                 PeerUnresolvedStarts>;
 
 } // namespace cowslippin
--- a/src/libworkers/unansweredstarts.cpp
+++ b/src/libworkers/unansweredstarts.cpp
@@ -1,5 +1,7 @@
 #include "unansweredstarts.h"
 
+#include <algorithm>
+
 namespace cowslippin {
 
 void
@@ -7,13 +9,38 @@
                       const Resources& resources,
                       TimePoint expiresAt)
 {
-  m_starts[key] = { resources, expiresAt };
+  Start& start = m_starts[key];
+  start.resources = resources;
+  start.expiresAt = expiresAt;
+  ++start.sent;
 }
 
 void
 UnansweredStarts::remove(const RunKey& key)
 {
-  m_starts.erase(key);
+  const auto start = m_starts.find(key);
+  if (start == m_starts.end())
+    return;
+  ++start->second.answered;
+  removeIfSettled(start);
+}
+
+void
+UnansweredStarts::noteRun(const RunKey& key)
+{
+  const auto start = m_starts.find(key);
+  if (start == m_starts.end())
+    return;
+  start->second.isRunSeen = true;
+  removeIfSettled(start);
+}
+
+void
+UnansweredStarts::removeIfSettled(Starts::iterator start)
+{
+  const unsigned seen = start->second.isRunSeen ? 1 : 0;
+  if (std::max(start->second.answered, seen) >= start->second.sent)
+    m_starts.erase(start);
 }
 
 void
@@ -27,6 +54,24 @@
   }
 }
 
+std::optional<TimePoint>
+UnansweredStarts::expiry(const RunKey& key) const
+{
+  const auto found = m_starts.find(key);
+  if (found == m_starts.end())
+    return std::nullopt;
+  return found->second.expiresAt;
+}
+
+std::vector<UnansweredStart>
+UnansweredStarts::all() const
+{
+  std::vector<UnansweredStart> starts;
+  for (const auto& [key, start] : m_starts)
+    starts.push_back({ key, start.expiresAt });
+  return starts;
+}
+
 Resources
 UnansweredStarts::total() const
 {
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -81,14 +81,22 @@
 {
   Run run;
   run.resources = resources;
+  run.spec = spec;
+  m_used = m_used + resources;
+  sendStart(key, m_runs.emplace(key, run).first->second, now);
+}
+
+void
+WorkerLease::sendStart(const RunKey& key, Run& run, TimePoint now)
+{
   run.token = m_token;
   run.since = now;
-  m_used = m_used + resources;
-  Run& added = m_runs.emplace(key, run).first->second;
-  added.startDeadlineMs = deadline(leaseEnd(now));
-  const StartOrder order{ m_token, key, spec, added.startDeadlineMs };
+  run.startDeadlineMs = deadline(leaseEnd(now));
+  ++run.startsSent;
+  run.isResendDue = false;
+  const StartOrder order{ m_token, key, run.spec, run.startDeadlineMs };
   if (m_life.isBirthKnown())
-    m_unansweredStarts.add(key, resources, now + m_settings.lateOrderLimit);
+    m_unansweredStarts.add(key, run.resources, now + m_settings.lateOrderLimit);
   m_hooks.sendStart(order, m_times->answerWait());
 }
 
@@ -153,21 +161,71 @@
       run.state = RunState::Running;
     if (!run.confirmedAt)
       run.confirmedAt = now;
+    run.spec.clear();
     return;
   }
   if (*answer != OrderFailure::Unanswered) {
-    // An order of before the last claim is refused because of that claim.
-    const bool isRefusalOfThisToken = run.token == m_token;
-    // A run that the worker reports has begun by another order.
-    if (!run.isStray)
-      rejectRun(found, *answer);
-    if (*answer == OrderFailure::Fenced && isRefusalOfThisToken)
-      setState(LeaseState::Fenced);
+    startRefused(found, *answer, now);
     return;
   }
   if (run.state != RunState::Starting)
     return;
-  stop(key, now);
+  if (canResend(key)) {
+    run.isResendDue = true;
+    refresh(now);
+  } else {
+    stop(key, now);
+  }
+}
+
+bool
+WorkerLease::canResend(const RunKey& key) const
+{
+  return m_life.isBirthKnown() && m_state == LeaseState::Held &&
+         !m_record.isDraining() && m_hooks.mayResend(key);
+}
+
+/// Sends starts without an answer again, right after a prompt report as
+/// `isSafeToStart` asks for.
+void
+WorkerLease::resendStarts(TimePoint now)
+{
+  if (!isReportFresh(now))
+    return;
+  for (auto& [key, run] : m_runs) {
+    if (!run.isResendDue || run.state != RunState::Starting)
+      continue;
+    if (canResend(key))
+      sendStart(key, run, now);
+    else
+      stop(key, now);
+  }
+}
+
+void
+WorkerLease::startRefused(Runs::iterator found,
+                          OrderFailure failure,
+                          TimePoint now)
+{
+  Run& run = found->second;
+  // An order of before the last claim is refused because of that claim.
+  const bool isRefusalOfThisToken = run.token == m_token;
+  const bool isFenced = failure == OrderFailure::Fenced;
+  if (run.startsSent > 1 && failure == OrderFailure::StaleRun) {
+    // Another copy has been carried out, and a report tells what became of it.
+    run.isStale = true;
+    run.state = RunState::Stopping;
+    run.stopSentAt = now;
+    run.stopAnsweredAt = now;
+    refresh(now);
+  } else if (run.startsSent > 1 && !isFenced) {
+    stop(found->first, now);
+  } else if (!run.isStray) {
+    // A run that the worker reports has begun by another order.
+    rejectRun(found, failure);
+  }
+  if (isFenced && isRefusalOfThisToken)
+    setState(LeaseState::Fenced);
 }
 
 void
@@ -207,9 +265,9 @@
   if (m_state == LeaseState::Fenced || m_state == LeaseState::Restarted ||
       m_state == LeaseState::Ended)
     return;
+  m_unansweredStarts.expire(now);
   if (m_state == LeaseState::Silent && !m_runs.empty() && now >= lapsedBy())
     lapse(now);
-  m_unansweredStarts.expire(now);
   tickRuns(now);
   if (m_holdsUnderWay == 0 && now >= m_nextHoldAt)
     sendHold(Duration::zero(), now);
@@ -225,15 +283,19 @@
 bool
 WorkerLease::isSafeToStart(const Resources& resources, TimePoint now) const
 {
-  const bool isReportFresh =
-    now - m_reportAt <= m_settings.freshReportLimit &&
-    m_reportAt - m_reportAskedAt <= m_times->answerWait();
   const bool isLeaseShort =
     !m_runs.empty() && m_wantedUntil < now + m_settings.shortestLease;
-  return !isLeaseShort && (m_unansweredStarts.isEmpty() || isReportFresh ||
+  return !isLeaseShort && (m_unansweredStarts.isEmpty() || isReportFresh(now) ||
                            resources.fitsIn(freeRoomInNextLife()));
 }
 
+bool
+WorkerLease::isReportFresh(TimePoint now) const
+{
+  return now - m_reportAt <= m_settings.freshReportLimit &&
+         m_reportAt - m_reportAskedAt <= m_times->answerWait();
+}
+
 /// The least free room of a worker after an undetected restart. Its new life
 /// has none of the listed runs, but may carry out any unanswered start, and may
 /// have been the one that answered the starts not listed yet.
@@ -318,7 +380,7 @@
   }
   if (failure == OrderFailure::OtherLife) {
     setState(LeaseState::Ended);
-    endAll(RunEnd::Lost);
+    endAllLost();
     return;
   }
   if (failure == OrderFailure::Unanswered)
@@ -365,6 +427,7 @@
   if (m_state != LeaseState::Held)
     noteClaimAnswered(now);
   setState(LeaseState::Held);
+  resendStarts(now);
   goOn(now);
 }
 
@@ -403,7 +466,7 @@
   }
   setState(LeaseState::Restarted);
   for (const RunKey& key : over)
-    endRun(m_runs.find(key), RunEnd::Lost);
+    endMissing(m_runs.find(key), RunEnd::Lost);
 }
 
 /// Answers to two reports may overtake each other: an older one tells of runs
@@ -428,6 +491,7 @@
 WorkerLease::applyEnds(const HoldReport& report)
 {
   for (const EndedRun& ended : report.ended) {
+    m_unansweredStarts.noteRun(ended.key);
     if (ended.number <= m_acknowledged)
       continue;
     m_acknowledged = ended.number;
@@ -443,6 +507,7 @@
 WorkerLease::applyActive(const HoldReport& report, TimePoint now)
 {
   for (const ActiveRun& active : report.active) {
+    m_unansweredStarts.noteRun(active.key);
     const auto [found, isNew] = m_runs.try_emplace(active.key);
     Run& run = found->second;
     if (isNew) {
@@ -477,7 +542,7 @@
       over.push_back(key);
   }
   for (const RunKey& key : over)
-    endRun(m_runs.find(key), RunEnd::Lost);
+    endMissing(m_runs.find(key), RunEnd::Lost);
 }
 
 bool
@@ -512,6 +577,26 @@
   }
 }
 
+/// Ends a run whose end the worker hasn't listed. A start that has had no
+/// answer may still be carried out by a later life, so that no end is told.
+void
+WorkerLease::endMissing(Runs::iterator found, RunEnd end)
+{
+  const RunKey key = found->first;
+  if (found->second.isStale) {
+    rejectRun(found, OrderFailure::StaleRun);
+    return;
+  }
+  const auto until = m_unansweredStarts.expiry(key);
+  if (!until) {
+    endRun(found, end);
+    return;
+  }
+  m_used = m_used - found->second.resources;
+  m_runs.erase(found);
+  m_hooks.startUnresolved(key, *until);
+}
+
 void
 WorkerLease::rejectRun(Runs::iterator found, OrderFailure failure)
 {
@@ -522,10 +607,10 @@
 }
 
 void
-WorkerLease::endAll(RunEnd end)
+WorkerLease::endAllLost()
 {
   while (!m_runs.empty())
-    endRun(m_runs.begin(), end);
+    endRun(m_runs.begin(), RunEnd::Lost);
 }
 
 void
@@ -537,7 +622,8 @@
   for (const auto& [key, run] : m_runs)
     note.runs.push_back(key);
   m_hooks.lapsed(note);
-  endAll(RunEnd::Lapsed);
+  while (!m_runs.empty())
+    endMissing(m_runs.begin(), RunEnd::Lapsed);
 }
 
 /// Tells once for each run that is to end and that a renewal lets go on. A
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace cowslippin {
 
@@ -87,6 +88,14 @@
     std::function<void(const StopOrder&, Duration timeout)> sendStop;
     /// A run of the book has ended and its room is free.
     std::function<void(const RunKey&, RunEnd)> runEnded;
+    /// A run of the book isn't at work and its room is free, but the worker may
+    /// still carry out its start until then if it starts again under its id: a
+    /// later life has no record of fencing tokens and stops. No end is told.
+    std::function<void(const RunKey&, TimePoint until)> startUnresolved;
+    /// Whether a start without an answer is sent again. Under the same number
+    /// the copies are one run, in whichever life they are carried out; but a
+    /// later life may carry one out after the run has ended.
+    std::function<bool(const RunKey&)> mayResend;
     /// A start was surely not carried out; its room is free.
     std::function<void(const RunKey&, OrderFailure)> startRejected;
     /// A run of the book is at work.
@@ -160,6 +169,19 @@
   /// Neither is it safe where another run keeps the lease short. Doesn't
   /// include the conditions of `canStart`.
   bool isSafeToStart(const Resources& resources, TimePoint now) const;
+  /// Whether a report that was answered promptly has arrived within
+  /// `freshReportLimit`.
+  bool isReportFresh(TimePoint now) const;
+  /// Until when a copy of this start may still be carried out, if one may.
+  std::optional<TimePoint> unansweredUntil(const RunKey& key) const
+  {
+    return m_unansweredStarts.expiry(key);
+  }
+  /// Starts that may still be carried out, if only by a later life.
+  std::vector<UnansweredStart> unansweredStarts() const
+  {
+    return m_unansweredStarts.all();
+  }
   /// Capacity that nothing counts against; nothing while that isn't known.
   Resources freeRoom() const;
   bool isIdle() const { return m_runs.empty(); }
@@ -189,6 +211,13 @@
     /// Of the order that started it.
     FencingToken token = 0;
     RunState state = RunState::Starting;
+    /// What to send again; only until the worker has answered.
+    std::string spec;
+    unsigned startsSent = 0;
+    /// Its start is to be sent again unless the next report shows the run.
+    bool isResendDue = false;
+    /// The worker has refused its number: it has had the run, or a higher one.
+    bool isStale = false;
     /// Nobody has asked for it; its size isn't known.
     bool isStray = false;
     TimePoint since{};
@@ -214,7 +243,11 @@
 
   void setState(LeaseState state);
   void sendHold(Duration wait, TimePoint now);
+  void sendStart(const RunKey& key, Run& run, TimePoint now);
   void sendStop(const RunKey& key, Run& run, TimePoint now);
+  void startRefused(Runs::iterator found, OrderFailure failure, TimePoint now);
+  bool canResend(const RunKey& key) const;
+  void resendStarts(TimePoint now);
   void holdFailed(OrderFailure failure, TimePoint now);
   void beginNextLife(TimePoint now);
   void noteClaimAnswered(TimePoint now);
@@ -226,8 +259,9 @@
   void dropMissing(const HoldReport& report, TimePoint sent);
   bool isOver(const Run& run, std::int64_t clockMs, TimePoint sent) const;
   void endRun(Runs::iterator found, RunEnd end);
+  void endMissing(Runs::iterator found, RunEnd end);
   void rejectRun(Runs::iterator found, OrderFailure failure);
-  void endAll(RunEnd end);
+  void endAllLost();
   Resources freeRoomInNextLife() const;
   void lapse(TimePoint now);
   void tellUnwanted(TimePoint now);
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -90,6 +90,9 @@
   /// different times.
   void unlist(unsigned zone, double share, Duration duration);
   void killAll(Duration down);
+  /// Starts that are sent within `duration` get no answer and are carried out
+  /// late by `lag`.
+  void delayStarts(Duration duration, Duration lag);
   /// Operators ask for a zone to be evacuated, and take it back. Daemons read
   /// that at different times. Where orders are never late, a start there that
   /// comes more than `evacuationLimit` later is a violation.
@@ -280,6 +283,8 @@
   /// The lives of daemons that open a connection.
   std::map<End, std::pair<unsigned, unsigned>> m_connecting;
   std::map<unsigned, TimePoint> m_zoneCutUntil;
+  TimePoint m_startsDelayedUntil{};
+  Duration m_startLag = Duration::zero();
   std::map<ShardId, PublishedHolder> m_published;
   Evacuations m_evacuations;
   /// Since when each zone is evacuated.
--- a/tests/jobs/schedulerfixture.h
+++ b/tests/jobs/schedulerfixture.h
@@ -52,6 +52,26 @@
     settle();
   }
 
+  /// The worker starts again, and nobody has noticed yet.
+  void restartUnnoticed(const WorkerId& id, std::int64_t birth)
+  {
+    workers[id] = FakeWorker(50000, WorkerBirth(birth));
+  }
+
+  /// The platform lists it as one on which nothing is to be started.
+  void drain(const WorkerId& id)
+  {
+    WorkerRecord::Fields fields;
+    fields.id = id;
+    fields.birth = list.at(id).birth();
+    fields.service = list.at(id).service();
+    fields.zone = list.at(id).zone();
+    fields.capacity = list.at(id).capacity();
+    fields.isDraining = true;
+    list[id] = WorkerRecord(fields);
+    scheduler.setList(list, now);
+  }
+
   /// The worker on which a run of the task is, or nothing.
   std::optional<WorkerId> workerOf(const std::string& task) const
   {
@@ -177,9 +197,13 @@
   std::deque<std::function<void()>> orders;
   std::map<JobKey, JobEnd> ends;
   std::vector<TasksReturned> returns;
+  std::vector<UnresolvedStart> unresolved;
   std::uint64_t lastPart = 0;
   /// Share of the orders that get no answer and are carried out late.
   double lostShare = 0;
+  /// Whether starts get no answer and arrive when the test says so.
+  bool areStartsLate = false;
+  std::vector<std::pair<WorkerId, StartOrder>> lateStarts;
   /// Whether no stop arrives or is answered.
   bool isStopLost = false;
   FencingToken lastToken = 10;
@@ -224,6 +248,13 @@
     hooks.orders.start = [this](const WorkerRecord& record,
                                 const StartOrder& order,
                                 Duration timeout) {
+      if (areStartsLate) {
+        lateStarts.emplace_back(record.id(), order);
+        orders.push_back([this, id = record.id(), key = order.key] {
+          scheduler.startAnswered(id, key, OrderFailure::Unanswered, now);
+        });
+        return;
+      }
       if (isLost()) {
         lose([this, id = record.id(), order] { workers[id].start(order, now); },
              [this, id = record.id(), key = order.key] {
@@ -262,6 +293,9 @@
       returns.push_back(returned);
     };
     hooks.higherToken = [this](unsigned) { return lastToken += 10; };
+    hooks.startUnresolved = [this](const UnresolvedStart& start) {
+      unresolved.push_back(start);
+    };
     hooks.fenced = [](const ShardId&) {};
     hooks.lastContact = [this](const VmId& vm) {
       const auto found = contacts.find(vm);
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -102,6 +102,15 @@
   EXPECT_EQ(throughTheWire(PeerSubmit{ request(), ack }).ack, ack);
 }
 
+TEST(PeerCodec, CarriesStartsThatWorkersDidNotAnswer)
+{
+  const PeerUnresolvedStarts sent{
+    { { RunKey("job.0.0.1", 2), WorkerId("w1"), std::chrono::seconds(12) },
+      { RunKey("job.0.0.7", 1), WorkerId("w2"), std::chrono::seconds(9) } }
+  };
+  EXPECT_EQ(throughTheWire(sent).starts, sent.starts);
+}
+
 TEST(PeerCodec, CarriesNewsOfWorkers)
 {
   const PeerWorkerNews news{ 7, 9, { { "w1", "{}" }, { "w2", "" } } };
--- a/tests/workers/leasefixture.h
+++ b/tests/workers/leasefixture.h
@@ -97,6 +97,10 @@
   std::vector<std::function<void()>> late;
   std::vector<std::pair<RunKey, RunEnd>> ended;
   std::vector<std::pair<RunKey, OrderFailure>> rejected;
+  /// Whether starts without an answer are sent again.
+  bool mayResend = false;
+  /// Starts of which no end was told.
+  std::vector<RunKey> unresolved;
   std::vector<RunKey> strays;
   std::vector<std::pair<RunKey, RunEnd>> straysEnded;
   std::vector<RunKey> straysStopped;
@@ -157,6 +161,10 @@
     hooks.runEnded = [this](const RunKey& key, RunEnd end) {
       ended.emplace_back(key, end);
     };
+    hooks.startUnresolved = [this](const RunKey& key, TimePoint) {
+      unresolved.push_back(key);
+    };
+    hooks.mayResend = [this](const RunKey&) { return mayResend; };
     hooks.startRejected = [this](const RunKey& key, OrderFailure failure) {
       rejected.emplace_back(key, failure);
     };
--- a/tests/workers/workerlease_test.cpp
+++ b/tests/workers/workerlease_test.cpp
@@ -49,9 +49,11 @@
   EXPECT_FALSE(fixture.lease.canStart(task)) << "the stop was answered only";
 }
 
+/// Of a worker that has a new id in each life, so that a stop holds for good.
 TEST(WorkerLease, ATaskWhoseStartIsLostMayStartElsewhereOnceItsStopIsAnswered)
 {
   LeaseFixture fixture;
+  fixture.worker = FakeWorker(50000);
   fixture.claim();
   const auto waitingReport = std::exchange(fixture.orders, {});
   fixture.start(run1);
