Start on a worker that another daemon held only after a prompt report

What callers saw: a worker over its capacity, and late tasks.

Cause: a holder leaves room for its own unanswered starts only. Those of the holder before, and its own of an earlier lease, are unknown: when the worker starts again under its id, one that is late and a new one, sent before the next life is known, fill it twice.

Change: within 12 s after the claim of a worker that another daemon may have held, nothing is started there without a prompt report, as where known starts would leave no room. A worker that has only started again has had no other holder since.

--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -65,6 +65,9 @@
 void
 WorkerLease::claim(FencingToken token, TimePoint now)
 {
+  // A worker that has only started again has had no other holder since.
+  if (m_state != LeaseState::Restarted)
+    m_unknownStartsUntil = now + m_settings.lateOrderLimit;
   m_token = token;
   m_unanswered = 0;
   m_holdsUnderWay = 0;
@@ -285,8 +288,18 @@
 {
   const bool isLeaseShort =
     !m_runs.empty() && m_wantedUntil < now + m_settings.shortestLease;
-  return !isLeaseShort && (m_unansweredStarts.isEmpty() || isReportFresh(now) ||
-                           resources.fitsIn(freeRoomInNextLife()));
+  const bool isRoomKept =
+    !mayHaveUnknownStarts(now) &&
+    (m_unansweredStarts.isEmpty() || resources.fitsIn(freeRoomInNextLife()));
+  return !isLeaseShort && (isRoomKept || isReportFresh(now));
+}
+
+/// Only a worker that keeps its id when it starts again has a later life that
+/// starts of before can reach.
+bool
+WorkerLease::mayHaveUnknownStarts(TimePoint now) const
+{
+  return m_life.isBirthKnown() && now < m_unknownStartsUntil;
 }
 
 bool
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -164,7 +164,8 @@
   bool canStart(const Resources& resources) const;
   /// Whether a start of this size keeps the worker within its capacity even
   /// after an undetected restart, when earlier unanswered starts may still be
-  /// carried out. Without room for all of them, it takes a prompt report that
+  /// carried out. Without room for all of them, or while there may be some of
+  /// an earlier holder, it takes a prompt report that
   /// arrived within `freshReportLimit`, for example one requested by `refresh`.
   /// Neither is it safe where another run keeps the lease short. Doesn't
   /// include the conditions of `canStart`.
@@ -262,6 +263,7 @@
   void endMissing(Runs::iterator found, RunEnd end);
   void rejectRun(Runs::iterator found, OrderFailure failure);
   void endAllLost();
+  bool mayHaveUnknownStarts(TimePoint now) const;
   Resources freeRoomInNextLife() const;
   void lapse(TimePoint now);
   void tellUnwanted(TimePoint now);
@@ -278,6 +280,8 @@
   FencingToken m_token = 0;
   Runs m_runs;
   UnansweredStarts m_unansweredStarts;
+  /// Until when a start of an earlier holder may still be carried out.
+  TimePoint m_unknownStartsUntil{};
   Resources m_used;
   std::size_t m_strays = 0;
   std::uint64_t m_acknowledged = 0;
--- a/tests/entry/latestart_test.cpp
+++ b/tests/entry/latestart_test.cpp
@@ -63,5 +63,32 @@
   EXPECT_GT(completed, 20 * seeds);
 }
 
+/// Guards against exceeding the capacity of a worker: its holder is killed with
+/// starts that are 1,650 ms late, and the worker starts again when they arrive,
+/// while the next holder fills it.
+TEST(LateStartInAGroup, OfALostHolderLeavesRoomForTheNextHoldersStarts)
+{
+  unsigned overCapacity = 0;
+  unsigned completed = 0;
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    Simulation::Settings settings;
+    settings.jobsPerSecond = 20;
+    settings.hasFailures = false;
+    Simulation simulation(settings, seed);
+    simulation.runFor(seconds(3));
+    simulation.delayStarts(milliseconds(600), milliseconds(1650));
+    simulation.runFor(milliseconds(600));
+    for (const std::size_t daemon : { 0, 2 })
+      simulation.kill(daemon, milliseconds(600));
+    simulation.runFor(milliseconds(1050));
+    restartWorkers(simulation, 0, simulation.workers());
+    simulation.runFor(seconds(4));
+    overCapacity += violations(simulation, "over capacity");
+    completed += simulation.completed();
+  }
+  EXPECT_EQ(overCapacity, 0u);
+  EXPECT_GT(completed, 40 * seeds);
+}
+
 } // namespace
 } // namespace cowslippin::testing
--- a/tests/workers/restartedworker_test.cpp
+++ b/tests/workers/restartedworker_test.cpp
@@ -38,6 +38,14 @@
       fixture.now);
   }
 
+  /// Waits until no start of an earlier holder can be carried out any more.
+  void outliveStartsOfOthers()
+  {
+    fixture.now += std::chrono::seconds(12);
+    seeReport();
+    fixture.orders.clear();
+  }
+
   LeaseFixture fixture;
 };
 
@@ -211,6 +219,7 @@
 TEST_F(RestartedWorker, AStartWaitsForAReportWhereALateOneWouldLeaveNoRoom)
 {
   const Resources large(12000, 10, 0);
+  outliveStartsOfOthers();
   fixture.start(run1, 12000);
   fixture.deliver(Delivery::Late, 1);
   fixture.deliver(Delivery::Normal, 1);
@@ -237,6 +246,26 @@
   EXPECT_TRUE(fixture.lease.isSafeToStart(large, fixture.now));
 }
 
+/// Guards against exceeding the capacity of a new life that carries out a start
+/// of an earlier holder and one of this.
+TEST_F(RestartedWorker, AStartWaitsForAReportWhileOneOfAnEarlierHolderMayArrive)
+{
+  const Resources small(1000, 10, 0);
+  fixture.now += std::chrono::milliseconds(20);
+  EXPECT_FALSE(fixture.lease.isSafeToStart(small, fixture.now));
+  seeReport();
+  EXPECT_TRUE(fixture.lease.isSafeToStart(small, fixture.now));
+  fixture.now += std::chrono::seconds(12);
+  EXPECT_TRUE(fixture.lease.isSafeToStart(small, fixture.now));
+  fixture.orders.clear();
+  fixture.restart(2);
+  seeReport();
+  fixture.claim(20);
+  fixture.now += std::chrono::milliseconds(20);
+  EXPECT_TRUE(fixture.lease.isSafeToStart(small, fixture.now))
+    << "nobody else has held it since";
+}
+
 TEST_F(RestartedWorker, MayStartAgainTwiceInARow)
 {
   fixture.start(run1);
