--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -45,8 +45,8 @@
   bool isBeingStopped = false;
   WorkerId worker;
   std::uint64_t run = 0;
-  /// Whether `run` was neither begun nor refused, as far as is known, so that
-  /// it is started again under its number: the copies are one run.
+  /// Whether the next start has the number of `run`, which was neither seen at
+  /// work nor refused, so that the worker takes both for one run.
   bool mayReuseRun = false;
   /// When it was started or, if a lost daemon had done so, found.
   TimePoint startedAt{};
--- a/src/libjobs/jobend.h
+++ b/src/libjobs/jobend.h
@@ -28,9 +28,9 @@
   /// This daemon doesn't hold the workers that the job was meant for, and has
   /// done nothing.
   NotHolder,
-  /// The worker of a start that had no answer may still carry it out when the
-  /// job's time is over, and its task can't be started there. Whatever ran has
-  /// been stopped.
+  /// A worker may still carry out a start that it didn't answer, beyond the
+  /// time that the caller waits, and the task can't be started on it. Whatever
+  /// ran has been stopped.
   Unresolved,
 };
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -55,12 +55,10 @@
   hooks.runActive = [this](const WorkerId& worker,
                            const RunKey& key,
                            int percent) { runActive(worker, key, percent); };
-  hooks.strayEnded =
-    [this](const WorkerId& worker, const RunKey& key, RunEnd end) {
-      m_unresolved.resolve(worker, key);
-      if (end == RunEnd::Done)
-        m_strayDone[key.task()] = m_now;
-    };
+  hooks.strayEnded = [this](const WorkerId&, const RunKey& key, RunEnd end) {
+    if (end == RunEnd::Done)
+      m_strayDone[key.task()] = m_now;
+  };
   return hooks;
 }
 
@@ -152,7 +150,6 @@
     job.request.taskName(task.index), job.request.needs.resources, job.lostAt);
   if (!run)
     return false;
-  m_unresolved.resolve(run->first, run->second);
   task.worker = run->first;
   task.run = run->second.run();
   task.nextRun = std::max(task.nextRun, task.run + 1);
@@ -603,13 +600,13 @@
   limits.perWorker = runsPerWorker(job);
   limits.mustBeIdle = task.crashes >= m_settings.suspectCrashes;
   limits.toldUntil = m_hooks.toldUntil(job.request.key.submitter());
-  // An empty id is no worker's.
+  // No worker has an empty id.
   if (binding)
     limits.boundTo = binding->worker.value_or(WorkerId());
   return limits;
 }
 
-/// The worker of an unresolved start has carried it out: the run is the task's.
+/// Takes over the run of a pending task whose unresolved start was carried out.
 void
 Scheduler::adoptPending(Job& job, std::size_t position, TimePoint now)
 {
@@ -794,8 +791,7 @@
   setPending(job, task);
 }
 
-/// The task may be started again where the start may be carried out, and
-/// nowhere else until that can no longer be.
+/// The task waits to be started again, on the same worker only.
 void
 Scheduler::startUnresolved(const UnresolvedStart& start)
 {
@@ -812,15 +808,12 @@
   setPending(job, task);
 }
 
-/// Notes whether a copy of the start may still be carried out, whatever has
-/// become of the run.
+/// Notes whether a copy of the start may still be carried out.
 void
 Scheduler::noteCopies(const WorkerId& worker, const RunKey& key)
 {
   if (const auto until = m_pool.unansweredUntil(worker, key))
     tellUnresolved({ key, worker, *until });
-  else
-    m_unresolved.resolve(worker, key);
 }
 
 bool
@@ -840,10 +833,8 @@
 }
 
 void
-Scheduler::runActive(const WorkerId& worker, const RunKey& key, int percent)
+Scheduler::runActive(const WorkerId&, const RunKey& key, int percent)
 {
-  if (!m_unresolved.isEmpty() && !m_pool.unansweredUntil(worker, key))
-    m_unresolved.resolve(worker, key);
   const auto found = m_runs.find(key);
   if (found == m_runs.end())
     return;
@@ -930,8 +921,8 @@
   checkProgress(job, now);
 }
 
-/// Until when a task of the job can't be placed, if that is beyond the time
-/// that its caller waits.
+/// Until when some task of the job can't be started anywhere, if that is beyond
+/// the time that its caller waits.
 std::optional<TimePoint>
 Scheduler::unresolvedUntil(const Job& job) const
 {
--- a/src/libjobs/unresolvedstarts.cpp
+++ b/src/libjobs/unresolvedstarts.cpp
@@ -7,13 +7,8 @@
 void
 UnresolvedStarts::add(const UnresolvedStart& start)
 {
-  m_starts[{ start.key, start.worker }] = start.until;
-}
-
-void
-UnresolvedStarts::resolve(const WorkerId& worker, const RunKey& key)
-{
-  m_starts.erase({ key, worker });
+  TimePoint& until = m_starts[{ start.key, start.worker }];
+  until = std::max(until, start.until);
 }
 
 void
--- a/src/libjobs/unresolvedstarts.h
+++ b/src/libjobs/unresolvedstarts.h
@@ -14,8 +14,8 @@
 
 namespace cowslippin {
 
-/// A start that the worker didn't answer, and that it may still carry out until
-/// then if it starts again under its id.
+/// A start that its worker didn't answer and may still carry out before `until`
+/// if it restarts under its id.
 struct UnresolvedStart
 {
   RunKey key;
@@ -32,24 +32,25 @@
   }
 };
 
-/// Unresolved starts by task. While a task has one it may be started only where
-/// both can't run at once: on the same worker. It reads no clock.
+/// Unresolved starts by task. A task that has one may be started only on the
+/// same worker, as any other could run it at the same time. A start stays until
+/// it expires, also when a run of its number is seen: another holder may have
+/// sent it more than once. It reads no clock.
 class UnresolvedStarts
 {
 public:
-  /// Where a task may be started until all its unresolved starts have expired.
+  /// Where a task may be started while it has unresolved starts.
   struct Binding
   {
-    /// Nothing if they are of several workers, so that no worker is safe.
+    /// Nothing if they were sent to several workers, so that none is safe.
     std::optional<WorkerId> worker;
+    /// When the last of them expires.
     TimePoint until{};
     /// Higher than the number of any of them.
     std::uint64_t nextRun = 1;
   };
 
   void add(const UnresolvedStart& start);
-  /// The worker has carried the start out, as it has told.
-  void resolve(const WorkerId& worker, const RunKey& key);
   /// Removes the starts that can no longer be carried out.
   void expire(TimePoint now);
 
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -29,9 +29,9 @@
   /// None is taken that has come later: the submitter doesn't know of it, and
   /// would not miss it among the workers of the next holder.
   TimePoint toldUntil{};
-  /// The only one on which a start of the task can't run beside another: both
-  /// are on one worker, and one of its lives ends before the next. It takes a
-  /// prompt report, as nothing tells the lives apart otherwise.
+  /// The only one that may be taken, and only right after a prompt report: it
+  /// may still carry out an earlier start of the task, which another worker
+  /// would run at the same time.
   std::optional<WorkerId> boundTo = std::nullopt;
 };
 
@@ -132,7 +132,7 @@
   std::optional<WorkerId> choose(const JobRequest& request,
                                  const WorkerLimits& limits,
                                  TimePoint now) const;
-  /// Whether the worker can be reached and may run such a task when it has
+  /// Whether the worker can be reached and may run such a task once it has
   /// room.
   bool isInUse(const WorkerId& worker, const JobRequest& request) const;
 
--- a/src/libworkers/unansweredstarts.h
+++ b/src/libworkers/unansweredstarts.h
@@ -11,7 +11,7 @@
 
 namespace cowslippin {
 
-/// A start that may still be carried out until then.
+/// A start that the worker may still carry out before `until`.
 struct UnansweredStart
 {
   RunKey key;
@@ -28,7 +28,7 @@
 };
 
 /// Start orders that were sent to a worker and have not been answered. A start
-/// that was sent more than once has several copies under way. Each may
+/// that was sent more than once has several copies on their way. Each may
 /// still be carried out until it expires, even by a later life of the worker,
 /// which has no record of earlier fencing tokens and stops. It reads no clock.
 class UnansweredStarts
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -215,7 +215,7 @@
   const bool isRefusalOfThisToken = run.token == m_token;
   const bool isFenced = failure == OrderFailure::Fenced;
   if (run.startsSent > 1 && failure == OrderFailure::StaleRun) {
-    // Another copy has been carried out, and a report tells what became of it.
+    // Another copy was carried out; a report shows what became of it.
     run.isStale = true;
     run.state = RunState::Stopping;
     run.stopSentAt = now;
@@ -294,8 +294,8 @@
   return !isLeaseShort && (isRoomKept || isReportFresh(now));
 }
 
-/// Only a worker that keeps its id when it starts again has a later life that
-/// starts of before can reach.
+/// Whether starts that an earlier holder sent may reach a later life of the
+/// worker, which takes a worker that keeps its id when it restarts.
 bool
 WorkerLease::mayHaveUnknownStarts(TimePoint now) const
 {
@@ -590,8 +590,8 @@
   }
 }
 
-/// Ends a run whose end the worker hasn't listed. A start that has had no
-/// answer may still be carried out by a later life, so that no end is told.
+/// Ends a run whose end the worker hasn't listed, or reports its start as
+/// unresolved if a later life may still carry it out.
 void
 WorkerLease::endMissing(Runs::iterator found, RunEnd end)
 {
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -88,13 +88,14 @@
     std::function<void(const StopOrder&, Duration timeout)> sendStop;
     /// A run of the book has ended and its room is free.
     std::function<void(const RunKey&, RunEnd)> runEnded;
-    /// A run of the book isn't at work and its room is free, but the worker may
-    /// still carry out its start until then if it starts again under its id: a
-    /// later life has no record of fencing tokens and stops. No end is told.
+    /// A run of the book isn't at work and its room is free, but its start had
+    /// no answer, and the worker may carry it out before `until` if it restarts
+    /// under its id: a later life has no record of fencing tokens and stops.
+    /// Called instead of `runEnded`.
     std::function<void(const RunKey&, TimePoint until)> startUnresolved;
-    /// Whether a start without an answer is sent again. Under the same number
-    /// the copies are one run, in whichever life they are carried out; but a
-    /// later life may carry one out after the run has ended.
+    /// Whether a start without an answer is to be sent again instead of being
+    /// stopped. The copies have one number, so that a life runs only one of
+    /// them at a time; a later life may run another after the first has ended.
     std::function<bool(const RunKey&)> mayResend;
     /// A start was surely not carried out; its room is free.
     std::function<void(const RunKey&, OrderFailure)> startRejected;
@@ -217,7 +218,7 @@
     unsigned startsSent = 0;
     /// Its start is to be sent again unless the next report shows the run.
     bool isResendDue = false;
-    /// The worker has refused its number: it has had the run, or a higher one.
+    /// The worker has refused its number, having had this or a later run.
     bool isStale = false;
     /// Nobody has asked for it; its size isn't known.
     bool isStray = false;
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -440,6 +440,19 @@
   EXPECT_GT(answers[0].retryAfter, Duration::zero());
 }
 
+TEST_F(GatewayTest, AJobWithAnUnresolvedStartIsAnsweredAtOnceWithWhenToComeBack)
+{
+  submit("a");
+  ASSERT_EQ(sent.size(), 1u);
+  JobEnd end;
+  end.outcome = JobOutcome::Unresolved;
+  end.retryAfter = std::chrono::seconds(11);
+  gateway.ended(first, sent[0].second.key, end, now);
+  ASSERT_EQ(answers.size(), 1u);
+  EXPECT_EQ(answers[0].kind, JobAnswer::Kind::Unknown);
+  EXPECT_EQ(answers[0].retryAfter, std::chrono::seconds(11));
+}
+
 TEST_F(GatewayTest, AJobWhoseTimeIsOverIsCancelledAndItsOutcomeUnknown)
 {
   submit("a");
--- a/tests/entry/latestart_test.cpp
+++ b/tests/entry/latestart_test.cpp
@@ -39,9 +39,9 @@
   return count;
 }
 
-/// Guards against two runs of a task: its start at one holder is 1,700 ms late,
-/// its caller submits again at the other one, and the first worker starts again
-/// when the late start arrives.
+/// Guards against two runs of a task at once: its start by one holder is 1,700
+/// ms late, its caller submits again to the other, and the first worker
+/// restarts as the late start arrives.
 TEST(LateStartInAGroup, DoesNotRunBesideTheSameTaskAtAnotherHolder)
 {
   unsigned twoRuns = 0;
@@ -63,9 +63,8 @@
   EXPECT_GT(completed, 20 * seeds);
 }
 
-/// Guards against exceeding the capacity of a worker: its holder is killed with
-/// starts that are 1,650 ms late, and the worker starts again when they arrive,
-/// while the next holder fills it.
+/// Guards against exceeding the capacity of a worker that restarts as late
+/// starts of a killed holder arrive, while the next holder fills it.
 TEST(LateStartInAGroup, OfALostHolderLeavesRoomForTheNextHoldersStarts)
 {
   unsigned overCapacity = 0;
--- a/tests/workers/leasefixture.h
+++ b/tests/workers/leasefixture.h
@@ -99,7 +99,7 @@
   std::vector<std::pair<RunKey, OrderFailure>> rejected;
   /// Whether starts without an answer are sent again.
   bool mayResend = false;
-  /// Starts of which no end was told.
+  /// Starts that may still be carried out by a later life.
   std::vector<RunKey> unresolved;
   std::vector<RunKey> strays;
   std::vector<std::pair<RunKey, RunEnd>> straysEnded;
