Keep tasks that wait for a prompt report from being handed elsewhere

Cause: within 12 s after a takeover each start waits a round trip for a report, and what waited was returned at once, to be handed to another zone. Jobs abroad are lost with the connection.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -91,6 +91,9 @@
   /// When it was last lost.
   TimePoint submitterLostAt{};
 
+  /// Set while its next task waits for a report of a worker that has room.
+  bool isReportDue = false;
+
   bool isOver() const { return done + returned == tasks.size(); }
 };
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -526,11 +526,12 @@
     }
     if (!mayStart(*job, now))
       continue;
+    job->isReportDue = false;
     if (job->request.needs.resources.cpuMillis() <= room) {
       pumpJob(*job, now);
       room = m_pool.largestFreeCpuMillis();
     }
-    if (job->pending > 0)
+    if (job->pending > 0 && !job->isReportDue)
       returnTasks(*job);
   }
   m_isPumping = false;
@@ -561,7 +562,7 @@
   const WorkerLimits limits = limitsOf(job, task, binding);
   const auto worker = m_pool.choose(job.request, limits, now);
   if (!worker) {
-    m_pool.refreshForStart(job.request, limits, now);
+    job.isReportDue = m_pool.refreshForStart(job.request, limits, now);
     return binding.has_value();
   }
   if (binding && !task.mayReuseRun)
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -217,17 +217,21 @@
     entry->lease->refresh(now);
 }
 
-void
+bool
 WorkerPool::refreshForStart(const JobRequest& request,
                             const WorkerLimits& limits,
                             TimePoint now)
 {
+  bool isRequested = false;
   for (auto& [id, entry] : m_entries) {
     const bool isBoundElsewhere = limits.boundTo && *limits.boundTo != id;
-    if (!isBoundElsewhere && isEligible(entry, request, now) &&
-        !isSuitable(entry, request, limits, now))
-      entry.lease->refresh(now);
+    if (isBoundElsewhere || !isEligible(entry, request, now) ||
+        isSuitable(entry, request, limits, now))
+      continue;
+    entry.lease->refresh(now);
+    isRequested = true;
   }
+  return isRequested;
 }
 
 std::optional<TimePoint>
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -154,8 +154,9 @@
   /// Asks a held worker at once what runs there.
   void refresh(const WorkerId& worker, TimePoint now);
   /// Requests a report from each worker that has room for such a task but needs
-  /// a recent report before the task can safely start there.
-  void refreshForStart(const JobRequest& request,
+  /// a recent report before the task can safely start there. False if there is
+  /// none.
+  bool refreshForStart(const JobRequest& request,
                        const WorkerLimits& limits,
                        TimePoint now);
   /// See `WorkerLease`.
