--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -20,8 +20,10 @@
   const Ticket ticket = ++m_lastTicket;
   const auto known = m_byId.find(submission.job);
   if (known != m_byId.end()) {
-    m_jobs.at(known->second).callers[ticket] = std::move(done);
+    Entry& entry = m_jobs.at(known->second);
+    entry.callers[ticket] = std::move(done);
     m_tickets[ticket] = known->second;
+    logCallers("caller-joined", entry, now);
     return ticket;
   }
   const std::uint64_t number = ++m_lastJob;
@@ -41,7 +43,7 @@
 }
 
 void
-Gateway::callerGone(Ticket ticket, TimePoint)
+Gateway::callerGone(Ticket ticket, TimePoint now)
 {
   const auto number = m_tickets.find(ticket);
   if (number == m_tickets.end())
@@ -51,10 +53,7 @@
   entry.callers.erase(ticket);
   if (!entry.callers.empty())
     return;
-  logDecision(
-    LogLevel::Info,
-    "caller-gone",
-    { { "job", entry.submission.job }, { "parts", entry.parts.size() } });
+  logCallers("caller-gone", entry, now);
   forget(entry);
 }
 
@@ -154,6 +153,7 @@
   for (const std::uint64_t number : numbers) {
     Entry& entry = m_jobs.at(number);
     if (now >= entry.expiresAt) {
+      logCallers("caller-timed-out", entry, now);
       finish(entry,
              { JobAnswer::Kind::Unknown, Duration::zero(), "out of time" });
       continue;
@@ -197,6 +197,17 @@
   return holders;
 }
 
+void
+Gateway::logCallers(const char* event, const Entry& entry, TimePoint now) const
+{
+  logDecision(LogLevel::Info,
+              event,
+              { { "job", entry.submission.job },
+                { "callers", entry.callers.size() },
+                { "parts", entry.parts.size() },
+                { "ageMs", toMilliseconds(now - entry.arrivedAt) } });
+}
+
 /// The job and the part that `from` has under this key now, or nulls.
 Gateway::PartPlace
 Gateway::find(const VmId& from, const JobKey& key)
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -175,6 +175,7 @@
 
   using PartPlace = std::pair<Entry*, Part*>;
 
+  void logCallers(const char* event, const Entry& entry, TimePoint now) const;
   PartPlace find(const VmId& from, const JobKey& key);
   Part& addPart(Entry& entry);
   void markLost(Part& part, TimePoint now) const;
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -1,5 +1,7 @@
 #include "libentry/gateway.h"
 
+#include "support/logcapture.h"
+
 #include <gtest/gtest.h>
 
 #include <map>
@@ -125,6 +127,30 @@
   EXPECT_EQ(gateway.waiting(), 0u);
 }
 
+/// Without these ages it can't be read from a log why a run was stopped while
+/// another was at work.
+TEST_F(GatewayTest, TheLogTellsWhenAndWhyAJobLostItsCaller)
+{
+  LogCapture log;
+  const Gateway::Ticket ticket = submit("a");
+  submit("b");
+  now += milliseconds(300);
+  submit("b");
+  gateway.callerGone(ticket, now);
+  now += std::chrono::seconds(5);
+  gateway.tick(now);
+  const std::vector<std::pair<const char*, int>> expected = {
+    { "caller-gone", 300 },
+    { "caller-joined", 300 },
+    { "caller-timed-out", 5300 },
+  };
+  for (const auto& [event, ageMs] : expected) {
+    const auto lines = log.of(event);
+    ASSERT_EQ(lines.size(), 1u) << event;
+    EXPECT_EQ(lines[0]["ageMs"], ageMs) << event;
+  }
+}
+
 TEST_F(GatewayTest, AJobThatNobodyStartedIsRefusedAsNotRun)
 {
   submit("a");
