--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -74,8 +74,9 @@
   /// All that comes in is handled in order and with a lag: messages, answers of
   /// workers, callers and its own ticks. The clocks that it reads are right.
   void runBehind(std::size_t daemon, const Ramp::Shape& lag);
-  /// Its callers lose their connections and submit again at any daemon.
-  void loseCallers(std::size_t daemon);
+  /// Its callers lose their connections and submit again at any daemon. It
+  /// learns of that later than they do, by `lag`.
+  void loseCallers(std::size_t daemon, Duration lag = Duration::zero());
   /// Every connection between daemons is reset.
   void resetLinks();
   void crashWorker(std::size_t worker);
--- a/tests/entry/simulationcallers.cpp
+++ b/tests/entry/simulationcallers.cpp
@@ -82,14 +82,14 @@
 }
 
 void
-Simulation::loseCallers(std::size_t daemon)
+Simulation::loseCallers(std::size_t daemon, Duration lag)
 {
   if (!m_nodes[daemon].isAlive)
     return;
   for (const auto& [job, caller] : m_callers) {
     if (!caller.isWaiting || caller.daemon != daemon)
       continue;
-    at(oneWay,
+    at(oneWay + lag,
        [this, daemon, life = caller.daemonLife, ticket = caller.ticket] {
          onNode(daemon, life, [this, daemon, ticket] {
            m_nodes[daemon].core->callerGone(*ticket);
--- a/tests/entry/troubles.cpp
+++ b/tests/entry/troubles.cpp
@@ -198,6 +198,24 @@
   simulation.loseCallers(anyDaemon(simulation));
 }
 
+/// A daemon learns late that its callers are gone, at times after all of their
+/// jobs are over.
+void
+loseCallersUnnoticed(Simulation& simulation)
+{
+  simulation.loseCallers(anyDaemon(simulation),
+                         milliseconds(300 + simulation.random()() % 4000));
+}
+
+/// The same with daemons and connections that are lost meanwhile.
+void
+loseCallersUnnoticedAndStrike(Simulation& simulation)
+{
+  loseCallersUnnoticed(simulation);
+  simulation.runFor(milliseconds(simulation.random()() % 1500));
+  strikeAny(simulation);
+}
+
 /// Daemons that hear of losses late, and others that are lost meanwhile.
 void
 strikeLateNews(Simulation& simulation)
@@ -303,6 +321,10 @@
       withLongTasks() },
     { "LoseCallersBehind", loseCallersBehind, withLongTasks() },
     { "LateNews", strikeLateNews, withLongTasksAndOrderFaults() },
+    { "LoseCallersUnnoticed", loseCallersUnnoticed, withLongTasks() },
+    { "LoseCallersUnnoticedAndAll",
+      loseCallersUnnoticedAndStrike,
+      withLongTasksAndOrderFaults() },
   };
 }
 
