Soak: leave no daemons behind, take its size from the command line

Cause: nothing caught an exception in the soak program, so that it ended without its destructors and its daemons lived on with their ports; a signal had the same effect. A later soak on the same ports then had only those of its daemons whose addresses were free, and played the rest with what was left of the earlier one.

A soak of 30 daemons that was killed left 28, and a next one on its ports ran with 2 of its own, the others could not listen.

A child whose reader thread can't be started is ended, too. Zones, workers, jobs a second, the mix of jobs and the rate of strikes are options, checked as the others now are: an error names field, value and what is allowed. Jobs come at the rate that was asked for, beyond 100 a second as well. A line a seed counts two runs at once and the descriptors that are left.

Not reproduced: "pipe2: Too many open files" in the second seed.

--- a/tests/soak/leasedplatform.cpp
+++ b/tests/soak/leasedplatform.cpp
@@ -445,8 +445,10 @@
     other.fake->lapse(steadyNow());
     runs += other.fake->isTaskRunning(started.task()) ? 1 : 0;
   }
-  if (runs > 1)
+  if (runs > 1) {
+    ++m_doubleRuns;
     m_violations.push_back("two runs of " + started.task());
+  }
   const std::string job = started.task().substr(0, started.task().find('.'));
   m_started.insert(job);
   if (m_refused.count(job) > 0)
--- a/tests/soak/leasedplatform.h
+++ b/tests/soak/leasedplatform.h
@@ -57,6 +57,8 @@
   void refused(const std::string& job);
 
   const std::vector<std::string>& violations() const { return m_violations; }
+  /// How many of them are two runs of a task at once.
+  unsigned doubleRuns() const { return m_doubleRuns; }
   unsigned starts() const { return m_starts; }
 
 private:
@@ -138,6 +140,7 @@
   std::set<std::string> m_started;
   std::set<std::string> m_refused;
   std::vector<std::string> m_violations;
+  unsigned m_doubleRuns = 0;
   unsigned m_starts = 0;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,96 +1,128 @@
-#include "soak.h"
-
-#include <boost/program_options.hpp>
+#include "soakoptions.h"
 
+#include <exception>
 #include <filesystem>
 #include <iostream>
 #include <unistd.h>
 
 namespace {
 
-namespace po = boost::program_options;
 using namespace cowslippin::testing;
 
-/// Prints a line a seed, and what went wrong. True if nothing did.
-bool
-runSeed(const Soak::Settings& settings, unsigned seed, unsigned seconds)
+/// A folder of this process, removed at the end.
+class OwnFolder
+{
+public:
+  OwnFolder()
+    : m_path(std::filesystem::temp_directory_path() /
+             ("cowslippin-soak-" + std::to_string(getpid())))
+  {
+    std::filesystem::create_directories(m_path);
+  }
+  ~OwnFolder()
+  {
+    std::error_code ignored;
+    std::filesystem::remove_all(m_path, ignored);
+  }
+  OwnFolder(const OwnFolder&) = delete;
+  OwnFolder& operator=(const OwnFolder&) = delete;
+
+  std::string path() const { return m_path.string(); }
+
+private:
+  const std::filesystem::path m_path;
+};
+
+/// Descriptors that this process holds.
+std::size_t
+openDescriptors()
+{
+  std::size_t count = 0;
+  for ([[maybe_unused]] const auto& entry :
+       std::filesystem::directory_iterator("/proc/self/fd"))
+    ++count;
+  return count;
+}
+
+void
+print(unsigned seed, const Soak::Report& report, bool isGood)
 {
-  Soak soak(settings, seed);
-  const Soak::Report report =
-    soak.run(std::chrono::seconds(seconds), std::chrono::seconds(4));
-  const bool isServing = report.calmCompleted * 2 > report.calmSubmitted;
-  const bool isGood = report.violations.empty() && isServing;
   std::cout << "seed " << seed << ": " << (isGood ? "good" : "FAILED")
             << ", strikes " << report.strikes.size() << ", submitted "
             << report.submitted << ", completed " << report.completed
             << ", refused " << report.refused << ", other " << report.other
             << ", afterwards " << report.calmCompleted << " of "
-            << report.calmSubmitted << std::endl;
+            << report.calmSubmitted << ", two runs at once "
+            << report.doubleRuns << ", descriptors left " << openDescriptors()
+            << std::endl;
   for (const std::string& violation : report.violations)
     std::cout << "  " << violation << std::endl;
-  if (!isGood) {
-    for (const std::string& strike : report.strikes)
-      std::cout << "  strike: " << strike << std::endl;
-  }
-  return isGood;
+  if (isGood)
+    return;
+  for (const std::string& strike : report.strikes)
+    std::cout << "  strike: " << strike << std::endl;
 }
 
-} // namespace
+Soak::Report
+playSeed(const Soak::Settings& settings, unsigned seed, unsigned seconds)
+{
+  Soak soak(settings, seed);
+  return soak.run(std::chrono::seconds(seconds), std::chrono::seconds(4));
+}
 
-int
-main(int count, char** arguments)
+/// Prints a line a seed, and what went wrong. True if nothing did.
+bool
+runSeed(const Soak::Settings& settings, unsigned seed, unsigned seconds)
 {
-  po::options_description options("Strikes real daemons at random");
-  options.add_options()("help", "show this");
-  options.add_options()(
-    "first-seed", po::value<unsigned>()->default_value(1), "the first seed");
-  options.add_options()(
-    "seeds", po::value<unsigned>()->default_value(1), "how many seeds");
-  options.add_options()(
-    "seconds", po::value<unsigned>()->default_value(15), "struck time a seed");
-  options.add_options()("daemons-per-zone",
-                        po::value<unsigned>()->default_value(2),
-                        "daemons in each of two zones");
-  options.add_options()("strike-links",
-                        po::value<bool>()->default_value(true),
-                        "whether connections are struck, too");
-  options.add_options()("strike-at-random",
-                        po::value<bool>()->default_value(true),
-                        "whether processes, store and workers are struck");
-  options.add_options()("only-kind",
-                        po::value<int>()->default_value(-1),
-                        "the only kind of overlapping strike, 0 to 8");
-  options.add_options()("first-port",
-                        po::value<std::uint16_t>()->default_value(21000),
-                        "the first of 100 free ports");
-  options.add_options()("log-folder",
-                        po::value<std::string>()->default_value(""),
-                        "an existing folder for the daemons' logs");
-  po::variables_map values;
-  po::store(po::parse_command_line(count, arguments, options), values);
-  if (values.count("help") > 0) {
-    std::cout << options;
-    return 0;
-  }
-  const auto folder = std::filesystem::temp_directory_path() /
-                      ("cowslippin-soak-" + std::to_string(getpid()));
-  std::filesystem::create_directories(folder);
-  Soak::Settings settings;
+  const Soak::Report report = playSeed(settings, seed, seconds);
+  const bool isServing = report.calmCompleted * 2 > report.calmSubmitted;
+  const bool isGood = report.violations.empty() && isServing;
+  print(seed, report, isGood);
+  return isGood;
+}
+
+unsigned
+runSeeds(const SoakOptions& options)
+{
+  const OwnFolder folder;
+  Soak::Settings settings = options.settings;
   settings.program = DAEMON_PROGRAM;
-  settings.folder = folder;
-  settings.daemonsPerZone = values["daemons-per-zone"].as<unsigned>();
-  settings.firstPort = values["first-port"].as<std::uint16_t>();
-  settings.strikesLinks = values["strike-links"].as<bool>();
-  settings.strikesAtRandom = values["strike-at-random"].as<bool>();
-  settings.onlyKind = values["only-kind"].as<int>();
-  settings.logFolder = values["log-folder"].as<std::string>();
+  settings.folder = folder.path();
   unsigned failed = 0;
-  const unsigned first = values["first-seed"].as<unsigned>();
-  for (unsigned i = 0; i < values["seeds"].as<unsigned>(); ++i) {
-    if (!runSeed(settings, first + i, values["seconds"].as<unsigned>()))
+  for (unsigned i = 0; i < options.seeds; ++i) {
+    if (!runSeed(settings, options.firstSeed + i, options.seconds))
       ++failed;
   }
-  std::filesystem::remove_all(folder);
+  return failed;
+}
+
+int
+run(const std::vector<std::string>& arguments)
+{
+  const auto options = SoakOptions::parse(arguments);
+  if (!options) {
+    std::cerr << options.error().detail() << std::endl;
+    return 2;
+  }
+  if (options->asksForHelp) {
+    SoakOptions::printHelp(std::cout);
+    return 0;
+  }
+  const unsigned failed = runSeeds(*options);
   std::cout << failed << " failed" << std::endl;
   return failed == 0 ? 0 : 1;
 }
+
+} // namespace
+
+int
+main(int count, char** arguments)
+{
+  // An exception that nothing catches would leave the daemons running.
+  try {
+    return run({ arguments + 1, arguments + count });
+  } catch (const std::exception& error) {
+    std::cerr << "soak: " << error.what() << std::endl;
+    return 3;
+  }
+}
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -16,6 +16,12 @@
 constexpr Duration step = milliseconds(10);
 constexpr Duration resendAfter = milliseconds(1300);
 constexpr unsigned maxTries = 3;
+/// The deadline of the route that the platform's stand-in configures.
+constexpr Duration routeDeadline = milliseconds(1500);
+/// Of each task of a mix; no worker has room for more than three at a time.
+constexpr std::int64_t mixedCpu = 8000;
+/// After a stall of this process the jobs that are due come over several steps.
+constexpr int maxJobsAStep = 20;
 /// Offsets into the range of ports.
 constexpr std::uint16_t storePort = 0;
 constexpr std::uint16_t callerPort = 1;
@@ -62,12 +68,10 @@
   }
 }
 
-Soak::~Soak()
+unsigned
+Soak::portsOf(const Settings& settings)
 {
-  // A stopped process can't be reaped.
-  for (Daemon& daemon : m_daemons) {
-    endProcess(daemon);
-  }
+  return firstWorker + settings.zones * settings.workersPerZone;
 }
 
 Soak::Report
@@ -91,6 +95,7 @@
   m_nextJobAt = TimePoint::max();
   runUntil(steadyNow() + std::chrono::seconds(3));
   m_report.violations = m_platform.violations();
+  m_report.doubleRuns = m_platform.doubleRuns();
   return m_report;
 }
 
@@ -139,7 +144,7 @@
 void
 Soak::strikeLink(TimePoint now)
 {
-  m_nextLinkStrikeAt = now + milliseconds(200 + below(1200, m_linkRandom));
+  m_nextLinkStrikeAt = now + betweenStrikes(200 + below(1200, m_linkRandom));
   const Daemon& daemon = m_daemons[below(m_daemons.size(), m_linkRandom)];
   switch (below(4, m_linkRandom)) {
     case 0:
@@ -247,8 +252,7 @@
     strikeMore(now);
   tickMore(now);
   tickProxies(now);
-  if (now >= m_nextJobAt)
-    submitNew();
+  submitDue(now);
   std::vector<std::pair<TimePoint, std::string>> waiting;
   for (const auto& [at, job] : std::exchange(m_resends, {})) {
     if (now >= at)
@@ -278,30 +282,22 @@
 void
 Soak::startProcess(Daemon& daemon)
 {
-  daemon.process = std::make_unique<ChildProcess>(std::vector<std::string>{
-    "/usr/bin/env",
-    "COWSLIPPIN_BOOT=" + daemon.settingsFile,
-    m_settings.program,
-    "--peer-listen-host",
-    daemon.listenHost,
-    "--log-level",
-    m_settings.logFolder.empty() ? "error" : "info" });
+  const bool isLogged = !m_settings.logFolder.empty();
+  const std::vector<std::string> command{ "/usr/bin/env",
+                                          "COWSLIPPIN_BOOT=" +
+                                            daemon.settingsFile,
+                                          m_settings.program,
+                                          "--peer-listen-host",
+                                          daemon.listenHost,
+                                          "--log-level",
+                                          isLogged ? "info" : "error" };
+  daemon.process = std::make_unique<DaemonProcess>(
+    command, isLogged ? m_settings.logFolder + '/' + daemon.host + ".log" : "");
 }
 
 void
 Soak::endProcess(Daemon& daemon)
 {
-  if (!daemon.process)
-    return;
-  daemon.process->signal(SIGKILL);
-  daemon.process->signal(SIGCONT);
-  daemon.process->wait();
-  if (!m_settings.logFolder.empty()) {
-    std::ofstream log(m_settings.logFolder + '/' + daemon.host + ".log",
-                      std::ios::app);
-    for (const std::string& line : daemon.process->lines())
-      log << line << '\n';
-  }
   daemon.process.reset();
   daemon.continueAt = {};
 }
@@ -310,7 +306,7 @@
 void
 Soak::strike(TimePoint now)
 {
-  m_nextStrikeAt = now + milliseconds(300 + below(1500));
+  m_nextStrikeAt = now + betweenStrikes(300 + below(1500));
   Daemon& daemon = m_daemons[below(m_daemons.size())];
   const Duration time = milliseconds(200 + below(3000));
   const auto note = [&](const std::string& what) {
@@ -367,12 +363,44 @@
   }
 }
 
+Duration
+Soak::betweenStrikes(std::size_t ms) const
+{
+  return Duration(
+    std::int64_t(static_cast<double>(ms) * 1000 / m_settings.strikeRate));
+}
+
+void
+Soak::submitDue(TimePoint now)
+{
+  for (int i = 0; i < maxJobsAStep && now >= m_nextJobAt; ++i) {
+    m_nextJobAt += Duration(std::int64_t(1e6 / m_settings.jobsPerSecond));
+    submitNew();
+  }
+}
+
 void
 Soak::submitNew()
 {
-  m_nextJobAt =
-    steadyNow() + Duration(std::int64_t(1e6 / m_settings.jobsPerSecond));
+  const std::string job = "job" + std::to_string(++m_lastJob);
+  m_callers[job] = newCaller();
+  ++m_report.submitted;
+  submit(job);
+}
+
+Soak::Caller
+Soak::newCaller()
+{
   Caller caller;
+  caller.isCalm = !m_isStruck;
+  if (!m_settings.mix.isEmpty()) {
+    const RequestKind& kind =
+      m_settings.mix.at(std::uniform_real_distribution<>(0, 1)(m_random));
+    caller.cpu = mixedCpu;
+    caller.tasks = kind.tasks;
+    caller.taskMs = kind.taskMs;
+    return caller;
+  }
   caller.taskMs =
     static_cast<unsigned>(below(5) == 0 ? 500 + below(700) : 40 + below(160));
   caller.cpu = 5000 + std::int64_t(below(4000));
@@ -382,11 +410,14 @@
     caller.taskMs = static_cast<unsigned>(1500 + below(1500));
     caller.tasks = static_cast<unsigned>(1 + below(2));
   }
-  caller.isCalm = !m_isStruck;
-  const std::string job = "job" + std::to_string(++m_lastJob);
-  m_callers[job] = caller;
-  ++m_report.submitted;
-  submit(job);
+  return caller;
+}
+
+Duration
+Soak::waitOf(const Caller& caller) const
+{
+  return m_settings.mix.isEmpty() ? milliseconds(5 * (2 * caller.taskMs + 60))
+                                  : routeDeadline;
 }
 
 void
@@ -398,7 +429,7 @@
   Caller& caller = found->second;
   ++caller.tries;
   Daemon& daemon = chooseDaemon(caller);
-  const Duration wait = milliseconds(5 * (2 * caller.taskMs + 60));
+  const Duration wait = waitOf(caller);
   note(job + " try " + std::to_string(caller.tries) + " at " + daemon.host);
   HttpCallOrder order;
   order.method = "POST";
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "daemonprocess.h"
 #include "leasedplatform.h"
 #include "loopbackproxy.h"
-#include "support/childprocess.h"
+#include "requestmix.h"
 
 #include "libasynchttp/asynchttp.h"
 
@@ -26,6 +27,9 @@
 public:
   /// A kind of overlapping strike.
   static constexpr int growingDelayEverywhere = 6;
+  static constexpr int lastKind = 8;
+  /// Each has an address of its own.
+  static constexpr unsigned maxDaemons = 250;
 
   struct Settings
   {
@@ -33,6 +37,10 @@
     unsigned daemonsPerZone = 2;
     unsigned workersPerZone = 4;
     double jobsPerSecond = 10;
+    /// What jobs are like; random ones if empty.
+    RequestMix mix;
+    /// Strikes in the time in which there is usually one.
+    double strikeRate = 1;
     std::string program;
     std::string folder;
     /// A free range of ports.
@@ -51,6 +59,8 @@
   {
     std::vector<std::string> violations;
     std::vector<std::string> strikes;
+    /// The violations that are two runs of a task at once.
+    unsigned doubleRuns = 0;
     unsigned submitted = 0;
     unsigned completed = 0;
     unsigned refused = 0;
@@ -60,8 +70,10 @@
     unsigned calmCompleted = 0;
   };
 
+  /// Ports that are used, from the first one on.
+  static unsigned portsOf(const Settings& settings);
+
   Soak(Settings settings, std::uint64_t seed);
-  ~Soak();
 
   /// Strikes for this long, then leaves all in peace and looks whether jobs are
   /// served again.
@@ -78,7 +90,7 @@
     std::unique_ptr<LoopbackProxy> peers;
     std::unique_ptr<LoopbackProxy> store;
     std::string settingsFile;
-    std::unique_ptr<ChildProcess> process;
+    std::unique_ptr<DaemonProcess> process;
     TimePoint startAt{};
     TimePoint continueAt{};
     TimePoint killAt{};
@@ -126,7 +138,14 @@
   void later(Duration delay, const std::function<void()>& action);
   void struck(const std::string& what);
   void noteViolations();
+  /// A usual time between strikes, at this soak's rate.
+  Duration betweenStrikes(std::size_t ms) const;
+  void submitDue(TimePoint now);
   void submitNew();
+  /// Of the mix, or at random.
+  Caller newCaller();
+  /// How long callers wait for an answer.
+  Duration waitOf(const Caller& caller) const;
   void submit(const std::string& job);
   /// Another one than the last time.
   Daemon& chooseDaemon(Caller& caller);
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -1,3 +1,4 @@
+#include "freeports.h"
 #include "soak.h"
 
 #include <gtest/gtest.h>
@@ -5,47 +6,11 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <filesystem>
-#include <stdexcept>
 #include <unistd.h>
-#include <vector>
 
 namespace cowslippin::testing {
 namespace {
 
-/// Ports that a soak of the usual size uses.
-constexpr unsigned portsNeeded = 20;
-
-bool
-isRangeFree(unsigned firstPort)
-{
-  boost::asio::io_context context;
-  std::vector<boost::asio::ip::tcp::acceptor> acceptors;
-  try {
-    for (unsigned i = 0; i < portsNeeded; ++i)
-      acceptors.emplace_back(context,
-                             boost::asio::ip::tcp::endpoint(
-                               boost::asio::ip::address_v4::any(),
-                               static_cast<std::uint16_t>(firstPort + i)));
-  } catch (const boost::system::system_error&) {
-    return false;
-  }
-  return true;
-}
-
-/// The first of a range of ports that nobody listens at. They lie below those
-/// that the system gives to connections.
-std::uint16_t
-freeRange()
-{
-  const unsigned start = static_cast<unsigned>(getpid()) % 400 * portsNeeded;
-  for (unsigned tried = 0; tried < 400; ++tried) {
-    const unsigned first = 20000 + (start + tried * portsNeeded) % 8000;
-    if (isRangeFree(first))
-      return static_cast<std::uint16_t>(first);
-  }
-  throw std::runtime_error("no range of ports is free");
-}
-
 TEST(ChildProcess, InheritsNothingButItsStandardStreams)
 {
   boost::asio::io_context context;
@@ -65,7 +30,7 @@
   std::filesystem::create_directories(folder);
   settings.program = DAEMON_PROGRAM;
   settings.folder = folder;
-  settings.firstPort = freeRange();
+  settings.firstPort = freePortRange();
   Soak soak(settings, seed);
   const Soak::Report report =
     soak.run(std::chrono::seconds(8), std::chrono::seconds(4));
--- a/tests/soak/soakstrikes.cpp
+++ b/tests/soak/soakstrikes.cpp
@@ -25,7 +25,7 @@
 void
 Soak::strikeMore(TimePoint now)
 {
-  m_nextMoreAt = now + milliseconds(600 + below(2000, m_moreRandom));
+  m_nextMoreAt = now + betweenStrikes(600 + below(2000, m_moreRandom));
   Daemon& daemon = m_daemons[below(m_daemons.size(), m_moreRandom)];
   if (m_settings.onlyKind < 0)
     strikeOverlapping(daemon);
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -94,7 +94,15 @@
     throw;
   }
   close(ends[1]);
-  m_reader = std::thread([this, output = ends[0]] { readOutput(output); });
+  try {
+    m_reader = std::thread([this, output = ends[0]] { readOutput(output); });
+  } catch (...) {
+    // There is no destructor of what isn't constructed.
+    signal(SIGKILL);
+    reap(0);
+    close(ends[0]);
+    throw;
+  }
 }
 
 ChildProcess::~ChildProcess()
