Soak: daemons that learn late that their callers are gone

Cause: the soak's strikes told both ends of a caller's connection in one instant, or the daemon at most 420 ms after the caller, so that no strike reached a gateway that goes on with a job whose caller submits it again.

Change: the proxy can reset the callers' side of its connections at once and the daemon's side later.

--- a/tests/soak/loopbackproxy.cpp
+++ b/tests/soak/loopbackproxy.cpp
@@ -33,6 +33,7 @@
 LoopbackProxy::~LoopbackProxy()
 {
   reset();
+  endRemnants(TimePoint::max());
 }
 
 Address
@@ -56,9 +57,21 @@
     abort(*link);
 }
 
+void
+LoopbackProxy::resetCallers(Duration targetLater)
+{
+  const TimePoint endAt = steadyNow() + targetLater;
+  for (const LinkPtr& link : std::exchange(m_links, {})) {
+    link->isOver = true;
+    abort(link->sockets[0]);
+    m_remnants.push_back({ endAt, link });
+  }
+}
+
 void
 LoopbackProxy::tick(TimePoint now)
 {
+  endRemnants(now);
   const auto links = m_links;
   for (const LinkPtr& link : links) {
     for (const std::size_t direction : { 0, 1 })
@@ -189,15 +202,33 @@
     });
 }
 
+void
+LoopbackProxy::endRemnants(TimePoint now)
+{
+  const auto isDue = [now](const Remnant& remnant) {
+    if (remnant.endAt > now)
+      return false;
+    abort(*remnant.link);
+    return true;
+  };
+  m_remnants.erase(std::remove_if(m_remnants.begin(), m_remnants.end(), isDue),
+                   m_remnants.end());
+}
+
 void
 LoopbackProxy::abort(Link& link)
 {
   link.isOver = true;
-  for (Socket& socket : link.sockets) {
-    error_code ignored; // It may never have been open.
-    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    socket.close(ignored);
-  }
+  for (Socket& socket : link.sockets)
+    abort(socket);
+}
+
+void
+LoopbackProxy::abort(Socket& socket)
+{
+  error_code ignored; // It may never have been open.
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
 }
 
 } // namespace cowslippin::testing
--- a/tests/soak/loopbackproxy.h
+++ b/tests/soak/loopbackproxy.h
@@ -42,6 +42,9 @@
   void setFaults(Fault towards, Fault back);
   /// Resets every connection.
   void reset();
+  /// Resets the callers' side of every connection at once, and the target's
+  /// only so much later. What was under way is lost.
+  void resetCallers(Duration targetLater);
   /// Passes on what is due; to be called every 10 ms or so.
   void tick(TimePoint now);
 
@@ -80,6 +83,12 @@
     bool isOver = false;
   };
   using LinkPtr = std::shared_ptr<Link>;
+  /// A connection that only its target still holds.
+  struct Remnant
+  {
+    TimePoint endAt{};
+    LinkPtr link;
+  };
 
   void accept();
   void accepted(const LinkPtr& link);
@@ -88,7 +97,9 @@
   void holdReset(const LinkPtr& link, std::size_t direction);
   Duration delayOf(std::size_t direction, TimePoint now) const;
   void pass(const LinkPtr& link, std::size_t direction, TimePoint now);
+  void endRemnants(TimePoint now);
   static void abort(Link& link);
+  static void abort(Socket& socket);
 
   boost::asio::io_context& m_context;
   const boost::asio::ip::tcp::endpoint m_target;
@@ -96,6 +107,7 @@
   std::array<Fault, 2> m_faults;
   TimePoint m_faultsSince{};
   std::vector<LinkPtr> m_links;
+  std::vector<Remnant> m_remnants;
 };
 
 } // namespace cowslippin::testing
--- a/tests/soak/loopbackproxy_test.cpp
+++ b/tests/soak/loopbackproxy_test.cpp
@@ -113,6 +113,21 @@
   EXPECT_EQ(lastError, boost::asio::error::connection_reset);
 }
 
+TEST_F(LoopbackProxyTest, TellsTheTargetLaterThatTheCallerIsGone)
+{
+  std::string answer;
+  collect(caller, answer);
+  const TimePoint reset = steadyNow();
+  proxy.resetCallers(milliseconds(150));
+  runUntil([this] { return bool(lastError); });
+  EXPECT_EQ(lastError, boost::asio::error::connection_reset);
+  lastError = {};
+  collect(target, received);
+  runUntil([this] { return bool(lastError); });
+  EXPECT_EQ(lastError, boost::asio::error::connection_reset);
+  EXPECT_GE(steadyNow() - reset, milliseconds(150));
+}
+
 TEST_F(LoopbackProxyTest, GrowsADelayWithoutALongSilenceAndShrinksItAgain)
 {
   LoopbackProxy::Fault ramp;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -50,6 +50,7 @@
   , m_random(seed)
   , m_linkRandom(seed + 1)
   , m_moreRandom(seed + 2)
+  , m_lateRandom(seed + 3)
   , m_platform(m_context, platformSettings(m_settings), seed)
 {
   const unsigned count = m_settings.zones * m_settings.daemonsPerZone;
@@ -82,6 +83,7 @@
   m_nextStrikeAt = start + std::chrono::seconds(3);
   m_nextLinkStrikeAt = m_nextStrikeAt;
   m_nextMoreAt = m_nextStrikeAt;
+  m_nextLateAt = m_nextStrikeAt;
   runUntil(start + std::chrono::seconds(3) + struckTime);
   m_isStruck = false;
   // What strikes still hold back ends within seconds; then all must be well.
@@ -250,6 +252,9 @@
     strikeLink(now);
   if (m_isStruck && now >= m_nextMoreAt)
     strikeMore(now);
+  if (m_isStruck && m_settings.strikesLateResets && m_settings.onlyKind < 0 &&
+      now >= m_nextLateAt)
+    strikeLate(now);
   tickMore(now);
   tickProxies(now);
   submitDue(now);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,7 +27,8 @@
 public:
   /// A kind of overlapping strike.
   static constexpr int growingDelayEverywhere = 6;
-  static constexpr int lastKind = 8;
+  static constexpr int lateReset = 9;
+  static constexpr int lastKind = lateReset;
   /// Each has an address of its own.
   static constexpr unsigned maxDaemons = 250;
 
@@ -49,6 +50,8 @@
     bool strikesLinks = true;
     /// Whether processes, the store and workers are struck at random times.
     bool strikesAtRandom = true;
+    /// Whether daemons learn late that their callers are gone.
+    bool strikesLateResets = true;
     /// The only kind of overlapping strike, one at a time; all if negative.
     int onlyKind = -1;
     /// Where the daemons' logs are left; nowhere if empty.
@@ -129,6 +132,9 @@
   void runBehind(Daemon& daemon);
   void pause(Daemon& daemon);
   void resetCallers(Daemon& daemon);
+  /// Beside the other strikes, at times of its own.
+  void strikeLate(TimePoint now);
+  void resetLate(Daemon& daemon);
   void kill(Daemon& daemon);
   void roll(Daemon& daemon);
   void tickMore(TimePoint now);
@@ -168,6 +174,7 @@
   /// Of its own, so that a seed strikes processes as it did before.
   std::mt19937_64 m_linkRandom;
   std::mt19937_64 m_moreRandom;
+  std::mt19937_64 m_lateRandom;
   boost::asio::io_context m_context;
   LeasedPlatform m_platform;
   std::vector<Daemon> m_daemons;
@@ -179,6 +186,7 @@
   TimePoint m_nextStrikeAt{};
   TimePoint m_nextLinkStrikeAt{};
   TimePoint m_nextMoreAt{};
+  TimePoint m_nextLateAt{};
   std::vector<std::pair<TimePoint, std::function<void()>>> m_later;
   std::size_t m_notedViolations = 0;
   TimePoint m_storeBackAt{};
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -58,6 +58,16 @@
   checkPromises(settings, 406);
 }
 
+TEST(Soak, RunsNoTaskTwiceWhenDaemonsLearnLateThatTheirCallersAreGone)
+{
+  Soak::Settings settings;
+  settings.strikesLinks = false;
+  settings.strikesAtRandom = false;
+  settings.onlyKind = Soak::lateReset;
+  settings.strikeRate = 3;
+  checkPromises(settings, 38);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, SoakSeed, ::testing::Values(1, 2));
 
 } // namespace
--- a/tests/soak/soakstrikes.cpp
+++ b/tests/soak/soakstrikes.cpp
@@ -9,7 +9,10 @@
 
 using std::chrono::milliseconds;
 
-/// Kinds of `strikeOnce`; the last two end a process.
+/// Longer than any job's time.
+constexpr Duration neverInAJob = std::chrono::seconds(40);
+
+/// Kinds that `strikeOverlapping` chooses from; the last two end a process.
 constexpr std::size_t harmKinds = 7;
 constexpr std::size_t allKinds = 9;
 
@@ -81,6 +84,9 @@
     case 7:
       kill(daemon);
       break;
+    case lateReset:
+      resetLate(daemon);
+      break;
     default:
       roll(daemon);
   }
@@ -197,6 +203,26 @@
   struck("callers reset, daemon lives, " + daemon.host);
 }
 
+void
+Soak::strikeLate(TimePoint now)
+{
+  m_nextLateAt = now + betweenStrikes(600 + below(2000, m_lateRandom));
+  resetLate(m_daemons[below(m_daemons.size(), m_lateRandom)]);
+}
+
+/// The callers' side of the connections ends; the daemon learns it later, or
+/// not while the jobs last, as when something between them drops the
+/// connections or loses the packets that would tell.
+void
+Soak::resetLate(Daemon& daemon)
+{
+  const bool isNever = below(4, m_lateRandom) == 0;
+  const Duration late = milliseconds(below(2501, m_lateRandom));
+  daemon.callers->resetCallers(isNever ? neverInAJob : late);
+  struck("callers reset, daemon learns it " +
+         (isNever ? "never" : "after" + inMs(late)) + ", " + daemon.host);
+}
+
 void
 Soak::kill(Daemon& daemon)
 {
