Soak: live through its own overload, and say when it was late

Cause of "pipe2: Too many open files": nothing leaks. The soak is one thread through which every connection passes. When it is late by more than the daemons wait for an answer (a full machine, several rigs started together, strace on it), they close and open connections anew, each of which costs it more than a call on an open one. Its descriptors climb to the limit within seconds, and the next daemon that it starts ends it.

In a watched one descriptors went from 1,405 to 19,935 within 4 s, most of them ends of connections that the daemons had closed (CLOSE_WAIT or reset), on all worker links alike. Two others lived through it and served none of some 800 jobs afterwards. Daemons held at most 200 and no more from second to second in calm time.

Change: a daemon that can't be started for want of descriptors is started a little later; the soak ends with the exception after 8 s of that. Run times of a mix may vary around their mean (--spread): one of exactly 900 ms lasts until its job comes again only if it began 400 ms or more after its caller's loss.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -40,6 +41,9 @@
     double jobsPerSecond = 10;
     /// What jobs are like; random ones if empty.
     RequestMix mix;
+    /// How much the run times of a mix vary: the standard deviation of their
+    /// logarithm. Their mean is what the job says.
+    double spread = 0;
     /// Strikes in the time in which there is usually one.
     double strikeRate = 1;
     std::string program;
@@ -68,6 +72,9 @@
     unsigned completed = 0;
     unsigned refused = 0;
     unsigned other = 0;
+    /// The longest time between two rounds of this soak itself. Beyond a few
+    /// hundred ms all that passes through it is as late, on every link.
+    Duration slowestRound = Duration::zero();
     /// Of the jobs submitted after the last strike was over.
     unsigned calmSubmitted = 0;
     unsigned calmCompleted = 0;
@@ -95,6 +102,8 @@
     std::string settingsFile;
     std::unique_ptr<DaemonProcess> process;
     TimePoint startAt{};
+    /// Since when it can't be started.
+    std::optional<TimePoint> missingSince;
     TimePoint continueAt{};
     TimePoint killAt{};
     TimePoint isBehindUntil{};
@@ -104,7 +113,9 @@
   };
   struct Caller
   {
+    /// What the job says, and how long its tasks really take.
     unsigned taskMs = 0;
+    unsigned runMs = 0;
     std::int64_t cpu = 0;
     unsigned tasks = 0;
     unsigned tries = 0;
@@ -150,6 +161,7 @@
   void submitNew();
   /// Of the mix, or at random.
   Caller newCaller();
+  unsigned spreadTime(unsigned meanMs);
   /// How long callers wait for an answer.
   Duration waitOf(const Caller& caller) const;
   void submit(const std::string& job);
@@ -159,6 +171,9 @@
   void answered(const std::string& job, const HttpCallEnd& end);
   /// A line of this soak's own log, beside those of the daemons.
   void note(const std::string& line);
+  /// Again a little later if the system has no descriptors left. Throws
+  /// std::system_error if it can't be started for long.
+  void tryToStart(Daemon& daemon, TimePoint now);
   void startProcess(Daemon& daemon);
   /// Ends a process that this soak started.
   void endProcess(Daemon& daemon);
--- a/tests/soak/soakoptions.cpp
+++ b/tests/soak/soakoptions.cpp
@@ -147,6 +147,11 @@
              "206, 37.5 and 600 of jobs of 8 tasks of 60 ms and so on; "
              "random ones if empty",
              mixOf(settings.mix) },
+           { "spread",
+             "0",
+             "how much the run times of the mix vary: the standard deviation "
+             "of their logarithm",
+             inRange(settings.spread, 0.0, 1.0) },
            { "first-port",
              "21000",
              "the first of 10 free ports and one more a worker",
--- a/tests/soak/soakoptions_test.cpp
+++ b/tests/soak/soakoptions_test.cpp
@@ -28,6 +28,7 @@
                                             "--workers-per-zone=30",
                                             "--jobs-per-second=200",
                                             "--mix=8x60:206,4x900:37.5",
+                                            "--spread=0.4",
                                             "--strike-rate=2.5",
                                             "--first-seed=7" });
   ASSERT_TRUE(options) << options.error().detail();
@@ -37,6 +38,7 @@
   EXPECT_EQ(options->settings.jobsPerSecond, 200);
   const std::vector<RequestKind> kinds{ { 8, 60, 206 }, { 4, 900, 37.5 } };
   EXPECT_EQ(options->settings.mix.kinds(), kinds);
+  EXPECT_EQ(options->settings.spread, 0.4);
   EXPECT_EQ(options->settings.strikeRate, 2.5);
   EXPECT_EQ(options->firstSeed, 7u);
   EXPECT_EQ(Soak::portsOf(options->settings), 100u);
@@ -81,6 +83,7 @@
                                            Refused{ "workers-per-zone", "0" },
                                            Refused{ "jobs-per-second", "0" },
                                            Refused{ "jobs-per-second", "nan" },
+                                           Refused{ "spread", "1.5" },
                                            Refused{ "strike-rate", "-1" },
                                            Refused{ "strike-rate", "1x" },
                                            Refused{ "strike-links", "yes" },
