Lease: a report right behind a start that late starts leave no room for

Callers saw more tasks on a worker than it has room for, all of them late.

Where unanswered starts leave no room, a start is sent within 5 ms of a prompt report. A worker that restarts under its id in between carries it out in its new life, and the late starts after it: they bear the same token. The restart was only noticed when the waiting report had timed out or the list was read.

Such a start is now followed by the request for another report. It tells of the new life a round trip later, which is then claimed with a higher token, so that late starts are refused.

The two new tests failed before.

--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -89,6 +89,9 @@
   sendStart(key, m_runs.emplace(key, run).first->second, now);
 }
 
+/// Sends a start. One that is sent only because a report has just arrived is
+/// followed by the request for another: if the worker has restarted in between,
+/// its new life is claimed, and late starts are fenced, a round trip later.
 void
 WorkerLease::sendStart(const RunKey& key, Run& run, TimePoint now)
 {
@@ -101,6 +104,8 @@
   if (m_life.isBirthKnown())
     m_unansweredStarts.add(key, run.resources, now + m_settings.lateOrderLimit);
   m_hooks.sendStart(order, m_times->answerWait());
+  if (mayOverfillNextLife())
+    refresh(now);
 }
 
 void
@@ -323,6 +328,14 @@
   return m_record.capacity() - used;
 }
 
+/// Whether all starts that a next life may carry out exceed its capacity.
+bool
+WorkerLease::mayOverfillNextLife() const
+{
+  return !m_unansweredStarts.isEmpty() &&
+         !Resources().fitsIn(freeRoomInNextLife());
+}
+
 Resources
 WorkerLease::freeRoom() const
 {
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -266,6 +266,7 @@
   void endAllLost();
   bool mayHaveUnknownStarts(TimePoint now) const;
   Resources freeRoomInNextLife() const;
+  bool mayOverfillNextLife() const;
   void lapse(TimePoint now);
   void tellUnwanted(TimePoint now);
   void tickRuns(TimePoint now);
--- a/tests/jobs/latestart_test.cpp
+++ b/tests/jobs/latestart_test.cpp
@@ -5,6 +5,7 @@
 namespace cowslippin::testing {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const WorkerId w1("w1");
@@ -33,6 +34,24 @@
     return fixture.lateStarts.at(0).first;
   }
 
+  /// Keeps tasks off all workers but this one.
+  void drainOthers(const WorkerId& worker)
+  {
+    fixture.drain(worker == w1 ? w2 : w1);
+  }
+
+  /// Submits a job whose start is sent after a prompt report, and lets the
+  /// worker restart in between. Reports that wait for an end stay unanswered.
+  void startAcrossRestart(const JobRequest& job, const WorkerId& worker)
+  {
+    fixture.scheduler.submit(job, fixture.now);
+    for (const auto& order : std::exchange(fixture.orders, {}))
+      order();
+    fixture.restartUnnoticed(worker, 2);
+    fixture.deliver();
+    EXPECT_EQ(fixture.workerOf(job.taskPrefix + "0"), worker);
+  }
+
   void carryOutLateStarts()
   {
     for (const auto& [id, order] : std::exchange(fixture.lateStarts, {}))
@@ -127,5 +146,21 @@
   EXPECT_EQ(fixture.unresolved[0].until, fixture.now + seconds(12));
 }
 
+/// Guards against exceeding the capacity of a life that begins between a prompt
+/// report and the start that it allowed, and then carries out a late start.
+TEST_F(LateStart, IsFencedARoundTripAfterAStartToARestartedWorker)
+{
+  const JobRequest late = fixture.request("a", 1, 12000, 2000);
+  const WorkerId worker = startLate(late);
+  fixture.areStartsLate = false;
+  fixture.scheduler.cancel(late.key, fixture.now);
+  fixture.settle();
+  drainOthers(worker);
+  fixture.now += milliseconds(20);
+  startAcrossRestart(fixture.request("b", 1, 12000, 2000), worker);
+  carryOutLateStarts();
+  EXPECT_EQ(fixture.running(), 1u);
+}
+
 } // namespace
 } // namespace cowslippin::testing
--- a/tests/workers/restartedworker_test.cpp
+++ b/tests/workers/restartedworker_test.cpp
@@ -335,6 +335,24 @@
   EXPECT_EQ(fixture.worker.starts(run1.task()), 1u);
 }
 
+/// Guards against exceeding the capacity of a life that begins between a report
+/// and the copy of a start that is sent after it.
+TEST_F(RestartedWorker, IsDetectedByAReportThatFollowsACopyOfAStart)
+{
+  fixture.start(RunKey("other.0.0.0", 1), 12000);
+  fixture.deliver(Delivery::Late, 1);
+  fixture.deliver(Delivery::Normal, 8);
+  fixture.orders.clear();
+  fixture.mayResend = true;
+  fixture.start(run1);
+  fixture.deliver(Delivery::Late, 1);
+  fixture.deliver(Delivery::Normal, 1);
+  fixture.restart(2);
+  fixture.deliver(Delivery::Normal, 2);
+  EXPECT_TRUE(fixture.worker.isRunning(run1));
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Restarted);
+}
+
 /// Guards against starting a task again whose first copy has ended unseen.
 TEST_F(RestartedWorker, ACopyThatIsRefusedAsStaleWaitsForTheEndOfTheOther)
 {
