Lease: a report at each tick while late starts exceed a worker's capacity

Callers saw more tasks on a worker than it has room for, all of them late starts that one life carried out before its restart was noticed.

Until then the new life isn't claimed and carries out each late start of before.

While the starts that a next life may carry out exceed the capacity, each tick asks for a report beside the one that waits. A restart is noticed, and late starts are fenced, about a tick later. Where orders aren't lost, or workers tell no birth, nothing more is sent.

IsDetectedAtTheNextTickWhereLateStartsLeaveNoRoom failed before.

--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -277,8 +277,13 @@
   if (m_state == LeaseState::Silent && !m_runs.empty() && now >= lapsedBy())
     lapse(now);
   tickRuns(now);
-  if (m_holdsUnderWay == 0 && now >= m_nextHoldAt)
+  if (m_holdsUnderWay == 0 && now >= m_nextHoldAt) {
     sendHold(Duration::zero(), now);
+  } else if (mayOverfillNextLife()) {
+    // A report that waits for an end gets no answer if the worker restarts, and
+    // would delay the claim that fences late starts.
+    refresh(now);
+  }
 }
 
 bool
--- a/tests/workers/restartedworker_test.cpp
+++ b/tests/workers/restartedworker_test.cpp
@@ -353,6 +353,35 @@
   EXPECT_EQ(fixture.lease.state(), LeaseState::Restarted);
 }
 
+/// Guards against exceeding the capacity of a life that carries out two late
+/// starts before its restart is detected.
+TEST_F(RestartedWorker, IsDetectedAtTheNextTickWhereLateStartsLeaveNoRoom)
+{
+  for (const RunKey& key : { run1, RunKey("other.0.0.0", 1) }) {
+    fixture.start(key, 12000);
+    fixture.deliver(Delivery::Late, 1);
+    fixture.deliver(Delivery::Normal, 8);
+  }
+  ASSERT_EQ(fixture.lease.unansweredStarts().size(), 2u);
+  // The report that waits for an end is lost with the life.
+  fixture.orders.clear();
+  fixture.restart(2);
+  fixture.pass(20);
+  fixture.deliver(Delivery::Normal, 1);
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Restarted);
+}
+
+/// Guards against needless reports where a next life has room for all starts.
+TEST_F(RestartedWorker, IsAskedNoMoreThanOthersWhereLateStartsLeaveRoom)
+{
+  fixture.start(run1, 12000);
+  fixture.deliver(Delivery::Late, 1);
+  fixture.deliver(Delivery::Normal, 8);
+  fixture.orders.clear();
+  fixture.pass(20);
+  EXPECT_TRUE(fixture.orders.empty());
+}
+
 /// Guards against starting a task again whose first copy has ended unseen.
 TEST_F(RestartedWorker, ACopyThatIsRefusedAsStaleWaitsForTheEndOfTheOther)
 {
