--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -18,6 +18,13 @@
 constexpr Duration placesIntervalEach = std::chrono::milliseconds(10);
 /// How much earlier than the platform kills it a daemon exits by itself.
 constexpr Duration exitMargin = std::chrono::milliseconds(400);
+/// How long jobs that others have been told of go on in the smaller part of a
+/// group. This daemon notices within the silence limit of 450 ms that another
+/// one is gone, which may have ceased to hear this one as long before; this is
+/// what is left of `wantedRunLimit`.
+constexpr Duration cutOffLimit = std::chrono::milliseconds(340);
+/// How often it is checked whether all others have been heard.
+constexpr Duration informRetry = std::chrono::milliseconds(10);
 
 ConfigurationSync::Settings
 configurationSettings(const EntryCore::Settings& settings)
@@ -43,6 +50,8 @@
   , m_gateway(m_settings.vm, m_settings.gateway, gatewayHooks())
   , m_configuration(configurationSettings(m_settings), configurationHooks())
   , m_contact(m_clocks.steady())
+  , m_informedAt(m_clocks.steady() + m_settings.informTime)
+  , m_foundAllAt(m_clocks.steady() + m_settings.findTime)
   , m_holders(m_settings.vm,
               m_settings.zone,
               { m_shards, m_scheduler, m_reports },
@@ -193,8 +202,9 @@
 Gateway::Ticket
 EntryCore::submit(JobSubmission submission, Gateway::Done done)
 {
-  return m_gateway.submit(
-    std::move(submission), std::move(done), observeTime());
+  const TimePoint now = observeTime();
+  submission.unreadFor = now - m_contact.ownContact();
+  return m_gateway.submit(std::move(submission), std::move(done), now);
 }
 
 void
@@ -364,6 +374,12 @@
   hooks.cancel = [this](const VmId& vm, const JobKey& key) {
     cancelAt(vm, key);
   };
+  hooks.keep = [this](const VmId& vm, const JobKey& key) { keepAt(vm, key); };
+  hooks.toldUntil = [this] { return allToldUntil(); };
+  hooks.underWayAt = [this](const JobId& job) { return underWayAt(job); };
+  hooks.recall = [this](const VmId& vm, const PeerRecall& recall) {
+    m_links.send(vm, recall);
+  };
   return hooks;
 }
 
@@ -372,6 +388,7 @@
 {
   const TimePoint now = observeTime();
   m_lastReadAt[hello.vm] = now;
+  m_losses.back(hello.vm);
   m_reports.setZone(hello.vm, hello.zone);
   // The close flag is stored per connection, and one connection may replace
   // another without a reported loss.
@@ -400,7 +417,10 @@
   logDecision(
     LogLevel::Warning, "pause-noticed", { { "gapMs", toMilliseconds(gap) } });
   m_resumeAt = now + m_settings.wakeTime;
+  // What a daemon had that was lost meanwhile, unheard, is over by then.
+  m_informedAt = now + lostRunLimit;
   m_scheduler.suspend(now);
+  m_gateway.tellAnew(now - gap + wantedRunLimit);
   m_links.dropAll();
 }
 
@@ -581,7 +601,10 @@
   beat.highestToken = m_tokens.highest();
   beat.configVersion = m_configuration.version();
   beat.evacuations = m_evacuations;
-  beat.sentAt = PeerContact::stamp(m_clocks.steady());
+  // The time by which others acknowledge the heartbeat is that of this list.
+  beat.longJobs = m_gateway.longJobs(now);
+  beat.asksAck = m_gateway.hasUntoldJobs(now);
+  beat.sentAt = PeerContact::stamp(now);
   return beat;
 }
 
@@ -646,6 +669,13 @@
     m_gateway.returned(vm, back->key, back->returned, now);
   else if (const auto* starts = std::get_if<PeerUnresolvedStarts>(&message))
     unresolvedReceived(*starts, now);
+  else if (const auto* keep = std::get_if<PeerKeep>(&message))
+    m_scheduler.keep(keep->key, now);
+  else if (const auto* recall = std::get_if<PeerRecall>(&message))
+    m_links.send(
+      vm, PeerRecalled{ recall->job, m_gateway.recall(vm, *recall, now) });
+  else if (const auto* recalled = std::get_if<PeerRecalled>(&message))
+    recalledReceived(vm, *recalled, now);
   else if (const auto* news = std::get_if<PeerWorkerNews>(&message))
     m_ports.workerNews(*news);
   else
@@ -656,7 +686,11 @@
 EntryCore::beatReceived(const VmId& vm, const PeerBeat& beat, TimePoint now)
 {
   m_reports.received(vm, beat, now);
-  m_contact.beatReceived(vm, beat.sentAt);
+  m_contact.beatReceived(vm, beat.sentAt, now);
+  m_knownJobs.told(vm, beat.longJobs, now);
+  m_gateway.told(vm, beat.longJobs, now);
+  if (beat.asksAck)
+    m_links.send(vm, m_contact.acknowledgement(vm));
   adoptEvacuations(beat.evacuations, now);
   m_tokens.seen(beat.highestToken);
   MemberView view;
@@ -717,7 +751,66 @@
   m_contact.acknowledged(vm, submit.ack, now);
   if (m_contact.takeAsking(vm, now))
     sendBeats({ vm }, now);
-  m_scheduler.submit(submit.request, now);
+  JobRequest request = submit.request;
+  if (request.exclusiveFor != Duration::max()) {
+    const auto sentAfter =
+      PeerContact::sentAfter(submit.ack, submit.ackAge, now);
+    if (!sentAfter) {
+      jobEnded(request.key, { JobOutcome::NotHolder, Duration::zero(), {}, 1 });
+      return;
+    }
+    request.exclusiveFor -= now - *sentAfter;
+  }
+  m_scheduler.submit(std::move(request), now);
+}
+
+/// A daemon that hasn't heard all others since its start or a pause may have
+/// missed what they told, and they what it told.
+bool
+EntryCore::isInformed(TimePoint now) const
+{
+  const std::size_t known = m_links.knownCount();
+  return now >= m_informedAt ||
+         (known > 0 && m_shards.members().size() >= known);
+}
+
+/// Whether this daemon may be in the smaller part of a cut group. A connection
+/// that is closed tells of a process that has ended.
+bool
+EntryCore::isCutOff(TimePoint now) const
+{
+  const std::size_t reachable = m_links.up().size() + 1;
+  const std::size_t known = m_links.knownCount() + 1;
+  const bool hasFoundFew =
+    now < m_foundAllAt && known > reachable && known - reachable >= reachable;
+  return hasFoundFew || m_losses.isCutOff(reachable, now);
+}
+
+std::optional<KnownJobs::Place>
+EntryCore::underWayAt(const JobId& job) const
+{
+  const TimePoint now = m_clocks.steady();
+  if (!isInformed(now))
+    return KnownJobs::Place{ std::nullopt,
+                             std::min(m_informedAt, now + informRetry) };
+  return m_knownJobs.find(job, now);
+}
+
+/// Until when all daemons that can be reached have read of this one. In a group
+/// whose members aren't all sent a heartbeat in each interval, only those that
+/// have jobs in common with it are.
+TimePoint
+EntryCore::allToldUntil() const
+{
+  TimePoint told = TimePoint::max();
+  const TimePoint now = m_clocks.steady();
+  if (!isInformed(now) || isCutOff(now))
+    return TimePoint();
+  for (const VmId& vm : m_links.up()) {
+    if (m_heartbeats.isEachDue() || m_close.count(vm) > 0)
+      told = std::min(told, m_contact.toldUntil(vm));
+  }
+  return told;
 }
 
 /// Tells the holders of this daemon's jobs that it is there.
@@ -793,12 +886,33 @@
   m_close.erase(vm);
   m_jobHolders.erase(vm);
   m_contact.lost(vm);
+  m_knownJobs.lost(vm, now);
+  noteLoss(vm, loss, now);
   m_shards.memberGone(vm, now);
   m_configuration.lost(vm);
   m_scheduler.daemonLost(vm, loss == PeerLoss::Silent, now);
   m_gateway.daemonLost(vm, now);
 }
 
+void
+EntryCore::recalledReceived(const VmId& vm,
+                            const PeerRecalled& recalled,
+                            TimePoint now)
+{
+  if (recalled.overIn == Duration::zero())
+    m_knownJobs.over(vm, recalled.job);
+  m_gateway.recalled(vm, recalled.job, recalled.overIn, now);
+}
+
+void
+EntryCore::noteLoss(const VmId& vm, PeerLoss loss, TimePoint now)
+{
+  if (loss == PeerLoss::Silent)
+    m_losses.lost(vm, now);
+  if (isCutOff(now))
+    m_gateway.tellAnew(now + cutOffLimit);
+}
+
 void
 EntryCore::jobEnded(const JobKey& key, const JobEnd& end)
 {
@@ -829,8 +943,11 @@
   if (vm != m_settings.vm) {
     addClose(vm);
     m_jobHolders.insert(vm);
-    return m_links.send(vm,
-                        PeerSubmit{ request, m_contact.acknowledgement(vm) });
+    return m_links.send(
+      vm,
+      PeerSubmit{ request,
+                  m_contact.acknowledgement(vm),
+                  m_contact.acknowledgementAge(vm, m_clocks.steady()) });
   }
   m_scheduler.submit(request, m_clocks.steady());
   return true;
@@ -845,4 +962,13 @@
     m_links.send(vm, PeerCancel{ key });
 }
 
+void
+EntryCore::keepAt(const VmId& vm, const JobKey& key)
+{
+  if (vm == m_settings.vm)
+    m_scheduler.keep(key, m_clocks.steady());
+  else
+    m_links.send(vm, PeerKeep{ key });
+}
+
 } // namespace cowslippin
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -5,6 +5,8 @@
 #include "gateway.h"
 #include "heartbeatplan.h"
 #include "holderlookup.h"
+#include "knownjobs.h"
+#include "memberlosses.h"
 #include "peercontact.h"
 #include "peerreports.h"
 #include "strainmeter.h"
@@ -56,6 +58,12 @@
     Duration pauseLimit = std::chrono::milliseconds(250);
     /// After a pause, how long what came in is read before anything is started.
     Duration wakeTime = std::chrono::milliseconds(60);
+    /// After the start, how long callers' jobs wait for other daemons to tell
+    /// where they are under way.
+    Duration informTime = std::chrono::milliseconds(600);
+    /// After the start, how long a daemon that reaches fewer than half of those
+    /// that it knows of is taken to be cut off from them.
+    Duration findTime = std::chrono::seconds(30);
     /// How long the platform's balancer may take to see that this daemon is no
     /// longer ready: it asks every second and goes by two misses.
     Duration unreadyTime = std::chrono::milliseconds(2400);
@@ -214,6 +222,10 @@
   PeerBeat makeBeat(TimePoint now) const;
   void updateClose();
   void addClose(const VmId& vm);
+  void recalledReceived(const VmId& vm,
+                        const PeerRecalled& recalled,
+                        TimePoint now);
+  void noteLoss(const VmId& vm, PeerLoss loss, TimePoint now);
   void logPeerLost(const VmId& vm, PeerLoss loss, TimePoint now);
   void applyDecisions(TimePoint now);
   void checkLeaving(TimePoint now);
@@ -226,6 +238,11 @@
                       TimePoint now);
   void tellNewUnresolved(TimePoint now);
   void unresolvedReceived(const PeerUnresolvedStarts& message, TimePoint now);
+  bool isInformed(TimePoint now) const;
+  bool isCutOff(TimePoint now) const;
+  TimePoint allToldUntil() const;
+  std::optional<KnownJobs::Place> underWayAt(const JobId& job) const;
+  void keepAt(const VmId& vm, const JobKey& key);
   void jobEnded(const JobKey& key, const JobEnd& end);
   void tasksReturned(const JobKey& key, const TasksReturned& returned);
   unsigned sparePlaces(TimePoint now) const;
@@ -253,6 +270,13 @@
   Evacuations m_evacuations;
   PeerReports m_reports;
   PeerContact m_contact;
+  KnownJobs m_knownJobs;
+  MemberLosses m_losses;
+  /// When this daemon has surely been told of others' jobs, after its start or
+  /// after it stood still.
+  TimePoint m_informedAt;
+  /// When it has surely found all others that it can reach, after its start.
+  TimePoint m_foundAllAt;
   HolderLookup m_holders;
   TokenSource m_tokens;
   VacancyProbe m_vacancy;
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -31,17 +31,85 @@
   entry.number = number;
   entry.arrivedAt = now;
   entry.expiresAt = now + submission.timeLeft;
+  entry.longFrom =
+    std::max(now, now - submission.unreadFor + m_settings.tellAfter);
   entry.callers[ticket] = std::move(done);
   entry.submission = std::move(submission);
+  entry.exclusiveUntil = exclusiveFromArrival(entry);
   m_byId[entry.submission.job] = number;
   m_tickets[ticket] = number;
   Part& part = addPart(entry);
   for (TaskIndex task = 0; task < entry.submission.taskCount; ++task)
     part.tasks.insert(task);
-  place(entry, part, now);
+  begin(entry, now);
   return ticket;
 }
 
+/// Hands a job to a holder if nothing of an earlier submission can be at work.
+void
+Gateway::begin(Entry& entry, TimePoint now)
+{
+  const JobId job = entry.submission.job;
+  const auto givenUp = m_givenUp.find(job);
+  if (givenUp != m_givenUp.end() && now < givenUp->second) {
+    hold(entry, givenUp->second, now);
+    return;
+  }
+  const auto place = m_hooks.underWayAt(job);
+  if (!place) {
+    placeAll(entry, now);
+    return;
+  }
+  if (!place->daemon) {
+    hold(entry, place->overAt, now);
+    return;
+  }
+  entry.heldUntil.reset();
+  entry.recalledFrom = place->daemon;
+  entry.recalledAt = now;
+  recallFrom(*place->daemon, entry, now);
+}
+
+/// Waits until runs of an earlier submission are surely over, if the caller's
+/// time allows it.
+void
+Gateway::hold(Entry& entry, TimePoint until, TimePoint now)
+{
+  if (!entry.heldUntil)
+    logDecision(LogLevel::Info,
+                "job-held",
+                { { "job", entry.submission.job },
+                  { "forMs", toMilliseconds(until - now) },
+                  { "ageMs", toMilliseconds(now - entry.arrivedAt) } });
+  entry.recalledFrom.reset();
+  entry.heldUntil = until;
+  if (until + entry.submission.needs.estimate >= entry.expiresAt)
+    finish(entry,
+           { JobAnswer::Kind::Unknown,
+             until - now,
+             "runs of an earlier submission are being stopped" },
+           now);
+}
+
+void
+Gateway::placeAll(Entry& entry, TimePoint now)
+{
+  entry.recalledFrom.reset();
+  entry.heldUntil.reset();
+  if (!entry.isTold && now > entry.exclusiveUntil - exclusiveStartMargin)
+    return;
+  const std::uint64_t number = entry.number;
+  std::vector<std::uint64_t> parts;
+  for (const auto& [id, part] : entry.parts) {
+    if (!part.holder)
+      parts.push_back(id);
+  }
+  for (const std::uint64_t id : parts) {
+    if (m_jobs.count(number) > 0)
+      place(entry, entry.parts.at(id), now);
+  }
+}
+
 void
 Gateway::callerGone(Ticket ticket, TimePoint now)
 {
@@ -54,7 +122,7 @@
   if (!entry.callers.empty())
     return;
   logCallers("caller-gone", entry, now);
-  forget(entry);
+  forget(entry, now);
 }
 
 void
@@ -68,17 +136,19 @@
     return;
   switch (end.outcome) {
     case JobOutcome::Failed:
-      finish(*entry, { JobAnswer::Kind::Failed, Duration::zero(), "" });
+      finish(*entry, { JobAnswer::Kind::Failed, Duration::zero(), "" }, now);
       return;
     case JobOutcome::TimedOut:
       finish(*entry,
-             { JobAnswer::Kind::Unknown, Duration::zero(), "out of time" });
+             { JobAnswer::Kind::Unknown, Duration::zero(), "out of time" },
+             now);
       return;
     case JobOutcome::Unresolved:
       finish(*entry,
              { JobAnswer::Kind::Unknown,
                end.retryAfter,
-               "a worker didn't answer a start and may still carry it out" });
+               "a worker didn't answer a start and may still carry it out" },
+             now);
       return;
     case JobOutcome::Refused:
       partRefused(*entry, *part, end, now);
@@ -121,13 +191,18 @@
 void
 Gateway::daemonLost(const VmId& vm, TimePoint now)
 {
+  std::vector<Entry*> recalled;
   for (auto& [number, entry] : m_jobs) {
+    if (entry.recalledFrom == vm)
+      recalled.push_back(&entry);
     for (auto& [id, part] : entry.parts) {
       if (part.holder != vm)
         continue;
       markLost(part, now);
     }
   }
+  for (Entry* entry : recalled)
+    hold(*entry, now + m_settings.lostRunLimit, now);
 }
 
 void
@@ -147,6 +222,9 @@
 void
 Gateway::tick(TimePoint now)
 {
+  for (auto job = m_givenUp.begin(); job != m_givenUp.end();)
+    job = now >= job->second ? m_givenUp.erase(job) : std::next(job);
+  tellOthers(now);
   std::vector<std::uint64_t> numbers;
   for (const auto& [number, entry] : m_jobs)
     numbers.push_back(number);
@@ -155,21 +233,200 @@
     if (now >= entry.expiresAt) {
       logCallers("caller-timed-out", entry, now);
       finish(entry,
-             { JobAnswer::Kind::Unknown, Duration::zero(), "out of time" });
-      continue;
-    }
-    std::vector<std::uint64_t> parts;
-    for (const auto& [id, part] : entry.parts) {
-      if (!part.holder)
-        parts.push_back(id);
-    }
-    for (const std::uint64_t id : parts) {
-      if (m_jobs.count(number) > 0)
-        place(entry, entry.parts.at(id), now);
+             { JobAnswer::Kind::Unknown, Duration::zero(), "out of time" },
+             now);
+    } else if (!entry.isTold && now >= untoldEnd(entry)) {
+      endUntold(entry, now);
+    } else if (entry.heldUntil && now >= *entry.heldUntil) {
+      begin(entry, now);
+    } else if (entry.recalledFrom &&
+               now - entry.recalledAt >= m_settings.recallRetry) {
+      begin(entry, now);
+    } else if (!entry.heldUntil && !entry.recalledFrom) {
+      placeAll(entry, now);
     }
   }
 }
 
+/// Tells holders of which jobs the other daemons have come to know.
+void
+Gateway::tellOthers(TimePoint now)
+{
+  if (!hasUntoldJobs(now))
+    return;
+  const TimePoint toldUntil = m_hooks.toldUntil();
+  for (auto& [number, entry] : m_jobs) {
+    const bool isLate = mayRun(entry) && now >= entry.exclusiveUntil;
+    if (!entry.isTold && !isLate && now >= entry.longFrom &&
+        toldUntil >= entry.longFrom)
+      setTold(entry);
+  }
+}
+
+void
+Gateway::setTold(Entry& entry)
+{
+  entry.isTold = true;
+  for (const auto& [id, part] : entry.parts) {
+    if (part.holder)
+      m_hooks.keep(*part.holder, part.key);
+  }
+}
+
+std::vector<LongJob>
+Gateway::longJobs(TimePoint now) const
+{
+  std::vector<LongJob> jobs;
+  for (const auto& [number, entry] : m_jobs) {
+    if (now >= entry.longFrom)
+      jobs.push_back({ entry.submission.job, ageOf(entry, now) });
+  }
+  for (const auto& [job, overAt] : m_givenUp) {
+    if (now < overAt)
+      jobs.push_back({ job, Duration::zero() });
+  }
+  return jobs;
+}
+
+bool
+Gateway::hasUntoldJobs(TimePoint now) const
+{
+  return std::any_of(m_jobs.begin(), m_jobs.end(), [now](const auto& item) {
+    return !item.second.isTold && now >= item.second.longFrom;
+  });
+}
+
+void
+Gateway::tellAnew(TimePoint exclusiveUntil)
+{
+  for (auto& [number, entry] : m_jobs) {
+    if (entry.isTold)
+      entry.exclusiveUntil = exclusiveUntil;
+    entry.isTold = false;
+    entry.exclusiveUntil =
+      std::max(exclusiveFromArrival(entry),
+               std::min(entry.exclusiveUntil, exclusiveUntil));
+  }
+}
+
+void
+Gateway::told(const VmId& from, const std::vector<LongJob>& jobs, TimePoint now)
+{
+  for (const LongJob& other : jobs) {
+    const auto known = m_byId.find(other.job);
+    if (known == m_byId.end())
+      continue;
+    const Entry& entry = m_jobs.at(known->second);
+    if (!entry.recalledFrom && ageOf(entry, now) < other.age)
+      recallFrom(from, entry, now);
+  }
+}
+
+void
+Gateway::recallFrom(const VmId& vm, const Entry& entry, TimePoint now)
+{
+  logDecision(LogLevel::Info,
+              "job-submitted-again",
+              { { "job", entry.submission.job }, { "underWayAt", vm } });
+  m_hooks.recall(vm, { entry.submission.job, ageOf(entry, now) });
+}
+
+/// Since its caller sent it, at the most.
+Duration
+Gateway::ageOf(const Entry& entry, TimePoint now)
+{
+  return now - entry.arrivedAt + entry.submission.unreadFor;
+}
+
+/// Until when a job of which no other daemon was told is exclusive.
+TimePoint
+Gateway::exclusiveFromArrival(const Entry& entry)
+{
+  return entry.arrivedAt - entry.submission.unreadFor + wantedRunLimit;
+}
+
+/// Whether something of a job may be at work.
+bool
+Gateway::mayRun(const Entry& entry)
+{
+  return entry.isSplit ||
+         std::any_of(
+           entry.parts.begin(), entry.parts.end(), [](const auto& item) {
+             return item.second.holder || item.second.lostAt;
+           });
+}
+
+/// When a job ends of which the others haven't been told.
+TimePoint
+Gateway::untoldEnd(const Entry& entry) const
+{
+  const TimePoint end = entry.exclusiveUntil - m_settings.untoldMargin;
+  return mayRun(entry) ? end
+                       : std::max(end, entry.longFrom + m_settings.tellLimit);
+}
+
+void
+Gateway::endUntold(Entry& entry, TimePoint now)
+{
+  const char* reason = "other daemons can't be told where the job is under way";
+  logCallers("job-untold", entry, now);
+  if (mayRun(entry))
+    finish(entry,
+           { JobAnswer::Kind::Unknown, m_settings.lostRunLimit, reason },
+           now);
+  else
+    finish(entry,
+           { JobAnswer::Kind::NotRun, m_settings.noHolderRetry, reason },
+           now);
+}
+
+Duration
+Gateway::recall(const VmId& from, const PeerRecall& recall, TimePoint now)
+{
+  Duration overIn = Duration::zero();
+  const auto known = m_byId.find(recall.job);
+  if (known != m_byId.end()) {
+    Entry& entry = m_jobs.at(known->second);
+    if (ageOf(entry, now) < recall.age)
+      return m_settings.lostRunLimit;
+    logDecision(LogLevel::Info,
+                "job-recalled",
+                { { "job", recall.job },
+                  { "by", from },
+                  { "ageMs", toMilliseconds(now - entry.arrivedAt) } });
+    if (entry.recalledFrom)
+      overIn = m_settings.lostRunLimit;
+    else if (entry.heldUntil)
+      overIn = *entry.heldUntil - now;
+    finish(entry,
+           { JobAnswer::Kind::Unknown,
+             Duration::zero(),
+             "the job was submitted again at another daemon" },
+           now);
+  }
+  const auto givenUp = m_givenUp.find(recall.job);
+  return givenUp == m_givenUp.end() ? overIn
+                                    : std::max(overIn, givenUp->second - now);
+}
+
+void
+Gateway::recalled(const VmId& from,
+                  const JobId& job,
+                  Duration overIn,
+                  TimePoint now)
+{
+  const auto known = m_byId.find(job);
+  if (known == m_byId.end())
+    return;
+  Entry& entry = m_jobs.at(known->second);
+  if (entry.recalledFrom != from)
+    return;
+  if (overIn > Duration::zero())
+    hold(entry, now + overIn, now);
+  else
+    begin(entry, now);
+}
+
 IdList
 Gateway::jobsAt(const VmId& holder) const
 {
@@ -232,12 +489,12 @@
 }
 
 void
-Gateway::partDone(Entry& entry, Part& part)
+Gateway::partDone(Entry& entry, Part& part, TimePoint now)
 {
   m_keys.erase(part.key.part());
   entry.parts.erase(part.id);
   if (entry.parts.empty())
-    finish(entry, { JobAnswer::Kind::Completed, Duration::zero(), "" });
+    finish(entry, { JobAnswer::Kind::Completed, Duration::zero(), "" }, now);
 }
 
 /// A job that is refused as a whole has not run: another shard may have room,
@@ -257,7 +514,8 @@
   part.retryAfter = std::min(part.retryAfter, end.retryAfter);
   if (!placeFresh(entry, part, now))
     finish(entry,
-           { JobAnswer::Kind::NotRun, part.retryAfter, "no room in time" });
+           { JobAnswer::Kind::NotRun, part.retryAfter, "no room in time" },
+           now);
 }
 
 /// Removes the tasks that are done and places the others again. A completed
@@ -269,7 +527,7 @@
   for (const TaskIndex task : end.done)
     part.tasks.erase(task);
   if (part.tasks.empty()) {
-    partDone(entry, part);
+    partDone(entry, part, now);
     return;
   }
   part.firstRun = std::max(part.firstRun, end.nextRun);
@@ -291,7 +549,8 @@
     finish(entry,
            { JobAnswer::Kind::NotRun,
              m_settings.evacuatedRetry,
-             "all availability zones are evacuated" });
+             "all availability zones are evacuated" },
+           now);
     return;
   }
   if (!hasWaitedForHolder(entry, now))
@@ -299,7 +558,8 @@
   finish(entry,
          { JobAnswer::Kind::NotRun,
            m_settings.noHolderRetry,
-           "no daemon holds workers" });
+           "no daemon holds workers" },
+         now);
 }
 
 bool
@@ -373,6 +633,8 @@
   request.crashes = part.crashes;
   request.age = now - entry.arrivedAt;
   request.timeLeft = entry.expiresAt - now;
+  if (!entry.isTold)
+    request.exclusiveFor = entry.exclusiveUntil - now;
   request.mayBeReturned = part.mayBeReturned;
   request.shard = shard;
   // One that was named for its room may refuse; elsewhere a part of a job
@@ -406,10 +668,10 @@
 }
 
 void
-Gateway::finish(Entry& entry, const JobAnswer& answer)
+Gateway::finish(Entry& entry, const JobAnswer& answer, TimePoint now)
 {
   const std::map<Ticket, Done> callers = std::move(entry.callers);
-  forget(entry);
+  forget(entry, now);
   for (const auto& [ticket, done] : callers)
     m_tickets.erase(ticket);
   for (const auto& [ticket, done] : callers)
@@ -418,12 +680,14 @@
 
 /// Takes back what holders still have of a job, and drops it.
 void
-Gateway::forget(Entry& entry)
+Gateway::forget(Entry& entry, TimePoint now)
 {
   for (const auto& [id, part] : entry.parts) {
     m_keys.erase(part.key.part());
     if (part.holder)
       m_hooks.cancel(*part.holder, part.key);
+    if (part.holder || part.lostAt)
+      m_givenUp[entry.submission.job] = now + m_settings.lostRunLimit;
   }
   m_byId.erase(entry.submission.job);
   m_jobs.erase(entry.number);
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "holderchoice.h"
+#include "knownjobs.h"
 
 #include "libjobs/jobs.h"
+#include "libpeers/peermessage.h"
 
 #include "libcore/core.h"
 #include "libobserve/idlist.h"
@@ -28,6 +30,8 @@
   unsigned taskCount = 0;
   /// How long the caller waits.
   Duration timeLeft = Duration::zero();
+  /// How long the request may have waited to be read.
+  Duration unreadFor = Duration::zero();
 };
 
 /// What a caller is answered.
@@ -53,6 +57,11 @@
 /// workers for each, and another one when that is lost, and makes sure that no
 /// task runs twice at the same time on the way. It does no input or output and
 /// reads no clock.
+///
+/// A caller whose connection breaks submits its job again 1,300 ms later, at
+/// any daemon, and this one may learn of it late or never. So a job either ends
+/// before that or the other daemons are told where it is under way. The one to
+/// which it then comes recalls it from here.
 class Gateway
 {
 public:
@@ -71,6 +80,17 @@
     Duration noHolderRetry = std::chrono::milliseconds(500);
     /// The same while all zones are evacuated, which takes seconds at least.
     Duration evacuatedRetry = std::chrono::seconds(2);
+    /// Jobs that are under way for so long are told to other daemons. Most are
+    /// over before.
+    Duration tellAfter = std::chrono::milliseconds(450);
+    /// A job of which the others can't be told ends so long before its caller
+    /// may have submitted it again, as its holder has to be told of that.
+    Duration untoldMargin = std::chrono::milliseconds(90);
+    /// A job of which nothing was started is refused if the others can't be
+    /// told of it for so long.
+    Duration tellLimit = std::chrono::milliseconds(500);
+    /// A recall without an answer may have been lost with its connection.
+    Duration recallRetry = std::chrono::milliseconds(150);
   };
 
   /// None may be empty.
@@ -94,6 +114,15 @@
     /// reached.
     std::function<bool(const VmId&, const JobRequest&)> submit;
     std::function<void(const VmId&, const JobKey&)> cancel;
+    /// Tells a holder that the other daemons know of a job.
+    std::function<void(const VmId&, const JobKey&)> keep;
+    /// Until when all daemons at which callers may submit a job again have been
+    /// told of `longJobs`, by this daemon's clock.
+    std::function<TimePoint()> toldUntil;
+    /// Where callers of another daemon have a job under way.
+    std::function<std::optional<KnownJobs::Place>(const JobId&)> underWayAt;
+    /// Asks a daemon to stop what it has of a job.
+    std::function<void(const VmId&, const PeerRecall&)> recall;
   };
 
   using Done = std::function<void(const JobAnswer&)>;
@@ -119,6 +148,26 @@
                 TimePoint now);
   /// A daemon can't be reached any more.
   void daemonLost(const VmId& vm, TimePoint now);
+  /// The jobs that other daemons are to know of: those that have been under way
+  /// for a while, and those that were given up and whose runs may still be
+  /// stopping.
+  std::vector<LongJob> longJobs(TimePoint now) const;
+  /// What another daemon tells of its own. Of a job that is at both the earlier
+  /// submission is recalled: its caller has left it.
+  void told(const VmId& from, const std::vector<LongJob>& jobs, TimePoint now);
+  /// Whether any of them still has to be told to some daemon.
+  bool hasUntoldJobs(TimePoint now) const;
+  /// Another daemon has been sent a job that this one told of. What runs of it
+  /// is stopped, but for a later submission; returns how long that may take.
+  Duration recall(const VmId& from, const PeerRecall& recall, TimePoint now);
+  /// The answer to a recall.
+  void recalled(const VmId& from,
+                const JobId& job,
+                Duration overIn,
+                TimePoint now);
+  /// The other daemons may no longer know of the jobs that they have been told
+  /// of: those cease to be exclusive at this time unless they are told anew.
+  void tellAnew(TimePoint exclusiveUntil);
   /// Looks for holders and ends what has run out of time; to be called every
   /// 20 ms and when a shard has changed hands.
   void tick(TimePoint now);
@@ -170,6 +219,18 @@
     /// Whether it has had more than one part, so that no holder knows whether
     /// something of it runs.
     bool isSplit = false;
+    /// Until when its caller can't have submitted it again.
+    TimePoint exclusiveUntil{};
+    /// When it becomes one of the long jobs, and whether the other daemons have
+    /// been told of it since.
+    TimePoint longFrom{};
+    bool isTold = false;
+    /// Set while another daemon is asked to stop what it has of the job, and
+    /// when it was asked last.
+    std::optional<VmId> recalledFrom;
+    TimePoint recalledAt{};
+    /// Set while runs of an earlier submission may be at work.
+    std::optional<TimePoint> heldUntil;
   };
   using Entries = std::map<std::uint64_t, Entry>;
 
@@ -178,8 +239,19 @@
   void logCallers(const char* event, const Entry& entry, TimePoint now) const;
   PartPlace find(const VmId& from, const JobKey& key);
   Part& addPart(Entry& entry);
+  void begin(Entry& entry, TimePoint now);
+  void hold(Entry& entry, TimePoint until, TimePoint now);
+  void placeAll(Entry& entry, TimePoint now);
+  void recallFrom(const VmId& vm, const Entry& entry, TimePoint now);
+  static Duration ageOf(const Entry& entry, TimePoint now);
+  static TimePoint exclusiveFromArrival(const Entry& entry);
+  static bool mayRun(const Entry& entry);
+  TimePoint untoldEnd(const Entry& entry) const;
+  void endUntold(Entry& entry, TimePoint now);
+  void tellOthers(TimePoint now);
+  void setTold(Entry& entry);
   void markLost(Part& part, TimePoint now) const;
-  void partDone(Entry& entry, Part& part);
+  void partDone(Entry& entry, Part& part, TimePoint now);
   void partRefused(Entry& entry, Part& part, const JobEnd& end, TimePoint now);
   void partMoved(Entry& entry, Part& part, const JobEnd& end, TimePoint now);
   void place(Entry& entry, Part& part, TimePoint now);
@@ -192,8 +264,8 @@
               const VmId& vm,
               const ShardId& shard,
               TimePoint now);
-  void finish(Entry& entry, const JobAnswer& answer);
-  void forget(Entry& entry);
+  void finish(Entry& entry, const JobAnswer& answer, TimePoint now);
+  void forget(Entry& entry, TimePoint now);
 
   const VmId m_self;
   const Settings m_settings;
@@ -203,6 +275,8 @@
   /// The job and the part that each key stands for.
   std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> m_keys;
   std::map<Ticket, std::uint64_t> m_tickets;
+  /// When the runs of jobs that were given up are surely over.
+  std::map<JobId, TimePoint> m_givenUp;
   std::uint64_t m_lastJob = 0;
   std::uint64_t m_lastPart = 0;
   std::uint64_t m_lastKey = 0;
--- /dev/null
+++ b/src/libentry/knownjobs.cpp
@@ -0,0 +1,90 @@
+#include "knownjobs.h"
+
+#include "heartbeatplan.h"
+
+#include "libjobs/jobs.h"
+
+#include <algorithm>
+
+namespace cowslippin {
+
+void
+KnownJobs::told(const VmId& vm, const std::vector<LongJob>& jobs, TimePoint now)
+{
+  Peer& peer = m_peers[vm];
+  if (peer.lostAt)
+    leave(peer);
+  peer.lostAt.reset();
+  expire(now);
+  peer.jobs.clear();
+  for (const LongJob& job : jobs)
+    peer.jobs.insert(job.job);
+  peer.heardAt = now;
+}
+
+void
+KnownJobs::over(const VmId& vm, const JobId& job)
+{
+  const auto found = m_peers.find(vm);
+  if (found != m_peers.end())
+    found->second.jobs.erase(job);
+}
+
+void
+KnownJobs::lost(const VmId& vm, TimePoint now)
+{
+  const auto found = m_peers.find(vm);
+  if (found != m_peers.end())
+    found->second.lostAt = now;
+  expire(now);
+}
+
+std::optional<KnownJobs::Place>
+KnownJobs::find(const JobId& job, TimePoint now) const
+{
+  TimePoint overAt = now;
+  for (const auto& [vm, peer] : m_peers) {
+    if (peer.jobs.count(job) == 0)
+      continue;
+    if (!peer.lostAt)
+      return Place{ vm, TimePoint() };
+    overAt = std::max(overAt, KnownJobs::overAt(peer));
+  }
+  const auto left = m_left.find(job);
+  if (left != m_left.end())
+    overAt = std::max(overAt, left->second);
+  if (overAt == now)
+    return std::nullopt;
+  return Place{ std::nullopt, overAt };
+}
+
+void
+KnownJobs::leave(const Peer& peer)
+{
+  for (const JobId& job : peer.jobs) {
+    TimePoint& left = m_left[job];
+    left = std::max(left, overAt(peer));
+  }
+}
+
+void
+KnownJobs::expire(TimePoint now)
+{
+  for (auto peer = m_peers.begin(); peer != m_peers.end();) {
+    const bool isOver = peer->second.lostAt && now >= overAt(peer->second);
+    peer = isOver ? m_peers.erase(peer) : std::next(peer);
+  }
+  for (auto left = m_left.begin(); left != m_left.end();)
+    left = now >= left->second ? m_left.erase(left) : std::next(left);
+}
+
+/// A daemon that fell silent was there until its next heartbeat was due at the
+/// latest, or it would have sent that.
+TimePoint
+KnownJobs::overAt(const Peer& peer)
+{
+  const TimePoint nextAt = peer.heardAt + HeartbeatPlan::Settings().interval;
+  return std::min(peer.lostAt.value_or(nextAt), nextAt) + lostRunLimit;
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libentry/memberlosses.cpp
@@ -0,0 +1,24 @@
+#include "memberlosses.h"
+
+#include <algorithm>
+
+namespace cowslippin {
+
+namespace {
+
+/// A daemon that hasn't come back by then is taken to have ended.
+constexpr Duration endedAfter = std::chrono::seconds(30);
+
+} // namespace
+
+bool
+MemberLosses::isCutOff(std::size_t reachable, TimePoint now) const
+{
+  const auto lost =
+    std::count_if(m_lost.begin(), m_lost.end(), [now](const auto& item) {
+      return now - item.second < endedAfter;
+    });
+  return lost > 0 && static_cast<std::size_t>(lost) >= reachable;
+}
+
+} // namespace cowslippin
--- a/src/libentry/peercontact.cpp
+++ b/src/libentry/peercontact.cpp
@@ -11,14 +11,19 @@
 /// With a contact that is older, a heartbeat is sent out of turn: in a large
 /// group its turn may be far.
 constexpr Duration askedAfter = std::chrono::milliseconds(400);
+/// By how much the clocks of two machines differ over the age of a heartbeat.
+constexpr Duration clockTolerance = std::chrono::milliseconds(10);
 
 } // namespace
 
 void
-PeerContact::beatReceived(const VmId& vm, SentAt sentAt)
+PeerContact::beatReceived(const VmId& vm, SentAt sentAt, TimePoint now)
 {
   Peer& peer = m_peers[vm];
-  peer.newest = std::max(peer.newest, sentAt);
+  if (sentAt <= peer.newest)
+    return;
+  peer.newest = sentAt;
+  peer.newestAt = now;
 }
 
 PeerBeatAck
@@ -30,6 +35,25 @@
   return { found->second.settled, found->second.newest };
 }
 
+Duration
+PeerContact::acknowledgementAge(const VmId& vm, TimePoint now) const
+{
+  const auto found = m_peers.find(vm);
+  return found == m_peers.end() || found->second.newest == 0
+           ? Duration::zero()
+           : now - found->second.newestAt;
+}
+
+std::optional<TimePoint>
+PeerContact::sentAfter(const PeerBeatAck& ack, Duration ackAge, TimePoint now)
+{
+  const TimePoint sentAfter = TimePoint(Duration(ack.newest)) + ackAge;
+  // Of an earlier life of this machine, whose clock went further.
+  if (ack.newest == 0 || sentAfter > now + clockTolerance)
+    return std::nullopt;
+  return std::min(sentAfter, now);
+}
+
 std::optional<PeerBeatAck>
 PeerContact::takeDue(const VmId& vm, TimePoint now)
 {
--- a/src/libentry/peercontact.h
+++ b/src/libentry/peercontact.h
@@ -38,12 +38,19 @@
   static SentAt stamp(TimePoint now) { return now.time_since_epoch().count(); }
 
   /// A heartbeat of another daemon was read.
-  void beatReceived(const VmId& vm, SentAt sentAt);
+  void beatReceived(const VmId& vm, SentAt sentAt, TimePoint now);
   /// What to acknowledge to it with a message that is sent anyway.
   PeerBeatAck acknowledgement(const VmId& vm) const;
   /// The same if it has not been acknowledged yet, nor another one shortly
   /// before; it is from then on.
   std::optional<PeerBeatAck> takeDue(const VmId& vm, TimePoint now);
+  /// How long ago the newest heartbeat in it was read; zero if there is none.
+  Duration acknowledgementAge(const VmId& vm, TimePoint now) const;
+  /// When a message with an acknowledgement was sent at the earliest, by this
+  /// daemon's clock, if that can be told.
+  static std::optional<TimePoint> sentAfter(const PeerBeatAck& ack,
+                                            Duration ackAge,
+                                            TimePoint now);
 
   /// Whether it is to be sent a heartbeat out of turn, so that it acknowledges
   /// it; false shortly after it was true.
@@ -71,6 +78,7 @@
     /// Of the newest heartbeat, and of the newest that was read before the
     /// round of the event loop that is over.
     SentAt newest = 0;
+    TimePoint newestAt{};
     SentAt atTick = 0;
     SentAt settled = 0;
     SentAt acknowledged = 0;
--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -22,6 +22,8 @@
   job->arrivedAt = now - request.age;
   job->receivedAt = now;
   job->expiresAt = now + request.timeLeft;
+  if (request.exclusiveFor != Duration::max())
+    job->exclusiveUntil = now + request.exclusiveFor;
   job->expected = expected;
   if (request.quarantine)
     job->lostAt = now - request.quarantine->age;
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -70,6 +70,8 @@
   /// When the job came to this daemon.
   TimePoint receivedAt{};
   TimePoint expiresAt{};
+  /// See `JobRequest::exclusiveFor`. Its runs must be over by then.
+  TimePoint exclusiveUntil = TimePoint::max();
   /// Expected run time of a task.
   Duration expected = Duration::zero();
   /// When the answer is ideal at the latest, and when it is worth nothing.
@@ -106,6 +108,14 @@
 /// worker's clock that is 2% slow.
 constexpr Duration wantedRunLimit = std::chrono::milliseconds(1240);
 
+/// How long before a job ceases to be exclusive its runs are stopped, so that
+/// the leases of their workers, which other runs share, needn't end with them.
+constexpr Duration exclusiveMargin = std::chrono::milliseconds(60);
+
+/// Nothing of a job is started so shortly before it ceases to be exclusive: it
+/// would be stopped soon.
+constexpr Duration exclusiveStartMargin = std::chrono::milliseconds(300);
+
 /// How long runs that a lost daemon left behind may go on. Its submitter has
 /// told it of itself until it noticed the loss; the margin is as above.
 constexpr Duration lostRunLimit = std::chrono::milliseconds(1270);
--- a/src/libjobs/jobrequest.h
+++ b/src/libjobs/jobrequest.h
@@ -108,6 +108,10 @@
   /// it is refused at once where there is no room at all.
   bool mayBeReturned = true;
   CrashCounts crashes = {};
+  /// For how much longer the job can't have come to another daemon again
+  /// without that one's knowing where it is under way. No limit once the others
+  /// have been told of it.
+  Duration exclusiveFor = Duration::max();
 
   std::string taskName(TaskIndex task) const
   {
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -114,8 +114,10 @@
   const auto found = m_runs.find(key);
   if (found == m_runs.end() || found->second.job->dropAt)
     return std::nullopt;
-  const VmId& submitter = found->second.job->request.key.submitter();
-  return m_hooks.lastContact(submitter) + wantedRunLimit;
+  const Job& job = *found->second.job;
+  const VmId& submitter = job.request.key.submitter();
+  return std::min(m_hooks.lastContact(submitter) + wantedRunLimit,
+                  job.exclusiveUntil);
 }
 
 Duration
@@ -128,7 +130,9 @@
 bool
 Scheduler::mayStart(const Job& job, TimePoint now) const
 {
-  return !job.dropAt && sinceContact(job, now) <= m_settings.startContactLimit;
+  return !job.dropAt &&
+         sinceContact(job, now) <= m_settings.startContactLimit &&
+         now <= job.exclusiveUntil - exclusiveStartMargin;
 }
 
 /// A submitter that has just come may not have been heard yet.
@@ -251,6 +255,17 @@
   pump(now);
 }
 
+void
+Scheduler::keep(const JobKey& key, TimePoint now)
+{
+  m_now = now;
+  const auto found = m_jobs.find(key);
+  if (found == m_jobs.end())
+    return;
+  found->second->exclusiveUntil = TimePoint::max();
+  pump(now);
+}
+
 void
 Scheduler::daemonLost(const VmId& vm, bool wasSilent, TimePoint now)
 {
@@ -369,6 +384,10 @@
     logJobReattached(job, m_now);
   job.dropAt.reset();
   job.receivedAt = m_now;
+  job.exclusiveUntil =
+    request.exclusiveFor == Duration::max()
+      ? TimePoint::max()
+      : std::min(job.exclusiveUntil, m_now + request.exclusiveFor);
   m_jobs.insert(std::move(node));
   const std::set<TaskIndex> wanted(request.tasks.begin(), request.tasks.end());
   for (JobTask& task : job.tasks) {
@@ -601,6 +620,7 @@
   limits.perWorker = runsPerWorker(job);
   limits.mustBeIdle = task.crashes >= m_settings.suspectCrashes;
   limits.toldUntil = m_hooks.toldUntil(job.request.key.submitter());
+  limits.leasedUntil = job.exclusiveUntil;
   // No worker has an empty id.
   if (binding)
     limits.boundTo = binding->worker.value_or(WorkerId());
@@ -901,7 +921,7 @@
     drop(job);
     return;
   }
-  if (now >= job.expiresAt) {
+  if (now >= std::min(job.expiresAt, job.exclusiveUntil - exclusiveMargin)) {
     finish(job, { JobOutcome::TimedOut, Duration::zero(), {}, 1 });
     return;
   }
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -98,6 +98,8 @@
   void submit(JobRequest request, TimePoint now);
   /// The caller is gone: whatever runs is stopped, and no end is told.
   void cancel(const JobKey& key, TimePoint now);
+  /// The other daemons have been told of a job.
+  void keep(const JobKey& key, TimePoint now);
   /// A daemon can't be reached: its jobs end soon unless it submits them again.
   void daemonLost(const VmId& vm, bool wasSilent, TimePoint now);
   /// A submitter that had not been heard for a while has been.
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -583,6 +583,7 @@
                        TimePoint now) const
 {
   return isEligible(entry, request, now) &&
+         entry.lease->leasedUntil() <= limits.leasedUntil &&
          entry.lease->isSafeToStart(request.needs.resources, now) &&
          (!limits.boundTo || entry.lease->isReportFresh(now));
 }
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -33,6 +33,9 @@
   /// may still carry out an earlier start of the task, which another worker
   /// would run at the same time.
   std::optional<WorkerId> boundTo = std::nullopt;
+  /// None is taken whose lease lasts longer: leases are never shortened, and a
+  /// run has that of its worker.
+  TimePoint leasedUntil = TimePoint::max();
 };
 
 /// The workers of the shards that this daemon holds: their leases, how well
--- a/src/libpeers/peercodec.cpp
+++ b/src/libpeers/peercodec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised with every change that an older daemon can't read.
-constexpr int formatVersion = 8;
+constexpr int formatVersion = 9;
 
 json
 toJson(const ShardId& shard)
@@ -62,6 +62,15 @@
   return json::array({ evacuations.asOf, std::move(zones) });
 }
 
+json
+toJson(const std::vector<LongJob>& jobs)
+{
+  json list = json::array();
+  for (const LongJob& job : jobs)
+    list.push_back(json::array({ job.job.value(), job.age.count() }));
+  return list;
+}
+
 json
 toJson(const PeerBeat& beat)
 {
@@ -80,7 +89,9 @@
                        beat.carried,
                        toJson(beat.evacuations),
                        beat.nextWithin.count(),
-                       beat.sentAt });
+                       beat.sentAt,
+                       toJson(beat.longJobs),
+                       beat.asksAck });
 }
 
 json
@@ -170,7 +181,9 @@
                        request.mayHaveRun,
                        request.mayBeReturned,
                        toJson(request.crashes),
-                       toJson(submit.ack) });
+                       toJson(submit.ack),
+                       submit.ackAge.count(),
+                       request.exclusiveFor.count() });
 }
 
 json
@@ -202,6 +215,24 @@
   return json::array({ toJson(cancel.key) });
 }
 
+json
+toJson(const PeerKeep& keep)
+{
+  return json::array({ toJson(keep.key) });
+}
+
+json
+toJson(const PeerRecall& recall)
+{
+  return json::array({ recall.job.value(), recall.age.count() });
+}
+
+json
+toJson(const PeerRecalled& recalled)
+{
+  return json::array({ recalled.job.value(), recalled.overIn.count() });
+}
+
 json
 toJson(const PeerConfigPart& part)
 {
@@ -330,6 +361,9 @@
   beat.evacuations = readEvacuations(value.at(9));
   beat.nextWithin = duration(value.at(10));
   beat.sentAt = value.at(11).get<std::int64_t>();
+  for (const json& job : value.at(12))
+    beat.longJobs.push_back({ JobId(text(job.at(0))), duration(job.at(1)) });
+  beat.asksAck = value.at(13).get<bool>();
   return beat;
 }
 
@@ -421,7 +455,10 @@
   request.mayHaveRun = value.at(12).get<bool>();
   request.mayBeReturned = value.at(13).get<bool>();
   request.crashes = readCrashes(value.at(14));
-  return { std::move(request), readBeatAck(value.at(15)) };
+  request.exclusiveFor = duration(value.at(17));
+  return { std::move(request),
+           readBeatAck(value.at(15)),
+           duration(value.at(16)) };
 }
 
 PeerJobEnd
@@ -521,6 +558,12 @@
       return readBeatAck(value);
     case 12:
       return readUnresolvedStarts(value);
+    case 13:
+      return PeerKeep{ readKey(value.at(0)) };
+    case 14:
+      return PeerRecall{ JobId(text(value.at(0))), duration(value.at(1)) };
+    case 15:
+      return PeerRecalled{ JobId(text(value.at(0))), duration(value.at(1)) };
     default:
       throw std::invalid_argument("an unknown kind");
   }
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -54,6 +54,24 @@
   }
 };
 
+/// A job of a daemon's caller that has been under way for a while.
+struct LongJob
+{
+  JobId job;
+  /// Since its caller's request arrived; zero if it was given up and its runs
+  /// may still be stopping.
+  Duration age = Duration::zero();
+
+  friend bool operator==(const LongJob& a, const LongJob& b)
+  {
+    return a.job == b.job && a.age == b.age;
+  }
+  friend bool operator!=(const LongJob& a, const LongJob& b)
+  {
+    return !(a == b);
+  }
+};
+
 /// Sent at short intervals, and at once when the shards or `isLeaving` change.
 struct PeerBeat
 {
@@ -77,6 +95,10 @@
   Duration nextWithin = Duration::zero();
   /// By the sender's steady clock, which others only send back.
   std::int64_t sentAt = 0;
+  /// All of the sender's.
+  std::vector<LongJob> longJobs;
+  /// Whether this is to be acknowledged at once, for the sake of `longJobs`.
+  bool asksAck = false;
 };
 
 /// Sent to daemons that have jobs of this one. Both times are as in the
@@ -103,6 +125,8 @@
 {
   JobRequest request;
   PeerBeatAck ack = {};
+  /// How long before this was sent the newest heartbeat in `ack` was read.
+  Duration ackAge = Duration::zero();
 };
 
 /// What has become of a job that was submitted.
@@ -125,6 +149,29 @@
   JobKey key;
 };
 
+/// Other daemons have been told of a job: see `JobRequest::exclusiveFor`.
+struct PeerKeep
+{
+  JobKey key;
+};
+
+/// The caller of a job has submitted it to the sender again: asks a daemon that
+/// has told of the job to stop it.
+struct PeerRecall
+{
+  JobId job;
+  /// Of the sender's submission. One that is younger isn't stopped for it.
+  Duration age = Duration::zero();
+};
+
+/// What was recalled is being stopped, or was not there any more.
+struct PeerRecalled
+{
+  JobId job;
+  /// After this all that ran of it is surely over.
+  Duration overIn = Duration::zero();
+};
+
 /// Asks a daemon that told of a newer configuration for a part of it.
 struct PeerConfigRequest
 {
@@ -207,6 +254,9 @@
                                  PeerConfigBusy,
                                  PeerWorkerNews,
                                  PeerBeatAck,
-                                 PeerUnresolvedStarts>;
+                                 PeerUnresolvedStarts,
+                                 PeerKeep,
+                                 PeerRecall,
+                                 PeerRecalled>;
 
 } // namespace cowslippin
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -194,6 +194,9 @@
   const WorkerRecord& record() const { return m_record; }
   FencingToken token() const { return m_token; }
   std::size_t runCount() const { return m_runs.size(); }
+  /// Until when its runs may go on by the leases that were granted, this
+  /// daemon's clock.
+  TimePoint leasedUntil() const { return m_leasedUntil; }
   /// When the newest report was asked for: it tells of all that another daemon
   /// had begun here before.
   TimePoint reportAskedAt() const { return m_reportAskedAt; }
--- a/tests/entry/daemongroup_test.cpp
+++ b/tests/entry/daemongroup_test.cpp
@@ -169,5 +169,22 @@
                                            Case(20, 1389)),
                          caseName);
 
+/// Seeds in which a job comes again to a daemon that can't know of the first
+/// submission, or goes on at a gateway that wakes. Of
+/// `LoseCallersUnnoticedAndAll`, `CallersReturnAndFreeze` and
+/// `CallersReturnAndAll`.
+INSTANTIATE_TEST_SUITE_P(JobsThatComeAgain,
+                         DaemonGroupInTrouble,
+                         ::testing::Values(Case(30, 60),
+                                           Case(30, 180),
+                                           Case(33, 126),
+                                           Case(33, 138),
+                                           Case(33, 155),
+                                           Case(33, 177),
+                                           Case(34, 133),
+                                           Case(34, 160),
+                                           Case(34, 166)),
+                         caseName);
+
 } // namespace
 } // namespace cowslippin::testing
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -40,8 +40,13 @@
     /// Tasks of four jobs in five run for at most 200 ms; the others for at
     /// least 500 ms and less than this.
     unsigned longestTaskMs = 1400;
+    /// Whether there are others.
+    bool hasLongTasks = true;
     /// Whether tasks of one job in a hundred fail.
     bool hasFailures = true;
+    /// Whether callers that aren't told what has become of their jobs submit
+    /// them again at any daemon.
+    bool hasReturningCallers = false;
     /// Of each daemon's link, each way; 0 for any. Orders to workers, their
     /// answers and messages between daemons queue for it.
     double linkMegabits = 0;
@@ -118,6 +123,14 @@
   unsigned startedTasks(unsigned zone) const;
   /// Heartbeats that a daemon has sent.
   unsigned beats(std::size_t daemon) const { return m_nodes[daemon].beats; }
+  /// Messages of a kind that a daemon has sent to others.
+  template<class Message>
+  unsigned sent(std::size_t daemon) const
+  {
+    const auto& sent = m_nodes[daemon].sent;
+    const auto found = sent.find(PeerMessage(Message()).index());
+    return found == sent.end() ? 0 : found->second;
+  }
 
   std::mt19937_64& random() { return m_random; }
   TimePoint now() const { return m_now; }
@@ -145,6 +158,8 @@
     bool isFrozen = false;
     TimePoint cutUntil{};
     unsigned beats = 0;
+    /// Messages by their kind.
+    std::map<std::size_t, unsigned> sent;
     /// Until when its link is busy with what waits in each direction.
     TimePoint sendsUntil{};
     TimePoint receivesUntil{};
@@ -262,6 +277,7 @@
   void submitNew();
   void submit(const JobId& job, std::size_t daemon);
   void callerBroken(std::size_t daemon);
+  void submitAgain(const JobId& job);
   void answered(const JobId& job, unsigned attempt, const JobAnswer& answer);
   WorkerList list() const;
   double chance() { return std::uniform_real_distribution<>(0, 1)(m_random); }
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <numeric>
 #include <set>
 #include <string>
 
@@ -134,6 +136,101 @@
   EXPECT_LE(mostBeats(90), atNinety * 5 / 4);
 }
 
+/// What the daemons of a group have sent: the heartbeats of each, and messages
+/// of other kinds in all.
+struct Sent
+{
+  std::vector<unsigned> beats;
+  unsigned acks = 0;
+  unsigned submits = 0;
+  unsigned keeps = 0;
+  unsigned recalls = 0;
+
+  unsigned mostBeats() const
+  {
+    return *std::max_element(beats.begin(), beats.end());
+  }
+  unsigned allBeats() const
+  {
+    return std::accumulate(beats.begin(), beats.end(), 0u);
+  }
+};
+
+Sent
+sentUntilNow(const Simulation& simulation)
+{
+  Sent sent;
+  for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon) {
+    sent.beats.push_back(simulation.beats(daemon));
+    sent.acks += simulation.sent<PeerBeatAck>(daemon);
+    sent.submits += simulation.sent<PeerSubmit>(daemon);
+    sent.keeps += simulation.sent<PeerKeep>(daemon);
+    sent.recalls += simulation.sent<PeerRecall>(daemon);
+  }
+  return sent;
+}
+
+Sent
+operator-(Sent sent, const Sent& before)
+{
+  for (std::size_t daemon = 0; daemon < sent.beats.size(); ++daemon)
+    sent.beats[daemon] -= before.beats[daemon];
+  sent.acks -= before.acks;
+  sent.submits -= before.submits;
+  sent.keeps -= before.keeps;
+  sent.recalls -= before.recalls;
+  return sent;
+}
+
+/// What a calm group sends in some seconds once all daemons are connected.
+Sent
+sentInCalm(unsigned daemonsPerZone, bool hasLongTasks)
+{
+  Simulation::Settings settings;
+  settings.zones = 3;
+  settings.daemonsPerZone = daemonsPerZone;
+  settings.workersPerZone = daemonsPerZone * 4;
+  settings.jobsPerSecond = daemonsPerZone * 3;
+  settings.hasFailures = false;
+  settings.hasLongTasks = hasLongTasks;
+  settings.longestTaskMs = 3500;
+  Simulation simulation(settings, 1);
+  simulation.runFor(seconds(3));
+  const Sent before = sentUntilNow(simulation);
+  simulation.runFor(seconds(5));
+  expectNoViolations(simulation);
+  return sentUntilNow(simulation) - before;
+}
+
+class CostOfLongJobs : public ::testing::TestWithParam<unsigned>
+{};
+
+/// Guards against heartbeats that are sent for the sake of long jobs or
+/// acknowledged more than once for it and once in their turn, against keeps
+/// that are sent again, and against recalls where no caller comes twice.
+TEST_P(CostOfLongJobs, IsNoHeartbeatsAndOneKeepForEachPart)
+{
+  const Sent without = sentInCalm(GetParam(), false);
+  const Sent with = sentInCalm(GetParam(), true);
+  RecordProperty("beats", std::to_string(without.allBeats()));
+  RecordProperty("beatsWithLongJobs", std::to_string(with.allBeats()));
+  RecordProperty("acks", std::to_string(without.acks));
+  RecordProperty("acksWithLongJobs", std::to_string(with.acks));
+  RecordProperty("submitsWithLongJobs", std::to_string(with.submits));
+  RecordProperty("keepsWithLongJobs", std::to_string(with.keeps));
+  EXPECT_LE(with.mostBeats(), without.mostBeats() * 5 / 4);
+  EXPECT_LE(with.allBeats(), without.allBeats() * 5 / 4);
+  EXPECT_LE(with.acks, 2 * with.allBeats());
+  EXPECT_GT(with.keeps, 0u);
+  EXPECT_LE(with.keeps, with.submits);
+  EXPECT_EQ(with.recalls + without.recalls, 0u);
+}
+
+/// Daemons a zone: all are sent a heartbeat in each interval, or only some.
+INSTANTIATE_TEST_SUITE_P(GroupSizes,
+                         CostOfLongJobs,
+                         ::testing::Values(4u, 25u));
+
 /// Zones of one daemon each.
 Simulation::Settings
 withLoneDaemons()
--- a/tests/entry/simulationcallers.cpp
+++ b/tests/entry/simulationcallers.cpp
@@ -9,8 +9,11 @@
 
 using std::chrono::milliseconds;
 
-/// When a caller whose connection broke submits again.
+/// When a caller whose connection broke, or that isn't told what has become of
+/// its job, submits again.
 constexpr Duration resendAfter = milliseconds(1300);
+/// How often a returning caller submits a job.
+constexpr unsigned mostAttempts = 5;
 
 } // namespace
 
@@ -29,9 +32,9 @@
 Simulation::submitNew()
 {
   const JobId job("job" + std::to_string(++m_lastJob));
-  const unsigned taskMs = below(5) == 0
-                            ? 500 + below(m_settings.longestTaskMs - 500)
-                            : 40 + below(160);
+  const bool isLong = below(5) == 0 && m_settings.hasLongTasks;
+  const unsigned taskMs =
+    isLong ? 500 + below(m_settings.longestTaskMs - 500) : 40 + below(160);
   const std::int64_t cpu = 5000 + std::int64_t(below(4000));
   Caller caller;
   caller.submission.job = job;
@@ -108,13 +111,19 @@
       continue;
     caller.isWaiting = false;
     caller.wasAlwaysRefused = false;
-    at(resendAfter, [this, job = job] {
-      if (m_callers.count(job) > 0)
-        submit(job, below(m_nodes.size()));
-    });
+    submitAgain(job);
   }
 }
 
+void
+Simulation::submitAgain(const JobId& job)
+{
+  at(resendAfter, [this, job] {
+    if (m_callers.count(job) > 0)
+      submit(job, below(m_nodes.size()));
+  });
+}
+
 void
 Simulation::answered(const JobId& job,
                      unsigned attempt,
@@ -144,7 +153,11 @@
       return;
     case JobAnswer::Kind::Unknown:
       ++m_unknown;
-      m_callers.erase(found);
+      caller.wasAlwaysRefused = false;
+      if (m_settings.hasReturningCallers && caller.attempt < mostAttempts)
+        submitAgain(job);
+      else
+        m_callers.erase(found);
       return;
   }
 }
--- a/tests/entry/simulationlinks.cpp
+++ b/tests/entry/simulationlinks.cpp
@@ -86,6 +86,7 @@
       const ConnectionNumber number = connection(node, other);
       if (std::holds_alternative<PeerBeat>(message))
         ++m_nodes[node].beats;
+      ++m_nodes[node].sent[message.index()];
       const std::size_t bytes = wireBytes(message);
       const Duration delay =
         oneWay + sendTime(node, bytes) + receiveTime(other, bytes);
--- a/tests/entry/troubles.cpp
+++ b/tests/entry/troubles.cpp
@@ -79,6 +79,14 @@
   return settings;
 }
 
+/// Callers that come again whatever they are answered but an end.
+Simulation::Settings
+withReturningCallers(Simulation::Settings settings)
+{
+  settings.hasReturningCallers = true;
+  return settings;
+}
+
 /// Daemons that read the store seconds after others.
 Simulation::Settings
 withLateLists()
@@ -216,6 +224,18 @@
   strikeAny(simulation);
 }
 
+/// A gateway stands still after its callers have left it unnoticed, and wakes
+/// when they may be at other daemons.
+void
+loseCallersUnnoticedAndFreeze(Simulation& simulation)
+{
+  const std::size_t daemon = anyDaemon(simulation);
+  simulation.loseCallers(daemon,
+                         milliseconds(300 + simulation.random()() % 4000));
+  simulation.runFor(milliseconds(simulation.random()() % 1200));
+  simulation.freeze(daemon, milliseconds(200 + simulation.random()() % 2500));
+}
+
 /// Daemons that hear of losses late, and others that are lost meanwhile.
 void
 strikeLateNews(Simulation& simulation)
@@ -325,6 +345,18 @@
     { "LoseCallersUnnoticedAndAll",
       loseCallersUnnoticedAndStrike,
       withLongTasksAndOrderFaults() },
+    { "CallersReturn",
+      loseCallersUnnoticed,
+      withReturningCallers(withLongTasks()) },
+    { "CallersReturnAndOrderFaults",
+      loseCallersUnnoticed,
+      withReturningCallers(withLongTasksAndOrderFaults()) },
+    { "CallersReturnAndFreeze",
+      loseCallersUnnoticedAndFreeze,
+      withReturningCallers(withLongTasks()) },
+    { "CallersReturnAndAll",
+      loseCallersUnnoticedAndStrike,
+      withReturningCallers(withLongTasksAndOrderFaults()) },
   };
 }
 
--- /dev/null
+++ b/tests/jobs/exclusivejobs_test.cpp
@@ -0,0 +1,183 @@
+#include "schedulerfixture.h"
+
+#include <gtest/gtest.h>
+
+namespace cowslippin::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Jobs that may come to another daemon again after `wantedRunLimit`, of a
+/// submitter that is in touch all the time.
+class ExclusiveJobs : public ::testing::Test
+{
+protected:
+  ExclusiveJobs()
+  {
+    fixture.addWorker("w1");
+    fixture.take();
+  }
+
+  /// Two tasks fill the worker. They are long enough not to be taken for
+  /// stalled.
+  JobRequest exclusive(const std::string& name, unsigned tasks)
+  {
+    JobRequest request = fixture.request(name, tasks, 6800, 2000);
+    request.exclusiveFor = wantedRunLimit;
+    return request;
+  }
+
+  JobRequest kept(const std::string& name, unsigned tasks)
+  {
+    return fixture.request(name, tasks, 6800, 2000);
+  }
+
+  void submit(const JobRequest& request)
+  {
+    fixture.scheduler.submit(request, fixture.now);
+    fixture.settle();
+  }
+
+  bool isRunning(const std::string& task) const
+  {
+    return fixture.workerOf(task).has_value();
+  }
+
+  /// The shortest lease that a run may have when it is started.
+  const Duration lease =
+    wantedRunLimit - Scheduler::Settings().startContactLimit;
+  SchedulerFixture fixture;
+};
+
+/// Guards against a run that is started with the lease that its worker has, and
+/// outlasts the time at which its job may come again.
+TEST_F(ExclusiveJobs, NothingIsStartedLate)
+{
+  submit(kept("b", 2));
+  submit(exclusive("a", 1));
+  fixture.pass(520);
+  fixture.end("b.0.0.0", RunEnd::Done);
+  fixture.pass(20);
+  EXPECT_EQ(fixture.running(), 1u);
+}
+
+/// Guards against a limit that leaves jobs waiting that could still start.
+TEST_F(ExclusiveJobs, WhatMayStillEndInTimeIsStarted)
+{
+  submit(kept("b", 2));
+  submit(exclusive("a", 1));
+  fixture.pass(static_cast<int>(toMilliseconds(wantedRunLimit - lease)) - 30);
+  fixture.end("b.0.0.0", RunEnd::Done);
+  EXPECT_TRUE(isRunning("a.0.0.0"));
+}
+
+/// Guards against a job that took long to arrive and is given its whole time.
+TEST_F(ExclusiveJobs, WhatArrivesLateIsNotStarted)
+{
+  JobRequest request = exclusive("a", 1);
+  request.exclusiveFor = lease - milliseconds(1);
+  submit(request);
+  EXPECT_EQ(fixture.running(), 0u);
+  fixture.scheduler.keep(request.key, fixture.now);
+  fixture.settle();
+  EXPECT_EQ(fixture.running(), 1u);
+}
+
+/// Guards against a job whose others have been told and that never goes on.
+TEST_F(ExclusiveJobs, AKeptJobIsStartedAndRunsOn)
+{
+  submit(kept("b", 2));
+  const JobRequest request = exclusive("a", 2);
+  submit(request);
+  fixture.pass(600);
+  fixture.end("b.0.0.0", RunEnd::Done);
+  fixture.end("b.0.0.1", RunEnd::Done);
+  EXPECT_EQ(fixture.running(), 0u);
+  fixture.scheduler.keep(request.key, fixture.now);
+  fixture.settle();
+  EXPECT_EQ(fixture.running(), 2u);
+  fixture.pass(1400);
+  EXPECT_EQ(fixture.running(), 2u);
+  EXPECT_EQ(fixture.endOf(request), nullptr);
+}
+
+/// Guards against a keep for a job that has ended meanwhile.
+TEST_F(ExclusiveJobs, AKeepForWhatIsNotThereChangesNothing)
+{
+  const JobRequest request = exclusive("a", 1);
+  fixture.scheduler.keep(request.key, fixture.now);
+  submit(request);
+  fixture.pass(1240);
+  EXPECT_NE(fixture.endOf(request), nullptr);
+}
+
+/// Guards against a run that goes on by its lease where the stop is lost: the
+/// job may be under way at another daemon by then.
+TEST_F(ExclusiveJobs, LeasesEndInTimeThoughNoStopArrives)
+{
+  submit(exclusive("a", 2));
+  fixture.pass(1000);
+  ASSERT_EQ(fixture.running(), 2u);
+  fixture.isStopLost = true;
+  fixture.pass(240);
+  for (auto& [id, worker] : fixture.workers)
+    worker.lapse(fixture.now);
+  EXPECT_EQ(fixture.running(), 0u);
+}
+
+/// Guards against other runs of a worker that end with the lease that an
+/// exclusive job bounds.
+TEST_F(ExclusiveJobs, OtherRunsOnItsWorkerGoOnWhenAJobEnds)
+{
+  const JobRequest other = kept("b", 1);
+  const JobRequest request = exclusive("a", 1);
+  submit(other);
+  submit(request);
+  ASSERT_EQ(fixture.running(), 2u);
+  fixture.pass(1160);
+  EXPECT_TRUE(isRunning("a.0.0.0"));
+  fixture.pass(40);
+  EXPECT_FALSE(isRunning("a.0.0.0")) << "stopped before the limit";
+  ASSERT_NE(fixture.endOf(request), nullptr);
+  EXPECT_EQ(fixture.endOf(request)->outcome, JobOutcome::TimedOut);
+  fixture.pass(600);
+  EXPECT_TRUE(isRunning("b.0.0.0"));
+  EXPECT_EQ(fixture.endOf(other), nullptr);
+}
+
+/// Guards against a job that is kept while it has no holder and is ended by the
+/// one that still has it.
+TEST_F(ExclusiveJobs, AJobHandedOverAgainAsKeptRunsOn)
+{
+  const JobRequest request = exclusive("a", 1);
+  submit(request);
+  fixture.pass(400);
+  fixture.scheduler.daemonLost(request.key.submitter(), false, fixture.now);
+  JobRequest again = kept("a", 1);
+  again.previousPart = request.key.part();
+  again.mayHaveRun = true;
+  submit(again);
+  fixture.pass(1400);
+  EXPECT_EQ(fixture.endOf(again), nullptr);
+  EXPECT_EQ(fixture.running(), 1u);
+}
+
+/// Guards against a job that is given time anew with each time that it is
+/// handed over.
+TEST_F(ExclusiveJobs, AJobHandedOverAgainGetsNoMoreTime)
+{
+  const JobRequest request = exclusive("a", 1);
+  submit(request);
+  fixture.pass(400);
+  fixture.scheduler.daemonLost(request.key.submitter(), false, fixture.now);
+  JobRequest again = exclusive("a", 1);
+  again.previousPart = request.key.part();
+  again.mayHaveRun = true;
+  submit(again);
+  fixture.pass(840);
+  EXPECT_EQ(fixture.running(), 0u);
+  EXPECT_NE(fixture.endOf(again), nullptr);
+}
+
+} // namespace
+} // namespace cowslippin::testing
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -49,6 +49,7 @@
   request.previousPart = 76;
   request.mayHaveRun = true;
   request.mayBeReturned = false;
+  request.exclusiveFor = std::chrono::milliseconds(1100);
   return request;
 }
 
@@ -83,6 +84,26 @@
   EXPECT_EQ(read.previousPart, sent.previousPart);
   EXPECT_EQ(read.mayHaveRun, sent.mayHaveRun);
   EXPECT_EQ(read.mayBeReturned, sent.mayBeReturned);
+  EXPECT_EQ(read.exclusiveFor, sent.exclusiveFor);
+}
+
+/// Guards against a job that is kept by its gateway and ends at its holder.
+TEST(PeerCodec, CarriesAJobWithoutALimitToItsBeingExclusive)
+{
+  JobRequest sent = request();
+  sent.exclusiveFor = Duration::max();
+  EXPECT_EQ(throughTheWire(PeerSubmit{ sent }).request.exclusiveFor,
+            Duration::max());
+}
+
+/// Guards against a job whose caller's time has passed on the way to its
+/// holder and that counts as fresh there.
+TEST(PeerCodec, CarriesAJobThatIsNoLongerExclusive)
+{
+  JobRequest sent = request();
+  sent.exclusiveFor = std::chrono::milliseconds(-20);
+  EXPECT_EQ(throughTheWire(PeerSubmit{ sent }).request.exclusiveFor,
+            sent.exclusiveFor);
 }
 
 TEST(PeerCodec, CarriesAQuarantineThatNoWorkersCanEnd)
@@ -99,7 +120,26 @@
 {
   const PeerBeatAck ack{ 1200300400500, 1200300400600 };
   EXPECT_EQ(throughTheWire(ack), ack);
-  EXPECT_EQ(throughTheWire(PeerSubmit{ request(), ack }).ack, ack);
+  const Duration age = std::chrono::milliseconds(90);
+  const PeerSubmit submit = throughTheWire(PeerSubmit{ request(), ack, age });
+  EXPECT_EQ(submit.ack, ack);
+  EXPECT_EQ(submit.ackAge, age);
+}
+
+/// Guards against a job that runs twice as its keep, recall or the answer says
+/// something else to the reader.
+TEST(PeerCodec, CarriesKeepsRecallsAndTheirAnswers)
+{
+  const JobKey key(VmId("vm-1"), JobId("j"), 4);
+  EXPECT_EQ(throughTheWire(PeerKeep{ key }).key, key);
+  const auto recall =
+    throughTheWire(PeerRecall{ JobId("j"), std::chrono::milliseconds(7) });
+  EXPECT_EQ(recall.job, JobId("j"));
+  EXPECT_EQ(recall.age, std::chrono::milliseconds(7));
+  const Duration overIn = std::chrono::milliseconds(1270);
+  const PeerRecalled read = throughTheWire(PeerRecalled{ JobId("j"), overIn });
+  EXPECT_EQ(read.job, JobId("j"));
+  EXPECT_EQ(read.overIn, overIn);
 }
 
 TEST(PeerCodec, CarriesStartsThatWorkersDidNotAnswer)
@@ -144,9 +184,14 @@
   beat.configVersion = 40;
   beat.evacuations = { 12, { ZoneName("z1"), ZoneName("z3") } };
   beat.sentAt = 1200300400500;
+  beat.longJobs = { { JobId("j"), std::chrono::milliseconds(700) },
+                    { JobId("given-up"), Duration::zero() } };
+  beat.asksAck = true;
   const PeerBeat readBeat = throughTheWire(beat);
   EXPECT_EQ(readBeat.evacuations, beat.evacuations);
   EXPECT_EQ(readBeat.sentAt, beat.sentAt);
+  EXPECT_EQ(readBeat.longJobs, beat.longJobs);
+  EXPECT_EQ(readBeat.asksAck, beat.asksAck);
   EXPECT_EQ(readBeat.isLeaving, beat.isLeaving);
   EXPECT_EQ(readBeat.isReady, beat.isReady);
   EXPECT_EQ(readBeat.shards, beat.shards);
@@ -225,13 +270,49 @@
   }));
 }
 
-TEST(PeerCodec, ACutMessageIsAProblem)
+void
+expectCutsAreProblems(const PeerMessage& whole)
 {
-  const auto message = encodePeerMessage(PeerSubmit{ request() });
+  const auto message = encodePeerMessage(whole);
   const std::string bytes(message.begin(), message.end());
   for (std::size_t length = 0; length < bytes.size(); ++length) {
     const Result<PeerMessage> read = decodePeerMessage(bytes.substr(0, length));
-    EXPECT_FALSE(read.has_value()) << length;
+    EXPECT_FALSE(read.has_value()) << whole.index() << ", " << length;
+  }
+}
+
+TEST(PeerCodec, ACutMessageIsAProblem)
+{
+  const JobId job("j");
+  PeerBeat beat;
+  beat.longJobs = { { job, std::chrono::milliseconds(700) } };
+  expectCutsAreProblems(PeerSubmit{ request() });
+  expectCutsAreProblems(beat);
+  expectCutsAreProblems(PeerKeep{ JobKey(VmId("vm-1"), job, 4) });
+  expectCutsAreProblems(PeerRecall{ job });
+  expectCutsAreProblems(PeerRecalled{ job, std::chrono::milliseconds(9) });
+}
+
+/// Guards against a field that is left out and taken for zero: a recalled job
+/// would count as over.
+TEST(PeerCodec, AMessageWithoutItsLastFieldIsAProblem)
+{
+  const JobId job("j");
+  const std::vector<PeerMessage> messages = {
+    PeerSubmit{ request() },
+    PeerBeat(),
+    PeerKeep{ JobKey(VmId("vm-1"), job, 4) },
+    PeerRecall{ job },
+    PeerRecalled{ job, std::chrono::milliseconds(9) },
+  };
+  for (const PeerMessage& message : messages) {
+    const auto bytes = encodePeerMessage(message);
+    nlohmann::json value =
+      nlohmann::json::from_cbor(bytes.begin(), bytes.end());
+    value[1].erase(value[1].size() - 1);
+    const auto shorter = nlohmann::json::to_cbor(value);
+    EXPECT_FALSE(decodePeerMessage(std::string(shorter.begin(), shorter.end())))
+      << message.index();
   }
 }
 
