Take callers' jobs at once after a loss of all

A daemon of before that lives would be heard as well, the reason for which shards are taken at once there.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -765,12 +765,13 @@
 }
 
 /// A daemon that hasn't heard all others since its start or a pause may have
-/// missed what they told, and they what it told.
+/// missed what they told, and they what it told. After a loss of all there is
+/// nothing to be told.
 bool
 EntryCore::isInformed(TimePoint now) const
 {
   const std::size_t known = m_links.knownCount();
-  return now >= m_informedAt ||
+  return now >= m_informedAt || m_shards.haveAllJustStarted() ||
          (known > 0 && m_shards.members().size() >= known);
 }
 
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -237,10 +237,7 @@
              now);
     } else if (!entry.isTold && now >= untoldEnd(entry)) {
       endUntold(entry, now);
-    } else if (entry.heldUntil && now >= *entry.heldUntil) {
-      begin(entry, now);
-    } else if (entry.recalledFrom &&
-               now - entry.recalledAt >= m_settings.recallRetry) {
+    } else if (mayBeginNow(entry, now)) {
       begin(entry, now);
     } else if (!entry.heldUntil && !entry.recalledFrom) {
       placeAll(entry, now);
@@ -338,6 +335,15 @@
   return now - entry.arrivedAt + entry.submission.unreadFor;
 }
 
+/// Whether it is time to look again where an earlier submission is under way.
+bool
+Gateway::mayBeginNow(const Entry& entry, TimePoint now) const
+{
+  if (entry.heldUntil)
+    return now >= *entry.heldUntil;
+  return entry.recalledFrom && now - entry.recalledAt >= m_settings.recallRetry;
+}
+
 /// Until when a job of which no other daemon was told is exclusive.
 TimePoint
 Gateway::exclusiveFromArrival(const Entry& entry)
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -243,6 +243,7 @@
   void hold(Entry& entry, TimePoint until, TimePoint now);
   void placeAll(Entry& entry, TimePoint now);
   void recallFrom(const VmId& vm, const Entry& entry, TimePoint now);
+  bool mayBeginNow(const Entry& entry, TimePoint now) const;
   static Duration ageOf(const Entry& entry, TimePoint now);
   static TimePoint exclusiveFromArrival(const Entry& entry);
   static bool mayRun(const Entry& entry);
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -305,8 +305,6 @@
          (last->second == m_self || m_members.find(last->second) != nullptr);
 }
 
-/// Whether others are heard and all of them are new. A living holder would be
-/// heard as well.
 bool
 ShardTable::haveAllJustStarted() const
 {
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -127,6 +127,9 @@
   std::set<VmId> holders() const;
   const std::map<ShardId, std::uint64_t>& held() const { return m_held; }
   const std::set<ShardId>& shards() const { return m_shards; }
+  /// Whether others are heard and all of them are new: a daemon of before that
+  /// lives would be heard as well.
+  bool haveAllJustStarted() const;
   /// The other daemons that can be heard.
   const MemberIndex::Members& members() const { return m_members.all(); }
   /// Whether no other daemon can be reached though others exist.
@@ -140,7 +143,6 @@
   bool takesOneAtATime(TimePoint now) const;
   bool mayTakeNow(TimePoint now) const;
   bool isKnownFree(const ShardId& shard, TimePoint now) const;
-  bool haveAllJustStarted() const;
   bool mustRelease(const ShardId& shard, TimePoint now) const;
   bool mayTake(const ShardId& shard,
                std::size_t ownShards,
--- a/tests/entry/knownjobs_test.cpp
+++ b/tests/entry/knownjobs_test.cpp
@@ -18,7 +18,7 @@
 class KnownJobsTest : public ::testing::Test
 {
 protected:
-  void tell(const VmId& vm, std::vector<LongJob> jobs)
+  void tell(const VmId& vm, const std::vector<LongJob>& jobs)
   {
     known.told(vm, jobs, now);
   }
