Ask for no reports where a worker's lease is too long for a job

What callers saw: nothing by itself; holders asked workers for one report after the other, as fast as they were answered, for as long as a job that other daemons had not been told of waited and some worker had room and a longer lease. Such a job's tasks were also kept from being returned meanwhile.

Cause: the bound on the lease was put into isSuitable, whose other conditions a new report can change. refreshForStart took it for one of those. A report never shortens a lease, and renews it.

Change: what no report can change is one check, isAllowed, which choose and refreshForStart share; it takes in the binding to a worker, which both had written out.

--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -144,10 +144,9 @@
   using Rank = std::tuple<bool, bool, std::int64_t>;
   std::optional<std::pair<Rank, WorkerId>> best;
   for (const auto& [id, entry] : m_entries) {
-    const bool isBoundElsewhere = limits.boundTo && *limits.boundTo != id;
     const bool isTooFull = limits.mustBeIdle && entry.lease->runCount() > 0;
     const bool isUnknown = entry.addedAt > limits.toldUntil;
-    if (isBoundElsewhere || isTooFull || isUnknown ||
+    if (!isAllowed(id, entry, limits) || isTooFull || isUnknown ||
         !isSuitable(entry, request, limits, now))
       continue;
     const auto here = limits.perWorker.find(id);
@@ -224,8 +223,7 @@
 {
   bool isRequested = false;
   for (auto& [id, entry] : m_entries) {
-    const bool isBoundElsewhere = limits.boundTo && *limits.boundTo != id;
-    if (isBoundElsewhere || !isEligible(entry, request, now) ||
+    if (!isAllowed(id, entry, limits) || !isEligible(entry, request, now) ||
         isSuitable(entry, request, limits, now))
       continue;
     entry.lease->refresh(now);
@@ -576,6 +574,15 @@
          !isEvacuated(entry.lease->record().zone());
 }
 
+bool
+WorkerPool::isAllowed(const WorkerId& id,
+                      const Entry& entry,
+                      const WorkerLimits& limits)
+{
+  const bool isBoundElsewhere = limits.boundTo && *limits.boundTo != id;
+  return !isBoundElsewhere && entry.lease->leasedUntil() <= limits.leasedUntil;
+}
+
 bool
 WorkerPool::isSuitable(const Entry& entry,
                        const JobRequest& request,
@@ -583,7 +590,6 @@
                        TimePoint now) const
 {
   return isEligible(entry, request, now) &&
-         entry.lease->leasedUntil() <= limits.leasedUntil &&
          entry.lease->isSafeToStart(request.needs.resources, now) &&
          (!limits.boundTo || entry.lease->isReportFresh(now));
 }
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -263,6 +263,10 @@
   bool isEligible(const Entry& entry,
                   const JobRequest& request,
                   TimePoint now) const;
+  /// Whether the limits leave the worker, whatever it would report.
+  static bool isAllowed(const WorkerId& id,
+                        const Entry& entry,
+                        const WorkerLimits& limits);
   /// Whether the worker is eligible and would stay within its capacity even
   /// after an undetected restart.
   bool isSuitable(const Entry& entry,
--- a/tests/jobs/exclusivejobs_test.cpp
+++ b/tests/jobs/exclusivejobs_test.cpp
@@ -61,6 +61,20 @@
   EXPECT_EQ(fixture.running(), 1u);
 }
 
+/// Guards against reports that are asked for again and again though none can
+/// shorten a worker's lease.
+TEST_F(ExclusiveJobs, NoReportsAreAskedForWhereTheLeaseIsTooLong)
+{
+  submit(kept("b", 2));
+  submit(exclusive("a", 1));
+  fixture.pass(520);
+  fixture.end("b.0.0.0", RunEnd::Done);
+  ASSERT_EQ(fixture.running(), 1u);
+  const unsigned before = fixture.promptReports;
+  fixture.pass(20);
+  EXPECT_EQ(fixture.promptReports, before);
+}
+
 /// Guards against a limit that leaves jobs waiting that could still start.
 TEST_F(ExclusiveJobs, WhatMayStillEndInTimeIsStarted)
 {
--- a/tests/jobs/schedulerfixture.h
+++ b/tests/jobs/schedulerfixture.h
@@ -207,6 +207,8 @@
   /// Whether no stop arrives or is answered.
   bool isStopLost = false;
   FencingToken lastToken = 10;
+  /// Reports that were asked for and that don't wait for an end.
+  unsigned promptReports = 0;
   /// Of each daemon; just now if it isn't here.
   std::map<VmId, TimePoint> contacts;
   /// The same of when it was told of this daemon.
@@ -228,6 +230,8 @@
     hooks.orders.hold = [this](const WorkerRecord& record,
                                const HoldOrder& order,
                                Duration timeout) {
+      if (order.wait == Duration::zero())
+        ++promptReports;
       if (isLost()) {
         lose([this, id = record.id(), order] { workers[id].hold(order, now); },
              [this, id = record.id(), sent = SentHold{ order.token, now }] {
