--- a/review/standins/cutzone.cpp
+++ b/review/standins/cutzone.cpp
@@ -78,10 +78,10 @@
       deployment, *daemon, [&, isInside](const std::string& dialler) {
         if (!isCutNow)
           return false;
-        const bool comesFromInside =
-          !dialler.empty() &&
-          deployment.daemon(dialler).settings().zone == cutZone;
-        return comesFromInside != isInside;
+        // A connection that is opened during the cut stays silent.
+        return dialler.empty() ||
+               (deployment.daemon(dialler).settings().zone == cutZone) !=
+                 isInside;
       }));
     daemon->start();
   }
--- a/review/standins/peerrelay.cpp
+++ b/review/standins/peerrelay.cpp
@@ -3,9 +3,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
-#include <sstream>
+#include <cstdint>
 
 namespace review {
 
@@ -14,48 +12,32 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-/// The inode of the socket on this machine with these ends, or an empty text.
+/// The content of the first WebSocket message that a client has sent, unmasked;
+/// an empty text if it isn't complete yet.
 std::string
-inodeOf(const tcp::endpoint& local, const tcp::endpoint& remote)
+firstMessage(const std::string& sent)
 {
-  const auto hex = [](const tcp::endpoint& end) {
-    const auto bytes = end.address().to_v4().to_bytes();
-    std::array<char, 16> text{};
-    std::snprintf(text.data(),
-                  text.size(),
-                  "%02X%02X%02X%02X:%04X",
-                  bytes[3],
-                  bytes[2],
-                  bytes[1],
-                  bytes[0],
-                  end.port());
-    return std::string(text.data());
+  const std::size_t headerEnd = sent.find("\r\n\r\n");
+  if (headerEnd == std::string::npos)
+    return "";
+  std::size_t at = headerEnd + 4;
+  const auto byteAt = [&](std::size_t index) -> std::uint64_t {
+    return index < sent.size() ? static_cast<unsigned char>(sent[index]) : 0;
   };
-  std::ifstream table("/proc/net/tcp");
-  std::string line;
-  while (std::getline(table, line)) {
-    std::istringstream fields(line);
-    std::vector<std::string> words;
-    for (std::string word; fields >> word;)
-      words.push_back(word);
-    if (words.size() > 9 && words[1] == hex(local) && words[2] == hex(remote))
-      return words[9];
-  }
-  return "";
-}
-
-bool
-hasSocket(pid_t process, const std::string& inode)
-{
-  error_code ignored;
-  std::error_code error;
-  const std::string folder = "/proc/" + std::to_string(process) + "/fd";
-  for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
-    const auto target = std::filesystem::read_symlink(entry.path(), error);
-    if (!error && target == "socket:[" + inode + "]")
-      return true;
+  std::uint64_t length = byteAt(at + 1) & 0x7f;
+  at += 2;
+  if (length == 126) {
+    length = byteAt(at) << 8 | byteAt(at + 1);
+    at += 2;
   }
-  return false;
+  const std::size_t mask = at;
+  at += 4;
+  if (sent.size() < at + length)
+    return "";
+  std::string message = sent.substr(at, length);
+  for (std::size_t i = 0; i < message.size(); ++i)
+    message[i] = static_cast<char>(message[i] ^ sent[mask + i % 4]);
+  return message;
 }
 
 } // namespace
@@ -91,7 +73,6 @@
 void
 PeerRelay::accepted(const LinkPtr& link)
 {
-  link->dialler = diallerOf(link->sockets[0]);
   m_links.push_back(link);
   const Daemon::Settings& settings = m_target.settings();
   const tcp::endpoint target(
@@ -108,20 +89,20 @@
   });
 }
 
-/// The name of the daemon whose process has the other end of this connection.
-std::string
-PeerRelay::diallerOf(const Socket& socket) const
+/// The first message that a daemon sends names it.
+void
+PeerRelay::identify(Link& link, const std::string& bytes) const
 {
-  error_code error;
-  const tcp::endpoint remote = socket.remote_endpoint(error);
-  if (error)
-    return "";
-  const std::string inode = inodeOf(remote, socket.local_endpoint(error));
+  if (!link.dialler.empty())
+    return;
+  link.beginning += bytes;
+  const std::string message = firstMessage(link.beginning);
   for (const auto& daemon : m_deployment.daemons()) {
-    if (daemon->isUp() && !inode.empty() && hasSocket(daemon->pid(), inode))
-      return daemon->settings().name;
+    if (message.find(daemon->settings().name) != std::string::npos)
+      link.dialler = daemon->settings().name;
   }
-  return "";
+  if (!link.dialler.empty())
+    link.beginning.clear();
 }
 
 void
@@ -139,6 +120,8 @@
         return;
       }
       from.held.emplace_back(from.buffer.data(), bytes);
+      if (direction == 0)
+        identify(*link, from.held.back());
       pass(link, direction);
       read(link, direction);
     });
@@ -169,8 +152,6 @@
 PeerRelay::tick()
 {
   for (const LinkPtr& link : m_links) {
-    if (link->dialler.empty())
-      link->dialler = diallerOf(link->sockets[0]);
     if (m_isCut(link->dialler))
       continue;
     for (std::size_t direction : { 0, 1 }) {
--- a/review/standins/peerrelay.h
+++ b/review/standins/peerrelay.h
@@ -15,11 +15,13 @@
 
 /// Relays the connections that daemons open to one daemon. While a connection
 /// is cut, nothing passes in either direction: bytes are held back, and neither
-/// side learns that the other one has closed it.
+/// side learns that the other one has closed it. It is known by the first
+/// message which daemon has opened a connection.
 class PeerRelay
 {
 public:
-  /// Whether the connections of the daemon of this name are cut now.
+  /// Whether the connections of the daemon of this name are cut now. The name
+  /// is empty for a connection whose daemon isn't known yet.
   using IsCut = std::function<bool(const std::string& dialler)>;
 
   /// Listens where the other daemons connect to `target`.
@@ -43,6 +45,8 @@
     }
 
     std::string dialler;
+    /// What the dialler has sent until it is known.
+    std::string beginning;
     /// The dialler's, then the target's.
     std::array<Socket, 2> sockets;
     /// Towards the target, then back.
@@ -55,7 +59,7 @@
   void accepted(const LinkPtr& link);
   void read(const LinkPtr& link, std::size_t direction);
   void pass(const LinkPtr& link, std::size_t direction);
-  std::string diallerOf(const Socket& socket) const;
+  void identify(Link& link, const std::string& bytes) const;
   void tick();
   static void end(Link& link);
 
