--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -625,7 +625,9 @@
 void
 Daemon::start()
 {
-  std::vector<std::string> command{ "/usr/bin/env",
+  // The daemon ends with this process, however that ends.
+  std::vector<std::string> command{ "/usr/bin/setpriv", "--pdeathsig",
+                                    "KILL",             "/usr/bin/env",
                                     "COWSLIPPIN_BOOT=" + m_settingsFile };
   if (!m_settings.peerListenHost.empty())
     command.push_back("COWSLIPPIN_PEER_LISTEN_HOST=" +
