--- a/review/build.sh
+++ b/review/build.sh
@@ -18,6 +18,7 @@
 for program in "${programs[@]}"; do
   g++ -std=c++17 -O1 -DBOOST_ALL_DYN_LINK -Isrc -Itests -Ireview/standins \
     review/standins/standins.cpp review/standins/peerrelay.cpp \
+    review/standins/minionrelay.cpp \
     "review/standins/$program.cpp" \
     -Wl,--start-group "${libraries[@]}" -Wl,--end-group \
     -lcxxtools-http -lcxxtools -lboost_program_options -lboost_log \
