Limit the texts of problems and log fields, and keep them UTF-8

A problem and a log line contain what another program wrote: a field's value, a job's ID, the text of a parser's exception. None had a limit, and a text that isn't UTF-8 makes writing it as JSON throw.

--- a/src/libcore/core.h
+++ b/src/libcore/core.h
@@ -5,9 +5,11 @@
 
 #include "address.h"
 #include "clock.h"
+#include "displaytext.h"
 #include "endpoint.h"
 #include "ids.h"
 #include "name.h"
+#include "nametext.h"
 #include "problem.h"
 #include "problemjson.h"
 #include "result.h"
--- a/src/libcore/problem.cpp
+++ b/src/libcore/problem.cpp
@@ -1,5 +1,7 @@
 #include "problem.h"
 
+#include "displaytext.h"
+
 #include <array>
 #include <tuple>
 #include <utility>
@@ -161,14 +163,15 @@
 Problem::Problem(ProblemKind kind, RunState ran, std::string detail)
   : m_kind(kind)
   , m_ran(ran)
-  , m_detail(std::move(detail))
+  , m_detail(displayText(detail, maxDetailBytes))
 {
 }
 
 Problem
 Problem::invalidField(std::string field, std::string value, std::string allowed)
 {
-  std::string detail = field + " is '" + value + "'; allowed is " + allowed;
+  std::string detail = displayText(field) + " is '" + displayText(value) +
+                       "'; allowed is " + displayText(allowed, maxAllowedBytes);
   return Problem(ProblemKind::InvalidField, RunState::NotRun, std::move(detail))
     .withField(std::move(field), std::move(value), std::move(allowed));
 }
@@ -195,9 +198,9 @@
                    std::string allowed) const
 {
   Problem copy = *this;
-  copy.m_field = std::move(field);
-  copy.m_value = std::move(value);
-  copy.m_allowed = std::move(allowed);
+  copy.m_field = displayText(field);
+  copy.m_value = displayText(value);
+  copy.m_allowed = displayText(allowed, maxAllowedBytes);
   return copy;
 }
 
--- a/src/libcore/problem.h
+++ b/src/libcore/problem.h
@@ -3,6 +3,7 @@
 #include "clock.h"
 #include "runstate.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -59,10 +60,16 @@
 
 /// What went wrong, told to a caller or operator. It says whether anything
 /// ran, which field was wrong and what is allowed there, and when to come
-/// back. Rendered as problem details (RFC 9457).
+/// back. Rendered as problem details (RFC 9457). All its texts are UTF-8 and
+/// of limited length, also if they contain bytes that another program wrote.
 class Problem
 {
 public:
+  /// Maximum length of the detail and of a description of what is allowed, in
+  /// bytes.
+  static constexpr std::size_t maxDetailBytes = 1000;
+  static constexpr std::size_t maxAllowedBytes = 400;
+
   /// `detail` is a sentence about this occurrence.
   Problem(ProblemKind kind, RunState ran, std::string detail);
 
--- a/src/libobserve/logging.cpp
+++ b/src/libobserve/logging.cpp
@@ -4,6 +4,7 @@
 #include "queueshare.h"
 
 #include "libcore/clock.h"
+#include "libcore/displaytext.h"
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
@@ -112,6 +113,21 @@
   return text.data();
 }
 
+/// A text may contain what another program wrote, so a line has a bound only if
+/// each text has one.
+std::string
+boundedValue(const std::string& text)
+{
+  return displayText(text, maxLogTextBytes);
+}
+
+template<class T>
+T
+boundedValue(T value)
+{
+  return value;
+}
+
 std::string
 jsonLine(LogLevel level,
          const char* event,
@@ -122,8 +138,11 @@
   json["level"] = std::string(toString(level));
   json["event"] = event;
   for (const LogField& field : fields) {
-    std::visit([&](const auto& value) { json.emplace(field.name(), value); },
-               field.value());
+    std::visit(
+      [&](const auto& value) {
+        json.emplace(field.name(), boundedValue(value));
+      },
+      field.value());
   }
   return json.dump(
     -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
--- a/src/libobserve/logging.h
+++ b/src/libobserve/logging.h
@@ -3,6 +3,7 @@
 #include "logfield.h"
 #include "loglevel.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <iostream>
@@ -22,6 +23,9 @@
   Asynchronous,
 };
 
+/// Maximum length of a text in a field, in bytes.
+constexpr std::size_t maxLogTextBytes = 1024;
+
 /// How the process logs.
 struct LogSettings
 {
@@ -51,7 +55,8 @@
 /// occurrence in lower case with hyphens, such as `peer-down`. A field may not
 /// be called like one of these three or like an earlier one: it is left out.
 /// Control characters are escaped and invalid UTF-8 is replaced, so that every
-/// line is valid JSON. Safe to call from any thread.
+/// line is valid JSON. A text longer than `maxLogTextBytes` is cut. Safe to
+/// call from any thread.
 void
 logEvent(LogLevel level,
          const char* event,
