Parse what others wrote within limits: one entry ended every daemon

One entry of another writer in the list of workers, valid JSON of 262 kB whose address is lists in lists, ended each daemon by SIGSEGV, and again after each restart.

Cause: JsonFieldReader reported a field of the wrong type with its value, which json::dump writes with a call of itself for each level; at a depth of about 50,000 the stack of 8 MB is full. Nothing bounded the depth or size of what is parsed, nor of what a problem shows.

Change: a library, libjson, is the only code that calls the parsers. Each call states limits of bytes, depth and values, which a pass without recursion checks before the parser runs; problems name the field and the fault, never the bytes, and displayJson shows a value by its type and size if it is long. All decoders of the platform's adapter, of cowslippind and of the command line use it. Also checked: ranges of numbers before they are converted, names, and the number of elements.

An endpoint's answer that is nested too deep is passed on as text, so that the caller still gets the whole answer.

--- a/src/libclaims/claimbatch.cpp
+++ b/src/libclaims/claimbatch.cpp
@@ -1,5 +1,7 @@
 #include "claimbatch.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <tuple>
@@ -19,6 +21,7 @@
 constexpr char keyMember[] = "key";
 constexpr char supersedesMember[] = "supersedes";
 constexpr std::size_t batchMemberCount = 5;
+constexpr ParseLimits recordLimits{ std::size_t(16) << 20, 4, 1'000'000 };
 
 Problem
 malformed(const std::string& detail)
@@ -160,13 +163,17 @@
     { readUpToMember, batch.readUpTo() },
     { entriesMember, std::move(entries) },
   };
-  return json.dump();
+  return writeJson(json);
 }
 
 Result<ClaimBatch>
 parseClaimBatch(const std::string& text)
 {
-  const Json json = Json::parse(text, nullptr, false);
+  const auto parsed = parseJson(text, "record", recordLimits);
+  if (!parsed) {
+    return failure(parsed.error());
+  }
+  const Json& json = *parsed;
   if (!json.is_object()) {
     return failure(malformed("the record is not a JSON object"));
   }
--- a/src/libcli/callbuilder.cpp
+++ b/src/libcli/callbuilder.cpp
@@ -1,6 +1,6 @@
 #include "callbuilder.h"
 
-#include <nlohmann/json.hpp>
+#include "jsontext.h"
 
 namespace cowslippin {
 
@@ -12,7 +12,8 @@
 const char*
 contentTypeOf(const std::string& body)
 {
-  return nlohmann::json::accept(body) ? jsonContentType : otherContentType;
+  return parseJson(body, "body", cliLimits) ? jsonContentType
+                                            : otherContentType;
 }
 
 std::string
--- a/src/libcli/commandline.cpp
+++ b/src/libcli/commandline.cpp
@@ -1,6 +1,6 @@
 #include "commandline.h"
 
-#include <nlohmann/json.hpp>
+#include "jsontext.h"
 
 #include <algorithm>
 #include <limits>
@@ -192,7 +192,7 @@
 tasksBody(nlohmann::json tasks)
 {
   const nlohmann::json body = { { "tasks", std::move(tasks) } };
-  return body.dump();
+  return writeJson(body);
 }
 
 bool
@@ -205,8 +205,7 @@
 std::string
 readTasksFile(ArgumentReader& reader)
 {
-  nlohmann::json json =
-    nlohmann::json::parse(reader.file("tasks-file"), nullptr, false);
+  nlohmann::json json = jsonOrNull(reader.file("tasks-file"));
   if (json.is_object() && json.size() == 1 && json.contains("tasks")) {
     json = nlohmann::json(json["tasks"]);
   }
@@ -231,10 +230,8 @@
       "--payload", "", "a value; --count and --payload go together"));
     return "";
   }
-  nlohmann::json task = nlohmann::json::parse(*payload, nullptr, false);
-  if (task.is_discarded()) {
-    task = *payload;
-  }
+  const nlohmann::json task =
+    parseJson(*payload, "payload", cliLimits).value_or(*payload);
   return tasksBody(
     std::vector<nlohmann::json>(static_cast<std::size_t>(count), task));
 }
--- a/src/libcli/jsontext.cpp
+++ b/src/libcli/jsontext.cpp
@@ -3,10 +3,9 @@
 namespace cowslippin {
 
 nlohmann::json
-parseJson(const std::string& text)
+jsonOrNull(const std::string& text)
 {
-  nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
-  return json.is_discarded() ? nlohmann::json() : json;
+  return parseJson(text, "text", cliLimits).value_or(nlohmann::json());
 }
 
 std::string
@@ -16,7 +15,7 @@
   if (found == json.end() || found->is_null()) {
     return "";
   }
-  return found->is_string() ? found->get<std::string>() : found->dump();
+  return found->is_string() ? found->get<std::string>() : writeJson(*found);
 }
 
 nlohmann::json
--- a/src/libcli/logtrace.cpp
+++ b/src/libcli/logtrace.cpp
@@ -1,6 +1,6 @@
 #include "logtrace.h"
 
-#include <nlohmann/json.hpp>
+#include "jsontext.h"
 
 #include <algorithm>
 #include <istream>
@@ -13,6 +13,15 @@
 
 using nlohmann::ordered_json;
 
+/// Empty if there is no such member or it is no string.
+std::string
+stringMember(const ordered_json& line, const char* name)
+{
+  const auto found = line.find(name);
+  return found != line.end() && found->is_string() ? found->get<std::string>()
+                                                   : "";
+}
+
 /// Whether a field lists the job, or a task of it, among others.
 bool
 lists(const ordered_json& line, const char* field, const std::string& job)
@@ -31,12 +40,10 @@
 bool
 isAbout(const ordered_json& line, const std::string& job)
 {
-  const std::string task = line.value("task", ordered_json()).is_string()
-                             ? line["task"].get<std::string>()
-                             : "";
-  return line.value("job", ordered_json()) == job ||
-         task.rfind(job + '.', 0) == 0 || lists(line, "tasks", job) ||
-         lists(line, "handedTo", job) || lists(line, "heldFor", job);
+  const std::string task = stringMember(line, "task");
+  return stringMember(line, "job") == job || task.rfind(job + '.', 0) == 0 ||
+         lists(line, "tasks", job) || lists(line, "handedTo", job) ||
+         lists(line, "heldFor", job);
 }
 
 /// The last word before the JSON.
@@ -59,14 +66,17 @@
   const std::size_t begin = text.find('{');
   if (begin == std::string::npos)
     return std::nullopt;
-  const ordered_json line =
-    ordered_json::parse(text.substr(begin), nullptr, false);
+  const auto parsed =
+    parseOrderedJson(text.substr(begin), "log line", cliLimits);
+  if (!parsed)
+    return std::nullopt;
+  const ordered_json& line = *parsed;
   if (!line.is_object() || !line.contains("event") || !isAbout(line, job))
     return std::nullopt;
   TraceLine trace;
-  trace.time = line.value("time", "");
+  trace.time = stringMember(line, "time");
   trace.process = processOf(text.substr(0, begin), logName);
-  trace.event = line.value("event", "");
+  trace.event = stringMember(line, "event");
   for (const auto& [name, value] : line.items()) {
     const bool isShown =
       name != "time" && name != "level" && name != "event" && name != "job";
@@ -76,7 +86,7 @@
       continue;
     trace.fields +=
       (trace.fields.empty() ? "" : " ") + name + '=' +
-      (value.is_string() ? value.get<std::string>() : value.dump());
+      (value.is_string() ? value.get<std::string>() : writeOrderedJson(value));
   }
   return trace;
 }
--- a/src/libcli/offsetlist.cpp
+++ b/src/libcli/offsetlist.cpp
@@ -22,7 +22,7 @@
     daemon.problem = end.error().detail();
     return daemon;
   }
-  const nlohmann::json json = parseJson(end->body());
+  const nlohmann::json json = jsonOrNull(end->body());
   const auto offset = json.find("offset");
   if (offset == json.end() || !offset->is_number_unsigned()) {
     daemon.problem = "status " + std::to_string(end->status()) +
@@ -40,7 +40,7 @@
            const Transport& transport,
            Duration timeout)
 {
-  const nlohmann::json json = parseJson(vmsReply.body());
+  const nlohmann::json json = jsonOrNull(vmsReply.body());
   if (!json.is_object() || !json.contains("vms")) {
     return failure(Problem(ProblemKind::MalformedBody,
                            RunState::NotRun,
--- a/src/libcli/renderer.cpp
+++ b/src/libcli/renderer.cpp
@@ -105,7 +105,8 @@
 {
   std::string text;
   for (const nlohmann::json& item : list) {
-    text += (item.is_string() ? item.get<std::string>() : item.dump()) + '\n';
+    text +=
+      (item.is_string() ? item.get<std::string>() : writeJson(item)) + '\n';
   }
   return text;
 }
@@ -128,7 +129,7 @@
 std::string
 renderBody(const Command& command, const CallReply& reply)
 {
-  const nlohmann::json json = parseJson(reply.body());
+  const nlohmann::json json = jsonOrNull(reply.body());
   const bool isText =
     command.wantsJson() || command.kind() == CommandKind::SendRequest;
   if (isText || !json.is_object()) {
@@ -157,7 +158,7 @@
     case CommandKind::ShowMetrics:
       break;
   }
-  return json.dump(jsonIndent) + '\n';
+  return writeJson(json, jsonIndent) + '\n';
 }
 
 /// Whether the command asked for a job's answer and only has its status.
@@ -184,7 +185,7 @@
 Report
 renderErrorReply(const Command& command, const CallReply& reply)
 {
-  const auto problem = problemFromJson(parseJson(reply.body()));
+  const auto problem = problemFromJson(jsonOrNull(reply.body()));
   Report report;
   report.exitCode = problem ? exitCodeOf(*problem) : ExitCode::Failed;
   if (command.wantsJson()) {
@@ -286,7 +287,7 @@
     list.push_back(offsetToJson(daemon));
   }
   const nlohmann::json json = { { "daemons", std::move(list) } };
-  return json.dump() + '\n';
+  return writeJson(json) + '\n';
 }
 
 } // namespace
--- a/src/libconfig/configjson.cpp
+++ b/src/libconfig/configjson.cpp
@@ -2,6 +2,8 @@
 
 #include "objectreader.h"
 
+#include "libjson/json.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -14,6 +16,7 @@
 constexpr milliseconds maxRunTime = std::chrono::minutes(10);
 constexpr milliseconds maxTaskTimeout = std::chrono::hours(1);
 constexpr int maxCores = 1024;
+constexpr ParseLimits bodyLimits{ std::size_t(1) << 20, 16, 100'000 };
 constexpr int maxMemoryMb = 1 << 24;
 constexpr std::int64_t maxBodyLimit = std::int64_t{ 64 } << 20;
 constexpr std::size_t maxPathLength = 256;
@@ -44,8 +47,12 @@
 Result<nlohmann::json>
 parseObject(const std::string& text)
 {
-  nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
-  if (!json.is_object()) {
+  auto json = parseJson(text, "body", bodyLimits);
+  if (!json) {
+    return failure(Problem(
+      ProblemKind::MalformedBody, RunState::NotRun, json.error().detail()));
+  }
+  if (!json->is_object()) {
     return failure(Problem(ProblemKind::MalformedBody,
                            RunState::NotRun,
                            "The body is not a JSON object"));
--- a/src/libconfig/configrecord.cpp
+++ b/src/libconfig/configrecord.cpp
@@ -3,12 +3,17 @@
 #include "configjson.h"
 #include "objectreader.h"
 
+#include "libjson/json.h"
+
 #include <limits>
 
 namespace cowslippin {
 
 namespace {
 
+/// A record may be a snapshot of the whole configuration.
+constexpr ParseLimits recordLimits{ std::size_t(64) << 20, 16, 4'000'000 };
+
 Problem
 malformed(const char* detail)
 {
@@ -107,13 +112,17 @@
                record.content());
   json["recordId"] = record.recordId().value();
   json["expectedRevision"] = record.expectedRevision();
-  return json.dump();
+  return writeJson(json);
 }
 
 Result<ConfigRecord>
 parseConfigRecord(const std::string& text)
 {
-  const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
+  const auto parsed = parseJson(text, "record", recordLimits);
+  if (!parsed) {
+    return failure(parsed.error());
+  }
+  const nlohmann::json& json = *parsed;
   if (!json.is_object()) {
     return failure(malformed("The record is not a JSON object"));
   }
--- a/src/libconfig/objectreader.cpp
+++ b/src/libconfig/objectreader.cpp
@@ -2,6 +2,8 @@
 
 #include "configjson.h"
 
+#include "libjson/json.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,21 +11,6 @@
 
 namespace {
 
-constexpr std::size_t maxShownValueLength = 80;
-
-std::string
-shown(const nlohmann::json& value)
-{
-  std::string text =
-    value.is_string()
-      ? value.get<std::string>()
-      : value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  if (text.size() > maxShownValueLength) {
-    text = text.substr(0, maxShownValueLength) + "...";
-  }
-  return text;
-}
-
 bool
 isNameCharacter(char c)
 {
@@ -194,7 +181,7 @@
   for (const auto& [member, value] : m_object.items()) {
     if (m_asked.count(member) == 0) {
       all.push_back(
-        Problem::invalidField(member, shown(value), "no such member"));
+        Problem::invalidField(member, displayJson(value), "no such member"));
     }
   }
   return all;
@@ -213,7 +200,7 @@
                      const nlohmann::json& value,
                      std::string allowed)
 {
-  refuse(Problem::invalidField(member, shown(value), std::move(allowed)));
+  refuse(Problem::invalidField(member, displayJson(value), std::move(allowed)));
 }
 
 } // namespace cowslippin
--- a/src/libdaemon/callerapi.cpp
+++ b/src/libdaemon/callerapi.cpp
@@ -2,6 +2,8 @@
 
 #include "incarnations.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -17,6 +19,8 @@
 constexpr std::int64_t longestWaitMs = 60'000;
 constexpr std::int64_t mostTickets = 1000;
 constexpr std::size_t jobKeyDigits = 32;
+/// The size of a body is limited by the organisation and the template, too.
+constexpr ParseLimits bodyLimits{ std::size_t(64) << 20, 64, 4'000'000 };
 
 Result<std::int64_t>
 parseNumber(const std::string& field,
@@ -162,15 +166,18 @@
 Result<std::vector<std::string>>
 parseTasks(const std::string& body, const OrganisationParameters& organisation)
 {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
-  if (json.is_discarded() || !json.is_object()) {
+  const auto json = parseJson(body, "body", bodyLimits);
+  if (!json) {
+    return failure(json.error());
+  }
+  if (!json->is_object()) {
     return failure(Problem(ProblemKind::MalformedBody,
                            RunState::NotRun,
                            "The body is not a JSON object"));
   }
-  const auto tasks = json.find("tasks");
-  if (tasks == json.end() || !tasks->is_array() || tasks->empty()) {
-    const std::string value = tasks == json.end() ? "" : tasks->type_name();
+  const nlohmann::json* tasks = findMember(*json, "tasks");
+  if (!tasks || !tasks->is_array() || tasks->empty()) {
+    const std::string value = tasks ? tasks->type_name() : "";
     return failure(
       Problem::invalidField("tasks", value, "an array of at least one task"));
   }
@@ -187,7 +194,7 @@
   std::vector<std::string> payloads;
   payloads.reserve(tasks->size());
   for (const nlohmann::json& task : *tasks) {
-    payloads.push_back(task.dump());
+    payloads.push_back(writeJson(task));
   }
   return payloads;
 }
@@ -320,7 +327,7 @@
        m_submissions.issueTickets(static_cast<std::size_t>(*count))) {
     tickets.push_back(ticket.toString());
   }
-  return HttpReply::json(200, nlohmann::json{ { "tickets", tickets } }.dump());
+  return HttpReply::json(200, writeJson({ { "tickets", tickets } }));
 }
 
 Result<CallerApi::Target>
--- a/src/libdaemon/configexchange.cpp
+++ b/src/libdaemon/configexchange.cpp
@@ -1,5 +1,7 @@
 #include "configexchange.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -69,7 +71,7 @@
   }
   ConfigTransfer::Fields fields;
   fields.offset = current->offset();
-  fields.body = current->toJson().dump();
+  fields.body = writeJson(current->toJson());
   m_send(vm, ConfigTransfer(std::move(fields)));
 }
 
--- a/src/libdaemon/configservice.cpp
+++ b/src/libdaemon/configservice.cpp
@@ -2,6 +2,8 @@
 
 #include "incarnations.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr Duration outageRetry = std::chrono::seconds(2);
+constexpr ParseLimits transferLimits{ std::size_t(64) << 20, 16, 4'000'000 };
 
 std::string
 nameOf(const ConfigRecord& record)
@@ -114,8 +117,9 @@
 void
 ConfigService::takeOver(const std::string& encoded)
 {
-  const nlohmann::json json = nlohmann::json::parse(encoded, nullptr, false);
-  const auto other = Configuration::fromJson(json);
+  const auto other =
+    parseJson(encoded, "configuration", transferLimits)
+      .and_then([](const auto& json) { return Configuration::fromJson(json); });
   if (!other) {
     logEvent(LogLevel::Warning,
              "config-transfer-unreadable",
--- a/src/libdaemon/operatorapi.cpp
+++ b/src/libdaemon/operatorapi.cpp
@@ -2,6 +2,8 @@
 
 #include "incarnations.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <charconv>
@@ -96,11 +98,11 @@
     });
   router.add(
     "GET", "/v1/dump", [this](const HttpRequest&, const PathParameters&) {
-      return HttpReply::json(200, m_dump.render().dump(2));
+      return HttpReply::json(200, writeJson(m_dump.render(), 2));
     });
   router.add(
     "GET", "/v1/metrics", [this](const HttpRequest&, const PathParameters&) {
-      return HttpReply::json(200, m_metrics.toJson().dump(2));
+      return HttpReply::json(200, writeJson(m_metrics.toJson(), 2));
     });
   router.add(
     "GET", "/health", [this](const HttpRequest&, const PathParameters&) {
@@ -143,14 +145,13 @@
   if (!revision) {
     return problemReply(revision.error());
   }
-  return HttpReply::json(200,
-                         nlohmann::json{ { "revision", *revision } }.dump());
+  return HttpReply::json(200, writeJson({ { "revision", *revision } }));
 }
 
 HttpReply
 OperatorApi::showConfig() const
 {
-  return HttpReply::json(200, m_config.current()->published().dump());
+  return HttpReply::json(200, writeJson(m_config.current()->published()));
 }
 
 HttpReply
@@ -178,7 +179,7 @@
   const nlohmann::json json = { { "version", list->version() },
                                 { "vms", std::move(vms) },
                                 { "endpoints", std::move(endpoints) } };
-  return HttpReply::json(200, json.dump());
+  return HttpReply::json(200, writeJson(json));
 }
 
 HttpReply
@@ -187,7 +188,7 @@
   const std::string reason = m_views.notReady();
   const nlohmann::json json = { { "ready", reason.empty() },
                                 { "reason", reason } };
-  return HttpReply::json(reason.empty() ? 200 : 503, json.dump());
+  return HttpReply::json(reason.empty() ? 200 : 503, writeJson(json));
 }
 
 } // namespace cowslippin
--- a/src/libdaemon/submission.cpp
+++ b/src/libdaemon/submission.cpp
@@ -1,5 +1,7 @@
 #include "submission.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -9,6 +11,7 @@
 namespace {
 
 constexpr char ranHeader[] = "Cowslippin-Ran";
+constexpr ParseLimits answerLimits{ std::size_t(64) << 20, 64, 4'000'000 };
 
 bool
 isJson(const TaskAnswer& answer)
@@ -16,27 +19,20 @@
   return answer.contentType().rfind("application/json", 0) == 0;
 }
 
-/// A task's answer as a member of its job's answer: JSON as it is, anything
-/// else as a string.
+/// A task's answer as a member of its job's answer: JSON within the limits as
+/// it is, anything else as a string.
 nlohmann::json
 answerToJson(const TaskAnswer& answer)
 {
   if (isJson(answer)) {
-    nlohmann::json parsed =
-      nlohmann::json::parse(answer.body(), nullptr, false);
-    if (!parsed.is_discarded()) {
-      return parsed;
+    auto parsed = parseJson(answer.body(), "answer", answerLimits);
+    if (parsed) {
+      return std::move(*parsed);
     }
   }
   return answer.body();
 }
 
-std::string
-dumpJson(const nlohmann::json& json)
-{
-  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 } // namespace
 
 Submission::Submission(const SubmissionRequest& request,
@@ -191,7 +187,7 @@
     { "tasks", now.tasks },
     { "finished", now.finished },
   };
-  return HttpReply::json(status, json.dump())
+  return HttpReply::json(status, writeJson(json))
     .withHeader("Location", "/v1/jobs/" + m_request.key().value());
 }
 
@@ -293,7 +289,7 @@
   const nlohmann::json json = { { "job", m_request.key().value() },
                                 { "state", "complete" },
                                 { "answers", std::move(answers) } };
-  return HttpReply::json(200, dumpJson(json)).withHeader(ranHeader, ran);
+  return HttpReply::json(200, writeJson(json)).withHeader(ranHeader, ran);
 }
 
 Problem
--- a/src/libdaemon/submissionservice.cpp
+++ b/src/libdaemon/submissionservice.cpp
@@ -3,6 +3,8 @@
 #include "incarnations.h"
 #include "submissionproblems.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -464,7 +466,7 @@
     { "state", "cancelled" },
     { "ran", std::string(toString(problem->ran())) },
   };
-  return HttpReply::json(200, json.dump());
+  return HttpReply::json(200, writeJson(json));
 }
 
 std::optional<OwnerRef>
--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -288,7 +288,7 @@
 }
 
 nlohmann::json
-EntryCore::dump() const
+EntryCore::stateJson() const
 {
   nlohmann::json workers = nlohmann::json::array();
   for (const auto& worker : m_scheduler.pool().snapshot())
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -223,7 +223,7 @@
   Stats stats() const;
 
   /// The state of all components as JSON, for an operator.
-  nlohmann::json dump() const;
+  nlohmann::json stateJson() const;
 
   /// Whether the holders' entries at the platform should be read often.
   bool needsFrequentHolderReads() const
--- a/src/libentry/operatorserver.cpp
+++ b/src/libentry/operatorserver.cpp
@@ -1,5 +1,7 @@
 #include "operatorserver.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cowslippin {
@@ -34,7 +36,7 @@
     reply.body = m_metrics.render(m_core);
     transaction->answer(HttpReply(reply));
   } else if (request.path() == "/state") {
-    transaction->answer(HttpReply::json(200, m_core.dump().dump()));
+    transaction->answer(HttpReply::json(200, writeJson(m_core.stateJson())));
   } else {
     transaction->answer(
       HttpReply::json(404, R"({"error":"/metrics and /state are here"})"));
--- a/src/libhttp/problemreply.cpp
+++ b/src/libhttp/problemreply.cpp
@@ -1,5 +1,7 @@
 #include "problemreply.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 namespace cowslippin {
@@ -19,7 +21,7 @@
   HttpReply::Fields fields;
   fields.status = status;
   fields.contentType = problemContentType;
-  fields.body = details.dump(-1, ' ', false, json::error_handler_t::replace);
+  fields.body = writeJson(details);
   fields.headers.emplace_back("Cowslippin-Ran",
                               std::string(toString(problem.ran())));
   if (problem.retryAfter()) {
--- a/src/libjobs/jobrequest.h
+++ b/src/libjobs/jobrequest.h
@@ -17,6 +17,9 @@
 
 namespace cowslippin {
 
+/// Maximum number of tasks of a job.
+constexpr TaskIndex maxTasksPerJob = 2000;
+
 /// What each task of a job needs.
 struct TaskNeeds
 {
--- /dev/null
+++ b/src/libjson/parse.cpp
@@ -0,0 +1,84 @@
+#include "parse.h"
+
+#include "structurecheck.h"
+
+#include "libcore/displaytext.h"
+
+namespace cowslippin {
+
+namespace {
+
+using nlohmann::json;
+
+std::string
+describe(const char* format, const ParseLimits& limits)
+{
+  return std::string(format) + " of at most " +
+         std::to_string(limits.maxBytes) + " bytes, " +
+         std::to_string(limits.maxDepth) + " levels and " +
+         std::to_string(limits.maxValues) + " values";
+}
+
+tl::unexpected<Problem>
+malformed(const char* field, const std::string& fault, std::string allowed)
+{
+  std::string detail =
+    std::string(field) + " is " + fault + "; allowed is " + allowed;
+  return failure(
+    Problem(ProblemKind::MalformedBody, RunState::NotRun, std::move(detail))
+      .withField(field, fault, std::move(allowed)));
+}
+
+std::string
+faultOf(std::string_view text, const json::parse_error& error)
+{
+  const std::string at = "at byte " + std::to_string(error.byte);
+  return isUtf8(text) ? "not JSON " + at : "not UTF-8 " + at;
+}
+
+template<class Json>
+Result<Json>
+parseAs(std::string_view text, const char* field, const ParseLimits& limits)
+{
+  constexpr const char* format = "JSON in UTF-8";
+  if (const char* fault = jsonStructureFault(text, limits))
+    return malformed(field, fault, describe(format, limits));
+  try {
+    return Json::parse(text);
+  } catch (const json::parse_error& error) {
+    return malformed(field, faultOf(text, error), describe(format, limits));
+  } catch (const json::exception&) {
+    return malformed(
+      field, "a number that is too large", describe(format, limits));
+  }
+}
+
+} // namespace
+
+Result<json>
+parseJson(std::string_view text, const char* field, const ParseLimits& limits)
+{
+  return parseAs<json>(text, field, limits);
+}
+
+Result<nlohmann::ordered_json>
+parseOrderedJson(std::string_view text,
+                 const char* field,
+                 const ParseLimits& limits)
+{
+  return parseAs<nlohmann::ordered_json>(text, field, limits);
+}
+
+Result<json>
+parseCbor(std::string_view bytes, const char* field, const ParseLimits& limits)
+{
+  constexpr const char* format = "CBOR";
+  if (const char* fault = cborStructureFault(bytes, limits))
+    return malformed(field, fault, describe(format, limits));
+  json document = json::from_cbor(bytes, true, false);
+  if (document.is_discarded())
+    return malformed(field, "not CBOR", describe(format, limits));
+  return document;
+}
+
+} // namespace cowslippin
--- a/src/libplatform/logclient.cpp
+++ b/src/libplatform/logclient.cpp
@@ -1,5 +1,7 @@
 #include "logclient.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -11,6 +13,7 @@
 using std::chrono::milliseconds;
 
 constexpr int statusOk = 200;
+constexpr ParseLimits answerLimits{ 4096, 4, 100 };
 constexpr int statusServiceUnavailable = 503;
 
 std::string
@@ -51,10 +54,10 @@
 AppendResult
 parseAppended(const std::string& body)
 {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
-  const bool hasOffset = json.is_object() && json.contains("offset") &&
-                         json["offset"].is_number_unsigned();
-  const Offset offset = hasOffset ? json["offset"].get<Offset>() : 0;
+  const auto json = parseJson(body, "answer", answerLimits);
+  const nlohmann::json* member = json ? findMember(*json, "offset") : nullptr;
+  const bool hasOffset = member && member->is_number_unsigned();
+  const Offset offset = hasOffset ? member->get<Offset>() : 0;
   if (offset == 0) {
     return unknown("the platform's answer to an append has no valid offset");
   }
--- a/src/libplatform/logpage.cpp
+++ b/src/libplatform/logpage.cpp
@@ -1,5 +1,7 @@
 #include "logpage.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -9,6 +11,9 @@
 
 namespace {
 
+constexpr ParseLimits pageLimits{ std::size_t(64) << 20, 8, 1'000'000 };
+constexpr std::size_t maxRecords = 100'000;
+
 Problem
 malformed(const std::string& detail)
 {
@@ -21,9 +26,10 @@
 readRecords(const nlohmann::json& json)
 {
   std::vector<LogRecord> records;
-  for (const nlohmann::json& record : json) {
-    records.emplace_back(record.at("offset").get<Offset>(),
-                         record.at("body").get<std::string>());
+  for (const nlohmann::json& record : listFrom(json, maxRecords)) {
+    records.emplace_back(
+      integerFrom<Offset>(memberOf(record, "offset")),
+      textFrom(memberOf(record, "body"), pageLimits.maxBytes));
   }
   return records;
 }
@@ -70,17 +76,20 @@
 Result<LogPage>
 LogPage::parse(const std::string& body, Offset from)
 {
+  const auto json = parseJson(body, "log page", pageLimits);
+  if (!json) {
+    return failure(malformed(json.error().detail()));
+  }
   try {
-    const nlohmann::json json = nlohmann::json::parse(body);
-    LogPage page(json.at("first").get<Offset>(),
-                 json.at("end").get<Offset>(),
-                 readRecords(json.at("records")));
+    LogPage page(integerFrom<Offset>(memberOf(*json, "first")),
+                 integerFrom<Offset>(memberOf(*json, "end")),
+                 readRecords(memberOf(*json, "records")));
     const std::string fault = faultOf(page, from);
     if (!fault.empty()) {
       return failure(malformed(fault));
     }
     return page;
-  } catch (const nlohmann::json::exception& error) {
+  } catch (const InvalidJsonValue& error) {
     return failure(malformed(error.what()));
   }
 }
--- a/src/libplatform/vmlistclient.cpp
+++ b/src/libplatform/vmlistclient.cpp
@@ -1,5 +1,7 @@
 #include "vmlistclient.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <limits>
@@ -10,13 +12,15 @@
 namespace {
 
 constexpr int statusOk = 200;
+/// 29,000 workers with an endpoint each have some 2 million values.
+constexpr ParseLimits listLimits{ std::size_t(64) << 20, 8, 10'000'000 };
 
 [[noreturn]] void
 throwInvalid(const std::string& field,
              const nlohmann::json& value,
              const std::string& allowed)
 {
-  throw Problem::invalidField(field, value.dump(), allowed);
+  throw Problem::invalidField(field, displayJson(value), allowed);
 }
 
 /// One member of the list. Reading a bad value throws a Problem, which
@@ -170,9 +174,9 @@
   if (body.size() > mostBytes) {
     return false;
   }
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
-  return json ==
-         nlohmann::json{ { "version", version }, { "unchanged", true } };
+  const auto json = parseJson(body, "VM list", listLimits);
+  return json && *json == nlohmann::json{ { "version", version },
+                                          { "unchanged", true } };
 }
 
 } // namespace
@@ -236,7 +240,11 @@
 Result<VmList>
 parseVmList(const std::string& body)
 {
-  const nlohmann::json json = nlohmann::json::parse(body, nullptr, false);
+  const auto parsed = parseJson(body, "VM list", listLimits);
+  if (!parsed) {
+    return failure(parsed.error());
+  }
+  const nlohmann::json& json = *parsed;
   if (!json.is_object()) {
     return failure(Problem(ProblemKind::MalformedBody,
                            RunState::NotRun,
--- a/src/libprotocol/codec.cpp
+++ b/src/libprotocol/codec.cpp
@@ -1,8 +1,9 @@
 #include "codec.h"
 
-#include "depthcheck.h"
 #include "memberreader.h"
 
+#include "libjson/json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -16,8 +17,9 @@
 /// Holds the position of the message's type in `Message`.
 constexpr char typeMember[] = "type";
 
-/// A message, its array of endpoints, an endpoint, and room for later versions.
-constexpr std::size_t maxDepth = 8;
+/// The transport limits the size of messages. They contain a list of payloads;
+/// the rest of the depth is for later versions.
+constexpr ParseLimits messageLimits{ std::size_t(128) << 20, 8, 1'000'000 };
 
 json
 binary(const std::string& bytes)
@@ -226,20 +228,6 @@
   readConfigTransfer, readSubmitCall, readClaimAppend,
 };
 
-Problem
-malformed(std::string detail)
-{
-  return { ProblemKind::MalformedBody, RunState::NotRun, std::move(detail) };
-}
-
-bool
-isNestedTooDeep(const std::uint8_t* data, std::size_t size)
-{
-  DepthCheck check(maxDepth);
-  const auto format = nlohmann::detail::input_format_t::cbor;
-  return !json::sax_parse(data, data + size, &check, format);
-}
-
 Result<Message>
 readMessage(const json& document)
 {
@@ -266,18 +254,17 @@
   json document =
     std::visit([](const auto& typed) { return toJson(typed); }, message);
   document[typeMember] = message.index();
-  return json::to_cbor(document);
+  return writeCbor(document);
 }
 
 Result<Message>
 decode(const std::uint8_t* data, std::size_t size)
 {
-  if (isNestedTooDeep(data, size))
-    return failure(malformed("The message is not CBOR or nested too deep."));
-  const json document = json::from_cbor(data, data + size, true, false);
-  if (document.is_discarded())
-    return failure(malformed("The message is not exactly one CBOR value."));
-  return readMessage(document);
+  const std::string_view bytes(reinterpret_cast<const char*>(data), size);
+  const auto document = parseCbor(bytes, "message", messageLimits);
+  if (!document)
+    return failure(document.error());
+  return readMessage(*document);
 }
 
 } // namespace cowslippin
--- /dev/null
+++ b/tests/soak/foreignbytes_test.cpp
@@ -0,0 +1,331 @@
+#include "daemonprocess.h"
+#include "freeports.h"
+#include "leasedplatform.h"
+
+#include "libasynchttp/asynchttp.h"
+#include "libpeers/peers.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <list>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace cowslippin::testing {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr unsigned daemonCount = 2;
+constexpr unsigned workersPerZone = 2;
+/// Offsets into the range of ports.
+constexpr std::uint16_t storePort = 0;
+constexpr std::uint16_t callerPort = 1;
+constexpr std::uint16_t readinessPort = 2;
+constexpr std::uint16_t peerPort = 3;
+constexpr std::uint16_t firstWorkerPort = 10;
+
+constexpr Duration callerTimeout = seconds(3);
+constexpr Duration jobInterval = milliseconds(100);
+constexpr Duration foreignInterval = milliseconds(250);
+constexpr Duration playedTime = seconds(4);
+/// The smallest machine of the platform has this much memory.
+constexpr std::size_t maxMemoryKb = 120 * 1024;
+constexpr std::size_t maxLineBytes = 8000;
+constexpr std::size_t maxLogBytes = 1024 * 1024;
+/// The largest depth of lists in lists in a record of the store.
+constexpr std::size_t deepestEntry = 131'000;
+
+std::string
+nestedLists(std::size_t depth)
+{
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+std::string
+jobBody(const json& step)
+{
+  return json{
+    { "spec", "20,1000" }, { "best_effort", true }, { "steps", { step } }
+  }.dump();
+}
+
+/// Daemons of the platform as processes, with its store and workers, and
+/// another writer, caller or daemon whose bytes none of them expects.
+class ForeignBytes : public ::testing::Test
+{
+protected:
+  struct Daemon
+  {
+    std::string host;
+    std::string logFile;
+    std::unique_ptr<DaemonProcess> process;
+    Address callerAddress;
+  };
+
+  void SetUp() override
+  {
+    std::filesystem::create_directories(m_folder);
+    putEntriesBeforeStart();
+    for (unsigned i = 0; i < daemonCount; ++i)
+      start(i);
+    await([this] { return sendJobs() && m_served >= 4 * daemonCount; });
+    m_served = 0;
+    m_submitted = 0;
+  }
+
+  virtual void putEntriesBeforeStart() {}
+
+  void TearDown() override
+  {
+    m_daemons.clear();
+    std::filesystem::remove_all(m_folder);
+  }
+
+  std::uint16_t port(std::uint16_t offset) const
+  {
+    return static_cast<std::uint16_t>(m_firstPort + offset);
+  }
+
+  void start(unsigned index)
+  {
+    Daemon daemon;
+    daemon.host = "127.0.4." + std::to_string(index + 1);
+    daemon.logFile = m_folder + "/" + daemon.host + ".log";
+    const std::string settingsFile = m_folder + "/" + daemon.host + ".json";
+    const auto at = [&](std::uint16_t offset) {
+      return daemon.host + ':' + std::to_string(port(offset));
+    };
+    const json settings = {
+      { "node_name", daemon.host },
+      { "zone", "z" + std::to_string(index) },
+      { "ip", daemon.host },
+      { "internal_ports", { port(peerPort) } },
+      { "seeds", json::array() },
+      { "listen_addrs",
+        { { "frontend", at(callerPort) },
+          { "readiness", at(readinessPort) } } },
+      { "platform",
+        { { "address", "127.0.0.1:" + std::to_string(port(storePort)) } } },
+      { "bounds", { { "grace_s", 6 } } }
+    };
+    std::ofstream(settingsFile) << settings.dump();
+    daemon.process = std::make_unique<DaemonProcess>(
+      std::vector<std::string>{ "/usr/bin/env",
+                                "COWSLIPPIN_BOOT=" + settingsFile,
+                                DAEMON_PROGRAM,
+                                "--log-level",
+                                "info" },
+      daemon.logFile);
+    daemon.callerAddress = Address(daemon.host, port(callerPort));
+    m_daemons.push_back(std::move(daemon));
+  }
+
+  template<class Condition>
+  void await(Condition condition)
+  {
+    const TimePoint limit = steadyNow() + hangLimit;
+    while (!condition()) {
+      ASSERT_LT(steadyNow(), limit);
+      run();
+    }
+  }
+
+  void run()
+  {
+    m_context.run_for(milliseconds(10));
+    const auto callers = m_callers;
+    for (const auto& caller : callers)
+      caller->expire(steadyNow());
+    m_callers.remove_if([](const auto& caller) { return !caller->isBusy(); });
+  }
+
+  void post(const Daemon& daemon,
+            const std::string& job,
+            const std::string& body,
+            const AsyncHttpConnection::Done& done)
+  {
+    HttpCallRequest order;
+    order.method = "POST";
+    order.target = "/jobs/" + job;
+    order.headers.emplace_back("X-Cowslippin-Request-Deadline-Ms", "3000");
+    order.contentType = "application/json";
+    order.body = body;
+    m_callers.push_back(std::make_shared<AsyncHttpConnection>(
+      m_context, daemon.callerAddress, "jobs.example"));
+    m_callers.back()->call(order, steadyNow() + callerTimeout, done);
+  }
+
+  /// Submits a valid job whenever one is due. Returns true.
+  bool sendJobs()
+  {
+    if (steadyNow() < m_nextJobAt)
+      return true;
+    m_nextJobAt = steadyNow() + jobInterval;
+    const Daemon& daemon = m_daemons[m_jobs % daemonCount];
+    ++m_submitted;
+    post(daemon,
+         "job-" + std::to_string(m_jobs++),
+         jobBody({ { "count", 2 }, { "cpu", 1000 }, { "estimate_ms", 20 } }),
+         [this](const HttpCallResult& end) {
+           m_served += end.status == 200 ? 1 : 0;
+         });
+    return true;
+  }
+
+  /// Submits a body at each daemon, again and again, beside valid jobs.
+  void submitForeign(const std::string& job, const std::string& body)
+  {
+    std::size_t sent = 0;
+    play([&] {
+      post(m_daemons[sent++ % daemonCount],
+           job,
+           body,
+           [this](const HttpCallResult& end) {
+             ++m_foreignReplies[end.status];
+             m_foreignBody = end.body;
+           });
+    });
+  }
+
+  /// Calls a function at intervals while valid jobs are submitted.
+  template<class Function>
+  void play(Function foreign)
+  {
+    const TimePoint end = steadyNow() + playedTime;
+    TimePoint nextAt = steadyNow();
+    while (steadyNow() < end) {
+      if (steadyNow() >= nextAt) {
+        nextAt = steadyNow() + foreignInterval;
+        foreign();
+      }
+      sendJobs();
+      run();
+    }
+    await([this] { return m_callers.empty(); });
+  }
+
+  /// No process has ended or grown, valid jobs were served, logs are short.
+  void checkService()
+  {
+    EXPECT_GE(m_served * 10, m_submitted * 9)
+      << m_served << " of " << m_submitted;
+    for (Daemon& daemon : m_daemons) {
+      EXPECT_FALSE(hasEnded(daemon)) << daemon.host;
+      EXPECT_LT(memoryKb(daemon), maxMemoryKb) << daemon.host;
+      daemon.process.reset();
+      checkLog(daemon);
+    }
+  }
+
+  void checkLog(const Daemon& daemon)
+  {
+    std::ifstream log(daemon.logFile);
+    std::size_t bytes = 0;
+    for (std::string line; std::getline(log, line);) {
+      bytes += line.size();
+      EXPECT_LT(line.size(), maxLineBytes) << line.substr(0, 400);
+    }
+    EXPECT_LT(bytes, maxLogBytes) << daemon.host;
+  }
+
+  static bool hasEnded(const Daemon& daemon)
+  {
+    siginfo_t info{};
+    waitid(P_PID,
+           static_cast<id_t>(daemon.process->pid()),
+           &info,
+           WEXITED | WNOHANG | WNOWAIT);
+    return info.si_pid == daemon.process->pid();
+  }
+
+  /// Waits until the program ignores SIGPIPE, with which it begins.
+  static void awaitMain(const Daemon& daemon)
+  {
+    const TimePoint limit = steadyNow() + hangLimit;
+    while ((ignoredSignals(daemon) >> (SIGPIPE - 1) & 1) == 0)
+      ASSERT_LT(steadyNow(), limit);
+  }
+
+  static std::uint64_t ignoredSignals(const Daemon& daemon)
+  {
+    std::ifstream status("/proc/" + std::to_string(daemon.process->pid()) +
+                         "/status");
+    for (std::string word; status >> word;) {
+      std::uint64_t mask = 0;
+      if (word == "SigIgn:" && status >> std::hex >> mask)
+        return mask;
+    }
+    return 0;
+  }
+
+  /// The largest resident memory so far.
+  static std::size_t memoryKb(const Daemon& daemon)
+  {
+    std::ifstream status("/proc/" + std::to_string(daemon.process->pid()) +
+                         "/status");
+    const std::string field = "VmHWM:";
+    for (std::string word; status >> word;) {
+      std::size_t value = 0;
+      if (word == field && status >> value)
+        return value;
+    }
+    return 0;
+  }
+
+  void putEntry(const std::string& topic,
+                const std::string& key,
+                const std::string& value)
+  {
+    m_platform.putForeign(topic, key, value);
+  }
+
+  const std::string m_folder =
+    (std::filesystem::temp_directory_path() /
+     ("cowslippin-foreign-" + std::to_string(getpid())))
+      .string();
+  const std::uint16_t m_firstPort = freePortRange(firstWorkerPort + 4);
+  boost::asio::io_context m_context;
+  LeasedPlatform m_platform{ m_context,
+                             { daemonCount,
+                               workersPerZone,
+                               port(storePort),
+                               port(firstWorkerPort),
+                               "127.0.0.1" },
+                             1 };
+  std::vector<Daemon> m_daemons;
+  /// Of the calls in progress, one each.
+  std::list<std::shared_ptr<AsyncHttpConnection>> m_callers;
+  TimePoint m_nextJobAt{};
+  unsigned m_jobs = 0;
+  unsigned m_submitted = 0;
+  unsigned m_served = 0;
+  std::map<int, unsigned> m_foreignReplies;
+  std::string m_foreignBody;
+};
+
+/// Guards against the end of every daemon by one worker's entry whose address
+/// is lists in lists, which the text of its problem contained.
+TEST_F(ForeignBytes, ADeepEntryOfAnotherWriterEndsNoDaemon)
+{
+  const std::string begin =
+    R"({"backend":"booking","zone":"z0","state":"ready","seq":)";
+  unsigned sequence = 0;
+  play([&] {
+    putEntry("keyed.servers",
+             "i-other",
+             begin + std::to_string(++sequence) +
+               ",\"address\":" + nestedLists(deepestEntry) + "}");
+  });
+  checkService();
+}
+
+} // namespace
+} // namespace cowslippin::testing
--- a/tests/soak/leasedplatform.cpp
+++ b/tests/soak/leasedplatform.cpp
@@ -70,6 +70,10 @@
     409, json{ { "clock_ms", clock }, { "reason", reasonOf(*answer) } }.dump());
 }
 
+/// A page of the newest records has at most this many, or bytes.
+constexpr std::size_t maxPageRecords = 500;
+constexpr std::size_t maxPageBytes = 1'000'000;
+
 std::string
 configuration()
 {
@@ -228,14 +232,23 @@
       newest[key] = value;
   }
   json items = json::array();
-  for (const auto& [key, value] : newest)
+  std::size_t bytes = 0;
+  auto record =
+    newest.upper_bound(request.queryParameter("after").value_or(""));
+  for (; record != newest.end(); ++record) {
+    const auto& [key, value] = *record;
+    bytes += value.size();
+    if (items.size() >= maxPageRecords ||
+        (bytes > maxPageBytes && !items.empty()))
+      break;
     items.push_back(
       { { "key", key }, { "value", base64(value) }, { "offset", 0 } });
-  transaction->answer(HttpReply::json(200,
-                                      json{ { "items", std::move(items) },
-                                            { "has_more", false },
-                                            { "end", topic.records.size() } }
-                                        .dump()));
+  }
+  const json page = { { "items", std::move(items) },
+                      { "has_more", record != newest.end() },
+                      { "end", topic.records.size() } };
+  transaction->answer(HttpReply::json(
+    200, page.dump(-1, ' ', false, json::error_handler_t::replace)));
 }
 
 void
--- a/tests/soak/leasedplatform.h
+++ b/tests/soak/leasedplatform.h
@@ -61,6 +61,14 @@
   /// run, before or after.
   void refused(const std::string& job);
 
+  /// Puts a record that another writer may have written.
+  void putForeign(const std::string& topic,
+                  const std::string& key,
+                  const std::string& value)
+  {
+    put(topic, key, value);
+  }
+
   const std::vector<std::string>& violations() const { return m_violations; }
   /// How many of them are two runs of a task at once.
   unsigned doubleRuns() const { return m_doubleRuns; }
