Peers: a deep message on the port for daemons ended every daemon

What callers saw: every daemon ended once it had received one message of 1 MB on the port for daemons, without a PeerHello before it.

Cause: the CBOR reader calls itself for each list in a list, and for each string of indefinite length in another one, which the depth of the document doesn't show. Numbers were converted without a check of their range: a token of 2^64 - 1, a time that overflows, a number of shards of billions.

--- a/tests/soak/foreignbytes_test.cpp
+++ b/tests/soak/foreignbytes_test.cpp
@@ -327,5 +327,35 @@
   checkService();
 }
 
+/// Guards against the end of a daemon by the recursion of the CBOR reader.
+TEST_F(ForeignBytes, ADeepMessageOnThePortForDaemonsEndsNoDaemon)
+{
+  std::unique_ptr<WebSocketTransport> transport;
+  std::vector<std::string> messages;
+  for (const unsigned char item : { 0x81, 0x9f, 0x7f, 0x5f, 0xa1, 0xc1 })
+    messages.emplace_back(1'000'000, static_cast<char>(item));
+  std::size_t sent = 0;
+  WebSocketTransport::Hooks hooks;
+  hooks.accepted = [](LinkId) {};
+  hooks.closed = [](LinkId, LinkEnd) {};
+  // A daemon sends its first message as soon as the connection is open.
+  hooks.received = [&](LinkId link, const std::string&) {
+    const std::string& bytes = messages[sent++ % messages.size()];
+    transport->send(link, { bytes.begin(), bytes.end() });
+  };
+  WebSocketTransport::Settings settings;
+  settings.maxMessageBytes = 1 << 20;
+  settings.maxBufferedBytes = 8 << 20;
+  settings.handshakeTimeout = seconds(1);
+  transport = std::make_unique<WebSocketTransport>(m_context, settings, hooks);
+  unsigned dials = 0;
+  play([&] {
+    transport->dial(
+      Address(m_daemons[dials++ % daemonCount].host, port(peerPort)));
+  });
+  EXPECT_GE(sent, messages.size());
+  checkService();
+}
+
 } // namespace
 } // namespace cowslippin::testing
