--- a/tests/soak/foreignbytes_test.cpp
+++ b/tests/soak/foreignbytes_test.cpp
@@ -357,5 +357,18 @@
   checkService();
 }
 
+/// Guards against the end of a daemon by the reply to a body that isn't UTF-8,
+/// which contained the bytes.
+TEST_F(ForeignBytes, ABodyThatIsNotUtf8IsAnswered)
+{
+  submitForeign("latin-1",
+                "{\"spec\":\"caf\xe9\",\"best_effort\":true,"
+                "\"steps\":[{\"count\":1,\"cpu\":1000}]}");
+  EXPECT_EQ(m_foreignReplies.size(), 1u);
+  EXPECT_GT(m_foreignReplies[400], 0u);
+  EXPECT_NE(m_foreignBody.find("UTF-8"), std::string::npos) << m_foreignBody;
+  checkService();
+}
+
 } // namespace
 } // namespace cowslippin::testing
