--- a/tests/soak/foreignbytes_test.cpp
+++ b/tests/soak/foreignbytes_test.cpp
@@ -370,5 +370,15 @@
   checkService();
 }
 
+/// Guards against the end of a daemon by a job ID that isn't UTF-8, which is
+/// part of the order to a worker.
+TEST_F(ForeignBytes, AJobIdThatIsNotUtf8IsAnswered)
+{
+  submitForeign("caf\xe9", jobBody({ { "count", 1 }, { "cpu", 1000 } }));
+  EXPECT_EQ(m_foreignReplies.size(), 1u);
+  EXPECT_GT(m_foreignReplies[400], 0u);
+  checkService();
+}
+
 } // namespace
 } // namespace cowslippin::testing
