--- a/tests/soak/foreignbytes_test.cpp
+++ b/tests/soak/foreignbytes_test.cpp
@@ -380,5 +380,17 @@
   checkService();
 }
 
+/// Guards against a job that takes all memory of a daemon, which has a record
+/// of each task.
+TEST_F(ForeignBytes, AJobOfBillionsOfTasksIsAnswered)
+{
+  submitForeign("billions",
+                jobBody({ { "count", 4294967295u }, { "cpu", 1000 } }));
+  EXPECT_EQ(m_foreignReplies.size(), 1u);
+  EXPECT_GT(m_foreignReplies[400], 0u);
+  EXPECT_NE(m_foreignBody.find("count"), std::string::npos) << m_foreignBody;
+  checkService();
+}
+
 } // namespace
 } // namespace cowslippin::testing
