Keep an exception from a handler from ending the process

Each of the faults above ended a daemon because nothing caught an exception between a handler and main. runGuarded logs it as handler-failed and goes on: an HTTP request is then answered with 500, which doesn't say whether it had an effect; a tick, a message of another daemon and a task's timer end by themselves, and the next ones run. runEventLoop continues the loop of an I/O context. Records of cowslippind's log that weren't processed count as missed, so that the daemon is in doubt about their keys.

--- a/src/libasynchttp/asynchttpconnection.cpp
+++ b/src/libasynchttp/asynchttpconnection.cpp
@@ -38,6 +38,7 @@
   m_done = std::move(done);
   m_deadline = deadline;
   m_idleTimeout = order.idleTimeout;
+  m_maxResponseBytes = order.maxResponseBytes;
   m_latestDeadline = deadline + maxDeadlineExtension;
   m_output = encode(order);
   m_isSent = false;
@@ -131,7 +132,7 @@
 AsyncHttpConnection::read()
 {
   m_parser.emplace();
-  m_parser->body_limit(maxResponseBytes);
+  m_parser->body_limit(m_maxResponseBytes);
   m_parser->eager(true);
   m_readBytes = minReadBytes;
   readMore();
@@ -160,7 +161,10 @@
     error = parse();
   else if (error == net::error::eof && m_parser->got_some())
     error = parseEndOfStream();
-  if (error)
+  // Beast 1.74 misses that a body is over its limit when it parses the first
+  // bytes of it along with the header.
+  const bool isTooLong = m_parser->get().body().size() > m_maxResponseBytes;
+  if (error || isTooLong)
     endCall(HttpCallResult::Kind::Unanswered);
   else if (m_parser->is_done())
     endCall(HttpCallResult::Kind::Answered);
--- a/src/libasynchttp/asynchttpconnection.h
+++ b/src/libasynchttp/asynchttpconnection.h
@@ -25,6 +25,8 @@
   HttpHeaders headers;
   std::string contentType;
   std::string body;
+  /// A call with a longer response body ends as `Unanswered`.
+  std::uint64_t maxResponseBytes = std::uint64_t(8) << 20;
   /// Once the response has begun, the longest pause in it; each received part
   /// extends the deadline of the call accordingly. If empty, the deadline
   /// applies to the whole response.
@@ -61,8 +63,6 @@
 public:
   using Done = std::function<void(const HttpCallResult&)>;
 
-  /// A call with a longer response body ends as `Unanswered`.
-  static constexpr std::uint64_t maxResponseBytes = std::uint64_t(8) << 20;
   /// Received parts of a response extend the deadline of its call by this at
   /// most, in which 5 MB are received over a link of 2 Mbit/s.
   static constexpr Duration maxDeadlineExtension = std::chrono::seconds(20);
@@ -116,6 +116,7 @@
   Done m_done;
   TimePoint m_deadline{};
   std::optional<Duration> m_idleTimeout;
+  std::uint64_t m_maxResponseBytes = 0;
   /// The deadline is never extended beyond this.
   TimePoint m_latestDeadline{};
   TimePoint m_idleSince{};
--- a/src/libasynchttp/asynchttpserver.cpp
+++ b/src/libasynchttp/asynchttpserver.cpp
@@ -38,6 +38,16 @@
   return HttpRequest(std::move(fields));
 }
 
+/// Doesn't say whether the request has had an effect, which isn't known.
+HttpReply
+handlerFailedReply()
+{
+  constexpr int internalServerError = 500;
+  return HttpReply::json(
+    internalServerError,
+    R"({"error":"the daemon failed while it handled the request"})");
+}
+
 } // namespace
 
 /// A client's connection, and its pending request if there is one.
@@ -109,28 +119,41 @@
   }
 
 private:
+  void refuseTooLarge()
+  {
+    setPending(true);
+    m_keepAlive = false;
+    answer(HttpReply::json(413, "{\"error\":\"the request is too large\"}"));
+  }
+
   void requestRead(error_code error)
   {
+    const auto server = m_server.lock();
+    if (!server)
+      return;
     if (error == http::error::body_limit ||
         error == http::error::header_limit) {
-      setPending(true);
-      m_keepAlive = false;
-      answer(HttpReply::json(413, "{\"error\":\"the request is too large\"}"));
+      refuseTooLarge();
       return;
     }
     if (error) {
       close();
       return;
     }
+    // Beast 1.74 misses that a body is over its limit when it parses the first
+    // bytes of it along with the header.
+    if (m_parser->get().body().size() > (*server)->m_settings.maxBodyBytes) {
+      refuseTooLarge();
+      return;
+    }
     setPending(true);
     m_requestAge = steadyNow() - m_idleSince;
     m_keepAlive = m_parser->get().keep_alive();
     const HttpRequest request = toHttpRequest(m_parser->get());
     m_parser.reset();
-    const auto server = m_server.lock();
-    if (!server)
-      return;
-    (*server)->m_handler(request, shared_from_this());
+    if (!runGuarded("request",
+                    [&] { (*server)->m_handler(request, shared_from_this()); }))
+      answer(handlerFailedReply());
     if (!m_isAnswered)
       watchForDisconnect();
   }
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -4,6 +4,8 @@
 #include "incarnations.h"
 #include "peersubmission.h"
 
+#include "libobserve/observe.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -318,7 +320,7 @@
   std::unique_lock lock(m_tickMutex);
   while (!m_stopping) {
     lock.unlock();
-    tick();
+    runGuarded("tick of the daemon", [this] { tick(); });
     lock.lock();
     m_stopTicks.wait_for(lock, tickInterval, [this] { return m_stopping; });
   }
--- a/src/libdaemon/membership.cpp
+++ b/src/libdaemon/membership.cpp
@@ -1,5 +1,7 @@
 #include "membership.h"
 
+#include "libobserve/observe.h"
+
 #include <utility>
 
 namespace cowslippin {
@@ -43,7 +45,7 @@
   std::unique_lock lock(m_mutex);
   while (!m_stopping) {
     lock.unlock();
-    fetch();
+    runGuarded("VM list", [this] { fetch(); });
     lock.lock();
     m_stopRequested.wait_for(
       lock, m_settings.interval, [this] { return m_stopping; });
--- a/src/libdaemon/taskrunner.cpp
+++ b/src/libdaemon/taskrunner.cpp
@@ -1,5 +1,7 @@
 #include "taskrunner.h"
 
+#include "libobserve/observe.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -198,7 +200,7 @@
       Work work;
       collectDue(work, steadyNow());
       lock.unlock();
-      perform(std::move(work));
+      runGuarded("due tasks", [&] { perform(std::move(work)); });
       lock.lock();
     }
   }
--- a/src/libentry/entrydaemon.cpp
+++ b/src/libentry/entrydaemon.cpp
@@ -181,9 +181,9 @@
     if (error)
       return;
     const TimePoint now = m_core.observeTime();
-    m_ticked(now);
-    m_links.tick(now);
-    m_core.tick();
+    runGuarded("tick of the program", [&] { m_ticked(now); });
+    runGuarded("tick of the connections", [&] { m_links.tick(now); });
+    runGuarded("tick of the core", [&] { m_core.tick(); });
     scheduleTick();
   });
 }
--- a/src/libhttp/endpointclientcore.cpp
+++ b/src/libhttp/endpointclientcore.cpp
@@ -1,5 +1,7 @@
 #include "endpointclientcore.h"
 
+#include "libobserve/observe.h"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -53,7 +55,7 @@
 {
   closeOldConnections();
   for (unsigned i = 0; i < m_settings.ioThreads; ++i) {
-    m_threads.emplace_back([this] { m_context.run(); });
+    m_threads.emplace_back([this] { runEventLoop(m_context); });
   }
 }
 
--- a/src/libobserve/observe.h
+++ b/src/libobserve/observe.h
@@ -4,6 +4,7 @@
 
 #include "counter.h"
 #include "eventratelimiter.h"
+#include "guard.h"
 #include "idlist.h"
 #include "latencyrecorder.h"
 #include "latencysummary.h"
--- a/src/libplatform/logfollower.cpp
+++ b/src/libplatform/logfollower.cpp
@@ -1,5 +1,7 @@
 #include "logfollower.h"
 
+#include "libobserve/observe.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -78,8 +80,10 @@
   }
   if (!page.records().empty()) {
     m_next = page.records().back().offset() + 1;
-    if (m_hooks.records) {
-      m_hooks.records(page);
+    // Records that weren't processed count as missed.
+    if (m_hooks.records &&
+        !runGuarded("log records", [&] { m_hooks.records(page); })) {
+      skipGap(m_next);
     }
   }
   m_knowsEnd = m_next == page.end();
--- a/src/libprotocol/peernetworkthread.cpp
+++ b/src/libprotocol/peernetworkthread.cpp
@@ -2,6 +2,8 @@
 
 #include "codec.h"
 
+#include "libobserve/observe.h"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -67,7 +69,7 @@
   if (!address)
     return address;
   tickLater();
-  m_thread = std::thread([this] { m_context.run(); });
+  m_thread = std::thread([this] { runEventLoop(m_context); });
   return address;
 }
 
@@ -149,7 +151,7 @@
   WebSocketTransport::Hooks hooks;
   hooks.accepted = [this](LinkId link) { m_table.accepted(link, steadyNow()); };
   hooks.received = [this](LinkId link, const std::string& bytes) {
-    received(link, bytes);
+    runGuarded("peer message", [&] { received(link, bytes); });
   };
   hooks.closed = [this](LinkId link, LinkEnd end) {
     if (!m_isStopping)
@@ -209,7 +211,7 @@
 void
 PeerNetworkThread::tick()
 {
-  m_table.tick(steadyNow());
+  runGuarded("tick of the peers", [this] { m_table.tick(steadyNow()); });
   publishStatus();
   tickLater();
 }
--- a/tests/asynchttp/asynchttp_test.cpp
+++ b/tests/asynchttp/asynchttp_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 
 #include <optional>
+#include <stdexcept>
 
 namespace cowslippin::testing {
 namespace {
@@ -42,6 +43,8 @@
     if (request.path() == "/wait") {
       pendingTransaction = transaction;
       transaction->onClientDisconnected([this] { ++disconnects; });
+    } else if (request.path() == "/throw") {
+      throw std::runtime_error("from the handler");
     } else if (request.path() == "/close") {
       transaction->answer(
         HttpReply::json(503, "{}").withHeader("Connection", "close"));
@@ -95,6 +98,32 @@
   EXPECT_EQ(requests[1].path(), "/b");
 }
 
+/// Guards against the end of the process by an exception from a handler, which
+/// also left the client without an answer.
+TEST_F(AsyncHttp, AnExceptionFromTheHandlerIsAnswered)
+{
+  AsyncHttpConnectionPool pool(context, address, 4);
+  EXPECT_EQ(call(pool, "/throw", "x").status, 500);
+  EXPECT_EQ(call(pool, "/a", "one").body, "one");
+  EXPECT_EQ(server.pendingRequests(), 0u);
+}
+
+/// Guards against memory that a server's response takes.
+TEST_F(AsyncHttp, AResponseLongerThanAllowedIsNotReceived)
+{
+  AsyncHttpConnectionPool pool(context, address, 4);
+  std::optional<HttpCallResult> end;
+  HttpCallRequest order;
+  order.method = "POST";
+  order.body = std::string(2000, 'x');
+  order.maxResponseBytes = 1000;
+  pool.call(order, steadyNow() + seconds(20), [&](const HttpCallResult& value) {
+    end = value;
+  });
+  await([&] { return end.has_value(); });
+  EXPECT_EQ(end->kind, HttpCallResult::Kind::Unanswered);
+}
+
 TEST_F(AsyncHttp, APendingRequestIsAnsweredLater)
 {
   AsyncHttpConnectionPool pool(context, address, 4);
