Peers: one hello a connection, bounded addresses and messages

Found by reading, while the port for daemons was walked: a second PeerHello on a connection made it the connection of two daemons; after the loss of one, the other's was looked up and not found, and the exception of std::map::at ended the process. The same after another VM took over an address. Addresses that others send were kept without limit, and a message over the limit that receivers accept made them close the connection.

A connection takes one PeerHello, and none with the daemon's own name; a VM is forgotten with its address; at most 4,096 addresses are kept; a message over 1 MB isn't sent.

--- a/src/libpeers/peerconnections.cpp
+++ b/src/libpeers/peerconnections.cpp
@@ -11,11 +11,10 @@
 
 namespace {
 
-/// The largest messages are jobs of 2,000 tasks, about 20 KB, and parts of a
-/// configuration, 32 KB. A message delays the heartbeats queued behind it, so
-/// no message may be large.
-constexpr std::size_t maxMessageBytes = std::size_t(1) << 20;
 constexpr std::size_t maxBufferedBytes = std::size_t(8) << 20;
+/// More daemons than any group has. Bounds what addresses that other daemons
+/// send can take.
+constexpr std::size_t maxKnownAddresses = 4096;
 /// How much later the daemon with the higher address dials.
 constexpr Duration secondDialDelay = std::chrono::milliseconds(400);
 /// How long a duplicate connection stays open: longer than `PeerHello` messages
@@ -32,7 +31,7 @@
 transportSettings(const PeerConnections::Settings& settings)
 {
   WebSocketTransport::Settings transport;
-  transport.maxMessageBytes = maxMessageBytes;
+  transport.maxMessageBytes = maxPeerMessageBytes;
   transport.maxBufferedBytes = maxBufferedBytes;
   transport.handshakeTimeout = settings.connectTimeout;
   return transport;
@@ -71,6 +70,13 @@
 {
   if (address == m_self.address)
     return;
+  if (m_peers.size() >= maxKnownAddresses && m_peers.count(address) == 0) {
+    logEvent(
+      LogLevel::Warning,
+      "peer-address-refused",
+      { { "address", address.toString() }, { "known", m_peers.size() } });
+    return;
+  }
   const auto [found, isNew] = m_peers.try_emplace(address);
   if (!isNew)
     return;
@@ -87,10 +93,7 @@
   if (address == m_addresses.end())
     return false;
   const Peer& peer = m_peers.at(address->second);
-  if (!peer.link)
-    return false;
-  write(*peer.link, message);
-  return true;
+  return peer.link && write(*peer.link, message);
 }
 
 void
@@ -100,6 +103,8 @@
   if (vms.empty())
     return;
   const auto bytes = encodePeerMessage(message);
+  if (!mayBeSent(bytes, message))
+    return;
   for (const VmId& vm : vms) {
     const auto address = m_addresses.find(vm);
     if (address == m_addresses.end())
@@ -211,7 +216,7 @@
     }
   }
   for (const Address& address : forgotten) {
-    m_addresses.erase(m_peers.at(address).vm);
+    forgetVm(address);
     m_peers.erase(address);
   }
   dialDuePeers(now);
@@ -252,8 +257,10 @@
 {
   WebSocketTransport::Hooks hooks;
   hooks.accepted = [this](LinkId link) { accepted(link); };
+  // An exception that passed through the transport would end its reading from
+  // this connection.
   hooks.received = [this](LinkId link, const std::string& bytes) {
-    received(link, bytes);
+    runGuarded("peer message", [&] { received(link, bytes); });
   };
   hooks.closed = [this](LinkId link, LinkEnd) { closed(link); };
   return hooks;
@@ -282,7 +289,8 @@
     return;
   }
   if (const auto* hello = std::get_if<PeerHello>(&*message)) {
-    helloReceived(link, *hello);
+    if (isAcceptable(found->second, *hello))
+      helloReceived(link, *hello);
     return;
   }
   if (const auto* news = std::get_if<PeerAddresses>(&*message)) {
@@ -334,6 +342,31 @@
   }
 }
 
+/// Whether a connection may continue with this `PeerHello`. A second one on the
+/// same connection would make it the connection of two daemons.
+bool
+PeerConnections::isAcceptable(const Link& link, const PeerHello& hello) const
+{
+  const bool isAcceptable =
+    !link.peer && !hello.vm.isEmpty() && hello.vm != m_self.vm;
+  if (!isAcceptable)
+    logEvent(LogLevel::Warning,
+             "peer-hello-refused",
+             { { "peer", hello.vm },
+               { "address", hello.address.toString() },
+               { "isRepeated", link.peer.has_value() } });
+  return isAcceptable;
+}
+
+/// Removes the VM of an address, unless it is known at another address by now.
+void
+PeerConnections::forgetVm(const Address& address)
+{
+  const auto vm = m_addresses.find(m_peers.at(address).vm);
+  if (vm != m_addresses.end() && vm->second == address)
+    m_addresses.erase(vm);
+}
+
 void
 PeerConnections::helloReceived(LinkId link, const PeerHello& hello)
 {
@@ -364,6 +397,8 @@
     lost(peer, PeerLoss::Closed, now);
   peer.link = link;
   peer.backoff = Duration::zero();
+  if (peer.vm != hello.vm)
+    forgetVm(hello.address);
   peer.vm = hello.vm;
   peer.incarnation = hello.incarnation;
   m_addresses[hello.vm] = hello.address;
@@ -470,10 +505,29 @@
   peer.nextDialAt = now + peer.backoff;
 }
 
-void
+/// Returns false if the message is too large to be sent.
+bool
 PeerConnections::write(LinkId link, const PeerMessage& message)
 {
-  m_transport.send(link, encodePeerMessage(message));
+  const auto bytes = encodePeerMessage(message);
+  if (!mayBeSent(bytes, message))
+    return false;
+  m_transport.send(link, bytes);
+  return true;
+}
+
+/// Whether the receiver accepts a message of this size. It would close the
+/// connection otherwise.
+bool
+PeerConnections::mayBeSent(const std::vector<std::uint8_t>& bytes,
+                           const PeerMessage& message)
+{
+  if (bytes.size() <= maxPeerMessageBytes)
+    return true;
+  logDecision(LogLevel::Error,
+              "peer-message-too-large",
+              { { "kind", message.index() }, { "bytes", bytes.size() } });
+  return false;
 }
 
 PeerHello
--- a/src/libpeers/peerconnections.h
+++ b/src/libpeers/peerconnections.h
@@ -8,12 +8,14 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cowslippin {
 
@@ -112,6 +114,8 @@
                        LinkId link,
                        const PeerMessage& message) const;
   void closed(LinkId link);
+  bool isAcceptable(const Link& link, const PeerHello& hello) const;
+  void forgetVm(const Address& address);
   void helloReceived(LinkId link, const PeerHello& hello);
   bool isDialledByOtherSide(const Peer& peer, LinkId link) const;
   bool isPreferred(LinkId link, const Address& address) const;
@@ -123,7 +127,9 @@
   void dialDuePeers(TimePoint now);
   void dial(const Address& address, Peer& peer, TimePoint now);
   void dialFailed(Peer& peer, TimePoint now);
-  void write(LinkId link, const PeerMessage& message);
+  bool write(LinkId link, const PeerMessage& message);
+  static bool mayBeSent(const std::vector<std::uint8_t>& bytes,
+                        const PeerMessage& message);
   PeerHello hello() const;
 
   const PeerHello m_self;
--- a/tests/peers/peerconnections_test.cpp
+++ b/tests/peers/peerconnections_test.cpp
@@ -43,7 +43,8 @@
     m_nodes.push_back(std::make_unique<Node>());
     Node& node = *m_nodes.back();
     PeerHello hello;
-    hello.vm = VmId("vm-" + std::to_string(number));
+    hello.vm =
+      VmId("vm-" + std::to_string(number == 1 ? 1 : number + m_firstName));
     hello.incarnation = Incarnation(std::to_string(number));
     hello.zone = ZoneName("z1");
     hello.address = at(number);
@@ -84,6 +85,8 @@
   const std::uint16_t m_port = freePort();
   std::vector<std::unique_ptr<Node>> m_nodes;
   TimePoint m_nextTickAt{};
+  /// Added to the numbers of VMs, other than the first, in their names.
+  unsigned m_firstName = 0;
 };
 
 /// Guards against lost connections when daemons dial each other at the same
@@ -119,6 +122,96 @@
   });
 }
 
+/// Guards against a connection that counts as that of two daemons, and is
+/// looked up after the loss of one of them.
+TEST_F(PeerConnectionsTest, ASecondHelloOnAConnectionIsIgnored)
+{
+  Node& node = add(1);
+  PeerHello hello;
+  hello.zone = ZoneName("z1");
+  unsigned messages = 0;
+  std::unique_ptr<WebSocketTransport> other;
+  WebSocketTransport::Hooks hooks;
+  hooks.accepted = [](LinkId) {};
+  hooks.closed = [](LinkId, LinkEnd) {};
+  hooks.received = [&](LinkId link, const std::string&) {
+    if (messages++ > 0)
+      return;
+    for (const char* name : { "vm-8", "vm-9", "vm-8", "vm-1" }) {
+      hello.vm = VmId(name);
+      hello.incarnation = Incarnation(name);
+      hello.address = Address(std::string("127.0.1.") + name[3], m_port);
+      other->send(link, encodePeerMessage(hello));
+    }
+  };
+  other = std::make_unique<WebSocketTransport>(
+    m_context,
+    WebSocketTransport::Settings{ 1 << 20, 1 << 20, std::chrono::seconds(1) },
+    hooks);
+  const LinkId dialled = other->dial(at(1));
+  runUntil([&] { return node.ups > 0; });
+  const TimePoint over = steadyNow() + std::chrono::milliseconds(50);
+  runUntil([&] { return steadyNow() > over; });
+  EXPECT_EQ(node.ups, 1u);
+  EXPECT_TRUE(node.links->isConnected(VmId("vm-8")));
+  EXPECT_FALSE(node.links->isConnected(VmId("vm-9")));
+  other->drop(dialled);
+  runUntil([&] { return node.downs > 0; });
+  EXPECT_EQ(node.downs, 1u);
+}
+
+/// Guards against a lookup of a VM whose address another VM has taken over and
+/// which was then removed.
+TEST_F(PeerConnectionsTest, ASecondVmAtAnAddressReplacesTheFirst)
+{
+  PeerConnections::Settings settings;
+  settings.unreachableRemovalDelay = std::chrono::milliseconds(300);
+  Node& node = add(1, settings);
+  std::vector<std::unique_ptr<Node>> closedNodes;
+  for (unsigned name = 0; name < 2; ++name) {
+    add(2);
+    node.links->addAddress(at(2), steadyNow());
+    runUntil([&] { return node.ups == name + 1; });
+    // Its handlers may still run.
+    m_nodes.back()->links->close();
+    closedNodes.push_back(std::move(m_nodes.back()));
+    m_nodes.pop_back();
+    m_firstName += 10;
+    runUntil([&] { return node.downs == name + 1; });
+  }
+  runUntil([&] { return node.links->knownPeerCount() == 0; });
+  EXPECT_FALSE(node.links->isConnected(VmId("vm-2")));
+  EXPECT_FALSE(node.links->isConnected(VmId("vm-12")));
+}
+
+/// Guards against a connection that the receiver closes for a message that is
+/// too large.
+TEST_F(PeerConnectionsTest, AMessageThatIsTooLargeIsNotSent)
+{
+  Node& first = add(1);
+  Node& second = add(2);
+  first.links->addAddress(at(2), steadyNow());
+  runUntil([&] { return first.ups > 0 && second.ups > 0; });
+  const PeerConfigPart large{ 1, 4 << 20, 0, std::string(2 << 20, 'x') };
+  EXPECT_FALSE(first.links->send(VmId("vm-2"), large));
+  first.links->sendToEach({ VmId("vm-2") }, large);
+  const TimePoint over = steadyNow() + std::chrono::milliseconds(300);
+  runUntil([&] { return steadyNow() > over; });
+  EXPECT_EQ(first.downs, 0u);
+  EXPECT_EQ(second.downs, 0u);
+}
+
+TEST_F(PeerConnectionsTest, TheNumberOfKnownAddressesIsLimited)
+{
+  Node& node = add(1);
+  for (unsigned i = 0; i < 6000; ++i)
+    node.links->addAddress(Address("127.1." + std::to_string(i / 250) + '.' +
+                                     std::to_string(i % 250),
+                                   m_port),
+                           steadyNow());
+  EXPECT_EQ(node.links->knownPeerCount(), 4096u);
+}
+
 /// Starts daemons together, each of which may make two connections at a time.
 TEST_F(PeerConnectionsTest, AGroupThatStartsTogetherConnectsDespiteTheDialLimit)
 {
