--- a/tests/soak/foreignbytes_test.cpp
+++ b/tests/soak/foreignbytes_test.cpp
@@ -392,5 +392,57 @@
   checkService();
 }
 
+/// Guards against memory that another writer's entries take, and against a log
+/// that they fill.
+TEST_F(ForeignBytes, EntriesOfAnotherWriterInTheDaemonsTopicAreBounded)
+{
+  const std::string large(250'000, 'x');
+  unsigned number = 0;
+  play([&] {
+    putEntry("keyed.cowslippin", "a" + std::to_string(number), large);
+    for (unsigned i = 0; i < 20; ++i) {
+      const std::string name = std::to_string(number++);
+      putEntry("keyed.cowslippin", "holder/" + name, nestedLists(1000));
+      putEntry("keyed.cowslippin", "member/" + name, "{\"vm\":7}");
+    }
+    putEntry("keyed.op", "evacuate/" + std::string(200, 'z'), "{}");
+    putEntry("keyed.op", "evacuate/\xff\xfe", "{}");
+    putEntry("keyed.servers", "w\r\nX-Other: 1", large);
+  });
+  checkService();
+}
+
+class EntriesBeforeStart : public ForeignBytes
+{
+protected:
+  void putEntriesBeforeStart() override
+  {
+    for (unsigned i = 0; i < 1200; ++i)
+      putEntry("keyed.cowslippin", "a" + std::to_string(i), "{}");
+    for (unsigned i = 0; i < 600; ++i)
+      putEntry("keyed.cowslippin", "holder/" + std::to_string(i), "{}");
+  }
+
+  bool isInLog(const Daemon& daemon, const std::string& event)
+  {
+    std::ifstream log(daemon.logFile);
+    for (std::string line; std::getline(log, line);) {
+      if (json::parse(line)["event"] == event)
+        return true;
+    }
+    return false;
+  }
+};
+
+/// Guards against daemons that don't find each other, as they have only read
+/// the first page of their topic, which another writer has filled.
+TEST_F(EntriesBeforeStart, DoNotHideTheDaemonsFromEachOther)
+{
+  play([] {});
+  checkService();
+  for (const Daemon& daemon : m_daemons)
+    EXPECT_TRUE(isInLog(daemon, "peer-up")) << daemon.host;
+}
+
 } // namespace
 } // namespace cowslippin::testing
