--- a/src/cowslippind/main.cpp
+++ b/src/cowslippind/main.cpp
@@ -21,7 +21,6 @@
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
 }
 
 int
@@ -60,6 +59,10 @@
 int
 main(int argc, char** argv)
 {
+  std::signal(SIGPIPE, SIG_IGN);
+  // There is no settings file to read again, and the default would end the
+  // process.
+  std::signal(SIGHUP, SIG_IGN);
   const std::vector<std::string> arguments(argv + 1, argv + argc);
   try {
     const SettingsOutcome outcome =
--- a/tests/soak/foreignbytes_test.cpp
+++ b/tests/soak/foreignbytes_test.cpp
@@ -444,5 +444,27 @@
     EXPECT_TRUE(isInLog(daemon, "peer-up")) << daemon.host;
 }
 
+/// Guards against the end of a daemon by SIGHUP before it handles signals.
+TEST_F(ForeignBytes, ASignalAtTheStartOfADaemonDoesNotEndIt)
+{
+  constexpr unsigned starts = 20;
+  const std::string settings = m_folder + "/" + m_daemons[0].host + ".json";
+  m_daemons.pop_back();
+  for (unsigned i = 0; i < starts; ++i) {
+    m_daemons[0].process.reset();
+    m_daemons[0].process = std::make_unique<DaemonProcess>(
+      std::vector<std::string>{
+        "/usr/bin/env",
+        "COWSLIPPIN_BOOT=" + settings,
+        DAEMON_PROGRAM,
+      },
+      "");
+    awaitMain(m_daemons[0]);
+    m_daemons[0].process->signal(SIGHUP);
+    usleep(20'000);
+    ASSERT_FALSE(hasEnded(m_daemons[0])) << "start " << i;
+  }
+}
+
 } // namespace
 } // namespace cowslippin::testing
