--- a/src/libconfig/configjson.cpp
+++ b/src/libconfig/configjson.cpp
@@ -48,11 +48,7 @@
 parseObject(const std::string& text)
 {
   auto json = parseJson(text, "body", bodyLimits);
-  if (!json) {
-    return failure(Problem(
-      ProblemKind::MalformedBody, RunState::NotRun, json.error().detail()));
-  }
-  if (!json->is_object()) {
+  if (json && !json->is_object()) {
     return failure(Problem(ProblemKind::MalformedBody,
                            RunState::NotRun,
                            "The body is not a JSON object"));
--- a/src/libjson/parse.cpp
+++ b/src/libjson/parse.cpp
@@ -20,13 +20,14 @@
 }
 
 tl::unexpected<Problem>
-malformed(const char* field, const std::string& fault, std::string allowed)
+malformed(const char* field,
+          const std::string& fault,
+          const std::string& allowed)
 {
-  std::string detail =
-    std::string(field) + " is " + fault + "; allowed is " + allowed;
   return failure(
-    Problem(ProblemKind::MalformedBody, RunState::NotRun, std::move(detail))
-      .withField(field, fault, std::move(allowed)));
+    Problem(ProblemKind::MalformedBody,
+            RunState::NotRun,
+            std::string(field) + " is " + fault + "; allowed is " + allowed));
 }
 
 std::string
--- a/src/libjson/parse.h
+++ b/src/libjson/parse.h
@@ -21,8 +21,8 @@
   std::size_t maxValues = 100000;
 };
 
-/// Parses a JSON document in UTF-8. The problem is of kind `MalformedBody` and
-/// names `field`; its text contains no byte of the document.
+/// Parses a JSON document in UTF-8. The problem is of kind `MalformedBody`; its
+/// detail names `field` and contains no byte of the document.
 Result<nlohmann::json>
 parseJson(std::string_view text, const char* field, const ParseLimits& limits);
 
