Drop connections without a hello, and accept later without descriptors

Two ways in which connections of another program hold a daemon up, found by reading: one on the port for daemons that never says which daemon it is stayed open for good, and while the process had no descriptors left, the HTTP server tried to accept without end. The first is dropped after 5 s, the second waits 50 ms. Tests: AConnectionWithoutAHelloIsDropped, AcceptsLaterIfTheProcessHasNoDescriptorsLeft.

Texts that a problem or a log line takes over are moved, not copied.

--- a/src/libasynchttp/asynchttpserver.cpp
+++ b/src/libasynchttp/asynchttpserver.cpp
@@ -20,6 +20,7 @@
 
 /// Most requests with their bodies are smaller; the buffer grows for others.
 constexpr std::size_t initialBufferBytes = 1024;
+constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
 HttpRequest
 toHttpRequest(http::request<http::string_body>& message)
@@ -259,6 +260,7 @@
   : m_settings(settings)
   , m_handler(std::move(handler))
   , m_acceptor(context)
+  , m_acceptTimer(context)
   , m_self(std::make_shared<AsyncHttpServer*>(this))
 {
 }
@@ -327,13 +329,27 @@
       m_sessions.remove_if([](const auto& weak) { return weak.expired(); });
       m_sessions.push_back(session);
       session->readRequest();
-    } else {
-      logEvent(
-        LogLevel::Warning, "accept-failed", { { "reason", error.message() } });
+      if (m_acceptor.is_open())
+        accept();
+      return;
     }
-    if (m_acceptor.is_open())
-      accept();
+    logEvent(
+      LogLevel::Warning, "accept-failed", { { "reason", error.message() } });
+    acceptLater();
   });
 }
 
+/// Without the delay, accepting would fail again at once, and without end,
+/// while the process has no descriptors left.
+void
+AsyncHttpServer::acceptLater()
+{
+  m_acceptTimer.expires_after(acceptRetryDelay);
+  m_acceptTimer.async_wait(
+    [this, alive = std::weak_ptr(m_self)](error_code error) {
+      if (!error && !alive.expired() && m_acceptor.is_open())
+        accept();
+    });
+}
+
 } // namespace cowslippin
--- a/src/libasynchttp/asynchttpserver.h
+++ b/src/libasynchttp/asynchttpserver.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <list>
@@ -56,10 +57,12 @@
   class Session;
 
   void accept();
+  void acceptLater();
 
   const Settings m_settings;
   const Handler m_handler;
   boost::asio::ip::tcp::acceptor m_acceptor;
+  boost::asio::steady_timer m_acceptTimer;
   std::list<std::weak_ptr<Session>> m_sessions;
   std::size_t m_pendingRequests = 0;
   bool m_closesAfterReplies = false;
--- a/src/libcore/displaytext.cpp
+++ b/src/libcore/displaytext.cpp
@@ -1,6 +1,7 @@
 #include "displaytext.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace cowslippin {
 
@@ -103,4 +104,11 @@
   return text;
 }
 
+std::string
+boundedText(std::string text, std::size_t maxBytes)
+{
+  return text.size() <= maxBytes && isUtf8(text) ? std::move(text)
+                                                 : displayText(text, maxBytes);
+}
+
 } // namespace cowslippin
--- a/src/libcore/displaytext.h
+++ b/src/libcore/displaytext.h
@@ -21,4 +21,8 @@
 std::string
 displayText(std::string_view bytes, std::size_t maxBytes = maxDisplayBytes);
 
+/// The same for a string, which is not copied if it is such a text already.
+std::string
+boundedText(std::string text, std::size_t maxBytes);
+
 } // namespace cowslippin
--- a/src/libcore/problem.cpp
+++ b/src/libcore/problem.cpp
@@ -163,7 +163,7 @@
 Problem::Problem(ProblemKind kind, RunState ran, std::string detail)
   : m_kind(kind)
   , m_ran(ran)
-  , m_detail(displayText(detail, maxDetailBytes))
+  , m_detail(boundedText(std::move(detail), maxDetailBytes))
 {
 }
 
@@ -198,9 +198,9 @@
                    std::string allowed) const
 {
   Problem copy = *this;
-  copy.m_field = displayText(field);
-  copy.m_value = displayText(value);
-  copy.m_allowed = displayText(allowed, maxAllowedBytes);
+  copy.m_field = boundedText(std::move(field), maxDisplayBytes);
+  copy.m_value = boundedText(std::move(value), maxDisplayBytes);
+  copy.m_allowed = boundedText(std::move(allowed), maxAllowedBytes);
   return copy;
 }
 
--- a/src/libobserve/logging.cpp
+++ b/src/libobserve/logging.cpp
@@ -118,7 +118,7 @@
 std::string
 boundedValue(const std::string& text)
 {
-  return displayText(text, maxLogTextBytes);
+  return boundedText(text, maxLogTextBytes);
 }
 
 template<class T>
--- a/src/libpeers/peerconnections.cpp
+++ b/src/libpeers/peerconnections.cpp
@@ -5,6 +5,7 @@
 #include "libobserve/observe.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cowslippin {
@@ -200,6 +201,7 @@
 PeerConnections::tick(TimePoint now)
 {
   dropRetired(now);
+  dropNameless(now);
   std::vector<Address> forgotten;
   for (auto& [address, peer] : m_peers) {
     if (peer.link) {
@@ -270,7 +272,7 @@
 PeerConnections::accepted(LinkId link)
 {
   const TimePoint now = steadyNow();
-  m_links[link] = { std::nullopt, SilenceDetector(now), false };
+  m_links[link] = { std::nullopt, SilenceDetector(now), false, now };
   write(link, hello());
 }
 
@@ -468,6 +470,20 @@
   }
 }
 
+/// Drops accepted connections whose other side hasn't said which daemon it is.
+void
+PeerConnections::dropNameless(TimePoint now)
+{
+  for (auto link = m_links.begin(); link != m_links.end();) {
+    const bool isOverdue =
+      !link->second.peer && !link->second.isDialled &&
+      now - link->second.openedAt > m_settings.helloTimeout;
+    if (isOverdue)
+      m_transport.drop(link->first);
+    link = isOverdue ? m_links.erase(link) : std::next(link);
+  }
+}
+
 void
 PeerConnections::lost(Peer& peer, PeerLoss loss, TimePoint now)
 {
@@ -487,7 +503,7 @@
 PeerConnections::dial(const Address& address, Peer& peer, TimePoint now)
 {
   const LinkId link = m_transport.dial(address);
-  m_links[link] = { std::nullopt, SilenceDetector(now), true };
+  m_links[link] = { std::nullopt, SilenceDetector(now), true, now };
   peer.dialled = link;
   peer.dialledAt = now;
 }
--- a/src/libpeers/peerconnections.h
+++ b/src/libpeers/peerconnections.h
@@ -32,6 +32,8 @@
     SilenceDetector::Settings silence;
     /// Timeout of a new connection, its `PeerHello` included.
     Duration connectTimeout = std::chrono::milliseconds(600);
+    /// How long an accepted connection may stay open without a `PeerHello`.
+    Duration helloTimeout = std::chrono::seconds(5);
     /// Limit of connections being established at the same time. Without it, a
     /// large group that starts at once would establish none within the timeout.
     std::size_t maxConcurrentDials = 24;
@@ -105,6 +107,7 @@
     std::optional<Address> peer;
     SilenceDetector silence;
     bool isDialled = false;
+    TimePoint openedAt{};
   };
 
   WebSocketTransport::Hooks transportHooks();
@@ -121,6 +124,7 @@
   bool isPreferred(LinkId link, const Address& address) const;
   void retire(LinkId link, TimePoint now);
   void dropRetired(TimePoint now);
+  void dropNameless(TimePoint now);
   void lost(Peer& peer, PeerLoss loss, TimePoint now);
   Link* linkTo(const VmId& vm);
   void sendUnknownAddresses(LinkId link, const PeerHello& hello);
--- a/tests/asynchttp/asynchttp_test.cpp
+++ b/tests/asynchttp/asynchttp_test.cpp
@@ -1,12 +1,16 @@
 #include "libasynchttp/asynchttp.h"
+#include "libobserve/observe.h"
 
 #include <gtest/gtest.h>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <optional>
+#include <sstream>
 #include <stdexcept>
+#include <sys/resource.h>
 
 namespace cowslippin::testing {
 namespace {
@@ -108,6 +112,30 @@
   EXPECT_EQ(server.pendingRequests(), 0u);
 }
 
+/// Guards against a server that does nothing but try to accept while the
+/// process has no descriptors left.
+TEST_F(AsyncHttp, AcceptsLaterIfTheProcessHasNoDescriptorsLeft)
+{
+  std::ostringstream log;
+  initialiseLogging({ LogLevel::Info, LogDelivery::Synchronous, 1000, &log });
+  net::ip::tcp::socket client(context);
+  client.open(net::ip::tcp::v4());
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  const rlimit none{ 3, limit.rlim_max };
+  setrlimit(RLIMIT_NOFILE, &none);
+  client.connect({ net::ip::make_address(address.host()), address.port() });
+  const TimePoint end = steadyNow() + milliseconds(300);
+  await([&] { return steadyNow() > end; });
+  setrlimit(RLIMIT_NOFILE, &limit);
+  await([&] { return server.connectionCount() == 1; });
+  stopLogging();
+  const std::string text = log.str();
+  const auto lines = std::count(text.begin(), text.end(), '\n');
+  EXPECT_GE(lines, 1);
+  EXPECT_LE(lines, 10) << text;
+}
+
 /// Guards against memory that a server's response takes.
 TEST_F(AsyncHttp, AResponseLongerThanAllowedIsNotReceived)
 {
--- a/tests/core/displaytext_test.cpp
+++ b/tests/core/displaytext_test.cpp
@@ -57,6 +57,7 @@
     EXPECT_LE(text.size(), 40u);
     EXPECT_TRUE(isUtf8(text));
     EXPECT_EQ(displayText(text, 40), text);
+    EXPECT_EQ(boundedText(bytes, 40), text);
   }
 }
 
--- a/tests/peers/peerconnections_test.cpp
+++ b/tests/peers/peerconnections_test.cpp
@@ -201,6 +201,25 @@
   EXPECT_EQ(second.downs, 0u);
 }
 
+/// Guards against descriptors that connections of other programs take.
+TEST_F(PeerConnectionsTest, AConnectionWithoutAHelloIsDropped)
+{
+  PeerConnections::Settings settings;
+  settings.helloTimeout = std::chrono::milliseconds(200);
+  add(1, settings);
+  bool isClosed = false;
+  WebSocketTransport::Hooks hooks;
+  hooks.accepted = [](LinkId) {};
+  hooks.received = [](LinkId, const std::string&) {};
+  hooks.closed = [&](LinkId, LinkEnd) { isClosed = true; };
+  WebSocketTransport other(
+    m_context,
+    WebSocketTransport::Settings{ 1 << 20, 1 << 20, std::chrono::seconds(1) },
+    hooks);
+  other.dial(at(1));
+  runUntil([&] { return isClosed; });
+}
+
 TEST_F(PeerConnectionsTest, TheNumberOfKnownAddressesIsLimited)
 {
   Node& node = add(1);
