Soak: bytes that no daemon expects, beside the other faults

--strike-foreign 1 lets another writer put records, another caller submit jobs and another daemon send messages that are nested deep, long, of wrong types, out of range or not UTF-8. A process that ends by itself is a violation, with or without. All addresses in the bytes are loopback; messages with addresses aren't changed, as daemons connect to them.

--- a/tests/entry/foreignmessage_test.cpp
+++ b/tests/entry/foreignmessage_test.cpp
@@ -112,7 +112,7 @@
     hello.vm = vm;
     hello.zone = ZoneName("z1");
     hello.incarnation = Incarnation(std::to_string(random()));
-    hello.address = Address("10.0.0.2", 7720);
+    hello.address = Address("127.9.0.2", 7720);
     up.insert(vm);
     core.peerUp(hello);
   }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -57,8 +57,11 @@
   , m_lateRandom(seed + 3)
   , m_cutRandom(seed + 4)
   , m_storeRandom(seed + 5)
+  , m_foreignRandom(seed + 6)
+  , m_foreign(seed + 7)
   , m_platform(m_context, platformSettings(m_settings), seed)
 {
+  setUpForeign();
   const unsigned count = m_settings.zones * m_settings.daemonsPerZone;
   for (unsigned i = 0; i < count; ++i) {
     Daemon daemon;
@@ -91,6 +94,7 @@
   m_nextMoreAt = m_nextStrikeAt;
   m_nextLateAt = m_nextStrikeAt;
   m_nextCutAt = m_nextStrikeAt;
+  m_nextForeignAt = m_nextStrikeAt;
   runUntil(start + std::chrono::seconds(3) + struckTime);
   m_isStruck = false;
   // What strikes still hold back ends within seconds; then all must be well.
@@ -267,6 +271,8 @@
   if (m_isStruck && m_settings.strikesLateResets && m_settings.onlyKind < 0 &&
       now >= m_nextLateAt)
     strikeLate(now);
+  checkProcesses();
+  tickForeign(now);
   tickCuts(now);
   tickMore(now);
   tickProxies(now);
@@ -330,6 +336,7 @@
                    daemon.listenHost,
                    "--log-level",
                    isLogged ? "info" : "error" });
+  daemon.hasEnded = false;
   daemon.process = std::make_unique<DaemonProcess>(
     command, isLogged ? m_settings.logFolder + '/' + daemon.host + ".log" : "");
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,15 +1,18 @@
 #pragma once
 
 #include "daemonprocess.h"
+#include "foreignwriter.h"
 #include "leasedplatform.h"
 #include "loopbackproxy.h"
 #include "requestmix.h"
 
 #include "libasynchttp/asynchttp.h"
+#include "libprotocol/websockettransport.h"
 
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -64,6 +67,9 @@
     /// The share of these cuts in which daemons don't learn that connections
     /// have ended meanwhile.
     double lostEnds = 0.5;
+    /// Whether other writers, callers and daemons send bytes that no daemon
+    /// expects.
+    bool strikesForeign = false;
     /// Whether callers submit again at a daemon of the same zone.
     bool retriesInZone = false;
     /// The only kind of overlapping strike, one at a time; all if negative.
@@ -114,6 +120,7 @@
     TimePoint startAt{};
     /// Since when it can't be started.
     std::optional<TimePoint> missingSince;
+    bool hasEnded = false;
     TimePoint continueAt{};
     TimePoint killAt{};
     TimePoint isBehindUntil{};
@@ -162,6 +169,10 @@
   void harm(LoopbackProxy& proxy, const std::string& name, bool isCallers);
   /// Begins and ends cuts of groups, at times of their own.
   void tickCuts(TimePoint now);
+  void setUpForeign();
+  void tickForeign(TimePoint now);
+  void callForeign(const Daemon& daemon);
+  void checkProcesses();
   GroupCut chooseCut();
   void addToCut(GroupCut& cut, std::size_t daemon) const;
   void beginCut(const GroupCut& cut);
@@ -230,10 +241,15 @@
   std::mt19937_64 m_lateRandom;
   std::mt19937_64 m_cutRandom;
   std::mt19937_64 m_storeRandom;
+  std::mt19937_64 m_foreignRandom;
+  ForeignWriter m_foreign;
   boost::asio::io_context m_context;
   LeasedPlatform m_platform;
   std::vector<Daemon> m_daemons;
   std::vector<std::unique_ptr<LoopbackProxy>> m_workerLinks;
+  std::unique_ptr<WebSocketTransport> m_foreignPeer;
+  /// In progress.
+  std::list<std::shared_ptr<AsyncHttpConnection>> m_foreignCalls;
   std::map<LoopbackProxy*, TimePoint> m_harmed;
   std::map<std::string, Caller> m_callers;
   std::vector<std::pair<TimePoint, std::string>> m_resends;
@@ -243,6 +259,7 @@
   TimePoint m_nextMoreAt{};
   TimePoint m_nextLateAt{};
   TimePoint m_nextCutAt{};
+  TimePoint m_nextForeignAt{};
   std::optional<GroupCut> m_cut;
   std::vector<std::pair<TimePoint, std::function<void()>>> m_later;
   std::size_t m_notedViolations = 0;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -108,6 +108,15 @@
   EXPECT_EQ(report.doubleRuns, 0u);
 }
 
+/// Guards against a daemon that foreign bytes end or hold up beside other
+/// faults.
+TEST(Soak, KeepsEveryPromiseDespiteForeignBytes)
+{
+  Soak::Settings settings;
+  settings.strikesForeign = true;
+  checkPromises(settings, 31);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, SoakSeed, ::testing::Values(1, 2));
 
 } // namespace
--- a/tests/soak/soakoptions.cpp
+++ b/tests/soak/soakoptions.cpp
@@ -198,6 +198,11 @@
              "whether groups of daemons are cut from the others and from "
              "callers, workers and store, and requests are held up meanwhile",
              yesOrNo(settings.strikesCuts) },
+           { "strike-foreign",
+             "0",
+             "whether other writers, callers and daemons send bytes that no "
+             "daemon expects",
+             yesOrNo(settings.strikesForeign) },
            { "lost-ends",
              "0.5",
              "share of these cuts in which daemons aren't told that "
--- a/tests/soak/soakoptions_test.cpp
+++ b/tests/soak/soakoptions_test.cpp
@@ -17,6 +17,7 @@
   EXPECT_EQ(options->settings.strikeRate, 1);
   EXPECT_EQ(options->settings.onlyKind, -1);
   EXPECT_FALSE(options->settings.strikesCuts);
+  EXPECT_FALSE(options->settings.strikesForeign);
   EXPECT_FALSE(options->settings.retriesInZone);
   EXPECT_TRUE(options->settings.program.empty());
   EXPECT_EQ(options->settings.firstPort, 21000);
@@ -57,6 +58,13 @@
   EXPECT_TRUE(options->settings.retriesInZone);
 }
 
+TEST(SoakOptions, TakeForeignBytes)
+{
+  const auto options = SoakOptions::parse({ "--strike-foreign=1" });
+  ASSERT_TRUE(options) << options.error().detail();
+  EXPECT_TRUE(options->settings.strikesForeign);
+}
+
 TEST(SoakOptions, TakeAnotherDaemonProgram)
 {
   const auto options = SoakOptions::parse({ "--program=/bin/sh" });
--- a/tests/support/peersamples.h
+++ b/tests/support/peersamples.h
@@ -21,8 +21,8 @@
   hello.vm = VmId("vm-1");
   hello.incarnation = Incarnation("17");
   hello.zone = ZoneName("z1");
-  hello.address = Address("10.0.0.1", 7720);
-  hello.knownAddresses = { Address("10.0.0.2", 7720) };
+  hello.address = Address("127.9.0.1", 7720);
+  hello.knownAddresses = { Address("127.9.0.2", 7720) };
   return hello;
 }
 
@@ -79,7 +79,7 @@
     PeerCancel{ key },
     PeerConfigPart{ 9, 900, 0, "{" },
     returned,
-    PeerAddresses{ { Address("10.0.0.3", 7720) } },
+    PeerAddresses{ { Address("127.9.0.3", 7720) } },
     PeerConfigRequest{ 9, 65536, 8192 },
     PeerConfigBusy{},
     PeerWorkerChanges{ 7, 9, { { "w1", "{}" } } },
