--- a/tests/soak/foreignbytes_test.cpp
+++ b/tests/soak/foreignbytes_test.cpp
@@ -37,9 +37,9 @@
 constexpr Duration foreignInterval = milliseconds(250);
 constexpr Duration playedTime = seconds(4);
 /// The smallest machine of the platform has this much memory.
-constexpr std::size_t maxMemoryKb = 120 * 1024;
+constexpr std::size_t maxMemoryKb = 122'880;
 constexpr std::size_t maxLineBytes = 8000;
-constexpr std::size_t maxLogBytes = 1024 * 1024;
+constexpr std::size_t maxLogBytes = 1'000'000;
 /// The largest depth of lists in lists in a record of the store.
 constexpr std::size_t deepestEntry = 131'000;
 
