--- /dev/null
+++ b/src/libpeers/peerformat.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace cowslippin {
+
+/// Version of the format of messages between daemons. Raised with every change
+/// that an older daemon can't read.
+constexpr int peerFormatVersion = 10;
+
+} // namespace cowslippin
--- a/tests/entry/foreignmessage_test.cpp
+++ b/tests/entry/foreignmessage_test.cpp
@@ -1,3 +1,5 @@
+#include "quietports.h"
+
 #include "libentry/entrycore.h"
 
 #include "support/mutatedbytes.h"
@@ -19,7 +21,7 @@
 protected:
   ForeignMessages()
     : random(static_cast<std::uint64_t>(GetParam()))
-    , core(settings(), ports(), links(), clocks())
+    , core(settings(), quietPorts(), links(), clocks())
   {
   }
 
@@ -31,21 +33,6 @@
     return settings;
   }
 
-  static EntryCore::Ports ports()
-  {
-    EntryCore::Ports ports;
-    ports.hold = [](const auto&, const auto&, auto, const auto&) {};
-    ports.start = [](const auto&, const auto&, auto, const auto&) {};
-    ports.stop = [](const auto&, const auto&, auto, const auto&) {};
-    ports.publishHolder = [](const ShardId&, FencingToken) {};
-    ports.readConfiguration = [](const std::string&) -> Result<RoutingTable> {
-      return RoutingTable();
-    };
-    ports.isConfigurationArriving = [] { return false; };
-    ports.workerChangesForwarded = [](const PeerWorkerChanges&) {};
-    return ports;
-  }
-
   EntryCore::Links links()
   {
     EntryCore::Links links;
--- a/tests/peers/foreignmessage_test.cpp
+++ b/tests/peers/foreignmessage_test.cpp
@@ -55,8 +55,8 @@
   }
 }
 
-/// Guards against a daemon that starts and has measured how long a message
-/// takes that is refused.
+/// Guards against a measurement of the machine at a daemon's start that times
+/// how fast a message is refused.
 TEST(ForeignMessage, AnEmptySubmissionIsDecoded)
 {
   EXPECT_TRUE(decodePeerMessage(encoded(PeerSubmit())));
--- a/tests/system/foreignbytes_test.cpp
+++ b/tests/system/foreignbytes_test.cpp
@@ -86,8 +86,8 @@
   expectServing(region);
 }
 
-/// Guards against the end of a daemon that is told to read its settings again,
-/// which this program has no file of.
+/// Guards against the end of a daemon by SIGHUP, whose default this program has
+/// no use for.
 TEST(ForeignBytes, sighupDoesNotEndADaemon)
 {
   Region region;
