--- a/src/libpeers/peerdecoder.cpp
+++ b/src/libpeers/peerdecoder.cpp
@@ -104,7 +104,7 @@
 Address
 readAddress(const json& host, const json& port)
 {
-  const Address address(text(host), integerFrom<std::uint16_t>(port));
+  Address address(text(host), integerFrom<std::uint16_t>(port));
   if (!Address::parse(address.toString(), "address"))
     throw InvalidJsonValue(host, "an IP address");
   return address;
