--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -375,8 +375,8 @@
 {
   int starts = 0;
   int done = 0;
+  std::int64_t lastStartMs = 0;
   std::set<std::string> runningOn;
-  bool reported = false;
 };
 using History = std::map<std::string, TaskHistory>;
 
@@ -595,6 +595,7 @@
     m_last[key.first] = key.second;
     TaskHistory& task = m_history[key.first];
     ++task.starts;
+    task.lastStartMs = nowMs();
     m_record.line("started  %s run %lld on %s%s",
                   key.first.c_str(),
                   static_cast<long long>(key.second),
@@ -942,6 +943,9 @@
     after(context, 1000, [this] { checkReadiness(); });
   }
 
+  // The `cpu` that each task requests.
+  int taskCpu = 2000;
+
   // Submits a job that need not be kept: tasks of `workMs` each.
   std::shared_ptr<Call> submit(const Machine& machine,
                                const std::string& id,
@@ -954,7 +958,7 @@
                        { "best_effort", true },
                        { "steps",
                          { { { "count", tasks },
-                             { "cpu", 2000 },
+                             { "cpu", taskCpu },
                              { "mem_mb", 64 },
                              { "estimate_ms", workMs } } } } };
     Request request(http::verb::post, "/confirm/" + id, 11);
