--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -134,13 +134,12 @@
         response->set(http::field::content_type, reply.type);
         response->body() = reply.body;
         response->prepare_payload();
-        http::async_write(
-          self->socket,
-          *response,
-          [self, response](error_code error, std::size_t) {
-            if (!error)
-              self->read();
-          });
+        http::async_write(self->socket,
+                          *response,
+                          [self, response](error_code error, std::size_t) {
+                            if (!error)
+                              self->read();
+                          });
       });
     }
     tcp::socket socket;
@@ -212,9 +211,9 @@
   for (std::size_t i = 0; i < bytes.size(); i += 3) {
     unsigned value = 0;
     for (std::size_t k = 0; k < 3; ++k)
-      value = value << 8 |
-              (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k])
-                                    : 0U);
+      value =
+        value << 8 |
+        (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k]) : 0U);
     for (std::size_t k = 0; k < 4; ++k)
       text += i + k > bytes.size() ? '=' : digits[value >> (18 - 6 * k) & 63];
   }
@@ -332,13 +331,12 @@
         length = length << 8 | static_cast<unsigned char>(body[at + i]);
       const std::string content = body.substr(at + 4, length);
       const auto keyLength = static_cast<unsigned char>(content[0]);
-      put(
-        topic, content.substr(1, keyLength), content.substr(1 + keyLength));
+      put(topic, content.substr(1, keyLength), content.substr(1 + keyLength));
       at += 4 + length;
     }
-    return { 200,
-             json{ { "offset", first }, { "end", m_topics[topic].size() } }
-               .dump() };
+    return {
+      200, json{ { "offset", first }, { "end", m_topics[topic].size() } }.dump()
+    };
   }
 
   void answerReads()
@@ -417,11 +415,6 @@
     tick();
   }
 
-  // Whether the next order is left unanswered and carried out late, and after
-  // how many milliseconds.
-  std::function<bool()> isLate;
-  std::function<int()> lateMs;
-
 private:
   struct Run
   {
@@ -440,22 +433,22 @@
 
   void beat()
   {
-    m_store.put("keyed.servers",
-                m_settings.id,
-                json{ { "backend", "booking" },
-                      { "address",
-                        m_settings.host + ':' + std::to_string(m_server.port()) },
-                      { "zone", m_settings.zone },
-                      { "version", "1" },
-                      { "slots", 8 },
-                      { "state", "ready" },
-                      { "cold_remaining_ms", 0 },
-                      { "capacity",
-                        { { "cpu", m_settings.cpu },
-                          { "mem_mb", m_settings.memoryMb } } },
-                      { "labels", { "a", m_settings.rack } },
-                      { "seq", ++m_sequence } }
-                  .dump());
+    m_store.put(
+      "keyed.servers",
+      m_settings.id,
+      json{
+        { "backend", "booking" },
+        { "address", m_settings.host + ':' + std::to_string(m_server.port()) },
+        { "zone", m_settings.zone },
+        { "version", "1" },
+        { "slots", 8 },
+        { "state", "ready" },
+        { "cold_remaining_ms", 0 },
+        { "capacity",
+          { { "cpu", m_settings.cpu }, { "mem_mb", m_settings.memoryMb } } },
+        { "labels", { "a", m_settings.rack } },
+        { "seq", ++m_sequence } }
+        .dump());
     after(m_context, m_settings.beatMs, [this] { beat(); });
   }
 
@@ -489,7 +482,8 @@
   {
     m_runs.erase(key);
     m_last[key.first] = std::max(m_last[key.first], key.second);
-    m_ends.push_back(json::array({ ++m_endNumber, key.first, key.second, how, "" }));
+    m_ends.push_back(
+      json::array({ ++m_endNumber, key.first, key.second, how, "" }));
     TaskHistory& task = m_history[key.first];
     task.runningOn.erase(m_settings.id);
     task.done += std::string(how) == "done" ? 1 : 0;
@@ -504,7 +498,8 @@
   {
     json running = json::array();
     for (const auto& [key, run] : m_runs) {
-      const std::int64_t length = std::max<std::int64_t>(1, run.endsMs - run.startedMs);
+      const std::int64_t length =
+        std::max<std::int64_t>(1, run.endsMs - run.startedMs);
       const std::int64_t percent =
         std::min<std::int64_t>(100, (nowMs() - run.startedMs) * 100 / length);
       running.push_back({ key.first, key.second, "", percent });
@@ -538,19 +533,6 @@
   void serve(const Request& request, const Responder& respond)
   {
     expire();
-    if (isLate && isLate()) {
-      // Carried out seconds later, and never answered.
-      after(m_context, lateMs(), [this, request] {
-        expire();
-        carryOut(request, [](const Reply&) {});
-      });
-      return;
-    }
-    carryOut(request, respond);
-  }
-
-  void carryOut(const Request& request, const Responder& respond)
-  {
     const std::string target(request.target());
     const auto body = json::parse(request.body(), nullptr, false);
     if (request["X-Cowslippin-Target-Instance"] != m_settings.id) {
@@ -653,17 +635,6 @@
     return call;
   }
 
-  bool isOver() const { return !m_done; }
-
-  // The caller leaves.
-  void abandon()
-  {
-    m_done = nullptr;
-    error_code ignored;
-    m_timer.cancel(ignored);
-    m_socket.close(ignored);
-  }
-
 private:
   Call(net::io_context& context,
        Request request,
@@ -682,23 +653,22 @@
       if (!error)
         self->finish({ -1, "timeout" });
     });
-    m_socket.async_connect(
-      tcp::endpoint(net::ip::make_address(host), port),
-      [self = shared_from_this()](error_code error) {
-        if (error) {
-          self->finish({ 0, error.message() });
-          return;
-        }
-        http::async_write(
-          self->m_socket,
-          self->m_request,
-          [self](error_code failed, std::size_t) {
-            if (failed)
-              self->finish({ -1, failed.message() });
-            else
-              self->read();
-          });
-      });
+    m_socket.async_connect(tcp::endpoint(net::ip::make_address(host), port),
+                           [self = shared_from_this()](error_code error) {
+                             if (error) {
+                               self->finish({ 0, error.message() });
+                               return;
+                             }
+                             http::async_write(
+                               self->m_socket,
+                               self->m_request,
+                               [self](error_code failed, std::size_t) {
+                                 if (failed)
+                                   self->finish({ -1, failed.message() });
+                                 else
+                                   self->read();
+                               });
+                           });
   }
 
   void read()
@@ -864,23 +834,22 @@
     , m_frontend(freePort(m_net + "1"))
     , m_readiness(freePort(m_net + "1"))
   {
-    store.put(
-      "keyed.op",
-      "config",
-      json{ { "version", 3 },
-            { "routes",
-              { { { "name", "confirm" },
-                  { "host", "jobs.example" },
-                  { "path_prefix", "/confirm/" },
-                  { "timeout_ms", 1500 },
-                  { "target_duration_ms", 60 },
-                  { "priority", 0 },
-                  { "backend", "booking" },
-                  { "max_attempts", 3 },
-                  { "stretch", 1.6 } } } },
-            { "backends", { { { "name", "booking" } } } },
-            { "limits", json::object() } }
-        .dump());
+    store.put("keyed.op",
+              "config",
+              json{ { "version", 3 },
+                    { "routes",
+                      { { { "name", "confirm" },
+                          { "host", "jobs.example" },
+                          { "path_prefix", "/confirm/" },
+                          { "timeout_ms", 1500 },
+                          { "target_duration_ms", 60 },
+                          { "priority", 0 },
+                          { "backend", "booking" },
+                          { "max_attempts", 3 },
+                          { "stretch", 1.6 } } } },
+                    { "backends", { { { "name", "booking" } } } },
+                    { "limits", json::object() } }
+                .dump());
   }
 
   void addMinions(const std::string& zone, int count)
@@ -891,16 +860,16 @@
       settings.zone = zone;
       settings.rack = "r-" + zone;
       settings.host = m_net + "2";
-      minions.push_back(std::make_unique<Minion>(
-        context, store, record, history, settings));
+      minions.push_back(
+        std::make_unique<Minion>(context, store, record, history, settings));
     }
   }
 
   Machine& addMachine(const std::string& name, const std::string& zone)
   {
     const std::string ip = m_net + std::to_string(10 + machines.size());
-    auto machine = std::make_unique<Machine>(
-      context, record, m_folder, name, zone, ip);
+    auto machine =
+      std::make_unique<Machine>(context, record, m_folder, name, zone, ip);
     machine->frontend = m_frontend;
     machine->readiness = m_readiness;
     machines.push_back(std::move(machine));
@@ -934,9 +903,8 @@
                  [this, at = machine.get()](const Answer& answer) {
                    const bool isReady = answer.status == 200;
                    if (isReady != at->isReady)
-                     record.line("ready    %s: %d",
-                                 at->name.c_str(),
-                                 answer.status);
+                     record.line(
+                       "ready    %s: %d", at->name.c_str(), answer.status);
                    at->isReady = isReady;
                  });
     }
@@ -972,21 +940,20 @@
                 machine.name.c_str(),
                 tasks,
                 workMs);
-    return Call::send(
-      context,
-      machine.ip,
-      machine.frontend,
-      request,
-      deadlineMs,
-      [this, id, to = machine.name, done = std::move(done)](
-        const Answer& answer) {
-        record.line("answered %s by %s: %d %s",
-                    id.c_str(),
-                    to.c_str(),
-                    answer.status,
-                    answer.body.c_str());
-        done(answer);
-      });
+    return Call::send(context,
+                      machine.ip,
+                      machine.frontend,
+                      request,
+                      deadlineMs,
+                      [this, id, to = machine.name, done = std::move(done)](
+                        const Answer& answer) {
+                        record.line("answered %s by %s: %d %s",
+                                    id.c_str(),
+                                    to.c_str(),
+                                    answer.status,
+                                    answer.body.c_str());
+                        done(answer);
+                      });
   }
 
   // How many of the first `tasks` tasks of a job have ended `done`.
@@ -1018,63 +985,61 @@
     const auto at = [&](std::uint16_t port) {
       return machine.ip + ':' + std::to_string(port);
     };
-    return {
-      { "node_name", machine.name },
-      { "role", "entry" },
-      { "machine_class", "edge" },
-      { "serves", { "edge", "control_plane" } },
-      { "ip", machine.ip },
-      { "zone", machine.zone },
-      { "region", "region" },
-      { "internal_ports", { m_peerPort, m_peerPort + 15 } },
-      { "seeds", seeds },
-      { "bootstrap", true },
-      { "counts_as_loss", false },
-      { "discovery", "platform" },
-      { "entry", "vip" },
-      { "heartbeat_ms", 1500 },
-      { "contracts",
-        { "base",
-          "drain",
-          "config",
-          "cost",
-          "recover",
-          "sched",
-          "platform",
-          "advice",
-          "upkeep",
-          "sharing" } },
-      { "control_mode", "request" },
-      { "zones", m_zones },
-      { "listen_addrs",
-        { { "frontend", at(machine.frontend) },
-          { "readiness", at(machine.readiness) },
-          { "control", at(m_peerPort + 40) } } },
-      { "limits",
-        { { "cpu_share", 0.25 },
-          { "cores", 1 },
-          { "memory_mb", 260 },
-          { "max_fds", 4100 },
-          { "link_mbps", 1000.0 },
-          { "disk_mb", 0 } } },
-      { "fault_tolerance",
-        { { "machines", 1 }, { "zones", 1 }, { "regions", 0 } } },
-      { "bounds",
-        { { "seed_lag_s", 3 },
-          { "addr_reuse_s", 2 },
-          { "contact_ms", 3000 },
-          { "grace_s", 6 },
-          { "recovery_s", 12 },
-          { "max_hold_ms", 1000 },
-          { "stop_timeout_ms", 50 },
-          { "retransmit_ms", 1300 } } },
-      { "platform",
-        { { "address", m_net + "1:" + std::to_string(store.port()) },
-          { "form", "log" },
-          { "writes_per_s", 800 },
-          { "reads_per_s", 2000 },
-          { "parts", 12 } } }
-    };
+    return { { "node_name", machine.name },
+             { "role", "entry" },
+             { "machine_class", "edge" },
+             { "serves", { "edge", "control_plane" } },
+             { "ip", machine.ip },
+             { "zone", machine.zone },
+             { "region", "region" },
+             { "internal_ports", { m_peerPort, m_peerPort + 15 } },
+             { "seeds", seeds },
+             { "bootstrap", true },
+             { "counts_as_loss", false },
+             { "discovery", "platform" },
+             { "entry", "vip" },
+             { "heartbeat_ms", 1500 },
+             { "contracts",
+               { "base",
+                 "drain",
+                 "config",
+                 "cost",
+                 "recover",
+                 "sched",
+                 "platform",
+                 "advice",
+                 "upkeep",
+                 "sharing" } },
+             { "control_mode", "request" },
+             { "zones", m_zones },
+             { "listen_addrs",
+               { { "frontend", at(machine.frontend) },
+                 { "readiness", at(machine.readiness) },
+                 { "control", at(m_peerPort + 40) } } },
+             { "limits",
+               { { "cpu_share", 0.25 },
+                 { "cores", 1 },
+                 { "memory_mb", 260 },
+                 { "max_fds", 4100 },
+                 { "link_mbps", 1000.0 },
+                 { "disk_mb", 0 } } },
+             { "fault_tolerance",
+               { { "machines", 1 }, { "zones", 1 }, { "regions", 0 } } },
+             { "bounds",
+               { { "seed_lag_s", 3 },
+                 { "addr_reuse_s", 2 },
+                 { "contact_ms", 3000 },
+                 { "grace_s", 6 },
+                 { "recovery_s", 12 },
+                 { "max_hold_ms", 1000 },
+                 { "stop_timeout_ms", 50 },
+                 { "retransmit_ms", 1300 } } },
+             { "platform",
+               { { "address", m_net + "1:" + std::to_string(store.port()) },
+                 { "form", "log" },
+                 { "writes_per_s", 800 },
+                 { "reads_per_s", 2000 },
+                 { "parts", 12 } } } };
   }
 
   const std::string m_folder;
