Gateway: ends of an earlier process's jobs don't count for new ones

A holder goes on with the jobs of a lost daemon for 200 ms, and sends their ends to the daemon's name, which is the new process by then. The numbers of submissions began at 1 in each process, and Gateway::find compared the number alone, for ends and for returned tasks.

The gateway looks submissions up by the whole key. The numbers of submissions and of registration rounds begin at a place that differs from process to process, below 2^53, so that the keys of one job in two processes differ, too.

Failed before the change: GatewayTest.MessagesAboutAnEarlierProcessesJobsAreIgnored, EntryCoreNumbers.TwoProcessesOfADaemonUseDifferentOnes.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -35,6 +35,22 @@
 /// How often to check whether all peers have advertised their jobs.
 constexpr Duration peerReportPollInterval = std::chrono::milliseconds(10);
 
+/// Submissions to holders and rounds of registrations are numbered. Each
+/// process of a daemon begins at a multiple of 2^20 that its process number
+/// selects, so that a peer's message about a number of an earlier process
+/// doesn't match a recent one of this process. With 32 bits of the process
+/// number all numbers stay below 2^53, which any JSON parser of the logs reads
+/// exactly.
+constexpr std::uint64_t numbersPerProcess = std::uint64_t(1) << 20;
+constexpr std::uint64_t maxProcessNumbers = std::uint64_t(1) << 32;
+
+/// The number before the first one that a process uses.
+std::uint64_t
+numberBeforeFirst(std::uint64_t processNumber)
+{
+  return processNumber % maxProcessNumbers * numbersPerProcess;
+}
+
 ConfigurationSync::Settings
 configurationSettings(const EntryCore::Settings& settings)
 {
@@ -56,8 +72,14 @@
              m_settings.shards,
              m_clocks.steady())
   , m_scheduler(m_settings.vm, m_settings.scheduler, schedulerHooks())
-  , m_gateway(m_settings.vm, m_settings.gateway, gatewayHooks())
-  , m_registrations(m_settings.vm, registrationHooks(), m_clocks.steady())
+  , m_gateway(m_settings.vm,
+              m_settings.gateway,
+              gatewayHooks(),
+              numberBeforeFirst(m_clocks.processNumber))
+  , m_registrations(m_settings.vm,
+                    registrationHooks(),
+                    m_clocks.steady(),
+                    numberBeforeFirst(m_clocks.processNumber))
   , m_configuration(configurationSettings(m_settings), configurationHooks())
   , m_peerContact(m_clocks.steady())
   , m_partitionCheck(m_links.probeMissing)
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -138,7 +138,7 @@
     std::function<std::chrono::nanoseconds()> sinceBoot;
     /// In milliseconds since 1970; may jump.
     std::function<std::int64_t()> timeOfDay;
-    /// Differs from one process to the next.
+    /// Differs from one process to the next, in its lowest 32 bits.
     std::uint64_t processNumber = 0;
   };
 
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -7,10 +7,14 @@
 
 namespace cowslippin {
 
-Gateway::Gateway(VmId self, Settings settings, Hooks hooks)
+Gateway::Gateway(VmId self,
+                 Settings settings,
+                 Hooks hooks,
+                 std::uint64_t lastNumber)
   : m_self(std::move(self))
   , m_settings(settings)
   , m_hooks(std::move(hooks))
+  , m_lastKey(lastNumber)
 {
 }
 
@@ -624,11 +628,13 @@
 }
 
 /// The job and the part that daemon `from` has under this key now, or null
-/// pointers.
+/// pointers. The whole key has to match: a holder goes on for a moment with the
+/// jobs of a process that was killed, and sends their ends to the process that
+/// was started in its place.
 Gateway::PartRef
 Gateway::find(const VmId& from, const JobKey& key)
 {
-  const auto place = m_partByKey.find(key.part());
+  const auto place = m_partByKey.find(key);
   if (place == m_partByKey.end())
     return { nullptr, nullptr };
   Entry& entry = m_jobs.at(place->second.first);
@@ -650,7 +656,7 @@
 void
 Gateway::partCompleted(Entry& entry, Part& part, TimePoint now)
 {
-  m_partByKey.erase(part.key.part());
+  m_partByKey.erase(part.key);
   entry.parts.erase(part.id);
   if (entry.parts.empty())
     finish(entry, { JobAnswer::Kind::Completed, Duration::zero(), "" }, now);
@@ -811,8 +817,8 @@
                                      part.activeTasks };
   if (!m_hooks.submit(vm, request))
     return false;
-  m_partByKey.erase(part.key.part());
-  m_partByKey[request.key.part()] = { entry.number, part.id };
+  m_partByKey.erase(part.key);
+  m_partByKey[request.key] = { entry.number, part.id };
   part.key = request.key;
   part.holder = vm;
   part.shard = shard;
@@ -846,7 +852,7 @@
 Gateway::cancelAndRemove(Entry& entry, TimePoint now)
 {
   for (const auto& [id, part] : entry.parts) {
-    m_partByKey.erase(part.key.part());
+    m_partByKey.erase(part.key);
     if (part.holder)
       m_hooks.cancel(*part.holder, part.key);
     if (part.holder || part.orphanedAt)
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -171,7 +171,13 @@
   /// Identifies a waiting caller.
   using CallerId = std::uint64_t;
 
-  Gateway(VmId self, Settings settings, Hooks hooks);
+  /// `lastNumber` is the number before that of the first submission to a
+  /// holder. Processes of one daemon need different ones, because holders may
+  /// send a process messages about submissions of an earlier one.
+  Gateway(VmId self,
+          Settings settings,
+          Hooks hooks,
+          std::uint64_t lastNumber = 0);
 
   /// Adds a caller. If the job is already in progress here, the caller joins it
   /// and gets the same answer; no second job is started.
@@ -373,13 +379,14 @@
   Entries m_jobs;
   std::map<JobId, std::uint64_t> m_numberByJob;
   /// For each submitted key, the job number and the part id.
-  std::map<std::uint64_t, std::pair<std::uint64_t, std::uint64_t>> m_partByKey;
+  std::map<JobKey, std::pair<std::uint64_t, std::uint64_t>> m_partByKey;
   std::map<CallerId, std::uint64_t> m_jobByCaller;
   /// Jobs that were abandoned, and the time by which all their runs have ended.
   std::map<JobId, TimePoint> m_abandoned;
   std::uint64_t m_lastJob = 0;
   std::uint64_t m_lastPart = 0;
-  std::uint64_t m_lastKey = 0;
+  /// The number of the last submission to a holder.
+  std::uint64_t m_lastKey;
   CallerId m_lastCallerId = 0;
 };
 
--- a/src/libentry/jobregistrations.cpp
+++ b/src/libentry/jobregistrations.cpp
@@ -16,10 +16,14 @@
 
 } // namespace
 
-JobRegistrations::JobRegistrations(VmId self, Hooks hooks, TimePoint now)
+JobRegistrations::JobRegistrations(VmId self,
+                                   Hooks hooks,
+                                   TimePoint now,
+                                   std::uint64_t lastRound)
   : m_self(std::move(self))
   , m_hooks(std::move(hooks))
   , m_choice(m_self, now)
+  , m_lastRound(lastRound)
 {
 }
 
--- a/src/libentry/jobregistrations.h
+++ b/src/libentry/jobregistrations.h
@@ -53,7 +53,13 @@
     std::optional<PeerJobs::Location> inProgressAt;
   };
 
-  JobRegistrations(VmId self, Hooks hooks, TimePoint now);
+  /// `lastRound` is the number before that of the first round. Processes of one
+  /// daemon need different ones, so that none takes an answer to an earlier one
+  /// for its own.
+  JobRegistrations(VmId self,
+                   Hooks hooks,
+                   TimePoint now,
+                   std::uint64_t lastRound = 0);
 
   /// Registers a job of this daemon. `endedAt` are daemons that have reported
   /// that their runs of it have ended. A pending registration of the job is
@@ -123,7 +129,7 @@
   JobRegistry m_registry;
   RegistrarChoice m_choice;
   std::map<JobId, Round> m_rounds;
-  std::uint64_t m_lastRound = 0;
+  std::uint64_t m_lastRound;
 };
 
 } // namespace cowslippin
--- a/src/libjobs/jobkey.h
+++ b/src/libjobs/jobkey.h
@@ -25,8 +25,8 @@
   /// The daemon that waits for the end of the job.
   const VmId& submitter() const { return m_submitter; }
   const JobId& job() const { return m_job; }
-  /// The number of the submission, unique among all that the submitter has
-  /// made.
+  /// The number of the submission, unique among all that the submitter's
+  /// process has made. Numbers of an earlier process are far apart from them.
   std::uint64_t part() const { return m_part; }
 
   friend bool operator==(const JobKey& a, const JobKey& b)
--- a/tests/entry/entrycore_test.cpp
+++ b/tests/entry/entrycore_test.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -23,8 +24,8 @@
 class EntryCoreTest : public ::testing::Test
 {
 protected:
-  EntryCoreTest()
-    : core(settings(), quietPorts(), links(), clocks())
+  explicit EntryCoreTest(std::uint64_t processNumber = 0)
+    : core(settings(), quietPorts(), links(), clocks(processNumber))
   {
   }
 
@@ -63,9 +64,10 @@
     return links;
   }
 
-  EntryCore::Clocks clocks()
+  EntryCore::Clocks clocks(std::uint64_t processNumber)
   {
     EntryCore::Clocks clocks;
+    clocks.processNumber = processNumber;
     clocks.steady = [this] { return now; };
     clocks.sinceBoot = [this] { return now.time_since_epoch(); };
     clocks.timeOfDay = [] { return std::int64_t(0); };
@@ -485,5 +487,56 @@
     << unanswered.size() << " of 20 jobs are registered at the closed peer";
 }
 
+/// A process of the daemon that submits one job to the peer.
+class NumberedProcess : public EntryCoreTest
+{
+public:
+  explicit NumberedProcess(std::uint64_t processNumber)
+    : EntryCoreTest(processNumber)
+  {
+    connect();
+    listWorker();
+    receivePeerHeartbeat();
+    submit("a");
+    for (const PeerSubmit& submission : sentOf<PeerSubmit>())
+      submissions.push_back(submission.request.key.part());
+    for (const auto& registration : sentOf<PeerJobRegistration>())
+      registrations.push_back(registration.number);
+  }
+
+  void TestBody() override {}
+
+  /// The numbers that were sent.
+  std::vector<std::uint64_t> submissions;
+  std::vector<std::uint64_t> registrations;
+};
+
+/// Guards against messages about submissions or registrations of a killed
+/// process that match those of the process that was started in its place.
+TEST(EntryCoreNumbers, TwoProcessesOfADaemonUseDifferentOnes)
+{
+  const NumberedProcess earlier(1);
+  const NumberedProcess later(2);
+  ASSERT_EQ(earlier.submissions.size(), 1u);
+  ASSERT_EQ(later.submissions.size(), 1u);
+  EXPECT_NE(earlier.submissions[0], later.submissions[0]);
+  ASSERT_EQ(earlier.registrations.size(), 1u);
+  ASSERT_EQ(later.registrations.size(), 1u);
+  EXPECT_NE(earlier.registrations[0], later.registrations[0]);
+}
+
+/// Guards against numbers that a JSON parser of the logs can't read exactly.
+/// Zero stands for no earlier submission.
+TEST(EntryCoreNumbers, AreFromOneToTwoToThePowerOf53)
+{
+  for (const std::uint64_t processNumber :
+       { std::uint64_t(0), ~std::uint64_t(0) }) {
+    const NumberedProcess process(processNumber);
+    ASSERT_EQ(process.submissions.size(), 1u);
+    EXPECT_GE(process.submissions[0], 1u);
+    EXPECT_LT(process.submissions[0], std::uint64_t(1) << 53);
+  }
+}
+
 } // namespace
 } // namespace cowslippin::testing
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -482,6 +482,37 @@
   EXPECT_EQ(sentRequests.size(), 2u);
 }
 
+/// Guards against an end of another job that is taken for the end of a job here
+/// because their submissions have the same number. Holders send the ends of a
+/// killed process's jobs to the process that was started in its place.
+TEST_F(GatewayTest, MessagesAboutAnEarlierProcessesJobsAreIgnored)
+{
+  submit("b");
+  const std::uint64_t number = sentRequests.at(0).second.key.part();
+  const JobKey earlier(self, JobId("a"), number);
+  JobEnd end;
+  end.done = { 0, 1, 2 };
+  for (const JobOutcome outcome : { JobOutcome::Completed,
+                                    JobOutcome::Refused,
+                                    JobOutcome::Failed,
+                                    JobOutcome::TimedOut,
+                                    JobOutcome::Unresolved,
+                                    JobOutcome::NotHolder,
+                                    JobOutcome::Moved }) {
+    end.outcome = outcome;
+    gateway.partEnded(firstHolder, earlier, end, now);
+    EXPECT_TRUE(answers.empty());
+    EXPECT_EQ(gateway.jobsSubmittedTo(firstHolder).count(), 1u);
+    ASSERT_EQ(gateway.jobCount(), 1u);
+  }
+  TasksReturned returned;
+  returned.tasks = { 0 };
+  returned.holder = secondHolder;
+  returned.shard = remoteShard;
+  gateway.tasksReturned(firstHolder, earlier, returned, now);
+  EXPECT_EQ(sentRequests.size(), 1u);
+}
+
 TEST_F(GatewayTest, AMovedPartContinuesWithItsRemainingTasks)
 {
   submit("a");
