Entry: a message that shows a pause is not applied

EntryCore::received reads the clock, which notices the pause, closes all connections and removes all members. It then went on with the message: a heartbeat made its sender a member again, without a connection whose loss would remove it.

Messages of peers that aren't connected are ignored, whatever their kind, as peerUp already did for hellos. What they carry is sent again over the next connection or settled by the loss.

Failed before the change: EntryCoreTest.APeerWhoseMessageShowsAPauseIsNotAMember, EntryCoreTest.AMessageThatShowsAPauseIsIgnored.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -764,6 +764,11 @@
 EntryCore::received(const VmId& vm, const PeerMessage& message)
 {
   const TimePoint now = observeTime();
+  // A pause that was noticed just now has closed the connection of the message.
+  // State that the message would set is removed only when a connection is lost,
+  // so it would stay for good if the peer doesn't connect again.
+  if (!m_links.isConnected(vm))
+    return;
   m_lastReadAt[vm] = now;
   if (const auto* beat = std::get_if<PeerHeartbeat>(&message))
     heartbeatReceived(vm, *beat, now);
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -179,7 +179,7 @@
   void callersSeen();
 
   /// Connections to peers being made and lost, and the messages that peers
-  /// send.
+  /// send. Messages of peers that aren't connected are ignored.
   void peerUp(const PeerHello& hello);
   void peerDown(const VmId& vm, PeerLoss loss);
   void received(const VmId& vm, const PeerMessage& message);
--- a/tests/entry/entrycore_test.cpp
+++ b/tests/entry/entrycore_test.cpp
@@ -487,6 +487,55 @@
     << unanswered.size() << " of 20 jobs are registered at the closed peer";
 }
 
+/// Guards against a lost peer that counts as a member and holder for good: the
+/// daemon noticed with a heartbeat of that peer that it had been paused, and
+/// closed the connection of the heartbeat.
+TEST_F(EntryCoreTest, APeerWhoseMessageShowsAPauseIsNotAMember)
+{
+  connect();
+  listWorker();
+  receivePeerHeartbeat();
+  const std::string shard = ShardId(ZoneName("z1"), 0).toString();
+  ASSERT_EQ(core.stateJson()["shards"][shard], peer.value());
+  now += std::chrono::milliseconds(4000);
+  receivePeerHeartbeat();
+  ASSERT_TRUE(connected.empty());
+  advance(10'000);
+  EXPECT_EQ(core.stateJson()["shards"][shard], "");
+}
+
+/// Guards against a message of any kind that is applied, or answered, after the
+/// pause that it shows has closed its connection.
+TEST_F(EntryCoreTest, AMessageThatShowsAPauseIsIgnored)
+{
+  JobRequest request;
+  request.key = JobKey(peer, JobId("a"), 1);
+  request.tasks = { 0 };
+  request.timeLeft = std::chrono::seconds(5);
+  PeerHeartbeat beat;
+  beat.isAckRequested = true;
+  const std::vector<PeerMessage> messages{
+    beat,
+    PeerSubmit{ request },
+    PeerRecall{ JobId("a"), Duration(), false },
+    PeerJobRegistration{ JobId("a"), 1, {}, true },
+    PeerConfigRequest{ 1, 0, 1 },
+  };
+  for (const PeerMessage& message : messages) {
+    connected.insert(peer);
+    connect();
+    receive(peer, message);
+    EXPECT_FALSE(sent.empty()) << "kind " << message.index();
+    now += std::chrono::milliseconds(300);
+    sent.clear();
+    closeFlagUpdates.clear();
+    receive(peer, message);
+    EXPECT_TRUE(connected.empty());
+    EXPECT_TRUE(sent.empty()) << "kind " << message.index();
+    EXPECT_TRUE(closeFlagUpdates.empty()) << "kind " << message.index();
+  }
+}
+
 /// A process of the daemon that submits one job to the peer.
 class NumberedProcess : public EntryCoreTest
 {
