--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -138,7 +138,7 @@
     std::function<std::chrono::nanoseconds()> sinceBoot;
     /// In milliseconds since 1970; may jump.
     std::function<std::int64_t()> timeOfDay;
-    /// Differs from one process to the next.
+    /// Differs from one process to the next, in its lowest 32 bits.
     std::uint64_t processNumber = 0;
   };
 
@@ -179,7 +179,7 @@
   void callersSeen();
 
   /// Connections to peers being made and lost, and the messages that peers
-  /// send.
+  /// send. Messages of peers that aren't connected are ignored.
   void peerUp(const PeerHello& hello);
   void peerDown(const VmId& vm, PeerLoss loss);
   void received(const VmId& vm, const PeerMessage& message);
