Logging: lines are composed without a document and written together

A job writes about ten log lines. Each built a JSON document, went through the asynchronous queue of Boost.Log by itself and so woke the logger's thread, and was one write with a flush; each also searched the windows of all events for suppressed records.

Lines are now formatted directly (LogLineFormatter; texts that need it are still escaped by nlohmann's library, in libjson) and collected (LogLineBuffer) until they take 16 KB, the oldest has waited 100 ms, a warning or an error comes, or logging ends. Synchronous delivery writes each line as before.

New tests compare each line with what a document of the same fields writes.

--- a/src/cowslippind/main.cpp
+++ b/src/cowslippind/main.cpp
@@ -34,6 +34,7 @@
   Daemon daemon(settings);
   if (const auto problem = daemon.start()) {
     std::cerr << "cowslippind: " << problem->detail() << std::endl;
+    stopLogging();
     return exitBadSettings;
   }
   std::cout << "listening " << daemon.httpAddress().toString() << " peers "
@@ -77,6 +78,7 @@
     return serve(std::get<DaemonSettings>(outcome));
   } catch (const std::exception& error) {
     std::cerr << "cowslippind: " << error.what() << std::endl;
+    stopLogging();
     return exitCutOff;
   }
 }
--- a/src/libdaemon/daemon.cpp
+++ b/src/libdaemon/daemon.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Duration tickInterval = std::chrono::milliseconds(500);
+/// How often log records that have waited are written.
+constexpr Duration logInterval = std::chrono::milliseconds(100);
 constexpr Duration longestDeadline = std::chrono::minutes(10);
 constexpr Duration drainPoll = std::chrono::milliseconds(10);
 /// How long a shutdown goes on refusing at least, so that a balancer can see
@@ -318,11 +320,16 @@
 Daemon::runTicks()
 {
   std::unique_lock lock(m_tickMutex);
+  TimePoint nextTick = steadyNow();
   while (!m_stopping) {
     lock.unlock();
-    runGuarded("tick of the daemon", [this] { tick(); });
+    if (steadyNow() >= nextTick) {
+      runGuarded("tick of the daemon", [this] { tick(); });
+      nextTick = steadyNow() + tickInterval;
+    }
+    writeDueLogRecords();
     lock.lock();
-    m_stopTicks.wait_for(lock, tickInterval, [this] { return m_stopping; });
+    m_stopTicks.wait_for(lock, logInterval, [this] { return m_stopping; });
   }
 }
 
@@ -332,7 +339,6 @@
   m_submissions.expire();
   m_peers->setLoad(static_cast<std::uint32_t>(m_runner.load()));
   updateRegionDuty();
-  reportSuppressedEvents();
 }
 
 void
--- a/src/libjson/jsontext.cpp
+++ b/src/libjson/jsontext.cpp
@@ -5,6 +5,9 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
 
 namespace cowslippin {
 
@@ -40,6 +43,26 @@
   return true;
 }
 
+/// Whether a character stands for itself in a JSON string. Others may too, but
+/// need a closer look.
+bool
+isPlain(char character)
+{
+  return character >= ' ' && character <= '~' && character != '"' &&
+         character != '\\';
+}
+
+template<class Integer>
+void
+appendInteger(std::string& text, Integer value)
+{
+  // The digits of the longest number and its sign.
+  std::array<char, std::numeric_limits<Integer>::digits10 + 3> digits{};
+  const auto result =
+    std::to_chars(digits.data(), digits.data() + digits.size(), value);
+  text.append(digits.data(), result.ptr);
+}
+
 } // namespace
 
 std::string
@@ -55,6 +78,36 @@
     -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
+void
+appendJson(std::string& text, std::string_view value)
+{
+  if (!std::all_of(value.begin(), value.end(), isPlain)) {
+    text += writeJson(json(value));
+    return;
+  }
+  text += '"';
+  text += value;
+  text += '"';
+}
+
+void
+appendJson(std::string& text, std::int64_t value)
+{
+  appendInteger(text, value);
+}
+
+void
+appendJson(std::string& text, std::uint64_t value)
+{
+  appendInteger(text, value);
+}
+
+void
+appendJson(std::string& text, double value)
+{
+  text += writeJson(json(value));
+}
+
 std::vector<std::uint8_t>
 writeCbor(const json& value)
 {
--- a/src/libjson/jsontext.h
+++ b/src/libjson/jsontext.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cowslippin {
@@ -16,6 +17,18 @@
 std::string
 writeOrderedJson(const nlohmann::ordered_json& value);
 
+/// These append a value as JSON to a text that is composed without a document.
+/// A string is written with its quotation marks; bytes that aren't UTF-8 are
+/// replaced by U+FFFD. A number that isn't finite is written as null.
+void
+appendJson(std::string& text, std::string_view value);
+void
+appendJson(std::string& text, std::int64_t value);
+void
+appendJson(std::string& text, std::uint64_t value);
+void
+appendJson(std::string& text, double value);
+
 /// Writes a value as CBOR.
 std::vector<std::uint8_t>
 writeCbor(const nlohmann::json& value);
--- a/src/libobserve/eventratelimiter.cpp
+++ b/src/libobserve/eventratelimiter.cpp
@@ -36,7 +36,7 @@
   startWindowIfEnded(found->first, window, now);
   ++window.total;
   if (window.admitted >= limit) {
-    ++window.suppressed;
+    countSuppressed(window);
     return false;
   }
   ++window.admitted;
@@ -49,7 +49,7 @@
   const std::lock_guard lock(m_mutex);
   const auto found = m_windows.find(event);
   if (found != m_windows.end())
-    ++found->second.suppressed;
+    countSuppressed(found->second);
 }
 
 std::map<std::string, std::uint64_t>
@@ -66,8 +66,9 @@
 EventRateLimiter::takeEnded(TimePoint now)
 {
   const std::lock_guard lock(m_mutex);
-  for (auto& [event, window] : m_windows) {
-    startWindowIfEnded(event, window, now);
+  if (m_suppressingWindows > 0) {
+    for (auto& [event, window] : m_windows)
+      startWindowIfEnded(event, window, now);
   }
   return std::exchange(m_ended, {});
 }
@@ -78,6 +79,13 @@
   return takeEnded(TimePoint::max());
 }
 
+void
+EventRateLimiter::countSuppressed(Window& window)
+{
+  if (window.suppressed++ == 0)
+    ++m_suppressingWindows;
+}
+
 void
 EventRateLimiter::startWindowIfEnded(const std::string& event,
                                      Window& window,
@@ -88,6 +96,7 @@
   }
   if (window.suppressed > 0) {
     m_ended.emplace_back(event, window.suppressed);
+    --m_suppressingWindows;
   }
   const std::uint64_t total = window.total;
   window = Window{ now };
--- a/src/libobserve/eventratelimiter.h
+++ b/src/libobserve/eventratelimiter.h
@@ -4,6 +4,7 @@
 
 #include "libcore/clock.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -74,6 +75,7 @@
     std::uint64_t total = 0;
   };
 
+  void countSuppressed(Window& window);
   void startWindowIfEnded(const std::string& event,
                           Window& window,
                           TimePoint now);
@@ -82,6 +84,9 @@
   const unsigned m_decisionsPerSecond;
   mutable std::mutex m_mutex;
   std::map<std::string, Window, std::less<>> m_windows;
+  /// How many windows have suppressed records that weren't told yet. Usually
+  /// none has, and then the windows need not be searched.
+  std::size_t m_suppressingWindows = 0;
   std::vector<SuppressedEvents> m_ended;
 };
 
--- a/src/libobserve/logging.cpp
+++ b/src/libobserve/logging.cpp
@@ -1,10 +1,11 @@
 #include "logging.h"
 
 #include "eventratelimiter.h"
+#include "logline.h"
+#include "loglinebuffer.h"
 #include "queueshare.h"
 
 #include "libcore/clock.h"
-#include "libcore/displaytext.h"
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
@@ -16,12 +17,10 @@
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
-#include <nlohmann/json.hpp>
 
-#include <array>
+#include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <ctime>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -37,7 +36,7 @@
 constexpr std::size_t reservedForDecisive = 2048;
 constexpr int nothingIsLogged = static_cast<int>(LogLevel::Error) + 1;
 
-/// Gives a record's place in the queue back once it is written.
+/// Gives the places of a record's lines in the queue back once it is written.
 class Backend : public sinks::text_ostream_backend
 {
 public:
@@ -49,7 +48,7 @@
   void consume(const boost::log::record_view& record,
                const string_type& message)
   {
-    m_share->leave();
+    m_share->leave(std::count(message.begin(), message.end(), '\n'));
     sinks::text_ostream_backend::consume(record, message);
   }
 
@@ -62,8 +61,9 @@
   Backend,
   sinks::bounded_fifo_queue<maxQueuedRecords, sinks::drop_on_overflow>>;
 
-/// The logger of the process. Threads that log share it; only set-up and the
-/// end replace its parts, under a mutex that logging does not take.
+/// The logger of the process. Threads that log share it and its buffer of
+/// lines; only set-up and the end replace its other parts, under a mutex that
+/// logging does not take.
 class ProcessLogger
 {
 public:
@@ -73,20 +73,33 @@
            LogLevel level,
            const char* event,
            std::initializer_list<LogField> fields);
-  void reportSuppressed();
+  void writeDue();
   std::map<std::string, std::uint64_t> counts() const;
 
 private:
   void stopLocked();
-  bool write(LogRank rank, const std::string& line);
-  void writeSuppressed(const std::vector<SuppressedEvents>& suppressed);
+  bool write(LogRank rank,
+             LogLevel level,
+             const std::string& line,
+             TimePoint now);
+  void writeSuppressed(const std::vector<SuppressedEvents>& suppressed,
+                       TimePoint now);
+  void setOutput(std::shared_ptr<QueueShare> share, LogDelivery delivery);
+  void pushLines();
 
   std::mutex m_setUpMutex;
   std::atomic<int> m_threshold{ nothingIsLogged };
   std::shared_ptr<EventRateLimiter> m_limiter;
-  std::shared_ptr<QueueShare> m_share;
   std::function<void()> m_removeSink;
-  boost::log::sources::logger_mt m_source;
+
+  /// Guards what follows. It is held while lines are handed to Boost.Log, so
+  /// that lines of several threads stay in their order.
+  std::mutex m_bufferMutex;
+  LogLineBuffer m_buffer;
+  /// Null while lines are dropped.
+  std::shared_ptr<QueueShare> m_share;
+  bool m_isSynchronous = false;
+  boost::log::sources::logger m_source;
 };
 
 ProcessLogger&
@@ -96,56 +109,20 @@
   return logger;
 }
 
+/// A line without its newline.
 std::string
-timeText(std::chrono::system_clock::time_point time)
-{
-  using namespace std::chrono;
-  const auto sinceEpoch = duration_cast<milliseconds>(time.time_since_epoch());
-  const std::time_t wholeSeconds = system_clock::to_time_t(time);
-  const int millisecond = static_cast<int>(sinceEpoch.count() % 1000);
-  std::tm utc{};
-  gmtime_r(&wholeSeconds, &utc);
-  std::array<char, 40> text{};
-  const std::size_t length =
-    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &utc);
-  std::snprintf(
-    text.data() + length, text.size() - length, ".%03dZ", millisecond);
-  return text.data();
-}
-
-/// A text may contain what another program wrote, so a line has a bound only if
-/// each text has one.
-std::string
-boundedValue(const std::string& text)
-{
-  return boundedText(text, maxLogTextBytes);
-}
-
-template<class T>
-T
-boundedValue(T value)
+formatLine(LogLevel level,
+           const char* event,
+           std::initializer_list<LogField> fields)
 {
-  return value;
-}
-
-std::string
-jsonLine(LogLevel level,
-         const char* event,
-         std::initializer_list<LogField> fields)
-{
-  nlohmann::ordered_json json;
-  json["time"] = timeText(std::chrono::system_clock::now());
-  json["level"] = std::string(toString(level));
-  json["event"] = event;
-  for (const LogField& field : fields) {
-    std::visit(
-      [&](const auto& value) {
-        json.emplace(field.name(), boundedValue(value));
-      },
-      field.value());
-  }
-  return json.dump(
-    -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+  // More than most lines take.
+  constexpr std::size_t usualBytes = 320;
+  thread_local LogLineFormatter formatter;
+  std::string line;
+  line.reserve(usualBytes);
+  formatter.append(
+    line, std::chrono::system_clock::now(), level, event, fields);
+  return line;
 }
 
 boost::shared_ptr<Backend>
@@ -155,7 +132,7 @@
   backend->add_stream(
     boost::shared_ptr<std::ostream>(&stream, boost::null_deleter()));
   backend->auto_flush(true);
-  // Messages end their line themselves, so that a line is one write.
+  // Messages end their lines themselves, so that a message is one write.
   backend->set_auto_newline_mode(sinks::disabled_auto_newline);
   return backend;
 }
@@ -200,11 +177,11 @@
                       settings.eventsPerSecond, settings.decisionsPerSecond));
   auto share =
     std::make_shared<QueueShare>(maxQueuedRecords, reservedForDecisive);
-  std::atomic_store(&m_share, share);
   m_removeSink = settings.delivery == LogDelivery::Synchronous
                    ? addSynchronousSink(*settings.stream, share)
                    : addAsynchronousSink(*settings.stream, share);
   boost::log::core::get()->set_logging_enabled(true);
+  setOutput(share, settings.delivery);
   m_threshold = static_cast<int>(settings.level);
 }
 
@@ -222,7 +199,8 @@
     return;
   }
   m_threshold = nothingIsLogged;
-  writeSuppressed(std::atomic_load(&m_limiter)->takeAll());
+  writeSuppressed(std::atomic_load(&m_limiter)->takeAll(), steadyNow());
+  setOutput(nullptr, LogDelivery::Synchronous);
   // Without a sink Boost.Log writes to the console.
   boost::log::core::get()->set_logging_enabled(false);
   m_removeSink();
@@ -241,18 +219,22 @@
   const auto limiter = std::atomic_load(&m_limiter);
   const TimePoint now = steadyNow();
   const bool isAdmitted = limiter->admit(event, now, rank);
-  writeSuppressed(limiter->takeEnded(now));
-  if (isAdmitted && !write(rank, jsonLine(level, event, fields)))
+  writeSuppressed(limiter->takeEnded(now), now);
+  if (isAdmitted && !write(rank, level, formatLine(level, event, fields), now))
     limiter->notWritten(event);
 }
 
 void
-ProcessLogger::reportSuppressed()
+ProcessLogger::writeDue()
 {
   const auto limiter = std::atomic_load(&m_limiter);
-  if (limiter) {
-    writeSuppressed(limiter->takeEnded(steadyNow()));
-  }
+  if (!limiter)
+    return;
+  const TimePoint now = steadyNow();
+  writeSuppressed(limiter->takeEnded(now), now);
+  const std::lock_guard lock(m_bufferMutex);
+  if (m_buffer.isDue(now))
+    pushLines();
 }
 
 std::map<std::string, std::uint64_t>
@@ -264,32 +246,62 @@
 
 /// False if the queue has no place for it.
 bool
-ProcessLogger::write(LogRank rank, const std::string& line)
+ProcessLogger::write(LogRank rank,
+                     LogLevel level,
+                     const std::string& line,
+                     TimePoint now)
 {
-  const auto share = std::atomic_load(&m_share);
-  if (!share->enter(rank))
+  const std::lock_guard lock(m_bufferMutex);
+  if (!m_share)
+    return true;
+  if (!m_share->enter(rank))
     return false;
+  m_buffer.add(line, now);
+  const bool isUrgent = level >= LogLevel::Warning || m_isSynchronous;
+  if (isUrgent || m_buffer.isDue(now))
+    pushLines();
+  return true;
+}
+
+/// Hands the collected lines to Boost.Log as one record.
+void
+ProcessLogger::pushLines()
+{
   boost::log::record record = m_source.open_record();
-  if (!record) {
-    share->leave();
-    return true;
+  if (record) {
+    boost::log::record_ostream stream(record);
+    stream << m_buffer.text();
+    stream.flush();
+    m_source.push_record(std::move(record));
   }
-  boost::log::record_ostream stream(record);
-  stream << line << '\n';
-  stream.flush();
-  m_source.push_record(std::move(record));
-  return true;
+  m_buffer.clear();
+}
+
+/// Writes the lines that are collected; later ones count against this share of
+/// the queue, or are dropped if it is null.
+void
+ProcessLogger::setOutput(std::shared_ptr<QueueShare> share,
+                         LogDelivery delivery)
+{
+  const std::lock_guard lock(m_bufferMutex);
+  if (!m_buffer.isEmpty())
+    pushLines();
+  m_share = std::move(share);
+  m_isSynchronous = delivery == LogDelivery::Synchronous;
 }
 
 void
-ProcessLogger::writeSuppressed(const std::vector<SuppressedEvents>& suppressed)
+ProcessLogger::writeSuppressed(const std::vector<SuppressedEvents>& suppressed,
+                               TimePoint now)
 {
   for (const SuppressedEvents& events : suppressed) {
     write(LogRank::Decisive,
-          jsonLine(LogLevel::Warning,
-                   "log-suppressed",
-                   { { "suppressedEvent", events.event() },
-                     { "count", events.count() } }));
+          LogLevel::Warning,
+          formatLine(LogLevel::Warning,
+                     "log-suppressed",
+                     { { "suppressedEvent", events.event() },
+                       { "count", events.count() } }),
+          now);
   }
 }
 
@@ -330,9 +342,9 @@
 }
 
 void
-reportSuppressedEvents()
+writeDueLogRecords()
 {
-  processLogger().reportSuppressed();
+  processLogger().writeDue();
 }
 
 } // namespace cowslippin
--- a/src/libobserve/logging.h
+++ b/src/libobserve/logging.h
@@ -20,6 +20,9 @@
   /// A thread of the logger's own. Its queue is bounded: records that find it
   /// full are dropped and counted as suppressed, so that a blocked stream holds
   /// up no other thread. Part of it is kept for what `logDecision` writes.
+  /// Records are written together: once they take 16 KB, once the oldest has
+  /// waited 100 ms, and at once with a warning or an error. A process that is
+  /// killed loses those that wait.
   Asynchronous,
 };
 
@@ -74,9 +77,10 @@
 std::map<std::string, std::uint64_t>
 eventCounts();
 
-/// Writes the `log-suppressed` records that are due. Every `logEvent` does
-/// so too; a process that may fall silent calls this from a timer.
+/// Writes the `log-suppressed` records that are due, and the records that have
+/// waited for 100 ms. Every `logEvent` does so too; as a process may fall
+/// silent, a program calls this from a timer, at least every 100 ms.
 void
-reportSuppressedEvents();
+writeDueLogRecords();
 
 } // namespace cowslippin
--- a/src/libobserve/queueshare.h
+++ b/src/libobserve/queueshare.h
@@ -7,8 +7,9 @@
 
 namespace cowslippin {
 
-/// Counts the records that wait for the logger's thread. The last
-/// `reservedForDecisive` places are for decisive records only. Thread-safe.
+/// Counts the lines that wait to be written, in the buffer or for the logger's
+/// thread. The last `reservedForDecisive` places are for decisive records only.
+/// Thread-safe.
 class QueueShare
 {
 public:
@@ -30,7 +31,8 @@
     return false;
   }
 
-  void leave() { --m_taken; }
+  /// Gives places back.
+  void leave(long places = 1) { m_taken -= places; }
 
 private:
   const long m_places;
--- a/tests/json/jsonvalue_test.cpp
+++ b/tests/json/jsonvalue_test.cpp
@@ -104,5 +104,37 @@
   EXPECT_EQ(writeJson({ 1, 2 }, 1), "[\n 1,\n 2\n]");
 }
 
+/// Guards against composed texts that differ from those of a document.
+TEST(AppendJson, WritesWhatADocumentWrites)
+{
+  const std::string texts[] = { "",
+                                "plain",
+                                "quote\" back\\slash",
+                                "two\nlines\tand\x01\x1f\x7f",
+                                std::string("nul\0in", 6),
+                                "caf\xc3\xa9 \xf0\x9f\x98\x80",
+                                "lone \xff byte",
+                                "cut \xe2\x82",
+                                "\xed\xa0\x80 surrogate" };
+  for (const std::string& text : texts) {
+    std::string written = "[";
+    appendJson(written, text);
+    EXPECT_EQ(written, "[" + writeJson(nlohmann::json(text)));
+  }
+}
+
+TEST(AppendJson, WritesNumbers)
+{
+  std::string text;
+  appendJson(text, std::numeric_limits<std::int64_t>::min());
+  text += ' ';
+  appendJson(text, std::numeric_limits<std::uint64_t>::max());
+  text += ' ';
+  appendJson(text, 0.5);
+  text += ' ';
+  appendJson(text, std::numeric_limits<double>::infinity());
+  EXPECT_EQ(text, "-9223372036854775808 18446744073709551615 0.5 null");
+}
+
 } // namespace
 } // namespace cowslippin::testing
