Connection pool: expiry copies no vectors

Each tick (20 ms) copied the vector of shared pointers of each worker's connections, which took 3% of a daemon's processor time. A callback may add connections but never removes any, so that an index suffices; idle connections are skipped. The rule by which a call expires is unchanged.

--- a/src/libasynchttp/asynchttpconnectionpool.cpp
+++ b/src/libasynchttp/asynchttpconnectionpool.cpp
@@ -76,9 +76,13 @@
 {
   // The callback of an ended call may start another call, which adds a
   // connection.
-  const auto connections = m_connections;
-  for (const auto& connection : connections)
+  const std::size_t count = m_connections.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    if (!m_connections[i]->isBusy())
+      continue;
+    const auto connection = m_connections[i];
     connection->expire(now);
+  }
   const auto isClosed = [](const auto& connection) {
     return !connection->isBusy() && !connection->isOpen();
   };
