Worker client: a call that ends may replace its connections

When a call expires, its callback may send an order to the worker's new address, which destroyed the pool of connections that was being searched for expired calls. Found by reading; not known to have happened.

--- a/tests/platformadapter/workerclient_test.cpp
+++ b/tests/platformadapter/workerclient_test.cpp
@@ -137,5 +137,31 @@
             (json{ { "task", "t" }, { "run", 2 }, { "fencing_token", 12 } }));
 }
 
+/// Guards against the use of connections that were replaced, as the worker has
+/// a new address, by the callback of a call that ends on them.
+TEST_F(WorkerCalls, TheEndOfACallMayReplaceItsConnections)
+{
+  isAnswering = false;
+  std::optional<OrderAnswer> first;
+  std::optional<OrderAnswer> second;
+  WorkerRecord::Fields moved;
+  moved.id = WorkerId("worker-1");
+  moved.address = Address("127.0.0.2", 1);
+  client.startRun(record(), {}, milliseconds(1), [&](const auto& value) {
+    first = value;
+    client.startRun(WorkerRecord(moved), {}, seconds(20), [&](const auto& end) {
+      second = end;
+    });
+  });
+  await([&] { return !requests.empty(); });
+  await([&] {
+    client.tick(steadyNow());
+    return first.has_value();
+  });
+  EXPECT_EQ(*first, OrderFailure::Unanswered);
+  await([&] { return second.has_value(); });
+  EXPECT_EQ(*second, OrderFailure::NotSent) << "nothing listens there";
+}
+
 } // namespace
 } // namespace cowslippin::testing
