Scheduler: the cost of an event doesn't grow with the queue

Under a backlog each report of a worker, each start, arrival and tick copied all waiting jobs into a list and tried to start each one, and each arrival and each report of free slots summed the work or the tasks of all waiting jobs. The longer the queue, the more processor time an event took, and the longer the queue became.

- A dispatch determines once which workers anything can be started on, chooses among these only, and ends as soon as the smallest waiting task fits on none of them, no other holder offers a slot and no zone is evacuated.
- The choice of a worker and the search for workers whose report has to be requested are one pass.
The second one went over all workers again, for each waiting job that found none.

The order of starts and returns stays the same. A test in the tree compares the sums with those of all jobs after random changes.

--- a/src/libjobs/peerslots.cpp
+++ b/src/libjobs/peerslots.cpp
@@ -1,5 +1,8 @@
 #include "peerslots.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cowslippin {
 
 namespace {
@@ -29,18 +32,28 @@
     [&](const ShardId& shard, const Slots&) { return shard.zone() == zone; });
 }
 
+bool
+PeerSlots::hasOffer() const
+{
+  return std::any_of(m_slots.begin(), m_slots.end(), [](const auto& item) {
+    return item.second.count > holderReservedSlots;
+  });
+}
+
 std::optional<PeerSlots::Offer>
 PeerSlots::bestOffer() const
 {
-  std::optional<Offer> best;
   unsigned most = holderReservedSlots;
-  for (const auto& [shard, slots] : m_slots) {
-    if (slots.count > most) {
-      most = slots.count;
-      best = Offer{ slots.holder, shard, slots.count };
+  const std::pair<const ShardId, Slots>* best = nullptr;
+  for (const auto& item : m_slots) {
+    if (item.second.count > most) {
+      most = item.second.count;
+      best = &item;
     }
   }
-  return best;
+  if (best == nullptr)
+    return std::nullopt;
+  return Offer{ best->second.holder, best->first, best->second.count };
 }
 
 bool
--- a/src/libjobs/peerslots.h
+++ b/src/libjobs/peerslots.h
@@ -25,6 +25,8 @@
   void forget(const VmId& holder);
   void forget(const ZoneName& zone);
 
+  /// Whether any shard offers a slot.
+  bool hasOffer() const;
   /// Returns the shard that offers the most slots, if any shard offers one.
   std::optional<Offer> bestOffer() const;
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -543,44 +543,74 @@
 Scheduler::enqueueTask(Job& job, JobTask& task)
 {
   task.state = TaskState::Pending;
-  ++job.pending;
-  m_queue.add(job);
+  m_queue.addTask(job);
 }
 
 void
 Scheduler::dequeueTask(Job& job, JobTask& task, TaskState state)
 {
   task.state = state;
-  --job.pending;
-  if (job.pending == 0)
-    m_queue.remove(job);
+  m_queue.removeTask(job);
 }
 
 void
 Scheduler::dispatch(TimePoint now)
 {
-  if (m_isDispatching || m_isSuspended)
+  if (m_isDispatching || m_isSuspended || m_queue.isEmpty())
     return;
   m_isDispatching = true;
-  std::int64_t room = m_pool.largestFreeCpuMillis();
-  for (Job* job : m_queue.jobs()) {
-    if (isEvacuated(*job)) {
-      returnEvacuatedTasks(*job);
-      continue;
-    }
-    if (!mayStart(*job, now))
-      continue;
-    job->awaitsReport = false;
-    if (job->request.needs.resources.cpuMillis() <= room) {
-      dispatchJob(*job, now);
-      room = m_pool.largestFreeCpuMillis();
-    }
-    if (job->pending > 0 && !job->awaitsReport)
-      returnTasks(*job);
+  m_candidates = m_pool.candidates(now);
+  const JobQueue::Jobs& jobs = m_queue.jobs();
+  std::int64_t room = roomForOneTask();
+  for (auto next = jobs.begin(); next != jobs.end() && canServeAny(room);) {
+    // The job may be removed from the queue.
+    const JobQueue::Position position = next->first;
+    if (serve(*next->second, room, now))
+      room = roomForOneTask();
+    next = jobs.upper_bound(position);
   }
+  m_candidates = {};
   m_isDispatching = false;
 }
 
+/// Whether anything can be done for any waiting job.
+bool
+Scheduler::canServeAny(std::int64_t room) const
+{
+  return room >= m_queue.smallestCpuMillis() || m_peerSlots.hasOffer() ||
+         m_pool.isAnyZoneEvacuated();
+}
+
+/// The CPU of the largest task for which some worker may have room. A task with
+/// an unresolved start may be adopted from a worker on which nothing can be
+/// started, so that all free capacity counts while there are any.
+std::int64_t
+Scheduler::roomForOneTask() const
+{
+  return m_unresolved.isEmpty() ? WorkerPool::largestFreeCpuMillis(m_candidates)
+                                : m_pool.largestFreeCpuMillis();
+}
+
+/// Starts or returns the waiting tasks of a job as far as that is possible.
+/// Returns whether it tried to start any.
+bool
+Scheduler::serve(Job& job, std::int64_t room, TimePoint now)
+{
+  if (isEvacuated(job)) {
+    returnEvacuatedTasks(job);
+    return false;
+  }
+  if (!mayStart(job, now))
+    return false;
+  job.awaitsReport = false;
+  const bool hasRoom = job.request.needs.resources.cpuMillis() <= room;
+  if (hasRoom)
+    dispatchJob(job, now);
+  if (job.pending > 0 && !job.awaitsReport)
+    returnTasks(job);
+  return hasRoom;
+}
+
 void
 Scheduler::dispatchJob(Job& job, TimePoint now)
 {
@@ -604,10 +634,11 @@
   }
   const auto binding = m_unresolved.binding(name);
   const WorkerConstraints constraints = constraintsOf(job, task, binding);
-  const auto worker = m_pool.choose(job.request, constraints, now);
+  const WorkerPool::Choice choice =
+    m_pool.choose(m_candidates, job.request, constraints, now);
+  const auto& worker = choice.worker;
   if (!worker) {
-    job.awaitsReport =
-      m_pool.requestReportsForStart(job.request, constraints, now);
+    job.awaitsReport = choice.awaitsReport;
     return binding.has_value();
   }
   if (binding && !task.mayReuseRun)
@@ -663,6 +694,7 @@
     m_unresolved.binding(job.request.taskName(task.index)).has_value();
   if (!isUnresolved || !adoptRun(job, position, now))
     return;
+  m_candidates = m_pool.candidates(now);
   dequeueTask(job, task, TaskState::Running);
   logRunAdopted(job, task, now);
 }
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -253,6 +253,9 @@
   /// Starts waiting tasks in the order of the queue, and returns tasks for
   /// which another holder has room or whose zone is being evacuated.
   void dispatch(TimePoint now);
+  bool canServeAny(std::int64_t room) const;
+  std::int64_t roomForOneTask() const;
+  bool serve(Job& job, std::int64_t room, TimePoint now);
   void dispatchJob(Job& job, TimePoint now);
   /// Tries to start a task. Returns false if no worker can take the job's tasks
   /// now.
@@ -316,6 +319,8 @@
   RunTimes m_runTimes;
   std::map<JobKey, std::unique_ptr<Job>> m_jobs;
   JobQueue m_queue;
+  /// The workers that a dispatch chooses among; empty otherwise.
+  WorkerPool::Candidates m_candidates;
   AdmittedLoad m_admittedLoad;
   std::map<RunKey, RunOwner> m_runs;
   UnresolvedStarts m_unresolved;
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -137,24 +137,48 @@
          hasReportedSince(*found->second.lease, since);
 }
 
-std::optional<WorkerId>
-WorkerPool::choose(const JobRequest& request,
+WorkerPool::Candidates
+WorkerPool::candidates(TimePoint now)
+{
+  Candidates candidates;
+  for (auto& item : m_entries) {
+    const Entry& entry = item.second;
+    if (entry.isListed && canStart(entry, Resources()) &&
+        entry.health.isUsable(entry.lease->runCount(), now))
+      candidates.m_workers.push_back(&item);
+  }
+  return candidates;
+}
+
+std::int64_t
+WorkerPool::largestFreeCpuMillis(const Candidates& candidates)
+{
+  std::int64_t largest = 0;
+  for (const auto* item : candidates.m_workers)
+    largest = std::max(largest, item->second.lease->freeCapacity().cpuMillis());
+  return largest;
+}
+
+WorkerPool::Choice
+WorkerPool::choose(const Candidates& candidates,
+                   const JobRequest& request,
                    const WorkerConstraints& constraints,
-                   TimePoint now) const
+                   TimePoint now)
 {
   using Rank = std::tuple<bool, bool, std::int64_t>;
-  std::optional<std::pair<Rank, WorkerId>> best;
-  for (const auto& [id, entry] : m_entries) {
-    const bool isNotIdle =
-      constraints.mustBeIdle && entry.lease->runCount() > 0;
-    const bool isNotAdvertised = entry.addedAt > constraints.advertisedUntil;
-    if (!satisfiesConstraints(id, entry, constraints) || isNotIdle ||
-        isNotAdvertised || !canStartSafely(entry, request, constraints, now))
+  std::optional<Rank> bestRank;
+  const WorkerId* best = nullptr;
+  std::vector<WorkerLease*> unsafe;
+  for (const auto* item : candidates.m_workers) {
+    const auto& [id, entry] = *item;
+    if (!satisfiesConstraints(id, entry, constraints) ||
+        !isEligible(entry, request, now))
       continue;
-    const auto runsHere = constraints.perWorker.find(id);
-    if (request.needs.maxPerWorker > 0 &&
-        runsHere != constraints.perWorker.end() &&
-        runsHere->second >= request.needs.maxPerWorker)
+    if (!isSafe(entry, request, constraints, now)) {
+      unsafe.push_back(entry.lease.get());
+      continue;
+    }
+    if (!mayBeChosen(id, entry, request, constraints))
       continue;
     const std::string& rack = request.needs.preferredRack;
     const bool isOtherRack =
@@ -163,12 +187,16 @@
       entry.lease->freeCapacity() - request.needs.resources;
     const Rank rank(
       constraints.avoidedWorkers.count(id) > 0, isOtherRack, left.cpuMillis());
-    if (!best || rank < best->first)
-      best.emplace(rank, id);
+    if (!bestRank || rank < *bestRank) {
+      bestRank = rank;
+      best = &id;
+    }
   }
-  if (!best)
-    return std::nullopt;
-  return best->second;
+  if (best != nullptr)
+    return { *best, false };
+  for (WorkerLease* lease : unsafe)
+    lease->requestReport(now);
+  return { std::nullopt, !unsafe.empty() };
 }
 
 bool
@@ -222,23 +250,6 @@
     entry->lease->requestReport(now);
 }
 
-bool
-WorkerPool::requestReportsForStart(const JobRequest& request,
-                                   const WorkerConstraints& constraints,
-                                   TimePoint now)
-{
-  bool isRequested = false;
-  for (auto& [id, entry] : m_entries) {
-    if (!satisfiesConstraints(id, entry, constraints) ||
-        !isEligible(entry, request, now) ||
-        canStartSafely(entry, request, constraints, now))
-      continue;
-    entry.lease->requestReport(now);
-    isRequested = true;
-  }
-  return isRequested;
-}
-
 std::optional<TimePoint>
 WorkerPool::unansweredStartExpiry(const WorkerId& worker,
                                   const RunKey& key) const
@@ -306,7 +317,7 @@
 {
   std::optional<WorkerId> found;
   for (const auto& [id, entry] : m_entries) {
-    if (entry.lease->isRunning(task))
+    if (!entry.lease->isIdle() && entry.lease->isRunning(task))
       found = found ? WorkerId() : id;
   }
   return found;
@@ -599,16 +610,31 @@
 }
 
 bool
-WorkerPool::canStartSafely(const Entry& entry,
-                           const JobRequest& request,
-                           const WorkerConstraints& constraints,
-                           TimePoint now) const
+WorkerPool::isSafe(const Entry& entry,
+                   const JobRequest& request,
+                   const WorkerConstraints& constraints,
+                   TimePoint now)
 {
-  return isEligible(entry, request, now) &&
-         entry.lease->isSafeToStart(request.needs.resources, now) &&
+  return entry.lease->isSafeToStart(request.needs.resources, now) &&
          (!constraints.requiredWorker || entry.lease->isReportFresh(now));
 }
 
+bool
+WorkerPool::mayBeChosen(const WorkerId& id,
+                        const Entry& entry,
+                        const JobRequest& request,
+                        const WorkerConstraints& constraints)
+{
+  if (constraints.mustBeIdle && entry.lease->runCount() > 0)
+    return false;
+  if (entry.addedAt > constraints.advertisedUntil)
+    return false;
+  const auto runsHere = constraints.perWorker.find(id);
+  return request.needs.maxPerWorker == 0 ||
+         runsHere == constraints.perWorker.end() ||
+         runsHere->second < request.needs.maxPerWorker;
+}
+
 bool
 WorkerPool::isEligible(const Entry& entry,
                        const JobRequest& request,
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -43,6 +43,8 @@
 /// health, and the choice among them.
 class WorkerPool
 {
+  struct Entry;
+
 public:
   struct Settings
   {
@@ -119,6 +121,7 @@
   {
     return m_evacuated.count(zone) > 0;
   }
+  bool isAnyZoneEvacuated() const { return !m_evacuated.empty(); }
 
   /// Claims the listed workers of a shard with this fencing token.
   void takeShard(const ShardId& shard, FencingToken token, TimePoint now);
@@ -141,11 +144,39 @@
   /// answered a request for a report made at `since` or later.
   bool hasWorkerReported(const WorkerId& worker, TimePoint since) const;
 
-  /// Returns the worker for a task, or nothing if none has room. Prefers the
-  /// fullest worker that has room, which keeps room for large tasks.
-  std::optional<WorkerId> choose(const JobRequest& request,
-                                 const WorkerConstraints& constraints,
-                                 TimePoint now) const;
+  /// The workers on which something could be started at a certain time, if it
+  /// is small enough. They are valid until workers are added or removed.
+  class Candidates
+  {
+    friend class WorkerPool;
+
+    std::vector<std::pair<const WorkerId, Entry>*> m_workers;
+  };
+
+  /// Returns the workers that the choice for any task is among. Starts may be
+  /// made while they are used; after an adoption they have to be determined
+  /// anew.
+  Candidates candidates(TimePoint now);
+  /// Returns the largest free capacity on any of the workers.
+  static std::int64_t largestFreeCpuMillis(const Candidates& candidates);
+
+  /// The worker for a task.
+  struct Choice
+  {
+    /// Nothing if no worker can take the task now. A report was then requested
+    /// from each worker that has room for it but needs a recent report before
+    /// the task can safely start there.
+    std::optional<WorkerId> worker;
+    /// Whether there is such a worker.
+    bool awaitsReport = false;
+  };
+
+  /// Chooses the worker for a task. Prefers the fullest worker that has room,
+  /// which keeps room for large tasks.
+  Choice choose(const Candidates& candidates,
+                const JobRequest& request,
+                const WorkerConstraints& constraints,
+                TimePoint now);
   /// Whether the worker can be reached and may run such a task once it has
   /// room.
   bool isAvailableFor(const WorkerId& worker, const JobRequest& request) const;
@@ -168,12 +199,6 @@
   bool stop(const WorkerId& worker, const RunKey& key, TimePoint now);
   /// Requests a report from a held worker at once.
   void requestReport(const WorkerId& worker, TimePoint now);
-  /// Requests a report from each worker that has room for such a task but needs
-  /// a recent report before the task can safely start there. Returns false if
-  /// there is none.
-  bool requestReportsForStart(const JobRequest& request,
-                              const WorkerConstraints& constraints,
-                              TimePoint now);
   /// See `WorkerLease::unansweredStartExpiry`.
   std::optional<TimePoint> unansweredStartExpiry(const WorkerId& worker,
                                                  const RunKey& key) const;
@@ -283,12 +308,18 @@
   static bool satisfiesConstraints(const WorkerId& id,
                                    const Entry& entry,
                                    const WorkerConstraints& constraints);
-  /// Whether the worker is eligible and would stay within its capacity even
-  /// after an undetected restart.
-  bool canStartSafely(const Entry& entry,
-                      const JobRequest& request,
-                      const WorkerConstraints& constraints,
-                      TimePoint now) const;
+  /// Whether an eligible worker would stay within its capacity even after an
+  /// undetected restart.
+  static bool isSafe(const Entry& entry,
+                     const JobRequest& request,
+                     const WorkerConstraints& constraints,
+                     TimePoint now);
+  /// Whether nothing about the worker that a new report wouldn't change is
+  /// against the task.
+  static bool mayBeChosen(const WorkerId& id,
+                          const Entry& entry,
+                          const JobRequest& request,
+                          const WorkerConstraints& constraints);
 
   const Settings m_settings;
   const Hooks m_hooks;
--- a/tests/jobs/jobqueue_test.cpp
+++ b/tests/jobs/jobqueue_test.cpp
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <random>
+#include <vector>
+
 namespace cowslippin::testing {
 namespace {
 
@@ -29,6 +33,14 @@
     queue.add(alsoSoon);
   }
 
+  std::vector<Job*> served() const
+  {
+    std::vector<Job*> jobs;
+    for (const auto& [position, job] : queue.jobs())
+      jobs.push_back(job);
+    return jobs;
+  }
+
   Job late = jobThatMustStart(std::chrono::milliseconds(50), 3);
   Job soon = jobThatMustStart(std::chrono::milliseconds(20), 1);
   Job alsoSoon = jobThatMustStart(std::chrono::milliseconds(20), 2);
@@ -37,7 +49,7 @@
 
 TEST_F(JobQueueTest, ServesTheEarliestStartFirstThenTheLongestWaiting)
 {
-  EXPECT_EQ(queue.jobs(), (std::vector<Job*>{ &soon, &alsoSoon, &late }));
+  EXPECT_EQ(served(), (std::vector<Job*>{ &soon, &alsoSoon, &late }));
 }
 
 TEST_F(JobQueueTest, AddsAJobOnceAndOnlyIfATaskWaits)
@@ -52,9 +64,9 @@
 {
   queue.remove(soon);
   queue.remove(soon);
-  EXPECT_EQ(queue.jobs(), (std::vector<Job*>{ &alsoSoon, &late }));
+  EXPECT_EQ(served(), (std::vector<Job*>{ &alsoSoon, &late }));
   queue.add(soon);
-  EXPECT_EQ(queue.jobs(), (std::vector<Job*>{ &alsoSoon, &soon, &late }));
+  EXPECT_EQ(served(), (std::vector<Job*>{ &alsoSoon, &soon, &late }));
 }
 
 TEST_F(JobQueueTest, CountsWaitingTasksByShard)
@@ -76,5 +88,73 @@
   EXPECT_EQ(queue.workBefore(shard, start), 0);
 }
 
+TEST_F(JobQueueTest, AJobLeavesWithItsLastTask)
+{
+  queue.removeTask(soon);
+  EXPECT_EQ(served(), (std::vector<Job*>{ &alsoSoon, &late }));
+  queue.addTask(soon);
+  EXPECT_EQ(served(), (std::vector<Job*>{ &alsoSoon, &soon, &late }));
+  EXPECT_EQ(queue.waitingTasks(), 6U);
+}
+
+/// Guards against sums that no longer are those of the waiting jobs, by which
+/// jobs would be refused, or would wait although there is room.
+TEST(JobQueueSums, AreThoseOfTheJobsAfterAnyChanges)
+{
+  constexpr int jobCount = 60;
+  constexpr int changes = 5000;
+  std::mt19937_64 random(20261204);
+  const auto below = [&random](std::uint64_t limit) {
+    return random() % limit;
+  };
+  std::vector<Job> jobs;
+  for (int i = 0; i < jobCount; ++i) {
+    Job job = jobThatMustStart(std::chrono::milliseconds(below(200)), below(4));
+    job.request.shard = ShardId(ZoneName("z1"), below(3));
+    job.request.needs.resources =
+      Resources(13000 + std::int64_t(below(6000)), 1, 0);
+    job.expected = Duration(50'000 + std::int64_t(below(100'000)));
+    jobs.push_back(job);
+  }
+  JobQueue queue;
+  for (int change = 0; change < changes; ++change) {
+    Job& job = jobs[below(jobCount)];
+    switch (below(4)) {
+      case 0:
+        queue.add(job);
+        break;
+      case 1:
+        queue.remove(job);
+        break;
+      case 2:
+        queue.addTask(job);
+        break;
+      default:
+        if (job.pending > 0)
+          queue.removeTask(job);
+    }
+    const ShardId shard(ZoneName("z1"), below(3));
+    const TimePoint latestStart = start + std::chrono::milliseconds(below(220));
+    std::size_t tasks = 0;
+    std::size_t shardTasks = 0;
+    double work = 0;
+    std::int64_t smallest = 0;
+    for (const auto& [position, queued] : queue.jobs()) {
+      const std::int64_t cpu = queued->request.needs.resources.cpuMillis();
+      smallest = smallest == 0 ? cpu : std::min(smallest, cpu);
+      tasks += queued->pending;
+      if (queued->request.shard != shard)
+        continue;
+      shardTasks += queued->pending;
+      if (queued->latestStart <= latestStart)
+        work += waitingWork(*queued);
+    }
+    ASSERT_EQ(queue.waitingTasks(), tasks);
+    ASSERT_EQ(queue.waitingTasks(shard), shardTasks);
+    ASSERT_EQ(queue.workBefore(shard, latestStart), work);
+    ASSERT_EQ(queue.smallestCpuMillis(), smallest);
+  }
+}
+
 } // namespace
 } // namespace cowslippin::testing
