Entry: an idle daemon's cost hardly grows with the group

Each heartbeat of a peer copied the peer's shards and state, removed and added its free slots and went over all peers for one that was lost; each tick copied the set of all connected peers to send starts to them, of which there are hardly ever any, and updated the acknowledgement state of each peer.

- The last report of each peer is updated in place.
Its free slots are removed first only if it holds other shards than before; they are still set with each heartbeat, as tasks returned since have used some.
- PeerJobs looks for lost peers only if there are any.
- PeerLiveness counts ticks, and brings a peer up to date when it is used.
- Nothing is built or copied at a tick if no new start has to be announced; the holders are listed only if the free slots have changed enough to be sent.
- Whether this daemon may be partitioned is decided from the set of connected peers that is at hand, where there is one.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -612,14 +612,14 @@
   const Duration since = now - m_lastPlacesUpdateAt;
   if (m_shards.heldShards().empty() || since < slotsUpdateInterval)
     return;
-  const std::set<VmId> holders = m_shards.holders();
-  if (since < slotsUpdateIntervalPerHolder * holders.size())
-    return;
   const unsigned slots = spareSlots(now);
   const unsigned change =
     std::max(slots, m_advertisedSlots) - std::min(slots, m_advertisedSlots);
   if (change * minSlotsChangeDivisor < std::max(slots, m_advertisedSlots))
     return;
+  const std::set<VmId> holders = m_shards.holders();
+  if (since < slotsUpdateIntervalPerHolder * holders.size())
+    return;
   m_lastPlacesUpdateAt = now;
   m_advertisedSlots = slots;
   std::vector<VmId> others;
@@ -781,7 +781,7 @@
                              const PeerHeartbeat& beat,
                              TimePoint now)
 {
-  m_peerReports.received(vm, beat, now);
+  const bool areShardsChanged = m_peerReports.received(vm, beat, now);
   m_peerContact.heartbeatReceived(vm, beat.sentAt, now);
   m_knownJobs.update(vm, beat.longRunningJobs, now);
   m_gateway.longRunningJobsReceived(vm, beat.longRunningJobs, now);
@@ -789,26 +789,17 @@
     m_links.send(vm, m_peerContact.acknowledgement(vm));
   adoptEvacuations(beat.evacuations, now);
   m_tokens.observe(beat.highestToken);
-  MemberView view;
-  view.id = vm;
-  view.zone = m_peerReports.zone(vm);
-  view.isLeaving = beat.isLeaving;
-  view.isReady = beat.isReady;
-  view.isCpuStarved = beat.isCpuStarved;
-  view.hasJustStarted = beat.hasJustStarted;
-  view.slowness = beat.slowness;
-  view.workerCapacity = beat.workerCapacity;
-  for (const auto& [shard, held] : beat.shards)
-    view.shards[shard] = held.token;
-  if (m_shards.updateMember(view, now))
+  const MemberView& member = m_peerReports.member(vm);
+  if (m_shards.updateMember(member, now))
     updateShardSizes(now);
   adoptShardDivisions(beat, now);
-  m_scheduler.forgetPeer(vm);
+  if (areShardsChanged || beat.isLeaving)
+    m_scheduler.forgetPeer(vm);
   if (!beat.isLeaving) {
     for (const auto& [shard, held] : beat.shards)
       m_scheduler.setPeerSlots(vm, shard, held.freeSlots);
   }
-  m_configuration.versionAdvertised(vm, view.zone, beat.configVersion);
+  m_configuration.versionAdvertised(vm, member.zone, beat.configVersion);
 }
 
 void
@@ -826,6 +817,8 @@
 void
 EntryCore::sendNewUnresolved(TimePoint now)
 {
+  if (m_newUnresolved.empty())
+    return;
   const auto starts = std::exchange(m_newUnresolved, {});
   const std::set<VmId> up = m_links.connectedPeers();
   sendUnresolved({ up.begin(), up.end() }, starts, now);
@@ -879,7 +872,13 @@
 bool
 EntryCore::mayBePartitioned(TimePoint now) const
 {
-  const std::size_t reachable = m_links.connectedPeers().size() + 1;
+  return mayBePartitioned(m_links.connectedPeers().size() + 1, now);
+}
+
+/// As above, with the number of daemons that can be reached, this one included.
+bool
+EntryCore::mayBePartitioned(std::size_t reachable, TimePoint now) const
+{
   const std::size_t known = m_links.knownPeerCount() + 1;
   const bool hasDiscoveredFew = now < m_discoveryEndsAt && known > reachable &&
                                 known - reachable >= reachable;
@@ -909,9 +908,10 @@
 {
   TimePoint advertisedUntil = TimePoint::max();
   const TimePoint now = m_clocks.steady();
-  if (!havePeersReported(now) || mayBePartitioned(now))
+  const std::set<VmId> up = m_links.connectedPeers();
+  if (!havePeersReported(now) || mayBePartitioned(up.size() + 1, now))
     return TimePoint();
-  for (const VmId& vm : m_links.connectedPeers()) {
+  for (const VmId& vm : up) {
     if (m_heartbeats.sendsToEachPeer() || m_closePeers.count(vm) > 0)
       advertisedUntil =
         std::min(advertisedUntil, m_peerContact.advertisedUntil(vm));
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -272,6 +272,7 @@
   void unresolvedReceived(const PeerUnresolvedStarts& message, TimePoint now);
   bool havePeersReported(TimePoint now) const;
   bool mayBePartitioned(TimePoint now) const;
+  bool mayBePartitioned(std::size_t reachable, TimePoint now) const;
   TimePoint allAdvertisedUntil() const;
   std::optional<PeerJobs::Location> inProgressAt(const JobId& job,
                                                  TimePoint readAt);
--- a/src/libentry/peerjobs.cpp
+++ b/src/libentry/peerjobs.cpp
@@ -14,9 +14,11 @@
                  TimePoint now)
 {
   Peer& peer = m_peers[vm];
-  if (peer.lostAt)
+  if (peer.lostAt) {
     keepOrphans(peer);
-  peer.lostAt.reset();
+    peer.lostAt.reset();
+    --m_lostPeers;
+  }
   expire(now);
   peer.jobs.clear();
   for (const LongRunningJob& job : jobs)
@@ -36,8 +38,11 @@
 PeerJobs::peerLost(const VmId& vm, TimePoint now)
 {
   const auto found = m_peers.find(vm);
-  if (found != m_peers.end())
+  if (found != m_peers.end()) {
+    if (!found->second.lostAt)
+      ++m_lostPeers;
     found->second.lostAt = now;
+  }
   expire(now);
 }
 
@@ -71,15 +76,24 @@
 
 void
 PeerJobs::expire(TimePoint now)
+{
+  if (m_lostPeers > 0)
+    expireLostPeers(now);
+  for (auto orphan = m_orphanedUntil.begin(); orphan != m_orphanedUntil.end();)
+    orphan =
+      now >= orphan->second ? m_orphanedUntil.erase(orphan) : std::next(orphan);
+}
+
+void
+PeerJobs::expireLostPeers(TimePoint now)
 {
   for (auto peer = m_peers.begin(); peer != m_peers.end();) {
     const bool isOver =
       peer->second.lostAt && now >= orphansEndAt(peer->second);
+    if (isOver)
+      --m_lostPeers;
     peer = isOver ? m_peers.erase(peer) : std::next(peer);
   }
-  for (auto orphan = m_orphanedUntil.begin(); orphan != m_orphanedUntil.end();)
-    orphan =
-      now >= orphan->second ? m_orphanedUntil.erase(orphan) : std::next(orphan);
 }
 
 /// When all runs of a lost peer have ended. A silent peer was alive until its
--- a/src/libentry/peerjobs.h
+++ b/src/libentry/peerjobs.h
@@ -5,6 +5,7 @@
 #include "libcore/clock.h"
 #include "libcore/core.h"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -63,8 +64,12 @@
   static TimePoint orphansEndAt(const Peer& peer);
   void keepOrphans(const Peer& peer);
   void expire(TimePoint now);
+  void expireLostPeers(TimePoint now);
 
   std::map<VmId, Peer> m_peers;
+  /// The number of peers that were lost and aren't back, so that a heartbeat
+  /// doesn't have to look at all peers for one whose runs have ended.
+  std::size_t m_lostPeers = 0;
   /// Jobs of peers that were lost and came back, perhaps as new processes, and
   /// the time by which all runs from before the loss have ended.
   std::map<JobId, TimePoint> m_orphanedUntil;
--- a/src/libentry/peerliveness.cpp
+++ b/src/libentry/peerliveness.cpp
@@ -24,6 +24,7 @@
   Peer& peer = m_peers[vm];
   if (sentAt <= peer.newest)
     return;
+  advanceToLastTick(peer);
   peer.newest = sentAt;
   peer.newestAt = now;
 }
@@ -34,7 +35,7 @@
   const auto found = m_peers.find(vm);
   if (found == m_peers.end())
     return {};
-  return { found->second.settled, found->second.newest };
+  return { settled(found->second), found->second.newest };
 }
 
 Duration
@@ -66,10 +67,10 @@
   if (found == m_peers.end())
     return std::nullopt;
   Peer& peer = found->second;
-  if (peer.settled <= peer.acknowledged ||
+  if (settled(peer) <= peer.acknowledged ||
       now - peer.acknowledgedAt < acknowledgementInterval)
     return std::nullopt;
-  peer.acknowledged = peer.settled;
+  peer.acknowledged = settled(peer);
   peer.acknowledgedAt = now;
   return acknowledgement(vm);
 }
@@ -110,14 +111,32 @@
 void
 PeerLiveness::tick(TimePoint now)
 {
-  for (auto& [vm, peer] : m_peers) {
-    peer.settled = peer.newestAtTick;
-    peer.newestAtTick = peer.newest;
-  }
+  ++m_tickCount;
   m_previousTickAt = m_tickAt;
   m_tickAt = now;
 }
 
+/// When the newest heartbeat was sent that was read before the last complete
+/// round of the event loop, by the peer's clock.
+PeerLiveness::SentAt
+PeerLiveness::settled(const Peer& peer) const
+{
+  const std::uint64_t ticksSince = m_tickCount - peer.tick;
+  if (ticksSince == 0)
+    return peer.newestAtPreviousTick;
+  return ticksSince == 1 ? peer.newestAtTick : peer.newest;
+}
+
+void
+PeerLiveness::advanceToLastTick(Peer& peer) const
+{
+  if (peer.tick == m_tickCount)
+    return;
+  peer.newestAtPreviousTick = settled(peer);
+  peer.newestAtTick = peer.newest;
+  peer.tick = m_tickCount;
+}
+
 TimePoint
 PeerLiveness::lastContact(const VmId& vm) const
 {
--- a/src/libentry/peerliveness.h
+++ b/src/libentry/peerliveness.h
@@ -88,12 +88,13 @@
   struct Peer
   {
     /// When heartbeats were sent, by the peer's clock: the newest one, the
-    /// newest one at the last tick, and the newest one that was read before the
-    /// last complete round of the event loop.
+    /// newest one at the tick with the number `tick`, and the newest one at the
+    /// tick before that.
     SentAt newest = 0;
     TimePoint newestAt{};
     SentAt newestAtTick = 0;
-    SentAt settled = 0;
+    SentAt newestAtPreviousTick = 0;
+    std::uint64_t tick = 0;
     SentAt acknowledged = 0;
     TimePoint acknowledgedAt{};
     TimePoint outOfTurnAt{};
@@ -101,7 +102,13 @@
     TimePoint advertisedUntil{};
   };
 
+  SentAt settled(const Peer& peer) const;
+  void advanceToLastTick(Peer& peer) const;
+
   std::map<VmId, Peer> m_peers;
+  /// The number of ticks so far. The peers are brought up to date when they are
+  /// used, so that a tick takes the same time in a group of any size.
+  std::uint64_t m_tickCount = 0;
   TimePoint m_tickAt;
   TimePoint m_previousTickAt;
 };
--- a/src/libentry/peerreports.cpp
+++ b/src/libentry/peerreports.cpp
@@ -1,26 +1,60 @@
 #include "peerreports.h"
 
+#include <algorithm>
+
 namespace cowslippin {
 
-void
-PeerReports::setZone(const VmId& vm, const ZoneName& zone)
+namespace {
+
+bool
+haveSameTokens(const std::map<ShardId, std::uint64_t>& tokens,
+               const std::map<ShardId, HeldShard>& shards)
 {
-  m_peers[vm].zone = zone;
+  return std::equal(tokens.begin(),
+                    tokens.end(),
+                    shards.begin(),
+                    shards.end(),
+                    [](const auto& known, const auto& held) {
+                      return known.first == held.first &&
+                             known.second == held.second.token;
+                    });
 }
 
-ZoneName
-PeerReports::zone(const VmId& vm) const
+} // namespace
+
+void
+PeerReports::setZone(const VmId& vm, const ZoneName& zone)
 {
-  const auto peer = m_peers.find(vm);
-  return peer == m_peers.end() ? ZoneName() : peer->second.zone;
+  m_peers[vm].member.zone = zone;
 }
 
-void
+bool
 PeerReports::received(const VmId& vm, const PeerHeartbeat& beat, TimePoint now)
 {
   Peer& peer = m_peers[vm];
   peer.reportedAt = now;
-  peer.shards = beat.shards;
+  if (peer.shards != beat.shards)
+    peer.shards = beat.shards;
+  MemberView& member = peer.member;
+  member.id = vm;
+  member.isLeaving = beat.isLeaving;
+  member.isReady = beat.isReady;
+  member.isCpuStarved = beat.isCpuStarved;
+  member.hasJustStarted = beat.hasJustStarted;
+  member.slowness = beat.slowness;
+  member.workerCapacity = beat.workerCapacity;
+  if (haveSameTokens(member.shards, beat.shards))
+    return false;
+  member.shards.clear();
+  for (const auto& [shard, held] : beat.shards)
+    member.shards[shard] = held.token;
+  return true;
+}
+
+const MemberView&
+PeerReports::member(const VmId& vm) const
+{
+  return m_peers.at(vm).member;
 }
 
 unsigned
--- a/src/libentry/peerreports.h
+++ b/src/libentry/peerreports.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libpeers/peermessage.h"
+#include "libshards/shards.h"
 
 #include <map>
 #include <optional>
@@ -12,9 +13,12 @@
 {
 public:
   void setZone(const VmId& vm, const ZoneName& zone);
-  ZoneName zone(const VmId& vm) const;
 
-  void received(const VmId& vm, const PeerHeartbeat& beat, TimePoint now);
+  /// Records a heartbeat. Returns whether the shards that the peer holds, or
+  /// their tokens, are others than in the heartbeat before.
+  bool received(const VmId& vm, const PeerHeartbeat& beat, TimePoint now);
+  /// The state of a peer of which a heartbeat was received.
+  const MemberView& member(const VmId& vm) const;
 
   /// Free slots of a shard by its holder's last report; 0 if the peer didn't
   /// report the shard.
@@ -30,7 +34,7 @@
 private:
   struct Peer
   {
-    ZoneName zone;
+    MemberView member;
     std::optional<TimePoint> reportedAt;
     std::map<ShardId, HeldShard> shards;
   };
--- a/src/libpeers/peerconnections.cpp
+++ b/src/libpeers/peerconnections.cpp
@@ -148,7 +148,7 @@
   std::set<VmId> all;
   for (const auto& [vm, address] : m_addresses) {
     if (m_peers.at(address).link)
-      all.insert(vm);
+      all.insert(all.end(), vm);
   }
   return all;
 }
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -141,11 +141,13 @@
   if (!m_isReady || m_isLeaving || !hasWaitedForOthers(now))
     return orphans;
   for (const ShardId& shard : m_shards) {
-    const auto token = m_lastTokens.find(shard);
     const bool isOrphan = shard.zone() != m_zone &&
                           !m_members.hasActiveMember(shard.zone()) &&
                           !holder(shard);
-    if (isOrphan && token != m_lastTokens.end() &&
+    if (!isOrphan)
+      continue;
+    const auto token = m_lastTokens.find(shard);
+    if (token != m_lastTokens.end() &&
         isBestCandidate(shard, m_held.size(), true))
       orphans.insert(*token);
   }
--- a/tests/entry/peerliveness_test.cpp
+++ b/tests/entry/peerliveness_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <random>
+
 namespace cowslippin::testing {
 namespace {
 
@@ -161,5 +163,38 @@
     << "the daemon handles its input late";
 }
 
+/// Guards against an acknowledgement that depends on how often the peer was
+/// looked at: peers are brought up to date when they are used, not at each
+/// tick.
+TEST(PeerLivenessTicks, CountForPeersThatAreNotLookedAt)
+{
+  constexpr int steps = 2000;
+  std::mt19937_64 random(20261204);
+  TimePoint now{ std::chrono::seconds(1000) };
+  PeerLiveness liveness(now);
+  const VmId vm("vm-1");
+  // What was read at the last ticks, updated at each of them.
+  PeerLiveness::SentAt newest = 0;
+  PeerLiveness::SentAt newestAtTick = 0;
+  PeerLiveness::SentAt settled = 0;
+  for (int step = 0; step < steps; ++step) {
+    now += std::chrono::milliseconds(1);
+    switch (random() % 4) {
+      case 0:
+        newest = PeerLiveness::toSentAt(now);
+        liveness.heartbeatReceived(vm, newest, now);
+        break;
+      case 1:
+        EXPECT_EQ(liveness.acknowledgement(vm),
+                  (PeerHeartbeatAck{ settled, newest }));
+        break;
+      default:
+        liveness.tick(now);
+        settled = newestAtTick;
+        newestAtTick = newest;
+    }
+  }
+}
+
 } // namespace
 } // namespace cowslippin::testing
