Timeouts: what has arrived is read before it counts as missing

Callers of a group that was short of processor time for some seconds got 504 long after the load was normal again. The group made its own load: calls to workers (30 to 90 ms) and peers (450 ms) counted as missing while their answers were waiting in the sockets, so that connections were opened anew, starts were sent again and jobs were submitted again.

* A call of AsyncHttpConnection, a peer's silence and a connection that is being established are given up only after a complete turn of the event loop after the limit (runAfterLoopTurn), and only if nothing was read in it.
A loop that isn't late has such a turn at once, so that a lost order is noticed no later than before.
A call goes on at most three times for bytes that arrive.
A connection that is established after the deadline sends nothing.
* OrderTimeouts adds the lag of the loop (LoopLag) to the timeout of orders, up to 150 ms: a report request that gets no answer is repeated within 590 ms, before the lease of 750 ms ends.
Whether a report shows the present state of its worker is judged without the lag.
The wait of WorkerLease before it sends a stop again uses the same timeout.
* Jobs are advertised to the peers earlier by twice the lag.

Not extended: the end of a job that can't be advertised. Its holder ends it 30 ms after the gateway, which is less than a turn of a late loop.

SlowResponse.TimesOutWhenItPauses now has one more tick: the call ends after a turn of the loop, and the reader sends its next request at the tick after that.

--- a/src/libasynchttp/asynchttpconnection.cpp
+++ b/src/libasynchttp/asynchttpconnection.cpp
@@ -1,5 +1,7 @@
 #include "asynchttpconnection.h"
 
+#include "libcore/loopturn.h"
+
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -18,6 +20,9 @@
 /// are hundreds of connections, and doubles each time that a read was filled.
 constexpr std::size_t minReadBytes = 512;
 constexpr std::size_t maxReadBytes = std::size_t(64) << 10;
+/// How often a call may go on after its deadline because a part of its response
+/// was read. A server that sends a byte at a time must not keep it forever.
+constexpr unsigned maxReprieves = 3;
 
 } // namespace
 
@@ -42,6 +47,8 @@
   m_latestDeadline = deadline + maxDeadlineExtension;
   m_output = encode(order);
   m_isSent = false;
+  m_isOverdue = false;
+  m_reprieves = 0;
   m_receivedBytes = 0;
   m_bytesAtExtension = 0;
   ++m_generation;
@@ -59,12 +66,42 @@
   if (!isBusy())
     return;
   extendDeadline(now);
-  if (now < m_deadline)
+  if (now < m_deadline || m_isOverdue)
+    return;
+  m_isOverdue = true;
+  runAfterLoopTurn(m_socket.get_executor(),
+                   [weak = weak_from_this(),
+                    generation = m_generation,
+                    received = m_receivedBytes] {
+                     const auto self = weak.lock();
+                     if (self && generation == self->m_generation &&
+                         self->isBusy())
+                       self->endIfStillOverdue(received);
+                   });
+}
+
+void
+AsyncHttpConnection::endIfStillOverdue(std::size_t receivedBefore)
+{
+  m_isOverdue = false;
+  const bool isArriving = m_receivedBytes != receivedBefore || hasUnreadBytes();
+  if (isArriving && m_reprieves < maxReprieves) {
+    ++m_reprieves;
     return;
+  }
   endCall(m_isSent ? HttpCallResult::Kind::Unanswered
                    : HttpCallResult::Kind::NotSent);
 }
 
+/// One poll reports a limited number of sockets, so that this one may not have
+/// been read in a complete turn.
+bool
+AsyncHttpConnection::hasUnreadBytes() const
+{
+  error_code error;
+  return m_isConnected && m_socket.available(error) > 0 && !error;
+}
+
 /// A call whose response is still being received doesn't end at its first
 /// deadline: a retry would begin at the first byte, on a link that is no
 /// faster.
@@ -102,7 +139,8 @@
     [self = shared_from_this(), generation = m_generation](error_code failed) {
       if (generation != self->m_generation || !self->isBusy())
         return;
-      if (failed) {
+      // An order must not be sent after its deadline.
+      if (failed || self->m_isOverdue) {
         self->endCall(HttpCallResult::Kind::NotSent);
         return;
       }
--- a/src/libasynchttp/asynchttpconnection.h
+++ b/src/libasynchttp/asynchttpconnection.h
@@ -85,13 +85,17 @@
   TimePoint idleSince() const { return m_idleSince; }
 
   /// Ends the call in progress if its deadline has passed, and then closes the
-  /// connection.
+  /// connection. The call ends one complete turn of the event loop later,
+  /// unless a part of the response is read in that turn: when the loop is late,
+  /// the response may be waiting in the socket.
   void expire(TimePoint now);
   /// Closes the connection; a call in progress ends.
   void close();
 
 private:
   void extendDeadline(TimePoint now);
+  void endIfStillOverdue(std::size_t receivedBefore);
+  bool hasUnreadBytes() const;
 
   using Parser =
     boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -120,6 +124,11 @@
   /// The deadline is never extended beyond this.
   TimePoint m_latestDeadline{};
   TimePoint m_idleSince{};
+  /// Whether the deadline has passed and the turn of the event loop after it is
+  /// in progress.
+  bool m_isOverdue = false;
+  /// How often the call went on after its deadline because something was read.
+  unsigned m_reprieves = 0;
   bool m_isConnected = false;
   bool m_isSent = false;
   /// The size of the next read.
--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -500,6 +500,7 @@
   // Runs of a daemon that was lost unnoticed during the pause have ended by
   // then.
   m_peersReportedAt = now + maxOrphanedRun;
+  m_loopLag.reset();
   m_registrations.paused(now);
   m_scheduler.suspend(now);
   m_gateway.advertiseAgain(now - gap + maxRunAfterContact);
@@ -515,6 +516,7 @@
     m_scheduler.resume(now);
   }
   updateCpuStarvation(now);
+  updateLoopLag(now);
   m_shards.setKnownMemberCount(m_links.knownPeerCount());
   probeOrphans(now);
   applyShardDecisions(now);
@@ -652,6 +654,15 @@
   m_shards.setCpuStarved(m_cpuStarvation.isCpuStarved());
 }
 
+/// Passes the lag of the event loop on to all that wait for messages.
+void
+EntryCore::updateLoopLag(TimePoint now)
+{
+  m_loopLag.tick(now);
+  m_scheduler.setLoopLag(m_loopLag.recentPeak());
+  m_gateway.setLoopLag(m_loopLag.recentPeak());
+}
+
 /// Asks the workers of zones without a reachable daemon whether any daemon
 /// still uses them.
 void
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -7,6 +7,7 @@
 #include "heartbeatschedule.h"
 #include "holderlookup.h"
 #include "jobregistrations.h"
+#include "looplag.h"
 #include "partitioncheck.h"
 #include "peerjobs.h"
 #include "peerliveness.h"
@@ -280,6 +281,7 @@
   void tasksReturned(const JobKey& key, const TasksReturned& returned);
   unsigned spareSlots(TimePoint now) const;
   void updateCpuStarvation(TimePoint now);
+  void updateLoopLag(TimePoint now);
   void probeOrphans(TimePoint now);
   void updateWorkerList(TimePoint now);
   void applyShardDivision(TimePoint now);
@@ -323,6 +325,7 @@
   WorkerListReaders m_directoryReaders;
   bool m_isDirectoryReader = true;
   CpuStarvationDetector m_cpuStarvation;
+  LoopLag m_loopLag{ LoopLag::Settings() };
   HeartbeatSchedule m_heartbeats;
   /// Peers that have jobs of this daemon, or whose jobs this daemon has.
   std::set<VmId> m_closePeers;
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -33,7 +33,7 @@
   entry.arrivedAt = now;
   entry.expiresAt = now + submission.timeLeft;
   entry.longRunningFrom =
-    std::max(now, now - submission.maxReadDelay + m_settings.advertiseAfter);
+    std::max(now, now - submission.maxReadDelay + advertiseDelay());
   entry.callers[callerId] = std::move(done);
   entry.submission = std::move(submission);
   entry.exclusiveUntil = exclusiveUntilIfUnadvertised(entry);
@@ -46,6 +46,12 @@
   return callerId;
 }
 
+Duration
+Gateway::advertiseDelay() const
+{
+  return std::max(m_settings.advertiseAfter - 2 * m_loopLag, Duration::zero());
+}
+
 /// Submits a job unless runs of an earlier submission may go on. In that case,
 /// holds the job or recalls the earlier submission from the daemon that has it.
 void
--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -231,6 +231,13 @@
   /// advertisements. The jobs that had been advertised stop being exclusive at
   /// the given time unless they are advertised again.
   void advertiseAgain(TimePoint exclusiveUntil);
+  /// Sets how late the event loop reads messages. New jobs are advertised
+  /// earlier by twice as much, because the peers' acknowledgements are read
+  /// late, and the peers, which are about as busy, read the advertisements
+  /// late. The time at which a job ends that isn't acknowledged stays as it is:
+  /// its holder ends it 30 ms later by its own clock, which is less than a turn
+  /// of a late loop.
+  void setLoopLag(Duration lag) { m_loopLag = lag; }
   /// Looks for holders and ends jobs that have run out of time. To be called
   /// every 20 ms, and when a shard has changed its holder.
   void tick(TimePoint now);
@@ -327,6 +334,7 @@
   void logCallers(const char* event, const Entry& entry, TimePoint now) const;
   PartRef find(const VmId& from, const JobKey& key);
   Part& addPart(Entry& entry);
+  Duration advertiseDelay() const;
   void submitOrHold(Entry& entry, TimePoint now);
   void waitFor(Entry& entry, const PeerJobs::Location& place, TimePoint now);
   void registrationComplete(
@@ -381,6 +389,7 @@
   std::uint64_t m_lastPart = 0;
   std::uint64_t m_lastKey = 0;
   CallerId m_lastCallerId = 0;
+  Duration m_loopLag = Duration::zero();
 };
 
 } // namespace cowslippin
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -139,6 +139,8 @@
   {
     m_pool.setMaxShardSizes(bounds);
   }
+  /// Sets how late the event loop reads the workers' answers.
+  void setLoopLag(Duration lag) { m_pool.setLoopLag(lag); }
   /// Adopts the number of shards into which another daemon divides a zone, see
   /// `ShardMap::adoptShardCount`. Returns true if this changes `shards`.
   bool adoptShardCount(const ShardId& shard)
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -99,6 +99,8 @@
   {
     m_map.setMaxShardSizes(bounds);
   }
+  /// Sets how late the event loop reads what has arrived, see `OrderTimeouts`.
+  void setLoopLag(Duration lag) { m_answerTimes->setLoopLag(lag); }
   /// See `ShardMap::adoptShardCount`.
   bool adoptShardCount(const ShardId& shard)
   {
--- a/src/libpeers/peerconnections.cpp
+++ b/src/libpeers/peerconnections.cpp
@@ -2,6 +2,7 @@
 
 #include "peercodec.h"
 
+#include "libcore/loopturn.h"
 #include "libobserve/observe.h"
 
 #include <algorithm>
@@ -47,6 +48,7 @@
   : m_self(std::move(self))
   , m_settings(std::move(settings))
   , m_hooks(std::move(hooks))
+  , m_context(context)
   , m_transport(context, transportSettings(m_settings), transportHooks())
   , m_startedAt(steadyNow())
   , m_probe(context)
@@ -207,12 +209,12 @@
     if (peer.link) {
       peer.lastUp = now;
       if (m_links.at(*peer.link).silence.isSilent(m_settings.silence, now))
-        lost(peer, PeerLoss::Silent, now);
+        giveUpAfterLoopTurn(*peer.link);
       continue;
     }
     if (peer.dialled) {
       if (now - peer.dialledAt > m_settings.connectTimeout)
-        dialFailed(peer, now);
+        giveUpAfterLoopTurn(*peer.dialled);
     } else if (now - peer.lastUp > m_settings.unreachableRemovalDelay) {
       forgotten.push_back(address);
     }
@@ -224,6 +226,49 @@
   dialDuePeers(now);
 }
 
+/// Gives a silent connection, or one that takes too long to be established, up
+/// after a complete turn of the event loop, unless something is read from it in
+/// that turn. With a loop that is late this extends the silence by one turn. No
+/// run lasts longer by that: a lease is bounded by the sending time of the last
+/// acknowledged heartbeat (`Scheduler::runWantedUntil`), and nothing is started
+/// for a submitter whose contact is older than 490 ms, whether or not its
+/// silence has been noticed.
+void
+PeerConnections::giveUpAfterLoopTurn(LinkId link)
+{
+  if (!m_overdue.insert(link).second)
+    return;
+  runAfterLoopTurn(m_context.get_executor(),
+                   [this,
+                    alive = std::weak_ptr(m_alive),
+                    link,
+                    receivedAt = m_links.at(link).silence.lastReceivedAt()] {
+                     if (!alive.expired())
+                       giveUpIfUnread(link, receivedAt);
+                   });
+}
+
+void
+PeerConnections::giveUpIfUnread(LinkId link, TimePoint lastReceivedAt)
+{
+  m_overdue.erase(link);
+  const auto found = m_links.find(link);
+  if (found == m_links.end() ||
+      found->second.silence.lastReceivedAt() != lastReceivedAt)
+    return;
+  const TimePoint now = steadyNow();
+  for (auto& [address, peer] : m_peers) {
+    if (peer.link == link) {
+      lost(peer, PeerLoss::Silent, now);
+      return;
+    }
+    if (peer.dialled == link) {
+      dialFailed(peer, now);
+      return;
+    }
+  }
+}
+
 /// Dials due peers, starting with the addresses after this daemon's own, so
 /// that not all daemons dial the same ones first.
 void
--- a/src/libpeers/peerconnections.h
+++ b/src/libpeers/peerconnections.h
@@ -85,7 +85,9 @@
   /// Dials all daemons that aren't connected, without further delay.
   void connectMissing(TimePoint now);
   /// Dials daemons and gives up silent connections; to be called about every 20
-  /// ms.
+  /// ms. A connection is given up only if nothing is read from it in a complete
+  /// turn of the event loop after its limit either: when the loop is late,
+  /// messages may be waiting in the socket.
   void tick(TimePoint now);
   void close();
 
@@ -126,6 +128,8 @@
   void dropRetired(TimePoint now);
   void dropNameless(TimePoint now);
   void lost(Peer& peer, PeerLoss loss, TimePoint now);
+  void giveUpAfterLoopTurn(LinkId link);
+  void giveUpIfUnread(LinkId link, TimePoint lastReceivedAt);
   Link* linkTo(const VmId& vm);
   void sendUnknownAddresses(LinkId link, const PeerHello& hello);
   void dialDuePeers(TimePoint now);
@@ -139,6 +143,7 @@
   const PeerHello m_self;
   const Settings m_settings;
   const Hooks m_hooks;
+  boost::asio::io_context& m_context;
   WebSocketTransport m_transport;
   const TimePoint m_startedAt;
   ReachabilityProbe m_probe;
@@ -147,6 +152,10 @@
   std::map<LinkId, Link> m_links;
   /// Duplicate connections that aren't used any more, and when each is dropped.
   std::deque<std::pair<LinkId, TimePoint>> m_retired;
+  /// Overdue connections whose turn of the event loop is in progress.
+  std::set<LinkId> m_overdue;
+  /// Expires with this object, so that posted functions don't use it any more.
+  const std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace cowslippin
--- a/src/libpeers/silencedetector.h
+++ b/src/libpeers/silencedetector.h
@@ -45,6 +45,7 @@
   }
 
   bool sharesJobs() const { return m_sharesJobs; }
+  TimePoint lastReceivedAt() const { return m_lastReceivedAt; }
 
   bool isSilent(const Settings& settings, TimePoint now) const
   {
--- a/src/libworkers/ordertimeouts.cpp
+++ b/src/libworkers/ordertimeouts.cpp
@@ -37,6 +37,12 @@
 
 Duration
 OrderTimeouts::answerTimeout() const
+{
+  return promptAnswerTime() + std::min(m_loopLag, m_settings.maxLagAllowance);
+}
+
+Duration
+OrderTimeouts::promptAnswerTime() const
 {
   if (m_answers < m_settings.minAnswers)
     return m_settings.maxAnswerTimeout;
--- a/src/libworkers/ordertimeouts.h
+++ b/src/libworkers/ordertimeouts.h
@@ -40,6 +40,11 @@
     double lossThreshold = 3;
     /// Time constant of that decay.
     Duration lossTimeConstant = std::chrono::seconds(1);
+    /// Upper bound of the event loop's lag that is added to a timeout. A report
+    /// request that gets no answer is then repeated after at most 200 + 90 +
+    /// 150 ms and the lag until that is noticed, 590 ms in total, while the
+    /// lease of 750 ms has not expired.
+    Duration maxLagAllowance = std::chrono::milliseconds(150);
   };
 
   explicit OrderTimeouts(Settings settings)
@@ -52,8 +57,15 @@
   /// Records that an order was not answered before its timeout.
   void addUnanswered(TimePoint now);
 
-  /// Timeout of an order that is answered at once.
+  /// Sets how late the event loop reads what has arrived.
+  void setLoopLag(Duration lag) { m_loopLag = lag; }
+
+  /// Timeout of an order that is answered at once, with the lag of the event
+  /// loop.
   Duration answerTimeout() const;
+  /// The same without the lag: how soon an answer has to be read to show the
+  /// present state of its worker.
+  Duration promptAnswerTime() const;
   Duration reportWait(TimePoint now) const;
 
 private:
@@ -65,6 +77,7 @@
   double m_deviation = 0;
   double m_losses = 0;
   TimePoint m_lossAt{};
+  Duration m_loopLag = Duration::zero();
 };
 
 } // namespace cowslippin
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -331,7 +331,7 @@
 WorkerLease::isReportFresh(TimePoint now) const
 {
   return now - m_reportAt <= m_settings.maxReportAge &&
-         m_reportAt - m_reportAskedAt <= m_answerTimes->answerTimeout();
+         m_reportAt - m_reportAskedAt <= m_answerTimes->promptAnswerTime();
 }
 
 /// The least free capacity of the worker after an undetected restart. The new
@@ -706,6 +706,8 @@
       m_hooks.orphanStopped({ key, now - run.since });
       sendStop(key, run, now);
     }
+    // The timeout includes the lag of the event loop: a stop whose answer is
+    // waiting in the socket isn't sent again.
     if (run.state == RunState::Stopping && !run.stopAnsweredAt &&
         now - *run.stopSentAt >= m_answerTimes->answerTimeout())
       sendStop(key, run, now);
--- a/tests/asynchttp/asynchttp_test.cpp
+++ b/tests/asynchttp/asynchttp_test.cpp
@@ -191,6 +191,88 @@
   EXPECT_EQ(server.pendingRequests(), 0u);
 }
 
+/// A server on an event loop of its own, so that its response waits in the
+/// client's socket until the client's loop runs. The tests advance the client's
+/// clock.
+class LateLoop : public ::testing::Test
+{
+protected:
+  LateLoop()
+    : acceptor(serverContext, { net::ip::make_address("127.0.0.1"), 0 })
+    , pool(context, Address("127.0.0.1", acceptor.local_endpoint().port()), 4)
+    , peer(serverContext)
+  {
+    pool.call(HttpCallRequest(), deadline, [this](const HttpCallResult& value) {
+      end = value;
+    });
+    acceptor.accept(peer);
+    const TimePoint limit = steadyNow() + seconds(20);
+    while (peer.available() == 0 && steadyNow() < limit)
+      context.run_one_for(milliseconds(10));
+  }
+
+  /// The bytes are in the client's socket when this returns, as both ends are
+  /// on one machine.
+  void respond(const std::string& bytes)
+  {
+    net::write(peer, net::buffer(bytes));
+  }
+
+  void runClient()
+  {
+    while (context.poll() > 0) {
+    }
+  }
+
+  net::io_context serverContext;
+  net::io_context context;
+  net::ip::tcp::acceptor acceptor;
+  AsyncHttpConnectionPool pool;
+  net::ip::tcp::socket peer;
+  const TimePoint deadline = steadyNow() + seconds(20);
+  std::optional<HttpCallResult> end;
+};
+
+/// Guards against a call that is taken for unanswered while its response waits
+/// in the socket: with 0.12 cores a turn of the event loop took longer than the
+/// timeout, and each start was sent again.
+TEST_F(LateLoop, AResponseThatIsWaitingInTheSocketIsRead)
+{
+  respond("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  pool.expire(deadline + milliseconds(500));
+  EXPECT_FALSE(end);
+  runClient();
+  ASSERT_TRUE(end);
+  EXPECT_EQ(end->kind, HttpCallResult::Kind::Answered);
+  EXPECT_EQ(end->body, "ok");
+}
+
+/// Guards against a call that never ends, and against one that a daemon that
+/// isn't late gives up a whole tick later than before.
+TEST_F(LateLoop, ACallWithoutAResponseEndsAfterOneTurn)
+{
+  pool.expire(deadline - Duration(1));
+  runClient();
+  EXPECT_FALSE(end);
+  pool.expire(deadline);
+  runClient();
+  ASSERT_TRUE(end);
+  EXPECT_EQ(end->kind, HttpCallResult::Kind::Unanswered);
+}
+
+/// Guards against a server that keeps a call by sending a byte at a time.
+TEST_F(LateLoop, ACallEndsThoughItsResponseIsArrivingSlowly)
+{
+  int ticks = 0;
+  for (; ticks < 10 && !end; ++ticks) {
+    respond("H");
+    pool.expire(deadline + ticks * milliseconds(20));
+    runClient();
+  }
+  ASSERT_TRUE(end);
+  EXPECT_EQ(end->kind, HttpCallResult::Kind::Unanswered);
+}
+
 TEST_F(AsyncHttp, ReportsAClientThatDisconnectedBeforeItsRequestWasRead)
 {
   net::io_context other;
--- a/tests/asynchttp/slowresponse_test.cpp
+++ b/tests/asynchttp/slowresponse_test.cpp
@@ -148,6 +148,9 @@
   advanceTo(milliseconds(100));
   EXPECT_EQ(connections.size(), 1u);
   advanceTo(milliseconds(900));
+  // The call ends after a turn of the event loop, and the next one is sent at
+  // the next tick.
+  advanceTo(milliseconds(920));
   EXPECT_GE(connections.size(), 2u);
 }
 
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -636,6 +636,24 @@
   EXPECT_EQ(kept.size(), 1u) << "the keep is sent once";
 }
 
+/// Guards against jobs that end because the acknowledgements of their
+/// advertisement are read late. The time at which they end stays as it is.
+TEST_F(GatewayTest, JobsAreAdvertisedEarlierWhileTheEventLoopIsLate)
+{
+  gateway.setLoopLag(milliseconds(100));
+  submit("a");
+  const TimePoint exclusiveUntil = now + maxRunAfterContact;
+  now += advertiseAfter - milliseconds(200) - Duration(1);
+  EXPECT_TRUE(gateway.longRunningJobs(now).empty());
+  now += Duration(1);
+  EXPECT_EQ(gateway.longRunningJobs(now).size(), 1u);
+  advertisedUntil = TimePoint();
+  advanceTo(exclusiveUntil - unadvertisedMargin - Duration(1));
+  EXPECT_TRUE(answers.empty());
+  advanceTo(exclusiveUntil - unadvertisedMargin);
+  EXPECT_EQ(answers.size(), 1u);
+}
+
 /// Guards against a holder that is told to keep a job before any heartbeat has
 /// listed the job.
 TEST_F(GatewayTest, AShortJobIsNotKept)
--- a/tests/peers/peerconnections_test.cpp
+++ b/tests/peers/peerconnections_test.cpp
@@ -39,6 +39,13 @@
   }
 
   Node& add(unsigned number, const PeerConnections::Settings& settings = {})
+  {
+    return add(number, settings, m_context);
+  }
+
+  Node& add(unsigned number,
+            const PeerConnections::Settings& settings,
+            boost::asio::io_context& context)
   {
     m_nodes.push_back(std::make_unique<Node>());
     Node& node = *m_nodes.back();
@@ -53,7 +60,7 @@
     hooks.disconnected = [&node](const VmId&, PeerLoss) { ++node.downs; };
     hooks.received = [](const VmId&, const PeerMessage&) {};
     node.links =
-      std::make_unique<PeerConnections>(m_context, hello, settings, hooks);
+      std::make_unique<PeerConnections>(context, hello, settings, hooks);
     EXPECT_EQ(node.links->listen(), std::nullopt);
     return node;
   }
@@ -81,7 +88,16 @@
     }
   }
 
+  static void runAllReady(boost::asio::io_context& context)
+  {
+    while (context.poll() > 0) {
+    }
+  }
+
   boost::asio::io_context m_context;
+  /// The event loop of a daemon whose messages wait in the sockets of the
+  /// others until their loop runs.
+  boost::asio::io_context m_otherContext;
   const std::uint16_t m_port = freePort();
   std::vector<std::unique_ptr<Node>> m_nodes;
   TimePoint m_nextTickAt{};
@@ -108,6 +124,32 @@
   EXPECT_TRUE(second.links->isConnected(VmId("vm-1")));
 }
 
+/// Guards against a peer that is taken for silent while its messages wait in
+/// the socket: the event loop of a daemon with little processor time is late by
+/// as much as the silence limit.
+TEST_F(PeerConnectionsTest, APeerIsSilentOnlyIfNothingIsReadInAWholeTurn)
+{
+  Node& first = add(1);
+  Node& second = add(2, {}, m_otherContext);
+  first.links->addAddress(at(2), steadyNow());
+  runUntil([&] {
+    runAllReady(m_otherContext);
+    return first.ups > 0 && second.ups > 0;
+  });
+  runAllReady(m_otherContext);
+  runAllReady(m_context);
+  second.links->sendToEach({ VmId("vm-1") }, PeerHeartbeat());
+  runAllReady(m_otherContext);
+  first.links->tick(steadyNow() + std::chrono::seconds(5));
+  runAllReady(m_context);
+  EXPECT_EQ(first.downs, 0u);
+  EXPECT_TRUE(first.links->isConnected(VmId("vm-2")));
+  first.links->tick(steadyNow() + std::chrono::seconds(10));
+  EXPECT_EQ(first.downs, 0u);
+  runAllReady(m_context);
+  EXPECT_EQ(first.downs, 1u);
+}
+
 TEST_F(PeerConnectionsTest, ANewDaemonLearnsAllAddressesFromOne)
 {
   Node& first = add(1);
--- a/tests/workers/ordertimeouts_test.cpp
+++ b/tests/workers/ordertimeouts_test.cpp
@@ -46,6 +46,31 @@
   EXPECT_EQ(times.answerTimeout(), settings.maxAnswerTimeout);
 }
 
+/// Guards against orders that a late event loop takes for unanswered: their
+/// answers are read late by as much as the loop is.
+TEST_F(OrderTimeoutsTest, TheTimeoutIncludesTheLagOfTheEventLoop)
+{
+  answerAll(milliseconds(2));
+  times.setLoopLag(milliseconds(100));
+  EXPECT_EQ(times.answerTimeout(),
+            settings.minAnswerTimeout + milliseconds(100));
+  times.setLoopLag(Duration::zero());
+  EXPECT_EQ(times.answerTimeout(), settings.minAnswerTimeout);
+}
+
+/// Guards against a lease that expires because an unanswered report request is
+/// repeated too late, and against a report that was read late and counts as one
+/// of the worker's present state.
+TEST_F(OrderTimeoutsTest, LagNeitherEndsALeaseNorMakesAnOldReportPrompt)
+{
+  const Duration lease = milliseconds(750);
+  times.setLoopLag(std::chrono::seconds(2));
+  EXPECT_LT(times.reportWait(now) + times.answerTimeout() +
+              settings.maxLagAllowance,
+            lease);
+  EXPECT_EQ(times.promptAnswerTime(), settings.maxAnswerTimeout);
+}
+
 TEST_F(OrderTimeoutsTest, RequestsReportsMoreOftenWhileOrdersAreLost)
 {
   times.addUnanswered(now);
