Entry: refuse a part of the jobs while short of processor time

Under three times the load a group answered hardly any job in time: each job that came was read, queued and started late, and processed until its deadline.

* LoopLag measures how late the event loop is; StartWait estimates for how long tasks wait for their start.
A holder without processor time is only 80 to 100 ms late while its tasks wait for seconds, so that its lag alone doesn't show the overload.
* AdmittedShare falls by a factor of 0.5 to 0.85 every 100 to 200 ms while jobs wait more than 80 ms for the processor, and rises by 0.4 a second below 40 ms.
* OverloadControl divides the admitted work among the queues, those of the highest value per processor time first; each keeps a tenth.
The value is learned from decoded jobs, so that a job is refused from its path alone, before its body is decoded; sizes of a queue aren't told apart.
Refusals follow a running remainder, retry times are spread over 0.5 to 1.5 times the expected end.
Jobs whose answer would be worth nothing by the time they were read are refused after decoding.
A job that is in progress here, or at a peer that advertises it, is never refused.
* HolderRelief refuses submissions of other daemons, three of four at most and none that may have run or is a part of a split job.
* After a pause of the process all of them start anew.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -34,6 +34,10 @@
 constexpr Duration heldUpTime = std::chrono::milliseconds(500);
 /// How often to check whether all peers have advertised their jobs.
 constexpr Duration peerReportPollInterval = std::chrono::milliseconds(10);
+/// Reasons of refusals for lack of processor time, as metrics show them.
+constexpr const char* overloadReason = "overload";
+constexpr const char* tooLateReason = "too-late";
+constexpr const char* holderOverloadReason = "holder-overload";
 
 ConfigurationSync::Settings
 configurationSettings(const EntryCore::Settings& settings)
@@ -102,6 +106,12 @@
 EntryCore::configurationChanged()
 {
   m_shards.setReady(m_hasWorkers);
+  const auto& routes = routing()->routes();
+  const auto lowest = std::min_element(
+    routes.begin(), routes.end(), [](const Route& a, const Route& b) {
+      return a.policy.priority < b.policy.priority;
+    });
+  m_lowestPriority = lowest == routes.end() ? 0 : lowest->policy.priority;
   if (m_hasWorkers)
     updateWorkerList(m_clocks.steady());
 }
@@ -213,6 +223,62 @@
          m_holderLookup.hasReachableHolder();
 }
 
+std::optional<DoorRefusal>
+EntryCore::refuseUndecoded(const JobId& job, const QueuePolicy& policy)
+{
+  const TimePoint now = observeTime();
+  callersSeen();
+  if (m_overload.admit(policy.queue, now) || isInProgress(job, now))
+    return std::nullopt;
+  return refuse(job, policy.queue, overloadReason, now);
+}
+
+std::optional<DoorRefusal>
+EntryCore::refuseDecoded(const JobSubmission& submission)
+{
+  const TimePoint now = m_clocks.steady();
+  const QueuePolicy& policy = submission.policy;
+  const int urgency = std::max(policy.priority - m_lowestPriority, 0);
+  m_overload.jobDecoded(policy.queue,
+                        static_cast<unsigned>(urgency),
+                        submission.needs,
+                        submission.taskCount);
+  const Duration readDelay = now - m_peerContact.ownCallersKnownUntil();
+  if (!m_overload.isTooLate(policy, submission.needs, readDelay) ||
+      isInProgress(submission.job, now))
+    return std::nullopt;
+  return refuse(submission.job, policy.queue, tooLateReason, now);
+}
+
+/// Whether a job is in progress here or, as far as is known, elsewhere. It
+/// would be false to say that it hasn't run.
+bool
+EntryCore::isInProgress(const JobId& job, TimePoint now) const
+{
+  return m_gateway.isInProgress(job, now) || m_knownJobs.find(job, now);
+}
+
+DoorRefusal
+EntryCore::refuse(const JobId& job,
+                  const std::string& queue,
+                  const char* reason,
+                  TimePoint now)
+{
+  ++m_refusals[{ queue, reason }];
+  const DoorRefusal refusal{
+    m_overload.retryAfter(),
+    "the daemon is overloaded; nothing of this submission has run",
+    m_overload.closesConnections(now)
+  };
+  logEvent(LogLevel::Info,
+           "job-refused-at-door",
+           { { "job", job },
+             { "queue", queue },
+             { "reason", reason },
+             { "retryAfterMs", toMilliseconds(refusal.retryAfter) } });
+  return refusal;
+}
+
 Gateway::CallerId
 EntryCore::submit(JobSubmission submission, Gateway::AnswerCallback done)
 {
@@ -282,6 +348,10 @@
   figures.evacuatedZones = m_evacuations.zones.size();
   figures.isReady = isReady();
   figures.restarts = m_scheduler.restartCounts();
+  figures.loopLag = m_loopLag.mean();
+  figures.admittedShare = m_overload.share();
+  figures.holderShare = m_holderRelief.share();
+  figures.refusals = m_refusals;
   for (const auto& worker : m_scheduler.pool().snapshot())
     figures.leases.push_back(worker.state);
   return figures;
@@ -341,6 +411,7 @@
   hooks.orders.start = [this](const WorkerRecord& worker,
                               const StartOrder& order,
                               Duration timeout) {
+    m_startWait.taskStarted(m_clocks.steady());
     m_ports.start(
       worker,
       order,
@@ -501,6 +572,8 @@
   // then.
   m_peersReportedAt = now + maxOrphanedRun;
   m_loopLag.reset();
+  m_overload.reset();
+  m_holderRelief.reset();
   m_registrations.paused(now);
   m_scheduler.suspend(now);
   m_gateway.advertiseAgain(now - gap + maxRunAfterContact);
@@ -517,6 +590,7 @@
   }
   updateCpuStarvation(now);
   updateLoopLag(now);
+  updateOverload(now);
   m_shards.setKnownMemberCount(m_links.knownPeerCount());
   probeOrphans(now);
   applyShardDecisions(now);
@@ -663,6 +737,66 @@
   m_gateway.setLoopLag(m_loopLag.recentPeak());
 }
 
+/// How long a job waits here for the processor: until it is read, and, if the
+/// event loop is late, until its tasks are started. Otherwise tasks wait for
+/// workers, which isn't an overload of this daemon.
+Duration
+EntryCore::processorWait(TimePoint now) const
+{
+  const Duration lag = m_loopLag.mean();
+  if (lag < AdmittedShare::Settings().targetLag)
+    return lag;
+  return lag + m_startWait.expected(m_scheduler.waitingTasks(), now);
+}
+
+void
+EntryCore::updateOverload(TimePoint now)
+{
+  const Duration wait = processorWait(now);
+  m_holderRelief.tick(wait, now);
+  switch (m_overload.tick(wait, now)) {
+    case OverloadControl::Change::None:
+      return;
+    case OverloadControl::Change::Began:
+      m_overloadBeganAt = now;
+      logDecision(LogLevel::Warning,
+                  "overload-began",
+                  { { "lagMs", toMilliseconds(m_loopLag.mean()) },
+                    { "admittedPercent", int(m_overload.share() * 100) },
+                    { "callersWaiting", m_gateway.jobCount() },
+                    { "jobsScheduled", m_scheduler.jobCount() } });
+      return;
+    case OverloadControl::Change::Ended:
+      std::uint64_t refused = 0;
+      for (const auto& [queueAndReason, count] : m_refusals)
+        refused += count;
+      logDecision(LogLevel::Info,
+                  "overload-ended",
+                  { { "lastedMs", toMilliseconds(now - m_overloadBeganAt) },
+                    { "lagMs", toMilliseconds(m_loopLag.mean()) },
+                    { "refusedSinceStart", refused } });
+      return;
+  }
+}
+
+/// Whether a job of another daemon is refused, so that its submitter asks
+/// another holder.
+bool
+EntryCore::refuseSubmitted(const JobRequest& request)
+{
+  if (!m_holderRelief.refuses(request))
+    return false;
+  ++m_refusals[{ request.policy.queue, holderOverloadReason }];
+  logEvent(LogLevel::Info,
+           "submission-refused",
+           { { "job", request.key.job() },
+             { "submitter", request.key.submitter() },
+             { "reason", holderOverloadReason } });
+  jobEnded(request.key,
+           { JobOutcome::Refused, m_holderRelief.retryAfter(), {}, 1 });
+  return true;
+}
+
 /// Asks the workers of zones without a reachable daemon whether any daemon
 /// still uses them.
 void
@@ -858,6 +992,8 @@
   m_peerContact.acknowledged(vm, submit.ack, now);
   if (m_peerContact.takeOutOfTurnRequest(vm, now))
     sendHeartbeats({ vm }, now);
+  if (refuseSubmitted(submit.request))
+    return;
   JobRequest request = submit.request;
   if (request.exclusiveFor != Duration::max()) {
     const auto sentAfter =
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -6,13 +6,16 @@
 #include "gateway.h"
 #include "heartbeatschedule.h"
 #include "holderlookup.h"
+#include "holderrelief.h"
 #include "jobregistrations.h"
 #include "looplag.h"
+#include "overloadcontrol.h"
 #include "partitioncheck.h"
 #include "peerjobs.h"
 #include "peerliveness.h"
 #include "peerlosses.h"
 #include "peerreports.h"
+#include "startwait.h"
 #include "vacancyprobe.h"
 #include "workerlistreaders.h"
 
@@ -30,6 +33,17 @@
 
 namespace cowslippin {
 
+/// The refusal of a caller's job on arrival, because this daemon is short of
+/// processor time. Nothing of the submission has run or will run.
+struct DoorRefusal
+{
+  Duration retryAfter = Duration::zero();
+  std::string reason;
+  /// Whether the caller's connection should be closed, so that the platform's
+  /// balancer assigns the caller to another daemon.
+  bool closesConnection = false;
+};
+
 /// The logic of a daemon that runs callers' jobs on leased workers: the
 /// callers' jobs, the shards of workers that it holds, and its membership in
 /// the group of daemons. It does no I/O and reads no clock of its own, so that
@@ -173,6 +187,13 @@
   /// Whether the load balancer should send callers to this daemon.
   bool isReady() const;
 
+  /// Whether a job is refused before its body is decoded. To be called once for
+  /// each job that arrives.
+  std::optional<DoorRefusal> refuseUndecoded(const JobId& job,
+                                             const QueuePolicy& policy);
+  /// Whether a decoded job is refused because it can't be answered in time any
+  /// more. To be called once for each job that `refuseUndecoded` has admitted.
+  std::optional<DoorRefusal> refuseDecoded(const JobSubmission& submission);
   Gateway::CallerId submit(JobSubmission submission,
                            Gateway::AnswerCallback done);
   void callerDisconnected(Gateway::CallerId callerId);
@@ -203,6 +224,10 @@
 
   std::set<ShardId> heldShards() const;
 
+  /// Numbers of refused jobs by queue and reason.
+  using RefusalCounts =
+    std::map<std::pair<std::string, std::string>, std::uint64_t>;
+
   /// The values that are exported as metrics.
   struct Stats
   {
@@ -220,6 +245,13 @@
     /// The lease state of each worker of the held shards.
     std::vector<LeaseState> leases;
     LossLog::Counts restarts;
+    /// Mean lag of the event loop.
+    Duration loopLag = Duration::zero();
+    /// Share of the callers' work that is admitted on arrival.
+    double admittedShare = 1;
+    /// Share of other daemons' jobs that is taken as a holder.
+    double holderShare = 1;
+    RefusalCounts refusals;
   };
   Stats stats() const;
 
@@ -282,6 +314,14 @@
   unsigned spareSlots(TimePoint now) const;
   void updateCpuStarvation(TimePoint now);
   void updateLoopLag(TimePoint now);
+  void updateOverload(TimePoint now);
+  Duration processorWait(TimePoint now) const;
+  bool isInProgress(const JobId& job, TimePoint now) const;
+  DoorRefusal refuse(const JobId& job,
+                     const std::string& queue,
+                     const char* reason,
+                     TimePoint now);
+  bool refuseSubmitted(const JobRequest& request);
   void probeOrphans(TimePoint now);
   void updateWorkerList(TimePoint now);
   void applyShardDivision(TimePoint now);
@@ -326,6 +366,12 @@
   bool m_isDirectoryReader = true;
   CpuStarvationDetector m_cpuStarvation;
   LoopLag m_loopLag{ LoopLag::Settings() };
+  OverloadControl m_overload{ OverloadControl::Settings() };
+  TimePoint m_overloadBeganAt{};
+  StartWait m_startWait;
+  HolderRelief m_holderRelief{ HolderRelief::Settings() };
+  RefusalCounts m_refusals;
+  int m_lowestPriority = 0;
   HeartbeatSchedule m_heartbeats;
   /// Peers that have jobs of this daemon, or whose jobs this daemon has.
   std::set<VmId> m_closePeers;
