--- a/src/libentry/entrymetrics.cpp
+++ b/src/libentry/entrymetrics.cpp
@@ -60,6 +60,10 @@
                  .Name("cowslippin_task_restarts_total")
                  .Help("Second and later starts of tasks by their cause")
                  .Register(registry))
+    , refusals(prometheus::BuildCounter()
+                 .Name("cowslippin_overload_refusals_total")
+                 .Help("Jobs refused for lack of processor time")
+                 .Register(registry))
   {
   }
 
@@ -68,6 +72,7 @@
   prometheus::Family<prometheus::Gauge>& gauges;
   prometheus::Family<prometheus::Gauge>& workers;
   prometheus::Family<prometheus::Counter>& restarts;
+  prometheus::Family<prometheus::Counter>& refusals;
 };
 
 EntryMetrics::EntryMetrics()
@@ -112,6 +117,9 @@
   set("peers_up", double(figures.peersUp));
   set("evacuated_zones", double(figures.evacuatedZones));
   set("is_ready", figures.isReady ? 1 : 0);
+  set("loop_lag_ms", double(toMilliseconds(figures.loopLag)));
+  set("admitted_share", figures.admittedShare);
+  set("holder_share", figures.holderShare);
   std::map<std::string, double> byState;
   for (const LeaseState state : { LeaseState::Claiming,
                                   LeaseState::Held,
@@ -128,6 +136,12 @@
     auto& counter = m_families->restarts.Add({ { "cause", toString(cause) } });
     counter.Increment(double(count) - counter.Value());
   }
+  for (const auto& [queueAndReason, count] : figures.refusals) {
+    auto& counter =
+      m_families->refusals.Add({ { "queue", queueAndReason.first },
+                                 { "reason", queueAndReason.second } });
+    counter.Increment(double(count) - counter.Value());
+  }
 }
 
 void
