--- a/tests/entry/simulation.cpp
+++ b/tests/entry/simulation.cpp
@@ -13,6 +13,7 @@
   : m_settings(settings)
   , m_random(seed)
   , m_listedPerZone(settings.workersPerZone)
+  , m_jobsPerSecond(settings.jobsPerSecond)
 {
   for (unsigned zone = 0; zone < m_settings.zones; ++zone) {
     for (unsigned i = 0; i < m_settings.daemonsPerZone; ++i) {
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -6,6 +6,7 @@
 
 #include "libentry/entrycore.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -58,6 +59,10 @@
     /// Number of daemons that never read from the platform which zones are
     /// evacuated.
     unsigned daemonsWithoutEvacuationReads = 0;
+    /// Cores of each daemon's processor, which serves ticks, messages, answers
+    /// of workers and callers' requests one after the other; 0 for one that
+    /// takes no time.
+    double processorCores = 0;
   };
 
   Simulation(Settings settings, std::uint64_t seed);
@@ -96,6 +101,8 @@
   /// answers of workers, requests of callers and its own ticks. The clocks that
   /// it reads stay right.
   void delayProcessing(std::size_t daemon, const Ramp::Shape& delay);
+  /// From now on callers submit this many jobs in a second.
+  void setJobsPerSecond(double rate) { m_jobsPerSecond = rate; }
   /// The daemon's callers lose their connections and submit their jobs again at
   /// any daemon. The daemon detects that later than its callers, by
   /// `detectionDelay`.
@@ -144,6 +151,9 @@
   unsigned waitingCallers() const;
   unsigned submitted() const { return m_submitted; }
   unsigned completed() const { return m_completed; }
+  /// Jobs that were completed within three times their ideal response time.
+  /// Only the jobs that the callers of a zone's daemons submitted.
+  unsigned completedInTime(unsigned zone) const;
   unsigned failed() const { return m_failed; }
   unsigned refused() const { return m_refused; }
   unsigned unknown() const { return m_unknown; }
@@ -200,6 +210,11 @@
     TimePoint receiveBusyUntil{};
     /// Input that arrived while the daemon was suspended.
     std::vector<Action> deferred;
+    /// Input that waits for the modelled processor, with its processor time.
+    std::deque<std::pair<Duration, Action>> work;
+    bool isWorking = false;
+    /// Processor time that the input served last has taken in addition.
+    Duration charged = Duration::zero();
     Ramp processingDelay;
     /// When the input that arrived last is handled.
     TimePoint processingUntil{};
@@ -240,6 +255,7 @@
     std::size_t daemon = 0;
     unsigned daemonIncarnation = 0;
     TimePoint deadline{};
+    TimePoint submittedAt{};
     unsigned attempt = 0;
     /// Set once the daemon has handled the submission.
     std::shared_ptr<Gateway::CallerId> ticket;
@@ -260,7 +276,19 @@
   void schedule(Duration delay, Action action);
   /// Input arrives at a daemon: `process` handles it now, or after the daemon's
   /// processing delay.
+  void deliver(std::size_t node,
+               unsigned incarnation,
+               const Action& action,
+               Duration processorTime);
+  /// The same for a message.
   void deliver(std::size_t node, unsigned incarnation, const Action& action);
+  void serveNextInput(std::size_t node, unsigned incarnation);
+  /// The input that is being handled takes more processor time.
+  void charge(std::size_t node, Duration processorTime)
+  {
+    m_nodes[node].charged += processorTime;
+  }
+  bool hasProcessor() const { return m_settings.processorCores > 0; }
   void process(std::size_t node, unsigned incarnation, const Action& action);
   bool isProcessingDelayed(std::size_t node) const;
   void startNode(std::size_t node);
@@ -330,6 +358,10 @@
   void scheduleNextSubmission();
   void submitNewJob();
   void submit(const JobId& job, std::size_t daemon);
+  bool refuseAtDoor(std::size_t daemon,
+                    const JobSubmission& submission,
+                    const Gateway::AnswerCallback& done);
+  bool isInTime(const Caller& caller) const;
   void resubmitJobsOf(std::size_t daemon);
   void deliverUncut(std::size_t daemon,
                     unsigned incarnation,
@@ -378,6 +410,8 @@
   unsigned m_lastWorker = 0;
   unsigned m_submitted = 0;
   unsigned m_completed = 0;
+  std::map<unsigned, unsigned> m_completedInTime;
+  double m_jobsPerSecond = 0;
   unsigned m_failed = 0;
   unsigned m_refused = 0;
   unsigned m_unknown = 0;
--- a/tests/entry/simulationcallers.cpp
+++ b/tests/entry/simulationcallers.cpp
@@ -25,7 +25,7 @@
 Simulation::scheduleNextSubmission()
 {
   const double seconds =
-    std::exponential_distribution<>(m_settings.jobsPerSecond)(m_random);
+    std::exponential_distribution<>(m_jobsPerSecond)(m_random);
   schedule(Duration(std::int64_t(seconds * 1e6)), [this] {
     submitNewJob();
     scheduleNextSubmission();
@@ -53,6 +53,7 @@
   caller.submission.taskPrefix = job.value() + ".0.0.";
   caller.submission.taskCount = 1 + static_cast<unsigned>(randomBelow(6));
   caller.submission.timeLeft = milliseconds(5 * (2 * taskMs + 60));
+  caller.submittedAt = m_now;
   m_callers[job] = caller;
   ++m_submitted;
   submit(job, randomBelow(m_nodes.size()));
@@ -89,13 +90,31 @@
                      done] {
     JobSubmission received = submission;
     received.maxAge = m_now - sentAt;
-    *ticket = m_nodes[daemon].core->submit(received, done);
+    if (!refuseAtDoor(daemon, received, done))
+      *ticket = m_nodes[daemon].core->submit(received, done);
   };
   if (m_now < m_nodes[daemon].callersCutUntil)
     giveUpLater(job);
   deliverUncut(daemon, caller.daemonIncarnation, read);
 }
 
+/// Whether the daemon refuses a job on arrival, as its server for callers does.
+bool
+Simulation::refuseAtDoor(std::size_t daemon,
+                         const JobSubmission& submission,
+                         const Gateway::AnswerCallback& done)
+{
+  EntryCore& core = *m_nodes[daemon].core;
+  auto refusal = core.refuseUndecoded(submission.job, submission.policy);
+  if (!refusal) {
+    charge(daemon, processortime::admittedRequest);
+    refusal = core.refuseDecoded(submission);
+  }
+  if (refusal)
+    done({ JobAnswer::Kind::NotRun, refusal->retryAfter, refusal->reason });
+  return refusal.has_value();
+}
+
 /// Something that a caller sends arrives at a daemon when the network between
 /// them isn't cut.
 void
@@ -105,7 +124,7 @@
 {
   const Duration heldFor = m_nodes[daemon].callersCutUntil - m_now;
   if (heldFor <= Duration::zero())
-    deliver(daemon, incarnation, action);
+    deliver(daemon, incarnation, action, processortime::refusedRequest);
   else
     schedule(heldFor, [this, daemon, incarnation, action] {
       deliverUncut(daemon, incarnation, action);
@@ -213,6 +232,8 @@
   switch (answer.kind) {
     case JobAnswer::Kind::Completed:
       ++m_completed;
+      if (isInTime(caller))
+        ++m_completedInTime[m_nodes[caller.daemon].zone];
       m_callers.erase(found);
       return;
     case JobAnswer::Kind::Failed:
@@ -236,6 +257,25 @@
   }
 }
 
+bool
+Simulation::isInTime(const Caller& caller) const
+{
+  constexpr double worthlessFactor = 3;
+  const JobSubmission& submission = caller.submission;
+  const double ideal =
+    double(submission.needs.estimate.count()) * submission.policy.stretch +
+    double(submission.policy.target.count());
+  return double((m_now - caller.submittedAt).count()) <=
+         worthlessFactor * ideal;
+}
+
+unsigned
+Simulation::completedInTime(unsigned zone) const
+{
+  const auto found = m_completedInTime.find(zone);
+  return found == m_completedInTime.end() ? 0 : found->second;
+}
+
 unsigned
 Simulation::waitingCallers() const
 {
--- a/tests/entry/simulationdaemons.cpp
+++ b/tests/entry/simulationdaemons.cpp
@@ -52,6 +52,24 @@
                     unsigned incarnation,
                     const Action& action)
 {
+  deliver(index, incarnation, action, processortime::message);
+}
+
+void
+Simulation::deliver(std::size_t index,
+                    unsigned incarnation,
+                    const Action& action,
+                    Duration processorTime)
+{
+  if (hasProcessor()) {
+    Node& node = m_nodes[index];
+    if (!node.isAlive || node.incarnation != incarnation)
+      return;
+    node.work.emplace_back(processorTime, action);
+    if (!node.isWorking)
+      serveNextInput(index, incarnation);
+    return;
+  }
   if (!isProcessingDelayed(index)) {
     process(index, incarnation, action);
     return;
@@ -64,6 +82,29 @@
   });
 }
 
+/// Serves the input that has waited longest; then the next one.
+void
+Simulation::serveNextInput(std::size_t index, unsigned incarnation)
+{
+  Node& node = m_nodes[index];
+  if (!node.isAlive || node.incarnation != incarnation)
+    return;
+  node.isWorking = !node.work.empty();
+  if (!node.isWorking)
+    return;
+  const auto [processorTime, action] = std::move(node.work.front());
+  node.work.pop_front();
+  const Duration cpu =
+    processorTime + std::exchange(node.charged, Duration::zero());
+  const double wallMicroseconds =
+    double(cpu.count()) / m_settings.processorCores;
+  schedule(Duration(std::int64_t(wallMicroseconds)),
+           [this, index, incarnation, action = action] {
+             process(index, incarnation, action);
+             serveNextInput(index, incarnation);
+           });
+}
+
 void
 Simulation::process(std::size_t index,
                     unsigned incarnation,
@@ -84,7 +125,7 @@
 Simulation::isProcessingDelayed(std::size_t index) const
 {
   const Node& node = m_nodes[index];
-  return node.processingUntil >= m_now ||
+  return hasProcessor() || node.processingUntil >= m_now ||
          node.processingDelay.at(m_now) > Duration::zero();
 }
 
@@ -104,6 +145,9 @@
   node.isAlive = true;
   node.isFrozen = false;
   node.deferred.clear();
+  node.work.clear();
+  node.isWorking = false;
+  node.charged = Duration::zero();
   node.seenHeartbeats.clear();
   EntryCore::Settings settings;
   settings.vm = node.id;
@@ -152,11 +196,12 @@
 {
   if (!m_nodes[index].isAlive || m_nodes[index].incarnation != incarnation)
     return;
-  deliver(index, incarnation, [this, index, incarnation] {
+  const auto tick = [this, index, incarnation] {
     m_nodes[index].core->tick();
     schedule(tickInterval,
              [this, index, incarnation] { tickNode(index, incarnation); });
-  });
+  };
+  deliver(index, incarnation, tick, processortime::tick);
 }
 
 EntryCore::Clocks
--- a/tests/entry/simulationworkers.cpp
+++ b/tests/entry/simulationworkers.cpp
@@ -177,6 +177,9 @@
 {
   const auto isAnswered = std::make_shared<bool>(false);
   const unsigned incarnation = m_nodes[node].incarnation;
+  charge(node,
+         std::is_same_v<Order, StartOrder> ? processortime::startOrder
+                                           : processortime::otherOrder);
   const auto answer =
     [this, node, incarnation, isAnswered, done](const Answer& value) {
       deliver(node, incarnation, [isAnswered, done, value] {
@@ -184,7 +187,10 @@
           done(value);
       });
     };
-  schedule(timeout, [answer] { answer(OrderFailure::Unanswered); });
+  schedule(timeout, [this, answer, isAnswered] {
+    if (!hasProcessor() || !*isAnswered)
+      answer(OrderFailure::Unanswered);
+  });
   const double draw = randomFraction();
   const double lostShare =
     m_settings.lostOrderShare + m_settings.lostAnswerShare;
@@ -221,6 +227,7 @@
 {
   const auto isAnswered = std::make_shared<bool>(false);
   const unsigned incarnation = m_nodes[node].incarnation;
+  charge(node, processortime::otherOrder);
   const auto answer =
     [this, node, incarnation, isAnswered, done](const LeaseOrderAnswer& value) {
       schedule(oneWayDelay + receiveTime(node, wireBytes(value)), [=] {
@@ -230,7 +237,10 @@
         });
       });
     };
-  schedule(timeout, [answer] { answer(OrderFailure::Unanswered); });
+  schedule(timeout, [this, answer, isAnswered] {
+    if (!hasProcessor() || !*isAnswered)
+      answer(OrderFailure::Unanswered);
+  });
   if (randomFraction() < m_settings.lostOrderShare + m_settings.lostAnswerShare)
     return;
   schedule(oneWayDelay + sendTime(node, orderBytes), [=] {
