--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -129,11 +129,13 @@
 {
   m_shards.setReady(m_hasWorkers);
   const auto& routes = routing()->routes();
-  const auto lowest = std::min_element(
+  // A lower number goes first.
+  const auto leastUrgent = std::max_element(
     routes.begin(), routes.end(), [](const Route& a, const Route& b) {
       return a.policy.priority < b.policy.priority;
     });
-  m_lowestPriority = lowest == routes.end() ? 0 : lowest->policy.priority;
+  m_leastUrgentPriority =
+    leastUrgent == routes.end() ? 0 : leastUrgent->policy.priority;
   if (m_hasWorkers)
     updateWorkerList(m_clocks.steady());
 }
@@ -260,7 +262,7 @@
 {
   const TimePoint now = m_clocks.steady();
   const QueuePolicy& policy = submission.policy;
-  const int urgency = std::max(policy.priority - m_lowestPriority, 0);
+  const int urgency = std::max(m_leastUrgentPriority - policy.priority, 0);
   m_overload.jobDecoded(policy.queue,
                         static_cast<unsigned>(urgency),
                         submission.needs,
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -372,7 +372,7 @@
   StartWait m_startWait;
   HolderRelief m_holderRelief{ HolderRelief::Settings() };
   RefusalCounts m_refusals;
-  int m_lowestPriority = 0;
+  int m_leastUrgentPriority = 0;
   HeartbeatSchedule m_heartbeats;
   /// Peers that have jobs of this daemon, or whose jobs this daemon has.
   std::set<VmId> m_closePeers;
--- a/src/libentry/overloadcontrol.h
+++ b/src/libentry/overloadcontrol.h
@@ -78,8 +78,8 @@
 
   /// A job of a queue has arrived. Returns whether it is admitted.
   bool admit(const std::string& queue, TimePoint now);
-  /// Records an admitted job. `urgency` is the priority of its queue above the
-  /// lowest priority in the configuration.
+  /// Records an admitted job. `urgency` is how many priorities its queue goes
+  /// before the least urgent one in the configuration.
   void jobDecoded(const std::string& queue,
                   unsigned urgency,
                   const TaskNeeds& needs,
