--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -104,6 +104,7 @@
 {
   m_shards.setSlowness(m_settings.slowness);
   m_shards.setWorkerCapacity(maxWorkersFor(m_settings.limits));
+  m_shards.setTaskRate(taskRateFor(m_settings.limits));
   updateShardSizes(m_clocks.steady());
 }
 
@@ -854,6 +855,7 @@
   beat.hasJustStarted = m_shards.hasJustStarted(now);
   beat.slowness = m_settings.slowness;
   beat.workerCapacity = maxWorkersFor(m_settings.limits);
+  beat.taskRate = taskRateFor(m_settings.limits);
   beat.highestToken = m_tokens.highest();
   beat.configVersion = m_configuration.version();
   beat.evacuations = m_evacuations;
--- a/src/libentry/peerreports.cpp
+++ b/src/libentry/peerreports.cpp
@@ -43,6 +43,7 @@
   member.hasJustStarted = beat.hasJustStarted;
   member.slowness = beat.slowness;
   member.workerCapacity = beat.workerCapacity;
+  member.taskRate = beat.taskRate;
   if (haveSameTokens(member.shards, beat.shards))
     return false;
   member.shards.clear();
--- a/src/libjobs/machinelimits.cpp
+++ b/src/libjobs/machinelimits.cpp
@@ -17,6 +17,16 @@
 constexpr double processorSecondsPerTask = 0.0001;
 constexpr double bitsPerKilobyte = 8000;
 
+/// Processor time, in seconds per second, for the callers and peers of a daemon:
+/// some 20 callers' jobs a second and heartbeats of some 40 daemons.
+constexpr double coresForCallers = 0.07;
+/// Measured over whole days: the processor time that a holder spends on a task,
+/// with the task's part of the job's messages. `processorSecondsPerTask` is
+/// what limits the size of a shard; it counts the orders to its workers alone.
+constexpr double holderSecondsPerTask = 0.0005;
+/// Stands for a limit that isn't configured.
+constexpr double unlimitedTaskRate = 10'000;
+
 /// Returns how often `need` fits into the share of `limit` that is for workers.
 double
 workersWithin(double limit, double need)
@@ -40,4 +50,19 @@
   return static_cast<std::size_t>(std::lround(workers));
 }
 
+std::size_t
+taskRateFor(const MachineLimits& limits)
+{
+  const double byProcessor =
+    limits.cores > 0 ? (limits.cores - coresForCallers) / holderSecondsPerTask
+                     : unlimitedTaskRate;
+  const double byLink = limits.megabitsPerSecond > 0
+                          ? limits.megabitsPerSecond * 1e6 * shareForWorkers /
+                              (kilobytesPerTask * bitsPerKilobyte)
+                          : unlimitedTaskRate;
+  const double rate =
+    std::clamp(std::min(byProcessor, byLink), 1.0, unlimitedTaskRate);
+  return static_cast<std::size_t>(std::lround(rate));
+}
+
 } // namespace cowslippin
--- a/src/libjobs/machinelimits.h
+++ b/src/libjobs/machinelimits.h
@@ -37,4 +37,14 @@
 std::size_t
 maxWorkersFor(const MachineLimits& limits);
 
+/// Returns how many tasks a second a daemon on such a machine can start and
+/// follow beside the work for its callers and its peers, at least 1.
+///
+/// The shards of a zone are spread in proportion to this. Machines of a zone
+/// may differ by factors: one of 0.1 cores needs nearly all of its processor
+/// for its callers, and a shard on it overloads it although others have
+/// processor time left.
+std::size_t
+taskRateFor(const MachineLimits& limits);
+
 } // namespace cowslippin
--- a/src/libpeers/peerdecoder.cpp
+++ b/src/libpeers/peerdecoder.cpp
@@ -30,6 +30,7 @@
 constexpr std::int64_t maxResource = 1'000'000'000;
 constexpr unsigned maxSlots = 1'000'000;
 constexpr std::size_t maxWorkers = 1'000'000;
+constexpr std::size_t maxTaskRate = 1'000'000;
 constexpr int maxSlowness = 1000;
 constexpr int maxPriority = 1'000'000;
 constexpr unsigned maxRunAttempts = 1'000'000;
@@ -205,6 +206,7 @@
       LongRunningJob{ JobId(text(reader)), duration(reader) });
   });
   beat.isAckRequested = reader.flag();
+  beat.taskRate = reader.integer<std::size_t>(1, maxTaskRate);
   return beat;
 }
 
--- a/src/libpeers/peerencoder.cpp
+++ b/src/libpeers/peerencoder.cpp
@@ -107,7 +107,7 @@
 void
 write(CborWriter& writer, const PeerHeartbeat& beat)
 {
-  writer.list(14);
+  writer.list(15);
   writer.flag(beat.isLeaving);
   writer.flag(beat.isReady);
   writeEach(writer, beat.shards, [&](const auto& held) {
@@ -128,6 +128,7 @@
   writer.integer(beat.sentAt);
   write(writer, beat.longRunningJobs);
   writer.flag(beat.isAckRequested);
+  writer.integer(beat.taskRate);
 }
 
 void
--- a/src/libpeers/peerformat.h
+++ b/src/libpeers/peerformat.h
@@ -4,6 +4,6 @@
 
 /// Version of the format of messages between daemons. Raised with every change
 /// that an older daemon can't read.
-constexpr int peerFormatVersion = 10;
+constexpr int peerFormatVersion = 11;
 
 } // namespace cowslippin
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -89,6 +89,8 @@
   bool hasJustStarted = false;
   /// How many workers the sender can hold.
   std::size_t workerCapacity = 1;
+  /// How many tasks a second the sender can start and follow.
+  std::size_t taskRate = 1;
   std::map<ShardId, HeldShard> shards;
   /// The highest fencing token that the sender knows.
   std::uint64_t highestToken = 0;
--- a/src/libshards/memberview.h
+++ b/src/libshards/memberview.h
@@ -21,6 +21,8 @@
   int slowness = 0;
   /// How many workers the daemon can hold.
   std::size_t workerCapacity = 1;
+  /// How many tasks a second the daemon can start and follow.
+  std::size_t taskRate = 1;
   /// The daemon had started shortly before the heartbeat.
   bool hasJustStarted = false;
   /// The daemon has a configuration and a list of workers.
@@ -33,7 +35,7 @@
   {
     return a.id == b.id && a.zone == b.zone && a.isLeaving == b.isLeaving &&
            a.isCpuStarved == b.isCpuStarved && a.slowness == b.slowness &&
-           a.workerCapacity == b.workerCapacity &&
+           a.workerCapacity == b.workerCapacity && a.taskRate == b.taskRate &&
            a.hasJustStarted == b.hasJustStarted && a.isReady == b.isReady &&
            a.shards == b.shards;
   }
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -27,11 +27,12 @@
   return std::hash<std::string>()(shard.toString() + '|' + vm.value());
 }
 
-/// Number of shards relative to the number of workers that a daemon can hold.
+/// Number of shards relative to the number of tasks a second that a daemon can
+/// start and follow.
 double
-load(std::size_t shards, std::size_t workerCapacity)
+load(std::size_t shards, std::size_t taskRate)
 {
-  return double(shards) / double(workerCapacity);
+  return double(shards) / double(taskRate);
 }
 
 Rank
@@ -39,11 +40,11 @@
      const VmId& vm,
      bool isCpuStarved,
      std::size_t shards,
-     std::size_t workerCapacity,
+     std::size_t taskRate,
      int slowness)
 {
   return { isCpuStarved,
-           load(shards + 1, workerCapacity),
+           load(shards + 1, taskRate),
            slowness,
            orderHash(shard, vm) };
 }
@@ -353,8 +354,8 @@
 {
   if (member.isCpuStarved != m_isCpuStarved)
     return m_isCpuStarved;
-  const double own = load(m_held.size(), m_workerCapacity);
-  const double theirs = load(member.shards.size(), member.workerCapacity);
+  const double own = load(m_held.size(), m_taskRate);
+  const double theirs = load(member.shards.size(), member.taskRate);
   if (own != theirs)
     return own > theirs;
   return member.shards.at(shard) > m_held.at(shard);
@@ -410,7 +411,7 @@
                             bool isForeign) const
 {
   const Rank own = rank(
-    shard, m_self, m_isCpuStarved, ownShards, m_workerCapacity, m_slowness);
+    shard, m_self, m_isCpuStarved, ownShards, m_taskRate, m_slowness);
   return std::none_of(
     m_members.all().begin(), m_members.all().end(), [&](const auto& item) {
       const MemberView& member = item.second;
@@ -420,7 +421,7 @@
                                  member.id,
                                  member.isCpuStarved,
                                  member.shards.size(),
-                                 member.workerCapacity,
+                                 member.taskRate,
                                  member.slowness) < own;
     });
 }
@@ -452,8 +453,8 @@
 bool
 ShardTable::hasHigherLoad(const MemberView& member, std::size_t ownShards) const
 {
-  return load(member.shards.size() - 1, member.workerCapacity) >=
-         load(ownShards + 1, m_workerCapacity);
+  return load(member.shards.size() - 1, member.taskRate) >=
+         load(ownShards + 1, m_taskRate);
 }
 
 /// Whether all remaining daemons of the shard's zone are leaving and no daemon
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -15,7 +15,7 @@
 /// agreement.
 ///
 /// The shards of an availability zone are spread over its daemons by how many
-/// workers each daemon can hold. If two daemons claim the same shard, the one
+/// tasks a second each daemon can start and follow. If two daemons claim the same shard, the one
 /// with the lower load keeps it, and a daemon with a low load takes shards from
 /// one with a high load. After the loss of all daemons they restart at
 /// different times and each hears few of the others at first; a single daemon
@@ -118,6 +118,8 @@
   {
     m_workerCapacity = workerCapacity;
   }
+  /// Sets how many tasks a second this daemon can start and follow.
+  void setTaskRate(std::size_t taskRate) { m_taskRate = taskRate; }
   /// For each zone, the lowest number of workers that any reachable daemon of
   /// the zone, this daemon included, can hold.
   std::map<ZoneName, std::size_t> smallestWorkerCapacities() const;
@@ -216,6 +218,7 @@
   bool m_isCpuStarved = false;
   int m_slowness = 0;
   std::size_t m_workerCapacity = 1;
+  std::size_t m_taskRate = 1;
 };
 
 } // namespace cowslippin
--- a/tests/entry/peerreports_test.cpp
+++ b/tests/entry/peerreports_test.cpp
@@ -52,6 +52,7 @@
   beat.hasJustStarted = true;
   beat.slowness = 9;
   beat.workerCapacity = 30;
+  beat.taskRate = 200;
   reports.received(peer, beat, now);
   MemberView expected;
   expected.id = peer;
@@ -62,6 +63,7 @@
   expected.hasJustStarted = true;
   expected.slowness = 9;
   expected.workerCapacity = 30;
+  expected.taskRate = 200;
   expected.shards = { { first, 5 } };
   EXPECT_EQ(reports.member(peer), expected);
   EXPECT_EQ(reports.freeSlots(peer, first), 2U);
--- a/tests/jobs/shardsizelimits_test.cpp
+++ b/tests/jobs/shardsizelimits_test.cpp
@@ -21,6 +21,18 @@
   EXPECT_EQ(maxWorkersFor({ 0.001, 0.1 }), 1u);
 }
 
+/// Guards against shards on machines whose processor their callers need, while
+/// larger machines of the zone have processor time left.
+TEST(TaskRate, LeavesOutWhatCallersTakeOfTheProcessor)
+{
+  EXPECT_EQ(taskRateFor({ 0.5, 200 }), 860u);
+  EXPECT_EQ(taskRateFor({ 0.12, 25 }), 100u);
+  EXPECT_EQ(taskRateFor({ 0.09, 19 }), 40u);
+  EXPECT_EQ(taskRateFor({ 0.05, 19 }), 1u);
+  EXPECT_EQ(taskRateFor({ 0.5, 2 }), 76u);
+  EXPECT_EQ(taskRateFor({}), taskRateFor({ 1000, 1e6 }));
+}
+
 TEST(ShardSizeLimits, FallAtOnceAndRiseOnlyAfterAWhile)
 {
   ShardSizeLimits sizes;
--- a/tests/peers/peercodec_test.cpp
+++ b/tests/peers/peercodec_test.cpp
@@ -215,6 +215,7 @@
   beat.slowness = 9;
   beat.hasJustStarted = true;
   beat.workerCapacity = 9;
+  beat.taskRate = 860;
   beat.shards[ShardId(ZoneName("z1"), 0)] = { 300243599585797, 12, 77 };
   beat.highestToken = 300243599585799;
   beat.configVersion = 40;
@@ -236,6 +237,7 @@
   EXPECT_EQ(readBeat.slowness, beat.slowness);
   EXPECT_EQ(readBeat.hasJustStarted, beat.hasJustStarted);
   EXPECT_EQ(readBeat.workerCapacity, beat.workerCapacity);
+  EXPECT_EQ(readBeat.taskRate, beat.taskRate);
   EXPECT_EQ(readBeat.configVersion, beat.configVersion);
 }
 
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -436,12 +436,12 @@
   EXPECT_NE(takes(ownShard), otherTakes);
 }
 
-TEST_F(ShardTableTest, ADaemonThatCanHoldMoreWorkersTakesMoreShards)
+TEST_F(ShardTableTest, ADaemonThatCanFollowMoreTasksTakesMoreShards)
 {
   MemberView mate = member("mate", ownZone);
-  mate.workerCapacity = 8;
+  mate.taskRate = 80;
   mate.slowness = -5;
-  table.setWorkerCapacity(40);
+  table.setTaskRate(400);
   table.setKnownMemberCount(1);
   const ShardId half(ownZone, 1, 2);
   table.setShards({ half });
