Placement: other zones while the local one is full; shards stay with larger machines

Callers of a zone that submit more than its workers can run were placed there all the same: its holders spent their processor time on refusing and returning tasks while other zones had room. A gateway now chooses another zone if no shard of its own zone has a free slot for each task, and counts the slots that it has used since a holder's last report.

A CPU-starved daemon gave its shards to machines of a quarter of its processor, which were starved next. They take one only if their load stays below twice the other's.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -487,8 +487,9 @@
   hooks.currentHolder = [this](const ShardId& shard) {
     return m_holderLookup.currentHolder(shard, m_clocks.steady());
   };
-  hooks.bestHolder = [this](const std::set<ShardId>& refusedBy) {
-    return m_holderLookup.bestHolder(refusedBy, m_clocks.steady());
+  hooks.bestHolder = [this](const std::set<ShardId>& refusedBy,
+                            std::size_t tasks) {
+    return m_holderLookup.bestHolder(refusedBy, tasks, m_clocks.steady());
   };
   hooks.areAllZonesEvacuated = [this] {
     return m_holderLookup.areAllZonesEvacuated();
@@ -1229,6 +1230,7 @@
   if (vm != m_settings.vm) {
     addClosePeer(vm);
     m_jobHolders.insert(vm);
+    m_peerReports.useSlots(vm, request.shard, request.tasks.size());
     return m_links.send(
       vm,
       PeerSubmit{ request,
--- a/src/libentry/gateway.cpp
+++ b/src/libentry/gateway.cpp
@@ -749,7 +749,7 @@
 Gateway::placeOnBestHolder(Entry& entry, Part& part, TimePoint now)
 {
   part.wasReferred = false;
-  const auto best = m_hooks.bestHolder(part.refusedBy);
+  const auto best = m_hooks.bestHolder(part.refusedBy, part.tasks.size());
   if (!best || !mayTry(part, *best) ||
       !submitPart(entry, part, best->holder, best->shard, now))
     return false;
--- a/src/libentry/holderchoice.h
+++ b/src/libentry/holderchoice.h
@@ -25,17 +25,25 @@
 /// The load is spread unevenly over the shards of a zone. So two shards are
 /// compared, taken in turn, and the one with more free slots gets the job.
 /// Reports of free slots are up to 140 ms old, longer than many tasks run, so
-/// choosing the best of all shards would send every job to the same one. Shards
-/// of the job's own zone go first. Tasks that find no free slot there are
-/// offered to other holders by their holder, which knows more about them.
+/// choosing the best of all shards would send every job to the same one.
+///
+/// Shards of the job's own zone go first, as long as one of them has a free
+/// slot for each task. When the callers of one zone submit more than its workers
+/// can run, the holders of that zone would otherwise spend their processor time
+/// on refusing and returning tasks for which another zone has room. Tasks that
+/// find no free slot at a holder are offered to other holders by it, which knows
+/// more about them.
 class HolderChooser
 {
 public:
-  /// Chooses one of two shards of the local zone, or of the other zones if the
-  /// local one has none. Returns nothing if there is no shard.
+  /// Chooses a shard for a job with this many tasks: one of two shards of the
+  /// local zone, the one of them with the most free slots if those two have too
+  /// few, and one of two shards of the other zones if it has room for the whole
+  /// job and the local zone hasn't. Returns nothing if there is no shard.
   std::optional<HolderChoice> choose(
     const std::vector<HolderChoice>& localZone,
-    const std::vector<HolderChoice>& otherZones);
+    const std::vector<HolderChoice>& otherZones,
+    std::size_t tasks);
 
   /// Chooses a shard for a job that other shards have refused: the one whose
   /// holder reported the most free slots, and one of the local zone on a tie.
@@ -45,6 +53,8 @@
     const std::vector<HolderChoice>& otherZones);
 
 private:
+  const HolderChoice& betterOfTwo(const std::vector<HolderChoice>& choices);
+
   std::size_t m_turn = 0;
 };
 
--- a/src/libentry/holderlookup.cpp
+++ b/src/libentry/holderlookup.cpp
@@ -57,7 +57,9 @@
 }
 
 std::optional<HolderChoice>
-HolderLookup::bestHolder(const std::set<ShardId>& refusedBy, TimePoint now)
+HolderLookup::bestHolder(const std::set<ShardId>& refusedBy,
+                         std::size_t tasks,
+                         TimePoint now)
 {
   std::vector<HolderChoice> localZone;
   std::vector<HolderChoice> otherZones;
@@ -70,7 +72,7 @@
     choices.push_back(makeChoice(*holder, shard, now));
   }
   return refusedBy.empty()
-           ? m_chooser.choose(localZone, otherZones)
+           ? m_chooser.choose(localZone, otherZones, tasks)
            : HolderChooser::mostFreeSlots(localZone, otherZones);
 }
 
--- a/src/libentry/holderlookup.h
+++ b/src/libentry/holderlookup.h
@@ -45,9 +45,10 @@
   std::optional<HolderChoice> currentHolder(const ShardId& shard,
                                             TimePoint now) const;
 
-  /// The holder for a new job, among shards that haven't refused it and whose
-  /// zone isn't evacuated.
+  /// The holder for a new job with this many tasks, among shards that haven't
+  /// refused it and whose zone isn't evacuated.
   std::optional<HolderChoice> bestHolder(const std::set<ShardId>& refusedBy,
+                                         std::size_t tasks,
                                          TimePoint now);
 
 private:
--- a/src/libentry/peerreports.cpp
+++ b/src/libentry/peerreports.cpp
@@ -65,6 +65,21 @@
   return held ? held->freeSlots : 0;
 }
 
+void
+PeerReports::useSlots(const VmId& holder,
+                      const ShardId& shard,
+                      std::size_t count)
+{
+  const auto peer = m_peers.find(holder);
+  if (peer == m_peers.end())
+    return;
+  const auto held = peer->second.shards.find(shard);
+  if (held == peer->second.shards.end())
+    return;
+  unsigned& free = held->second.freeSlots;
+  free -= static_cast<unsigned>(std::min<std::size_t>(count, free));
+}
+
 std::optional<Duration>
 PeerReports::age(const VmId& vm, TimePoint now) const
 {
--- a/src/libentry/peerreports.h
+++ b/src/libentry/peerreports.h
@@ -24,6 +24,11 @@
   /// report the shard.
   unsigned freeSlots(const VmId& holder, const ShardId& shard) const;
 
+  /// Takes slots off the holder's last report, for tasks that this daemon has
+  /// submitted since. Without this, all jobs that arrive between two reports
+  /// would find the same slots free.
+  void useSlots(const VmId& holder, const ShardId& shard, std::size_t count);
+
   /// The age of the peer's last report; nothing if there is none.
   std::optional<Duration> age(const VmId& vm, TimePoint now) const;
 
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -20,6 +20,11 @@
 /// zone, then the higher token decides.
 using ClaimRank = std::tuple<bool, bool, std::uint64_t>;
 
+/// How much higher a daemon's load may be, after it has taken a shard of a
+/// CPU-starved daemon, than that daemon's load was. Daemons on machines of the
+/// same size that hold one shard each may take one another's.
+constexpr double maxReliefFactor = 2;
+
 /// A hash that gives each daemon a different order of the shards.
 std::size_t
 orderHash(const ShardId& shard, const VmId& vm)
@@ -442,12 +447,23 @@
   return std::any_of(claimants.begin(), claimants.end(), [&](const auto& item) {
     const MemberView& member = *item.second;
     const bool givesWay = member.isLeaving ||
-                          (member.isCpuStarved && !m_isCpuStarved) ||
+                          (member.isCpuStarved && !m_isCpuStarved &&
+                           canRelieve(member, ownShards)) ||
                           (mayRebalance && hasHigherLoad(member, ownShards));
     return !givesWay && member.zone == shard.zone();
   });
 }
 
+/// Whether this daemon can take a shard from a CPU-starved one without a load
+/// far above the other's. Otherwise it would be starved next, and jobs would move
+/// with the shard from daemon to daemon.
+bool
+ShardTable::canRelieve(const MemberView& member, std::size_t ownShards) const
+{
+  return load(ownShards + 1, m_taskRate) <=
+         maxReliefFactor * load(member.shards.size(), member.taskRate);
+}
+
 /// Whether the other daemon's load is at least that of this one even after this
 /// one has taken a shard from it.
 bool
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -182,6 +182,7 @@
   bool isKeptInZone(const ShardId& shard,
                     std::size_t ownShards,
                     TimePoint now) const;
+  bool canRelieve(const MemberView& member, std::size_t ownShards) const;
   bool hasHigherLoad(const MemberView& member, std::size_t ownShards) const;
   bool yieldsTo(const MemberView& member, const ShardId& shard) const;
   bool isZoneLeaving(const ShardId& shard) const;
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -455,6 +455,22 @@
   EXPECT_FALSE(takes(half)) << "its load would be higher";
 }
 
+/// Guards against a shard that moves, with its jobs, from a large machine that is
+/// short of processor time to a small one, which is starved at once.
+TEST_F(ShardTableTest, ASmallMachineDoesNotRelieveALargeOne)
+{
+  MemberView mate = member("mate", ownZone, { { ownShard, 7 } });
+  mate.isCpuStarved = true;
+  mate.taskRate = 860;
+  table.setKnownMemberCount(1);
+  table.updateMember(mate, now);
+  advance(seconds(1));
+  table.setTaskRate(100);
+  EXPECT_FALSE(takes(ownShard));
+  table.setTaskRate(430);
+  EXPECT_TRUE(takes(ownShard));
+}
+
 TEST_F(ShardTableTest, ReturnsWhatTheWeakestDaemonOfEachZoneCanHold)
 {
   table.setWorkerCapacity(40);
