--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -104,6 +104,7 @@
 {
   m_shards.setSlowness(m_settings.slowness);
   m_shards.setWorkerCapacity(maxWorkersFor(m_settings.limits));
+  m_shards.setTaskRate(taskRateFor(m_settings.limits));
   updateShardSizes(m_clocks.steady());
 }
 
@@ -486,8 +487,9 @@
   hooks.currentHolder = [this](const ShardId& shard) {
     return m_holderLookup.currentHolder(shard, m_clocks.steady());
   };
-  hooks.bestHolder = [this](const std::set<ShardId>& refusedBy) {
-    return m_holderLookup.bestHolder(refusedBy, m_clocks.steady());
+  hooks.bestHolder = [this](const std::set<ShardId>& refusedBy,
+                            std::size_t tasks) {
+    return m_holderLookup.bestHolder(refusedBy, tasks, m_clocks.steady());
   };
   hooks.areAllZonesEvacuated = [this] {
     return m_holderLookup.areAllZonesEvacuated();
@@ -854,6 +856,7 @@
   beat.hasJustStarted = m_shards.hasJustStarted(now);
   beat.slowness = m_settings.slowness;
   beat.workerCapacity = maxWorkersFor(m_settings.limits);
+  beat.taskRate = taskRateFor(m_settings.limits);
   beat.highestToken = m_tokens.highest();
   beat.configVersion = m_configuration.version();
   beat.evacuations = m_evacuations;
@@ -1227,6 +1230,7 @@
   if (vm != m_settings.vm) {
     addClosePeer(vm);
     m_jobHolders.insert(vm);
+    m_peerReports.useSlots(vm, request.shard, request.tasks.size());
     return m_links.send(
       vm,
       PeerSubmit{ request,
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -20,6 +20,11 @@
 /// zone, then the higher token decides.
 using ClaimRank = std::tuple<bool, bool, std::uint64_t>;
 
+/// How much higher a daemon's load may be, after it has taken a shard of a
+/// CPU-starved daemon, than that daemon's load was. Daemons on machines of the
+/// same size that hold one shard each may take one another's.
+constexpr double maxReliefFactor = 2;
+
 /// A hash that gives each daemon a different order of the shards.
 std::size_t
 orderHash(const ShardId& shard, const VmId& vm)
@@ -27,11 +32,12 @@
   return std::hash<std::string>()(shard.toString() + '|' + vm.value());
 }
 
-/// Number of shards relative to the number of workers that a daemon can hold.
+/// Number of shards relative to the number of tasks a second that a daemon can
+/// start and follow.
 double
-load(std::size_t shards, std::size_t workerCapacity)
+load(std::size_t shards, std::size_t taskRate)
 {
-  return double(shards) / double(workerCapacity);
+  return double(shards) / double(taskRate);
 }
 
 Rank
@@ -39,11 +45,11 @@
      const VmId& vm,
      bool isCpuStarved,
      std::size_t shards,
-     std::size_t workerCapacity,
+     std::size_t taskRate,
      int slowness)
 {
   return { isCpuStarved,
-           load(shards + 1, workerCapacity),
+           load(shards + 1, taskRate),
            slowness,
            orderHash(shard, vm) };
 }
@@ -353,8 +359,8 @@
 {
   if (member.isCpuStarved != m_isCpuStarved)
     return m_isCpuStarved;
-  const double own = load(m_held.size(), m_workerCapacity);
-  const double theirs = load(member.shards.size(), member.workerCapacity);
+  const double own = load(m_held.size(), m_taskRate);
+  const double theirs = load(member.shards.size(), member.taskRate);
   if (own != theirs)
     return own > theirs;
   return member.shards.at(shard) > m_held.at(shard);
@@ -410,7 +416,7 @@
                             bool isForeign) const
 {
   const Rank own = rank(
-    shard, m_self, m_isCpuStarved, ownShards, m_workerCapacity, m_slowness);
+    shard, m_self, m_isCpuStarved, ownShards, m_taskRate, m_slowness);
   return std::none_of(
     m_members.all().begin(), m_members.all().end(), [&](const auto& item) {
       const MemberView& member = item.second;
@@ -420,7 +426,7 @@
                                  member.id,
                                  member.isCpuStarved,
                                  member.shards.size(),
-                                 member.workerCapacity,
+                                 member.taskRate,
                                  member.slowness) < own;
     });
 }
@@ -441,19 +447,30 @@
   return std::any_of(claimants.begin(), claimants.end(), [&](const auto& item) {
     const MemberView& member = *item.second;
     const bool givesWay = member.isLeaving ||
-                          (member.isCpuStarved && !m_isCpuStarved) ||
+                          (member.isCpuStarved && !m_isCpuStarved &&
+                           canRelieve(member, ownShards)) ||
                           (mayRebalance && hasHigherLoad(member, ownShards));
     return !givesWay && member.zone == shard.zone();
   });
 }
 
+/// Whether this daemon can take a shard from a CPU-starved one without a load
+/// far above the other's. Otherwise it would be starved next, and jobs would move
+/// with the shard from daemon to daemon.
+bool
+ShardTable::canRelieve(const MemberView& member, std::size_t ownShards) const
+{
+  return load(ownShards + 1, m_taskRate) <=
+         maxReliefFactor * load(member.shards.size(), member.taskRate);
+}
+
 /// Whether the other daemon's load is at least that of this one even after this
 /// one has taken a shard from it.
 bool
 ShardTable::hasHigherLoad(const MemberView& member, std::size_t ownShards) const
 {
-  return load(member.shards.size() - 1, member.workerCapacity) >=
-         load(ownShards + 1, m_workerCapacity);
+  return load(member.shards.size() - 1, member.taskRate) >=
+         load(ownShards + 1, m_taskRate);
 }
 
 /// Whether all remaining daemons of the shard's zone are leaving and no daemon
