Tests: reopened zones serve all jobs of the time, not a number of them

The check asked for over 60 completed jobs in 5 s, of some 60 that are submitted; with another order of random numbers 61 were submitted, of which 58 had ended and the others were in progress. It now asks that none of the jobs is refused or fails, and that no more than a second's jobs are in progress.

--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -355,8 +355,18 @@
     simulation.reopen(zone);
   simulation.runFor(seconds(1));
   const unsigned completed = simulation.completed();
+  const unsigned submitted = simulation.submitted();
+  const unsigned refused = simulation.refused();
+  const unsigned failed = simulation.failed();
+  const auto waiting = simulation.waitingCallers();
   simulation.runFor(seconds(5));
-  EXPECT_GT(simulation.completed() - completed, 60u);
+  EXPECT_EQ(simulation.refused(), refused);
+  EXPECT_EQ(simulation.failed(), failed);
+  EXPECT_EQ(simulation.completed() - completed + simulation.waitingCallers(),
+            simulation.submitted() - submitted + waiting);
+  EXPECT_LE(simulation.waitingCallers(), 12u) << "the jobs of a second";
+  EXPECT_GT(simulation.completed() - completed, 48u)
+    << "the jobs of four of the five seconds";
   expectNoViolations(simulation);
 }
 
