--- a/src/libentry/gateway.h
+++ b/src/libentry/gateway.h
@@ -122,9 +122,9 @@
     /// into other shards since, returns the holder of one that has some of its
     /// workers.
     std::function<std::optional<HolderChoice>(const ShardId&)> currentHolder;
-    /// Chooses a holder for a new job with this many tasks among the shards that
-    /// haven't refused it. Prefers this daemon's zone while it has room, then
-    /// free slots.
+    /// Chooses a holder for a new job with this many tasks among the shards
+    /// that haven't refused it. Prefers this daemon's zone while it has room,
+    /// then free slots.
     std::function<std::optional<HolderChoice>(
       const std::set<ShardId>& refusedBy,
       std::size_t tasks)>
--- a/src/libentry/holderchoice.h
+++ b/src/libentry/holderchoice.h
@@ -28,11 +28,11 @@
 /// choosing the best of all shards would send every job to the same one.
 ///
 /// Shards of the job's own zone go first, as long as one of them has a free
-/// slot for each task. When the callers of one zone submit more than its workers
-/// can run, the holders of that zone would otherwise spend their processor time
-/// on refusing and returning tasks for which another zone has room. Tasks that
-/// find no free slot at a holder are offered to other holders by it, which knows
-/// more about them.
+/// slot for each task. When the callers of one zone submit more than its
+/// workers can run, the holders of that zone would otherwise spend their
+/// processor time on refusing and returning tasks for which another zone has
+/// room. Tasks that find no free slot at a holder are offered to other holders
+/// by it, which knows more about them.
 class HolderChooser
 {
 public:
--- a/src/libjobs/machinelimits.cpp
+++ b/src/libjobs/machinelimits.cpp
@@ -17,8 +17,8 @@
 constexpr double processorSecondsPerTask = 0.0001;
 constexpr double bitsPerKilobyte = 8000;
 
-/// Processor time, in seconds per second, for the callers and peers of a daemon:
-/// some 20 callers' jobs a second and heartbeats of some 40 daemons.
+/// Processor time, in seconds per second, for the callers and peers of a
+/// daemon: some 20 callers' jobs a second and heartbeats of some 40 daemons.
 constexpr double coresForCallers = 0.07;
 /// Measured over whole days: the processor time that a holder spends on a task,
 /// with the task's part of the job's messages. `processorSecondsPerTask` is
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -48,10 +48,9 @@
      std::size_t taskRate,
      int slowness)
 {
-  return { isCpuStarved,
-           load(shards + 1, taskRate),
-           slowness,
-           orderHash(shard, vm) };
+  return {
+    isCpuStarved, load(shards + 1, taskRate), slowness, orderHash(shard, vm)
+  };
 }
 
 } // namespace
@@ -415,8 +414,8 @@
                             std::size_t ownShards,
                             bool isForeign) const
 {
-  const Rank own = rank(
-    shard, m_self, m_isCpuStarved, ownShards, m_taskRate, m_slowness);
+  const Rank own =
+    rank(shard, m_self, m_isCpuStarved, ownShards, m_taskRate, m_slowness);
   return std::none_of(
     m_members.all().begin(), m_members.all().end(), [&](const auto& item) {
       const MemberView& member = item.second;
@@ -455,8 +454,8 @@
 }
 
 /// Whether this daemon can take a shard from a CPU-starved one without a load
-/// far above the other's. Otherwise it would be starved next, and jobs would move
-/// with the shard from daemon to daemon.
+/// far above the other's. Otherwise it would be starved next, and jobs would
+/// move with the shard from daemon to daemon.
 bool
 ShardTable::canRelieve(const MemberView& member, std::size_t ownShards) const
 {
--- a/src/libshards/shardtable.h
+++ b/src/libshards/shardtable.h
@@ -15,11 +15,11 @@
 /// agreement.
 ///
 /// The shards of an availability zone are spread over its daemons by how many
-/// tasks a second each daemon can start and follow. If two daemons claim the same shard, the one
-/// with the lower load keeps it, and a daemon with a low load takes shards from
-/// one with a high load. After the loss of all daemons they restart at
-/// different times and each hears few of the others at first; a single daemon
-/// can't serve a whole zone.
+/// tasks a second each daemon can start and follow. If two daemons claim the
+/// same shard, the one with the lower load keeps it, and a daemon with a low
+/// load takes shards from one with a high load. After the loss of all daemons
+/// they restart at different times and each hears few of the others at first; a
+/// single daemon can't serve a whole zone.
 ///
 /// A shard is held by a daemon of its own zone as long as the zone has one.
 /// When the zone's last daemon leaves, a daemon of another zone takes over at
--- a/tests/entry/gateway_test.cpp
+++ b/tests/entry/gateway_test.cpp
@@ -45,9 +45,8 @@
       choice.shard = found == holders.end() ? homeShard : shard;
       return choice;
     };
-    hooks.bestHolder =
-      [this](const std::set<ShardId>& refusedBy,
-             std::size_t) -> std::optional<HolderChoice> {
+    hooks.bestHolder = [this](const std::set<ShardId>& refusedBy,
+                              std::size_t) -> std::optional<HolderChoice> {
       for (const auto& [shard, holder] : holders) {
         if (refusedBy.count(shard) > 0)
           continue;
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -455,8 +455,8 @@
   EXPECT_FALSE(takes(half)) << "its load would be higher";
 }
 
-/// Guards against a shard that moves, with its jobs, from a large machine that is
-/// short of processor time to a small one, which is starved at once.
+/// Guards against a shard that moves, with its jobs, from a large machine that
+/// is short of processor time to a small one, which is starved at once.
 TEST_F(ShardTableTest, ASmallMachineDoesNotRelieveALargeOne)
 {
   MemberView mate = member("mate", ownZone, { { ownShard, 7 } });
