--- a/tests/entry/overloadcontrol_test.cpp
+++ b/tests/entry/overloadcontrol_test.cpp
@@ -62,7 +62,7 @@
   }
 
   TimePoint now{ seconds(100) };
-  const OverloadControl::Settings settings;
+  const OverloadControl::Settings settings{};
   OverloadControl control{ settings };
 };
 
