--- a/tests/entry/overloadcontrol_test.cpp
+++ b/tests/entry/overloadcontrol_test.cpp
@@ -152,6 +152,7 @@
   run({ lowLoad }, milliseconds(500), seconds(6));
   const Duration expected = milliseconds(2250);
   std::vector<Duration> times;
+  times.reserve(64);
   for (int i = 0; i < 100; ++i)
     times.push_back(control.retryAfter());
   std::sort(times.begin(), times.end());
