Overload guard: a class of its own; shards return to large machines

EntryCore had grown by the overload control, which is OverloadGuard now. A holder refuses by a share of each queue, as a queue whose jobs arrive at the same place among others could be refused whole.

A small machine that had taken a shard after the loss of a large one kept it for good when that one was back, as its load of one shard counted as no more than that of the large machine with one.

Metrics of where jobs are placed.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -34,11 +34,6 @@
 constexpr Duration heldUpTime = std::chrono::milliseconds(500);
 /// How often to check whether all peers have advertised their jobs.
 constexpr Duration peerReportPollInterval = std::chrono::milliseconds(10);
-/// Reasons of refusals for lack of processor time, as metrics show them.
-constexpr const char* overloadReason = "overload";
-constexpr const char* tooLateReason = "too-late";
-constexpr const char* holderOverloadReason = "holder-overload";
-
 /// Submissions to holders and rounds of registrations are numbered. Each
 /// process of a daemon begins at a multiple of 2^20 that its process number
 /// selects, so that a peer's message about a number of an earlier process
@@ -85,6 +80,7 @@
                     m_clocks.steady(),
                     numberBeforeFirst(m_clocks.processNumber))
   , m_configuration(configurationSettings(m_settings), configurationHooks())
+  , m_overload(inProgressCheck())
   , m_peerContact(m_clocks.steady())
   , m_partitionCheck(m_links.probeMissing)
   , m_peersReportedAt(m_clocks.steady() + m_settings.peerReportWait)
@@ -129,14 +125,7 @@
 EntryCore::configurationChanged()
 {
   m_shards.setReady(m_hasWorkers);
-  const auto& routes = routing()->routes();
-  // A lower number goes first.
-  const auto leastUrgent = std::max_element(
-    routes.begin(), routes.end(), [](const Route& a, const Route& b) {
-      return a.policy.priority < b.policy.priority;
-    });
-  m_leastUrgentPriority =
-    leastUrgent == routes.end() ? 0 : leastUrgent->policy.priority;
+  m_overload.setRoutes(routing()->routes());
   if (m_hasWorkers)
     updateWorkerList(m_clocks.steady());
 }
@@ -253,55 +242,23 @@
 {
   const TimePoint now = observeTime();
   callersSeen();
-  if (m_overload.admit(policy.queue, now) || isInProgress(job, now))
-    return std::nullopt;
-  return refuse(job, policy.queue, overloadReason, now);
+  return m_overload.refuseUndecoded(job, policy, now);
 }
 
 std::optional<DoorRefusal>
 EntryCore::refuseDecoded(const JobSubmission& submission)
 {
   const TimePoint now = m_clocks.steady();
-  const QueuePolicy& policy = submission.policy;
-  const int urgency = std::max(m_leastUrgentPriority - policy.priority, 0);
-  m_overload.jobDecoded(policy.queue,
-                        static_cast<unsigned>(urgency),
-                        submission.needs,
-                        submission.taskCount);
-  const Duration readDelay = now - m_peerContact.ownCallersKnownUntil();
-  if (!m_overload.isTooLate(policy, submission.needs, readDelay) ||
-      isInProgress(submission.job, now))
-    return std::nullopt;
-  return refuse(submission.job, policy.queue, tooLateReason, now);
-}
-
-/// Whether a job is in progress here or, as far as is known, elsewhere. It
-/// would be false to say that it hasn't run.
-bool
-EntryCore::isInProgress(const JobId& job, TimePoint now) const
-{
-  return m_gateway.isInProgress(job, now) || m_knownJobs.find(job, now);
+  return m_overload.refuseDecoded(
+    submission, now - m_peerContact.ownCallersKnownUntil(), now);
 }
 
-DoorRefusal
-EntryCore::refuse(const JobId& job,
-                  const std::string& queue,
-                  const char* reason,
-                  TimePoint now)
+OverloadGuard::IsInProgress
+EntryCore::inProgressCheck()
 {
-  ++m_refusals[{ queue, reason }];
-  const DoorRefusal refusal{
-    m_overload.retryAfter(),
-    "the daemon is overloaded; nothing of this submission has run",
-    m_overload.closesConnections(now)
+  return [this](const JobId& job, TimePoint now) {
+    return m_gateway.isInProgress(job, now) || m_knownJobs.find(job, now);
   };
-  logEvent(LogLevel::Info,
-           "job-refused-at-door",
-           { { "job", job },
-             { "queue", queue },
-             { "reason", reason },
-             { "retryAfterMs", toMilliseconds(refusal.retryAfter) } });
-  return refusal;
 }
 
 Gateway::CallerId
@@ -373,10 +330,12 @@
   figures.evacuatedZones = m_evacuations.zones.size();
   figures.isReady = isReady();
   figures.restarts = m_scheduler.restartCounts();
-  figures.loopLag = m_loopLag.mean();
-  figures.admittedShare = m_overload.share();
-  figures.holderShare = m_holderRelief.share();
-  figures.refusals = m_refusals;
+  figures.loopLag = m_overload.meanLag();
+  figures.admittedShare = m_overload.admittedShare();
+  figures.holderShare = m_overload.holderShare();
+  figures.refusals = m_overload.refusals();
+  figures.taskRate = taskRateFor(m_settings.limits);
+  figures.placements = m_holderLookup.placements();
   for (const auto& worker : m_scheduler.pool().snapshot())
     figures.leases.push_back(worker.state);
   return figures;
@@ -436,7 +395,7 @@
   hooks.orders.start = [this](const WorkerRecord& worker,
                               const StartOrder& order,
                               Duration timeout) {
-    m_startWait.taskStarted(m_clocks.steady());
+    m_overload.taskStarted(m_clocks.steady());
     m_ports.start(
       worker,
       order,
@@ -597,9 +556,7 @@
   // Runs of a daemon that was lost unnoticed during the pause have ended by
   // then.
   m_peersReportedAt = now + maxOrphanedRun;
-  m_loopLag.reset();
   m_overload.reset();
-  m_holderRelief.reset();
   m_registrations.paused(now);
   m_scheduler.suspend(now);
   m_gateway.advertiseAgain(now - gap + maxRunAfterContact);
@@ -615,7 +572,6 @@
     m_scheduler.resume(now);
   }
   updateCpuStarvation(now);
-  updateLoopLag(now);
   updateOverload(now);
   m_shards.setKnownMemberCount(m_links.knownPeerCount());
   probeOrphans(now);
@@ -755,72 +711,15 @@
 }
 
 /// Passes the lag of the event loop on to all that wait for messages.
-void
-EntryCore::updateLoopLag(TimePoint now)
-{
-  m_loopLag.tick(now);
-  m_scheduler.setLoopLag(m_loopLag.recentPeak());
-  m_gateway.setLoopLag(m_loopLag.recentPeak());
-}
-
-/// How long a job waits here for the processor: until it is read, and, if the
-/// event loop is late, until its tasks are started. Otherwise tasks wait for
-/// workers, which isn't an overload of this daemon.
-Duration
-EntryCore::processorWait(TimePoint now) const
-{
-  const Duration lag = m_loopLag.mean();
-  if (lag < AdmittedShare::Settings().targetLag)
-    return lag;
-  return lag + m_startWait.expected(m_scheduler.waitingTasks(), now);
-}
-
 void
 EntryCore::updateOverload(TimePoint now)
 {
-  const Duration wait = processorWait(now);
-  m_holderRelief.tick(wait, now);
-  switch (m_overload.tick(wait, now)) {
-    case OverloadControl::Change::None:
-      return;
-    case OverloadControl::Change::Began:
-      m_overloadBeganAt = now;
-      logDecision(LogLevel::Warning,
-                  "overload-began",
-                  { { "lagMs", toMilliseconds(m_loopLag.mean()) },
-                    { "admittedPercent", int(m_overload.share() * 100) },
-                    { "callersWaiting", m_gateway.jobCount() },
-                    { "jobsScheduled", m_scheduler.jobCount() } });
-      return;
-    case OverloadControl::Change::Ended:
-      std::uint64_t refused = 0;
-      for (const auto& [queueAndReason, count] : m_refusals)
-        refused += count;
-      logDecision(LogLevel::Info,
-                  "overload-ended",
-                  { { "lastedMs", toMilliseconds(now - m_overloadBeganAt) },
-                    { "lagMs", toMilliseconds(m_loopLag.mean()) },
-                    { "refusedSinceStart", refused } });
-      return;
-  }
-}
-
-/// Whether a job of another daemon is refused, so that its submitter asks
-/// another holder.
-bool
-EntryCore::refuseSubmitted(const JobRequest& request)
-{
-  if (!m_holderRelief.refuses(request))
-    return false;
-  ++m_refusals[{ request.policy.queue, holderOverloadReason }];
-  logEvent(LogLevel::Info,
-           "submission-refused",
-           { { "job", request.key.job() },
-             { "submitter", request.key.submitter() },
-             { "reason", holderOverloadReason } });
-  jobEnded(request.key,
-           { JobOutcome::Refused, m_holderRelief.retryAfter(), {}, 1 });
-  return true;
+  m_overload.tick({ m_scheduler.waitingTasks(),
+                    m_gateway.jobCount(),
+                    m_scheduler.jobCount() },
+                  now);
+  m_scheduler.setLoopLag(m_overload.recentLag());
+  m_gateway.setLoopLag(m_overload.recentLag());
 }
 
 /// Asks the workers of zones without a reachable daemon whether any daemon
@@ -1017,8 +916,10 @@
   m_peerContact.acknowledged(vm, submit.ack, now);
   if (m_peerContact.takeOutOfTurnRequest(vm, now))
     sendHeartbeats({ vm }, now);
-  if (refuseSubmitted(submit.request))
+  if (const auto refusal = m_overload.refuseSubmitted(submit.request)) {
+    jobEnded(submit.request.key, *refusal);
     return;
+  }
   JobRequest request = submit.request;
   if (request.exclusiveFor != Duration::max()) {
     const auto sentAfter =
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -6,16 +6,13 @@
 #include "gateway.h"
 #include "heartbeatschedule.h"
 #include "holderlookup.h"
-#include "holderrelief.h"
 #include "jobregistrations.h"
-#include "looplag.h"
-#include "overloadcontrol.h"
+#include "overloadguard.h"
 #include "partitioncheck.h"
 #include "peerjobs.h"
 #include "peerliveness.h"
 #include "peerlosses.h"
 #include "peerreports.h"
-#include "startwait.h"
 #include "vacancyprobe.h"
 #include "workerlistreaders.h"
 
@@ -33,17 +30,6 @@
 
 namespace cowslippin {
 
-/// The refusal of a caller's job on arrival, because this daemon is short of
-/// processor time. Nothing of the submission has run or will run.
-struct DoorRefusal
-{
-  Duration retryAfter = Duration::zero();
-  std::string reason;
-  /// Whether the caller's connection should be closed, so that the platform's
-  /// balancer assigns the caller to another daemon.
-  bool closesConnection = false;
-};
-
 /// The logic of a daemon that runs callers' jobs on leased workers: the
 /// callers' jobs, the shards of workers that it holds, and its membership in
 /// the group of daemons. It does no I/O and reads no clock of its own, so that
@@ -224,10 +210,6 @@
 
   std::set<ShardId> heldShards() const;
 
-  /// Numbers of refused jobs by queue and reason.
-  using RefusalCounts =
-    std::map<std::pair<std::string, std::string>, std::uint64_t>;
-
   /// The values that are exported as metrics.
   struct Stats
   {
@@ -251,7 +233,10 @@
     double admittedShare = 1;
     /// Share of other daemons' jobs that is taken as a holder.
     double holderShare = 1;
-    RefusalCounts refusals;
+    OverloadGuard::RefusalCounts refusals;
+    /// How many tasks a second this daemon can start and follow.
+    std::size_t taskRate = 0;
+    HolderLookup::Placements placements;
   };
   Stats stats() const;
 
@@ -314,15 +299,8 @@
   void tasksReturned(const JobKey& key, const TasksReturned& returned);
   unsigned spareSlots(TimePoint now) const;
   void updateCpuStarvation(TimePoint now);
-  void updateLoopLag(TimePoint now);
   void updateOverload(TimePoint now);
-  Duration processorWait(TimePoint now) const;
-  bool isInProgress(const JobId& job, TimePoint now) const;
-  DoorRefusal refuse(const JobId& job,
-                     const std::string& queue,
-                     const char* reason,
-                     TimePoint now);
-  bool refuseSubmitted(const JobRequest& request);
+  OverloadGuard::IsInProgress inProgressCheck();
   void probeOrphans(TimePoint now);
   void updateWorkerList(TimePoint now);
   void applyShardDivision(TimePoint now);
@@ -342,6 +320,7 @@
   Gateway m_gateway;
   JobRegistrations m_registrations;
   ConfigurationSync m_configuration;
+  OverloadGuard m_overload;
   bool m_hasWorkers = false;
   WorkerList m_workers;
   EvacuatedZones m_evacuations;
@@ -366,13 +345,6 @@
   WorkerListReaders m_directoryReaders;
   bool m_isDirectoryReader = true;
   CpuStarvationDetector m_cpuStarvation;
-  LoopLag m_loopLag{ LoopLag::Settings() };
-  OverloadControl m_overload{ OverloadControl::Settings() };
-  TimePoint m_overloadBeganAt{};
-  StartWait m_startWait;
-  HolderRelief m_holderRelief{ HolderRelief::Settings() };
-  RefusalCounts m_refusals;
-  int m_leastUrgentPriority = 0;
   HeartbeatSchedule m_heartbeats;
   /// Peers that have jobs of this daemon, or whose jobs this daemon has.
   std::set<VmId> m_closePeers;
--- a/src/libentry/entrymetrics.cpp
+++ b/src/libentry/entrymetrics.cpp
@@ -64,6 +64,10 @@
                  .Name("cowslippin_overload_refusals_total")
                  .Help("Jobs refused for lack of processor time")
                  .Register(registry))
+    , placements(prometheus::BuildCounter()
+                   .Name("cowslippin_holder_choices_total")
+                   .Help("Choices of a holder for a job, by its zone")
+                   .Register(registry))
   {
   }
 
@@ -73,6 +77,7 @@
   prometheus::Family<prometheus::Gauge>& workers;
   prometheus::Family<prometheus::Counter>& restarts;
   prometheus::Family<prometheus::Counter>& refusals;
+  prometheus::Family<prometheus::Counter>& placements;
 };
 
 EntryMetrics::EntryMetrics()
@@ -120,6 +125,7 @@
   set("loop_lag_ms", double(toMilliseconds(figures.loopLag)));
   set("admitted_share", figures.admittedShare);
   set("holder_share", figures.holderShare);
+  set("task_rate", double(figures.taskRate));
   std::map<std::string, double> byState;
   for (const LeaseState state : { LeaseState::Claiming,
                                   LeaseState::Held,
@@ -136,6 +142,12 @@
     auto& counter = m_families->restarts.Add({ { "cause", toString(cause) } });
     counter.Increment(double(count) - counter.Value());
   }
+  const auto setPlacements = [this](const char* zone, std::uint64_t count) {
+    auto& counter = m_families->placements.Add({ { "zone", zone } });
+    counter.Increment(double(count) - counter.Value());
+  };
+  setPlacements("own", figures.placements.inOwnZone);
+  setPlacements("other", figures.placements.inOtherZones);
   for (const auto& [queueAndReason, count] : figures.refusals) {
     auto& counter =
       m_families->refusals.Add({ { "queue", queueAndReason.first },
--- a/src/libentry/holderlookup.cpp
+++ b/src/libentry/holderlookup.cpp
@@ -71,9 +71,13 @@
     auto& choices = shard.zone() == m_zone ? localZone : otherZones;
     choices.push_back(makeChoice(*holder, shard, now));
   }
-  return refusedBy.empty()
-           ? m_chooser.choose(localZone, otherZones, tasks)
-           : HolderChooser::mostFreeSlots(localZone, otherZones);
+  const auto choice = refusedBy.empty()
+                        ? m_chooser.choose(localZone, otherZones, tasks)
+                        : HolderChooser::mostFreeSlots(localZone, otherZones);
+  if (choice)
+    ++(choice->shard.zone() == m_zone ? m_placements.inOwnZone
+                                      : m_placements.inOtherZones);
+  return choice;
 }
 
 HolderChoice
--- a/src/libentry/holderlookup.h
+++ b/src/libentry/holderlookup.h
@@ -6,6 +6,7 @@
 #include "libjobs/jobs.h"
 #include "libshards/shards.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <set>
@@ -25,6 +26,13 @@
     const PeerReports& reports;
   };
 
+  /// Numbers of chosen holders for new jobs, by their zone.
+  struct Placements
+  {
+    std::uint64_t inOwnZone = 0;
+    std::uint64_t inOtherZones = 0;
+  };
+
   /// `isConnected` tells whether a daemon can be reached; it must not be empty.
   HolderLookup(VmId self,
                ZoneName zone,
@@ -50,6 +58,7 @@
   std::optional<HolderChoice> bestHolder(const std::set<ShardId>& refusedBy,
                                          std::size_t tasks,
                                          TimePoint now);
+  const Placements& placements() const { return m_placements; }
 
 private:
   HolderChoice makeChoice(const VmId& holder,
@@ -61,6 +70,7 @@
   const Sources m_sources;
   const std::function<bool(const VmId&)> m_isConnected;
   HolderChooser m_chooser;
+  Placements m_placements;
 };
 
 } // namespace cowslippin
--- a/src/libentry/holderrelief.cpp
+++ b/src/libentry/holderrelief.cpp
@@ -30,10 +30,11 @@
 {
   if (!m_share.isLimiting() || !mayBeRefused(request))
     return false;
-  m_remainder += m_share.value();
-  if (m_remainder < 1)
+  double& remainder = m_remainders[request.policy.queue];
+  remainder += m_share.value();
+  if (remainder < 1)
     return true;
-  m_remainder -= 1;
+  remainder -= 1;
   return false;
 }
 
--- a/src/libentry/holderrelief.h
+++ b/src/libentry/holderrelief.h
@@ -4,14 +4,19 @@
 
 #include "libjobs/jobrequest.h"
 
+#include <map>
+#include <string>
+
 namespace cowslippin {
 
 /// Decides which jobs that other daemons submit are refused by a holder that is
-/// short of processor time, so that their submitters ask another
-/// holder. Does no I/O and reads no clock.
+/// short of processor time, so that their submitters ask another holder. Does
+/// no I/O and reads no clock.
 ///
-/// A quarter of the jobs that may be refused is always taken, so that a job
-/// finds a holder even if all are overloaded: a submitter asks up to four.
+/// A quarter of the jobs of each queue that may be refused is always taken, so
+/// that a job finds a holder even if all are overloaded, as a submitter asks up
+/// to four, and so that no queue is refused by the order in which its jobs
+/// arrive among others.
 class HolderRelief
 {
 public:
@@ -19,8 +24,8 @@
   {
     /// Jobs are refused from the same waiting time on as callers' jobs. A
     /// holder gets most of its jobs from daemons that aren't overloaded
-    /// themselves and refuse none. With limits twice as high, goodput under
-    /// three times the load was 0.42 of its peak instead of 0.82.
+    /// themselves and refuse none, so that a higher limit lets a backlog grow
+    /// whose jobs end too late.
     AdmittedShare::Settings share = shareOfHolder();
     /// Retry time for a caller whose job no other holder takes.
     Duration retryAfter = std::chrono::milliseconds(500);
@@ -47,9 +52,9 @@
 private:
   const Settings m_settings;
   AdmittedShare m_share;
-  /// The part of a job that the next one adds to, so that exactly the share is
-  /// taken.
-  double m_remainder = 0;
+  /// For each queue, the part of a job that the next one adds to, so that
+  /// exactly the share is taken.
+  std::map<std::string, double> m_remainders;
 };
 
 } // namespace cowslippin
--- a/src/libentry/overloadcontrol.h
+++ b/src/libentry/overloadcontrol.h
@@ -36,7 +36,7 @@
     /// Queues whose value per processor time differs by less than this factor
     /// share equally.
     double equalValueFactor = 2;
-    /// Time constant of the measured arrivals of each queue.
+    /// Time constant of the arrival rate of each queue.
     Duration arrivalTime = std::chrono::seconds(1);
     /// Weight of the newest job in the mean value and cost of its queue.
     double newestJobWeight = 0.05;
--- a/src/libentry/startwait.h
+++ b/src/libentry/startwait.h
@@ -16,7 +16,7 @@
 class StartWait
 {
 public:
-  /// Time constant of the measured rate.
+  /// Time constant of the rate of starts.
   static constexpr Duration rateTime = std::chrono::milliseconds(500);
   /// Upper bound of the estimate, which is also used while nothing is started.
   static constexpr Duration maxWait = std::chrono::seconds(1);
--- a/src/libjobs/machinelimits.cpp
+++ b/src/libjobs/machinelimits.cpp
@@ -20,9 +20,10 @@
 /// Processor time, in seconds per second, for the callers and peers of a
 /// daemon: some 20 callers' jobs a second and heartbeats of some 40 daemons.
 constexpr double coresForCallers = 0.07;
-/// Measured over whole days: the processor time that a holder spends on a task,
-/// with the task's part of the job's messages. `processorSecondsPerTask` is
-/// what limits the size of a shard; it counts the orders to its workers alone.
+/// Processor time that a holder spends on a task, with the task's part of the
+/// job's messages. `processorSecondsPerTask`, which limits the size of a shard,
+/// counts the orders to its workers alone. Rates are compared with each other,
+/// so that this matters only against the limit of the link.
 constexpr double holderSecondsPerTask = 0.0005;
 /// Stands for a limit that isn't configured.
 constexpr double unlimitedTaskRate = 10'000;
--- a/src/libjson/jsonscanner.cpp
+++ b/src/libjson/jsonscanner.cpp
@@ -33,7 +33,7 @@
          character == '.' || character == 'e' || character == 'E';
 }
 
-/// Whether a number is written as a whole number that is surely small enough.
+/// Whether a token is a whole number of at most `maxSimpleDigits` digits.
 bool
 isSimpleNumber(std::string_view token)
 {
--- a/src/libobserve/eventratelimiter.h
+++ b/src/libobserve/eventratelimiter.h
@@ -84,8 +84,8 @@
   const unsigned m_decisionsPerSecond;
   mutable std::mutex m_mutex;
   std::map<std::string, Window, std::less<>> m_windows;
-  /// How many windows have suppressed records that weren't told yet. Usually
-  /// none has, and then the windows need not be searched.
+  /// Number of windows with suppressed records that have not been reported. If
+  /// it is zero, the windows need not be searched.
   std::size_t m_suppressingWindows = 0;
   std::vector<SuppressedEvents> m_ended;
 };
--- a/src/libshards/shardtable.cpp
+++ b/src/libshards/shardtable.cpp
@@ -25,6 +25,11 @@
 /// same size that hold one shard each may take one another's.
 constexpr double maxReliefFactor = 2;
 
+/// How many times lower the load of a daemon on a larger machine must be, after
+/// it has taken a shard, than that of the daemon that gives it: a shard that
+/// moves ends runs, so that a small gain isn't worth it.
+constexpr double minRebalanceGain = 2;
+
 /// A hash that gives each daemon a different order of the shards.
 std::size_t
 orderHash(const ShardId& shard, const VmId& vm)
@@ -464,12 +469,18 @@
 }
 
 /// Whether the other daemon's load is at least that of this one even after this
-/// one has taken a shard from it.
+/// one has taken a shard from it, or whether this one is on a larger machine
+/// that carries the shard far more easily. Without the latter, small machines
+/// that have taken a shard each after the loss of a large one would keep them
+/// when it is back.
 bool
 ShardTable::hasHigherLoad(const MemberView& member, std::size_t ownShards) const
 {
-  return load(member.shards.size() - 1, member.taskRate) >=
-         load(ownShards + 1, m_taskRate);
+  const double ownAfter = load(ownShards + 1, m_taskRate);
+  const bool isOnLargerMachine = m_taskRate > member.taskRate;
+  return load(member.shards.size() - 1, member.taskRate) >= ownAfter ||
+         (isOnLargerMachine && load(member.shards.size(), member.taskRate) >=
+                                 minRebalanceGain * ownAfter);
 }
 
 /// Whether all remaining daemons of the shard's zone are leaving and no daemon
--- a/tests/entry/holderrelief_test.cpp
+++ b/tests/entry/holderrelief_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+
 namespace cowslippin::testing {
 namespace {
 
@@ -45,6 +48,21 @@
   EXPECT_EQ(refusedOf(100, JobRequest()), 75);
 }
 
+/// Guards against a queue all of whose jobs are refused because they arrive at
+/// the same place in a sequence of four.
+TEST_F(HolderReliefTest, AQuarterOfTheJobsOfEachQueueIsTaken)
+{
+  tickFor(seconds(10), milliseconds(500));
+  std::map<std::string, int> taken;
+  for (int job = 0; job < 100; ++job) {
+    JobRequest request;
+    request.policy.queue = job % 4 == 0 ? "rare" : "frequent";
+    taken[request.policy.queue] += relief.refuses(request) ? 0 : 1;
+  }
+  EXPECT_EQ(taken["rare"], 6);
+  EXPECT_EQ(taken["frequent"], 18);
+}
+
 /// Guards against a refusal of a job of which something may have run, and of a
 /// part whose job could then neither be refused nor be done.
 TEST_F(HolderReliefTest, NeverRefusesAJobThatMayHaveRunOrAPart)
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -59,6 +59,10 @@
     /// Number of daemons that never read from the platform which zones are
     /// evacuated.
     unsigned daemonsWithoutEvacuationReads = 0;
+    /// Cores with which the first daemon of each zone, and the others, are
+    /// configured; 0 for no limit. They don't slow anything down.
+    double firstDaemonCores = 0;
+    double otherDaemonsCores = 0;
     /// Cores of each daemon's processor, which serves ticks, messages, answers
     /// of workers and callers' requests one after the other; 0 for one that
     /// takes no time.
--- a/tests/entry/simulationdaemons.cpp
+++ b/tests/entry/simulationdaemons.cpp
@@ -154,6 +154,9 @@
   settings.zone = ZoneName("z" + std::to_string(node.zone));
   if (m_settings.isLinkRateKnown)
     settings.limits.megabitsPerSecond = m_settings.linkMegabitsPerSecond;
+  const bool isFirstOfZone = index % m_settings.daemonsPerZone == 0;
+  settings.limits.cores =
+    isFirstOfZone ? m_settings.firstDaemonCores : m_settings.otherDaemonsCores;
   node.core = std::make_unique<EntryCore>(
     settings, ports(index), links(index), clocks(index));
   readEvacuations(index);
--- a/tests/entry/simulationtimes.h
+++ b/tests/entry/simulationtimes.h
@@ -14,7 +14,7 @@
 inline constexpr Duration reconnectInterval = std::chrono::milliseconds(120);
 /// Processor time that a daemon spends, for daemons with a modelled processor.
 /// A usual job with 3.6 starts and 8 report requests takes about 2.6 ms in
-/// total, as measured on the users' bench (docs/design/hard-load.md).
+/// total, see docs/design/hard-load.md.
 namespace processortime {
 inline constexpr Duration tick = std::chrono::microseconds(100);
 /// A message of another daemon, or an answer of a worker.
--- a/tests/shards/shardtable_test.cpp
+++ b/tests/shards/shardtable_test.cpp
@@ -455,6 +455,23 @@
   EXPECT_FALSE(takes(half)) << "its load would be higher";
 }
 
+/// Guards against shards that stay with small machines, which took them after
+/// the loss of a large one, when that one is back.
+TEST_F(ShardTableTest, ALargeMachineTakesTheOnlyShardOfASmallOne)
+{
+  MemberView mate = member("mate", ownZone, { { ownShard, 7 } });
+  mate.taskRate = 100;
+  table.setKnownMemberCount(1);
+  table.setTaskRate(100);
+  table.updateMember(mate, now);
+  advance(seconds(2));
+  EXPECT_FALSE(takes(ownShard)) << "the machines are alike";
+  table.setTaskRate(150);
+  EXPECT_FALSE(takes(ownShard)) << "the gain is too small";
+  table.setTaskRate(860);
+  EXPECT_TRUE(takes(ownShard));
+}
+
 /// Guards against a shard that moves, with its jobs, from a large machine that
 /// is short of processor time to a small one, which is starved at once.
 TEST_F(ShardTableTest, ASmallMachineDoesNotRelieveALargeOne)
