Configuration check: findings of a routing table

Operators saw an error in a configuration only after they had sent it: a route that never matches, or a version that daemons ignore, is not reported by any daemon.

ConfigurationCheck computes errors, warnings and, compared with the configuration in force, the differences by host and path prefix. It does no I/O. The comment at Route::timeout is corrected.

--- a/src/libentry/entry.h
+++ b/src/libentry/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configurationcheck.h"
 #include "entrycore.h"
 #include "entrydaemon.h"
 #include "entrymetrics.h"
--- a/src/libentry/routingtable.h
+++ b/src/libentry/routingtable.h
@@ -17,7 +17,7 @@
   std::string host;
   std::string pathPrefix;
   QueuePolicy policy;
-  /// Requests that take longer are cancelled.
+  /// As configured. It ends no job: the caller's own deadline counts.
   Duration timeout = std::chrono::seconds(30);
   /// Why jobs of this queue can't be served yet; empty if they can.
   std::string unsupported;
