Shards: the last holder tells which starts may be carried out late

Cause: for 12 s after a daemon has taken a shard, each start needs a report right before it, as a start of an earlier holder may reach a restarted worker late. A daemon short of processor time reads the reports too late and starts few tasks. Each planned restart moves shards.

A holder that releases a shard now tells until when starts of its own or of earlier holders may be carried out late, by worker. The new holder needs reports only there.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -168,6 +168,7 @@
     logDecision(
       LogLevel::Info, "shard-dissolved", { { "shard", shard.toString() } });
     m_shards.shardRemoved(shard);
+    m_handover.shardReleased(shard);
     m_scheduler.releaseShard(shard, now);
   }
 }
@@ -779,8 +780,12 @@
                 "shard-released",
                 { { "shard", shard.toString() },
                   { "isIsolated", m_shards.isIsolated() } });
+    const PeerShardReleased release = shardRelease(shard, now);
     m_shards.shardReleased(shard, now);
+    m_handover.shardReleased(shard);
     m_scheduler.releaseShard(shard, now);
+    const std::set<VmId> up = m_links.connectedPeers();
+    m_links.sendToEach({ up.begin(), up.end() }, release);
   }
   for (const ShardId& shard : decisions.take) {
     const FencingToken token = m_tokens.next();
@@ -791,6 +796,7 @@
                   { "peers", m_links.connectedPeers().size() } });
     m_shards.shardTaken(shard, token, now);
     m_scheduler.takeShard(shard, token, now);
+    useStatement(m_handover.shardTaken(shard, token, now), now);
     m_ports.publishHolder(shard, token);
   }
   if (!decisions.release.empty() || !decisions.take.empty())
@@ -834,6 +840,8 @@
     m_gateway.tasksReturned(vm, back->key, back->returned, now);
   else if (const auto* starts = std::get_if<PeerUnresolvedStarts>(&message))
     unresolvedReceived(*starts, now);
+  else if (const auto* release = std::get_if<PeerShardReleased>(&message))
+    useStatement(m_handover.released(*release, now), now);
   else if (const auto* keep = std::get_if<PeerJobAdvertised>(&message))
     m_scheduler.liftExclusivity(keep->key, now);
   else if (const auto* recall = std::get_if<PeerRecall>(&message))
@@ -870,6 +878,10 @@
   if (m_shards.updateMember(member, now))
     updateShardSizes(now);
   adoptShardDivisions(beat, now);
+  for (const auto& [shard, held] : beat.shards) {
+    if (m_handover.holderReported(shard, held.token))
+      m_scheduler.expectEarlierHoldersStarts(shard, now);
+  }
   if (areShardsChanged || beat.isLeaving)
     m_scheduler.forgetPeer(vm);
   if (!beat.isLeaving) {
@@ -910,6 +922,33 @@
       { start.key, start.worker, now + start.remaining });
 }
 
+/// What the next holder has to know of the starts that were sent.
+PeerShardReleased
+EntryCore::shardRelease(const ShardId& shard, TimePoint now) const
+{
+  PeerShardReleased release;
+  release.shard = shard;
+  release.token = m_shards.heldShards().at(shard);
+  for (const auto& [worker, until] : m_scheduler.lateStartsUntil(shard))
+    release.lateStarts[worker] = std::max(until - now, Duration::zero());
+  return release;
+}
+
+void
+EntryCore::useStatement(const std::optional<ShardStatement>& statement,
+                        TimePoint now)
+{
+  if (!statement)
+    return;
+  logDecision(LogLevel::Info,
+              "shard-handed-over",
+              { { "shard", statement->shard.toString() },
+                { "token", statement->takenWith },
+                { "workers", statement->lateStartsUntil.size() } });
+  m_scheduler.limitEarlierHoldersStarts(
+    statement->shard, statement->takenWith, statement->lateStartsUntil, now);
+}
+
 void
 EntryCore::submitted(const VmId& vm, const PeerSubmit& submit, TimePoint now)
 {
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -13,6 +13,7 @@
 #include "peerliveness.h"
 #include "peerlosses.h"
 #include "peerreports.h"
+#include "shardhandover.h"
 #include "vacancyprobe.h"
 #include "workerlistreaders.h"
 
@@ -288,6 +289,9 @@
                       TimePoint now);
   void sendNewUnresolved(TimePoint now);
   void unresolvedReceived(const PeerUnresolvedStarts& message, TimePoint now);
+  PeerShardReleased shardRelease(const ShardId& shard, TimePoint now) const;
+  void useStatement(const std::optional<ShardStatement>& statement,
+                    TimePoint now);
   bool havePeersReported(TimePoint now) const;
   bool mayBePartitioned(TimePoint now) const;
   bool mayBePartitioned(std::size_t reachable, TimePoint now) const;
@@ -327,6 +331,7 @@
   PeerReports m_peerReports;
   PeerLiveness m_peerContact;
   PeerJobs m_knownJobs;
+  ShardHandover m_handover;
   PeerLosses m_losses;
   PartitionCheck m_partitionCheck;
   /// After the start or a pause, the time by which all peers have advertised
--- a/src/libentry/holderlookup.cpp
+++ b/src/libentry/holderlookup.cpp
@@ -71,7 +71,7 @@
     auto& choices = shard.zone() == m_zone ? localZone : otherZones;
     choices.push_back(makeChoice(*holder, shard, now));
   }
-  const auto choice = refusedBy.empty()
+  auto choice = refusedBy.empty()
                         ? m_chooser.choose(localZone, otherZones, tasks)
                         : HolderChooser::mostFreeSlots(localZone, otherZones);
   if (choice)
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -334,6 +334,18 @@
   m_pool.takeShard(shard, token, now);
 }
 
+void
+Scheduler::limitEarlierHoldersStarts(
+  const ShardId& shard,
+  FencingToken claimedWith,
+  const std::map<WorkerId, TimePoint>& lateStartsUntil,
+  TimePoint now)
+{
+  m_now = now;
+  m_pool.limitEarlierHoldersStarts(shard, claimedWith, lateStartsUntil);
+  dispatch(now);
+}
+
 void
 Scheduler::releaseShard(const ShardId& shard, TimePoint now)
 {
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -166,6 +166,23 @@
   {
     return m_pool.workersOf(shard);
   }
+  /// See `WorkerPool::lateStartsUntil`.
+  std::map<WorkerId, TimePoint> lateStartsUntil(const ShardId& shard) const
+  {
+    return m_pool.lateStartsUntil(shard);
+  }
+  /// See `WorkerLease::limitEarlierHoldersStarts`. Starts what no longer has to
+  /// wait for a report.
+  void limitEarlierHoldersStarts(
+    const ShardId& shard,
+    FencingToken claimedWith,
+    const std::map<WorkerId, TimePoint>& lateStartsUntil,
+    TimePoint now);
+  /// See `WorkerLease::expectEarlierHoldersStarts`.
+  void expectEarlierHoldersStarts(const ShardId& shard, TimePoint now)
+  {
+    m_pool.expectEarlierHoldersStarts(shard, now);
+  }
   /// Releases a shard. Its jobs end as `JobOutcome::Moved` and continue under
   /// the next holder.
   void releaseShard(const ShardId& shard, TimePoint now);
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -104,6 +104,40 @@
   return workers;
 }
 
+std::map<WorkerId, TimePoint>
+WorkerPool::lateStartsUntil(const ShardId& shard) const
+{
+  std::map<WorkerId, TimePoint> untils;
+  for (const auto& [id, entry] : m_entries) {
+    const auto until = entry.lease->lateStartsUntil();
+    if (entry.shard == shard && until)
+      untils[id] = *until;
+  }
+  return untils;
+}
+
+void
+WorkerPool::limitEarlierHoldersStarts(
+  const ShardId& shard,
+  FencingToken claimedWith,
+  const std::map<WorkerId, TimePoint>& lateStartsUntil)
+{
+  for (const auto& [worker, until] : lateStartsUntil) {
+    Entry* entry = find(worker);
+    if (entry != nullptr && entry->shard == shard)
+      entry->lease->limitEarlierHoldersStarts(claimedWith, until);
+  }
+}
+
+void
+WorkerPool::expectEarlierHoldersStarts(const ShardId& shard, TimePoint now)
+{
+  for (auto& [id, entry] : m_entries) {
+    if (entry.shard == shard)
+      entry.lease->expectEarlierHoldersStarts(now);
+  }
+}
+
 void
 WorkerPool::releaseShard(const ShardId& shard)
 {
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -133,6 +133,17 @@
   ShardDigest workersDigest(const ShardId& shard) const;
   /// Returns the listed workers of a shard, whether or not it is held here.
   std::vector<WorkerRecord> workersOf(const ShardId& shard) const;
+  /// Returns for each worker of a held shard whose lease is held until when
+  /// late starts may be carried out, see `WorkerLease::lateStartsUntil`.
+  std::map<WorkerId, TimePoint> lateStartsUntil(const ShardId& shard) const;
+  /// See `WorkerLease::limitEarlierHoldersStarts`. Workers of other shards are
+  /// ignored.
+  void limitEarlierHoldersStarts(
+    const ShardId& shard,
+    FencingToken claimedWith,
+    const std::map<WorkerId, TimePoint>& lateStartsUntil);
+  /// See `WorkerLease::expectEarlierHoldersStarts`.
+  void expectEarlierHoldersStarts(const ShardId& shard, TimePoint now);
   /// Removes the shard and its workers. Their runs go on under the next holder.
   void releaseShard(const ShardId& shard);
   bool holds(const ShardId& shard) const { return m_shards.count(shard) > 0; }
--- a/src/libpeers/peerdecoder.cpp
+++ b/src/libpeers/peerdecoder.cpp
@@ -395,6 +395,19 @@
   return message;
 }
 
+PeerShardReleased
+readShardReleased(CborReader& reader)
+{
+  PeerShardReleased message;
+  message.shard = readShard(reader);
+  message.token = count(reader);
+  readRows(reader, maxRows, [&] {
+    WorkerId worker(text(reader));
+    message.lateStarts[std::move(worker)] = duration(reader);
+  });
+  return message;
+}
+
 std::vector<VmId>
 readVms(CborReader& reader)
 {
@@ -455,6 +468,8 @@
         VmId(text(reader)),  duration(reader),
         reader.flag(),       readVms(reader)
       };
+    case 18:
+      return readShardReleased(reader);
     default:
       throw InvalidJsonValue("an unknown kind of message");
   }
--- a/src/libpeers/peerencoder.cpp
+++ b/src/libpeers/peerencoder.cpp
@@ -370,6 +370,19 @@
   });
 }
 
+void
+write(CborWriter& writer, const PeerShardReleased& message)
+{
+  writer.list(3);
+  write(writer, message.shard);
+  writer.integer(message.token);
+  writeEach(writer, message.lateStarts, [&](const auto& worker) {
+    writer.list(2);
+    writer.text(worker.first.value());
+    write(writer, worker.second);
+  });
+}
+
 } // namespace
 
 std::vector<std::uint8_t>
--- a/src/libpeers/peermessage.h
+++ b/src/libpeers/peermessage.h
@@ -289,6 +289,29 @@
   std::vector<VmId> alsoAsk = {};
 };
 
+/// Tells the next holder of a shard which starts may still be carried out late.
+/// Sent when a shard is released, after the last start.
+struct PeerShardReleased
+{
+  ShardId shard;
+  /// The fencing token with which the sender held the shard.
+  std::uint64_t token = 0;
+  /// How much longer a start of the sender, or of a holder before it, may still
+  /// be carried out by a later incarnation of the worker; zero if there is no
+  /// such start. Lists only workers that the sender held to the end.
+  std::map<WorkerId, Duration> lateStarts;
+
+  friend bool operator==(const PeerShardReleased& a, const PeerShardReleased& b)
+  {
+    return a.shard == b.shard && a.token == b.token &&
+           a.lateStarts == b.lateStarts;
+  }
+  friend bool operator!=(const PeerShardReleased& a, const PeerShardReleased& b)
+  {
+    return !(a == b);
+  }
+};
+
 using PeerMessage = std::variant<PeerHello,
                                  PeerHeartbeat,
                                  PeerSubmit,
@@ -306,6 +329,7 @@
                                  PeerRecall,
                                  PeerRecallAck,
                                  PeerJobRegistration,
-                                 PeerJobRegistrationAck>;
+                                 PeerJobRegistrationAck,
+                                 PeerShardReleased>;
 
 } // namespace cowslippin
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -68,7 +68,7 @@
 {
   // A worker that has only restarted has had no other holder since.
   if (m_state != LeaseState::Restarted)
-    m_earlierHoldersStartsUntil = now + m_settings.maxOrderDelay;
+    expectEarlierHoldersStarts(now);
   m_token = token;
   m_unansweredReports = 0;
   m_reportRequestsInFlight = 0;
@@ -327,6 +327,31 @@
   return m_incarnations.isBootTimeKnown() && now < m_earlierHoldersStartsUntil;
 }
 
+std::optional<TimePoint>
+WorkerLease::lateStartsUntil() const
+{
+  if (m_state != LeaseState::Held)
+    return std::nullopt;
+  TimePoint until = m_earlierHoldersStartsUntil;
+  for (const UnansweredStart& start : m_unansweredStarts.all())
+    until = std::max(until, start.expiresAt);
+  return until;
+}
+
+void
+WorkerLease::limitEarlierHoldersStarts(FencingToken claimedWith,
+                                       TimePoint until)
+{
+  if (m_token == claimedWith)
+    m_earlierHoldersStartsUntil = std::min(m_earlierHoldersStartsUntil, until);
+}
+
+void
+WorkerLease::expectEarlierHoldersStarts(TimePoint now)
+{
+  m_earlierHoldersStartsUntil = now + m_settings.maxOrderDelay;
+}
+
 bool
 WorkerLease::isReportFresh(TimePoint now) const
 {
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -193,6 +193,17 @@
   /// example one requested by `requestReport`. It isn't safe while another run
   /// keeps the lease short. The conditions of `canStart` are not included.
   bool isSafeToStart(const Resources& resources, TimePoint now) const;
+  /// Until when a start of this lease, or of an earlier holder, may still be
+  /// carried out by a later incarnation of the worker. Nothing if that isn't
+  /// known, because the worker isn't held.
+  std::optional<TimePoint> lateStartsUntil() const;
+  /// Starts of earlier holders can't be carried out after `until`, as the last
+  /// of them has told. Ignored unless the worker was claimed with this token,
+  /// and not again since.
+  void limitEarlierHoldersStarts(FencingToken claimedWith, TimePoint until);
+  /// Starts of an earlier holder may still be carried out, as another daemon is
+  /// found to have held the worker.
+  void expectEarlierHoldersStarts(TimePoint now);
   /// Whether a promptly answered report has arrived within `maxReportAge`.
   bool isReportFresh(TimePoint now) const;
   /// Until when a copy of this start may still be carried out; nothing if no
--- a/tests/entry/faultscenario.cpp
+++ b/tests/entry/faultscenario.cpp
@@ -512,6 +512,14 @@
     { "HeldUpRequestsTwoZones",
       holdUpRequestsAndPartitionTwoZones,
       withResubmittingCallers(withLargeGroup()) },
+    // Shards are handed over shortly before workers restart.
+    { "LeaveAndRestartWorkers",
+      [](Simulation& s) {
+        s.leave(randomDaemon(s));
+        s.runFor(milliseconds(s.random()() % 3000));
+        restartRandomWorkers(s);
+      },
+      withOrderFaults() },
   };
 }
 
--- a/tests/jobs/latestart_test.cpp
+++ b/tests/jobs/latestart_test.cpp
@@ -63,6 +63,32 @@
   SchedulerFixture fixture;
 };
 
+/// Guards against a new holder that starts few tasks because each start needs a
+/// report, although the last holder had no start without an answer.
+TEST_F(LateStart, NoReportIsNeededAfterTheLastHoldersStatement)
+{
+  const auto startOne = [this](const std::string& job) {
+    const unsigned before = fixture.promptReports;
+    const JobRequest request = fixture.request(job, 1, 1000, 2000);
+    fixture.scheduler.submit(request, fixture.now);
+    fixture.settle();
+    EXPECT_TRUE(fixture.workerOf(request.taskPrefix + "0"));
+    return fixture.promptReports - before;
+  };
+  fixture.now += milliseconds(20);
+  EXPECT_GT(startOne("a"), 0u);
+  const auto shard = SchedulerFixture::shard();
+  std::map<WorkerId, TimePoint> lateStarts{ { w1, fixture.now },
+                                            { w2, fixture.now } };
+  fixture.scheduler.limitEarlierHoldersStarts(
+    shard, 10, lateStarts, fixture.now);
+  fixture.now += milliseconds(20);
+  EXPECT_EQ(startOne("b"), 0u);
+  fixture.scheduler.expectEarlierHoldersStarts(shard, fixture.now);
+  fixture.now += milliseconds(20);
+  EXPECT_GT(startOne("c"), 0u);
+}
+
 /// Guards against a second run of a task whose late start is carried out by the
 /// next incarnation of its worker.
 TEST_F(LateStart, BindsTheTaskToItsWorker)
--- a/tests/support/peersamples.h
+++ b/tests/support/peersamples.h
@@ -90,7 +90,10 @@
     PeerRecall{ JobId("j"), std::chrono::milliseconds(7) },
     PeerRecallAck{ JobId("j"), std::chrono::milliseconds(7) },
     PeerJobRegistration{ JobId("j"), 7, { VmId("vm-1") } },
-    PeerJobRegistrationAck{ JobId("j"), 7, VmId("vm-3") }
+    PeerJobRegistrationAck{ JobId("j"), 7, VmId("vm-3") },
+    PeerShardReleased{ ShardId(ZoneName("z1"), 0, 2),
+                       71,
+                       { { WorkerId("w1"), Duration::zero() } } }
   };
 }
 
--- a/tests/workers/restartedworker_test.cpp
+++ b/tests/workers/restartedworker_test.cpp
@@ -271,6 +271,48 @@
     << "no other daemon has held the worker since";
 }
 
+/// Guards against a daemon that starts few tasks for 12 s after each planned
+/// restart of another daemon, because it needs a report before each start.
+TEST_F(RestartedWorker, TheLastHolderCanRuleOutLateStarts)
+{
+  const Resources small(1000, 10, 0);
+  const FencingToken token = fixture.lease.token();
+  fixture.now += std::chrono::milliseconds(20);
+  fixture.lease.limitEarlierHoldersStarts(token + 1, fixture.now);
+  EXPECT_FALSE(fixture.lease.isSafeToStart(small, fixture.now))
+    << "the worker was claimed with another token";
+  fixture.lease.limitEarlierHoldersStarts(
+    token, fixture.now + std::chrono::seconds(2));
+  EXPECT_FALSE(fixture.lease.isSafeToStart(small, fixture.now));
+  fixture.now += std::chrono::seconds(2);
+  EXPECT_TRUE(fixture.lease.isSafeToStart(small, fixture.now));
+  fixture.lease.expectEarlierHoldersStarts(fixture.now);
+  EXPECT_FALSE(fixture.lease.isSafeToStart(small, fixture.now));
+  fixture.now += std::chrono::seconds(12);
+  EXPECT_TRUE(fixture.lease.isSafeToStart(small, fixture.now));
+}
+
+/// Guards against a statement that leaves out a start that was sent shortly
+/// before the shard was released.
+TEST_F(RestartedWorker, LateStartsIncludeThoseWithoutAnAnswer)
+{
+  const auto earlier = fixture.lease.lateStartsUntil();
+  ASSERT_TRUE(earlier);
+  EXPECT_GT(*earlier, fixture.now) << "starts of an earlier holder";
+  outlastEarlierHoldersStarts();
+  ASSERT_TRUE(fixture.lease.lateStartsUntil());
+  EXPECT_LE(*fixture.lease.lateStartsUntil(), fixture.now);
+  fixture.start(run1);
+  const auto sent = fixture.lease.lateStartsUntil();
+  ASSERT_TRUE(sent);
+  EXPECT_EQ(*sent, fixture.now + std::chrono::seconds(12));
+  fixture.deliver(Delivery::Normal, 8);
+  ASSERT_TRUE(fixture.lease.lateStartsUntil());
+  EXPECT_LE(*fixture.lease.lateStartsUntil(), fixture.now);
+  fixture.lease.claim(fixture.lease.token() + 1, fixture.now);
+  EXPECT_FALSE(fixture.lease.lateStartsUntil()) << "the claim isn't answered";
+}
+
 TEST_F(RestartedWorker, MayRestartTwiceInARow)
 {
   fixture.start(run1);
