Shards: any sign of another holder voids the last holder's statement

Each such report now voids the statement, and the 12 s apply again.

Worker speeds: the tasks of one job on a worker count as one sample, as they share the error of their estimate, and the speed that admission counts on is bounded. Also: format of one expression.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -879,8 +879,9 @@
     updateShardSizes(now);
   adoptShardDivisions(beat, now);
   for (const auto& [shard, held] : beat.shards) {
-    if (m_handover.holderReported(shard, held.token))
-      m_scheduler.expectEarlierHoldersStarts(shard, now);
+    for (const ShardId& other :
+         m_handover.holderReported(shard, held.token, now))
+      m_scheduler.expectEarlierHoldersStarts(other, now);
   }
   if (areShardsChanged || beat.isLeaving)
     m_scheduler.forgetPeer(vm);
--- a/src/libentry/holderlookup.cpp
+++ b/src/libentry/holderlookup.cpp
@@ -72,8 +72,8 @@
     choices.push_back(makeChoice(*holder, shard, now));
   }
   auto choice = refusedBy.empty()
-                        ? m_chooser.choose(localZone, otherZones, tasks)
-                        : HolderChooser::mostFreeSlots(localZone, otherZones);
+                  ? m_chooser.choose(localZone, otherZones, tasks)
+                  : HolderChooser::mostFreeSlots(localZone, otherZones);
   if (choice)
     ++(choice->shard.zone() == m_zone ? m_placements.inOwnZone
                                       : m_placements.inOtherZones);
--- a/src/libentry/shardhandover.cpp
+++ b/src/libentry/shardhandover.cpp
@@ -4,17 +4,24 @@
 
 namespace cowslippin {
 
-bool
-ShardHandover::holderReported(const ShardId& shard, std::uint64_t token)
+std::vector<ShardId>
+ShardHandover::holderReported(const ShardId& shard,
+                              std::uint64_t token,
+                              TimePoint now)
 {
-  std::uint64_t& highest = m_highestTokens[shard];
-  highest = std::max(highest, token);
+  const bool isOtherDivision = changesDivision(shard, now);
+  Holder& holder = m_holders[shard];
   const auto taken = m_taken.find(shard);
-  if (taken == m_taken.end() || token <= taken->second.previousToken ||
-      token >= taken->second.token)
-    return false;
-  taken->second.previousToken = token;
-  return true;
+  const bool isTaken = taken != m_taken.end();
+  if (token != holder.token &&
+      (isTaken ? token != taken->second.previousToken : token < holder.token)) {
+    holder.contestedUntil = now + contestTime;
+    if (isTaken && !isOtherDivision)
+      return { shard };
+  }
+  if (!isTaken)
+    holder.token = std::max(holder.token, token);
+  return isOtherDivision ? takenIn(shard.zone()) : std::vector<ShardId>();
 }
 
 std::optional<ShardStatement>
@@ -23,11 +30,11 @@
                           TimePoint now)
 {
   expire(now);
-  const auto highest = m_highestTokens.find(shard);
-  const std::uint64_t previous =
-    highest == m_highestTokens.end() ? 0 : highest->second;
+  changesDivision(shard, now);
+  Holder& holder = m_holders[shard];
+  const std::uint64_t previous = isContested(shard, now) ? 0 : holder.token;
   m_taken[shard] = { token, previous, now };
-  holderReported(shard, token);
+  holder.token = token;
   const auto received = m_received.find(shard);
   if (received == m_received.end())
     return std::nullopt;
@@ -55,13 +62,48 @@
   }
   const Taken& take = taken->second;
   if (take.previousToken == 0 || take.previousToken != message.token ||
-      now - take.at > maxDelay)
+      now - take.at > maxDelay || isContested(message.shard, now))
     return std::nullopt;
   return ShardStatement{ message.shard,
                          take.token,
                          std::move(lateStartsUntil) };
 }
 
+bool
+ShardHandover::isContested(const ShardId& shard, TimePoint now) const
+{
+  const auto holder = m_holders.find(shard);
+  const auto division = m_divisions.find(shard.zone());
+  return (holder != m_holders.end() && now < holder->second.contestedUntil) ||
+         (division != m_divisions.end() &&
+          now < division->second.contestedUntil);
+}
+
+/// Records the division of the zone that the shard belongs to. Returns whether
+/// it differs from the one that was seen last.
+bool
+ShardHandover::changesDivision(const ShardId& shard, TimePoint now)
+{
+  Division& division = m_divisions[shard.zone()];
+  if (division.count == shard.count())
+    return false;
+  if (division.count != 0)
+    division.contestedUntil = now + contestTime;
+  division.count = shard.count();
+  return now < division.contestedUntil;
+}
+
+std::vector<ShardId>
+ShardHandover::takenIn(const ZoneName& zone) const
+{
+  std::vector<ShardId> shards;
+  for (const auto& [shard, taken] : m_taken) {
+    if (shard.zone() == zone)
+      shards.push_back(shard);
+  }
+  return shards;
+}
+
 void
 ShardHandover::expire(TimePoint now)
 {
--- a/src/libentry/shardhandover.h
+++ b/src/libentry/shardhandover.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace cowslippin {
 
@@ -29,9 +30,11 @@
 /// tasks then. With the statement of the last holder, that is only needed where
 /// that holder has starts without an answer. Does no I/O and reads no clock.
 ///
-/// A statement counts only if its token is the highest that was known of any
-/// holder when the shard was taken, and only shortly before or after that:
-/// otherwise, another daemon may have held the shard in between.
+/// A statement counts only shortly before or after the shard is taken, and only
+/// if no other daemon than its sender may have started anything on the workers
+/// meanwhile. Each sign of another holder voids it: a report of the shard with
+/// another token, except by the successor of the last holder, and a report of a
+/// shard of another division of the zone, which may have the same workers.
 class ShardHandover
 {
 public:
@@ -39,13 +42,18 @@
   /// which the statement doesn't count. A holder releases its shard a round
   /// trip after another has taken it.
   static constexpr Duration maxDelay = std::chrono::seconds(1);
+  /// How long a sign of another holder counts: as long as its starts may be
+  /// carried out late.
+  static constexpr Duration contestTime = std::chrono::seconds(12);
   /// Statements on more shards than this are ignored.
   static constexpr std::size_t maxStatements = 256;
 
-  /// Records that another daemon holds the shard with this token. Returns
-  /// whether it has held the shard between the last known holder and this
-  /// daemon, so that a statement of that holder doesn't count any more.
-  bool holderReported(const ShardId& shard, std::uint64_t token);
+  /// Records that another daemon holds the shard with this token. Returns the
+  /// shards held here on whose workers that daemon may have started something,
+  /// so that an earlier statement doesn't count any more.
+  std::vector<ShardId> holderReported(const ShardId& shard,
+                                      std::uint64_t token,
+                                      TimePoint now);
 
   /// Records that this daemon has taken the shard. Returns the statement of the
   /// last holder if it has arrived before.
@@ -61,10 +69,17 @@
                                          TimePoint now);
 
 private:
+  /// What is known of the last holder of a shard.
+  struct Holder
+  {
+    std::uint64_t token = 0;
+    /// Until then, others may have starts in transit.
+    TimePoint contestedUntil{};
+  };
   struct Taken
   {
     std::uint64_t token = 0;
-    /// The highest token of an earlier holder that was known then; 0 if none.
+    /// The token of the last holder; 0 if it isn't known which that is.
     std::uint64_t previousToken = 0;
     TimePoint at{};
   };
@@ -74,10 +89,20 @@
     std::map<WorkerId, TimePoint> lateStartsUntil;
     TimePoint at{};
   };
+  /// The number of shards into which a zone's workers are divided.
+  struct Division
+  {
+    unsigned count = 0;
+    TimePoint contestedUntil{};
+  };
 
+  bool isContested(const ShardId& shard, TimePoint now) const;
+  bool changesDivision(const ShardId& shard, TimePoint now);
+  std::vector<ShardId> takenIn(const ZoneName& zone) const;
   void expire(TimePoint now);
 
-  std::map<ShardId, std::uint64_t> m_highestTokens;
+  std::map<ShardId, Holder> m_holders;
+  std::map<ZoneName, Division> m_divisions;
   std::map<ShardId, Taken> m_taken;
   std::map<ShardId, Received> m_received;
 };
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -951,7 +951,8 @@
   const auto& request = job.request;
   m_runTimes.record(request.policy.queue, request.needs.estimate, actual);
   const double expected = std::max<double>(1, double(job.expected.count()));
-  m_pool.recordSlowness(worker, double(actual.count()) / expected, m_now);
+  m_pool.recordSlowness(
+    worker, request.key, double(actual.count()) / expected, m_now);
 }
 
 void
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -406,6 +406,7 @@
 
 void
 WorkerPool::recordSlowness(const WorkerId& worker,
+                           const JobKey& job,
                            double slowness,
                            TimePoint now)
 {
@@ -413,6 +414,11 @@
   if (entry == nullptr)
     return;
   entry->health.runEnded(RunEnd::Done, slowness, now);
+  // The tasks of a job share the error of their estimate, so that a worker of
+  // usual speed would look fast or slow after two jobs.
+  if (entry->speedSampledFrom == job)
+    return;
+  entry->speedSampledFrom = job;
   entry->speed.record(slowness);
   m_speeds.record(entry->lease->record().labels(), slowness);
   estimateSpeed(*entry);
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -255,9 +255,12 @@
                     const RunKey& key,
                     const OrderAnswer& answer,
                     TimePoint now);
-  /// Records a completed run that took `slowness` times the time that was
-  /// expected.
-  void recordSlowness(const WorkerId& worker, double slowness, TimePoint now);
+  /// Records a completed run of a job that took `slowness` times the time that
+  /// was expected.
+  void recordSlowness(const WorkerId& worker,
+                      const JobKey& job,
+                      double slowness,
+                      TimePoint now);
   void recordFailure(const WorkerId& worker, TimePoint now);
   void recordStall(const WorkerId& worker, TimePoint now);
   void tick(TimePoint now);
@@ -295,6 +298,8 @@
     WorkerHealth health;
     WorkerSpeed speed{ speedSamples };
     SpeedEstimate speedEstimate;
+    /// The job of the last run that `speed` has recorded.
+    JobKey speedSampledFrom;
     bool isListed = true;
     /// Name of the task beside which nothing is started while it runs here.
     std::string reservedFor;
--- a/src/libworkers/workerspeed.cpp
+++ b/src/libworkers/workerspeed.cpp
@@ -10,6 +10,8 @@
 /// Limits a sample: a few tasks take many times as long as their estimate on
 /// any worker.
 constexpr double maxRatio = 4;
+/// Bounds of the speed compared with the usual.
+constexpr double maxSpeed = 2.5;
 /// Smaller numbers of samples don't show how far ratios vary.
 constexpr unsigned minSamples = 8;
 /// Logarithm of the ratio to the usual speed from which a worker differs.
@@ -51,7 +53,8 @@
 {
   return classAgainst(usual) == SpeedClass::Usual
            ? 1
-           : std::exp(usual.m_mean - m_mean);
+           : std::clamp(
+               std::exp(usual.m_mean - m_mean), 1 / maxSpeed, maxSpeed);
 }
 
 double
--- a/tests/entry/shardhandover_test.cpp
+++ b/tests/entry/shardhandover_test.cpp
@@ -15,6 +15,12 @@
   {
     return { shard(), token, { { WorkerId("w1"), Duration::zero() } } };
   }
+  /// Another daemon reports that it holds the shard. Returns whether that voids
+  /// an earlier statement.
+  bool report(std::uint64_t token)
+  {
+    return !handover.holderReported(shard(), token, now).empty();
+  }
   static ShardId shard() { return { ZoneName("z1"), 0, 4 }; }
 
   TimePoint now{ seconds(100) };
@@ -23,7 +29,7 @@
 
 TEST_F(ShardHandoverTest, TheLastHoldersStatementCounts)
 {
-  handover.holderReported(shard(), 10);
+  report(10);
   EXPECT_FALSE(handover.shardTaken(shard(), 20, now));
   now += milliseconds(3);
   PeerShardReleased message = release(10);
@@ -38,7 +44,7 @@
 
 TEST_F(ShardHandoverTest, AStatementThatArrivesBeforeTheShardIsTakenCounts)
 {
-  handover.holderReported(shard(), 10);
+  report(10);
   EXPECT_FALSE(handover.released(release(10), now));
   now += milliseconds(200);
   EXPECT_TRUE(handover.shardTaken(shard(), 20, now));
@@ -48,8 +54,8 @@
 /// the statement says nothing.
 TEST_F(ShardHandoverTest, TheStatementOfAnEarlierHolderDoesNotCount)
 {
-  handover.holderReported(shard(), 10);
-  handover.holderReported(shard(), 15);
+  report(10);
+  report(15);
   handover.shardTaken(shard(), 20, now);
   EXPECT_FALSE(handover.released(release(10), now));
   EXPECT_TRUE(handover.released(release(15), now));
@@ -62,26 +68,56 @@
   EXPECT_FALSE(handover.released(release(0), now));
 }
 
-/// Two daemons may take a shard at the same time, and the one with the lower
-/// token may have started tasks before it learns of the other.
-TEST_F(ShardHandoverTest, AHolderInBetweenThatIsFoundLaterVoidsTheStatement)
+/// Two daemons may take a shard at the same time, and either may have started
+/// tasks before it learns of the other.
+TEST_F(ShardHandoverTest, AnotherHolderThatIsFoundLaterVoidsTheStatement)
+{
+  for (const std::uint64_t other : { 15, 25 }) {
+    handover = ShardHandover();
+    report(10);
+    handover.shardTaken(shard(), 20, now);
+    ASSERT_TRUE(handover.released(release(10), now));
+    EXPECT_FALSE(report(10)) << "sent before the shard was released";
+    EXPECT_TRUE(report(other));
+    EXPECT_FALSE(handover.released(release(10), now));
+    EXPECT_FALSE(handover.released(release(other), now));
+  }
+}
+
+/// A holder may keep its shard against a daemon that took it with a higher
+/// token and releases it again.
+TEST_F(ShardHandoverTest, AHolderThatReturnsMakesAllStatementsDoubtful)
 {
-  handover.holderReported(shard(), 10);
+  report(10);
+  report(20);
+  report(10);
+  EXPECT_FALSE(handover.released(release(20), now));
+  EXPECT_FALSE(handover.shardTaken(shard(), 30, now));
+  EXPECT_FALSE(handover.released(release(10), now));
+  handover.shardReleased(shard());
+  now += ShardHandover::contestTime;
+  report(40);
+  handover.shardTaken(shard(), 50, now);
+  EXPECT_TRUE(handover.released(release(40), now));
+}
+
+/// Shards of another division have the same workers.
+TEST_F(ShardHandoverTest, AnotherDivisionOfTheZoneVoidsTheStatement)
+{
+  report(10);
   handover.shardTaken(shard(), 20, now);
   ASSERT_TRUE(handover.released(release(10), now));
-  EXPECT_FALSE(handover.holderReported(shard(), 10));
-  EXPECT_TRUE(handover.holderReported(shard(), 15));
-  EXPECT_FALSE(handover.holderReported(shard(), 15));
-  EXPECT_FALSE(handover.holderReported(shard(), 25));
+  const ShardId other(shard().zone(), 1, 8);
+  EXPECT_EQ(handover.holderReported(other, 12, now),
+            std::vector<ShardId>{ shard() });
   EXPECT_FALSE(handover.released(release(10), now));
-  EXPECT_TRUE(handover.released(release(15), now));
 }
 
 /// A daemon that was paused for seconds can't know who has held the shard
 /// meanwhile.
 TEST_F(ShardHandoverTest, ALateStatementDoesNotCount)
 {
-  handover.holderReported(shard(), 10);
+  report(10);
   handover.shardTaken(shard(), 20, now);
   now += ShardHandover::maxDelay + milliseconds(1);
   EXPECT_FALSE(handover.released(release(10), now));
@@ -89,7 +125,7 @@
 
 TEST_F(ShardHandoverTest, AnOldStatementDoesNotCountForALaterTaking)
 {
-  handover.holderReported(shard(), 10);
+  report(10);
   handover.released(release(10), now);
   now += ShardHandover::maxDelay + milliseconds(1);
   EXPECT_FALSE(handover.shardTaken(shard(), 20, now));
@@ -97,7 +133,7 @@
 
 TEST_F(ShardHandoverTest, AShardThatIsHeldNoLongerTakesNoStatement)
 {
-  handover.holderReported(shard(), 10);
+  report(10);
   handover.shardTaken(shard(), 20, now);
   handover.shardReleased(shard());
   EXPECT_FALSE(handover.released(release(10), now));
@@ -108,7 +144,7 @@
 {
   for (unsigned i = 0; i <= ShardHandover::maxStatements; ++i) {
     const ShardId other(ZoneName("z1"), i, 1000);
-    handover.holderReported(other, 10);
+    handover.holderReported(other, 10, now);
     handover.released({ other, 10, {} }, now);
   }
   const ShardId last(ZoneName("z1"), ShardHandover::maxStatements, 1000);
