--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -1,5 +1,7 @@
 #include "faultscenario.h"
 
+#include "support/logcapture.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -312,6 +314,23 @@
   expectNoViolations(simulation);
 }
 
+/// Guards against a new holder that needs a report before each start although
+/// the last one has released the shard properly.
+TEST(DaemonGroup, ADaemonThatLeavesTellsWhichStartsMayBeLate)
+{
+  LogCapture log;
+  Simulation simulation(withSingleDaemonZones(), 3);
+  simulation.runFor(seconds(3));
+  EXPECT_TRUE(log.of("shard-handed-over").empty());
+  simulation.leave(0);
+  simulation.runFor(milliseconds(200));
+  const auto handedOver = log.of("shard-handed-over");
+  ASSERT_EQ(handedOver.size(), 1u);
+  EXPECT_GT(handedOver[0]["workers"].get<unsigned>(), 0u);
+  simulation.runFor(seconds(5));
+  expectNoViolations(simulation);
+}
+
 /// Guards against a takeover of workers whose holder is alive and still serves
 /// its callers, but is unreachable for the other daemons.
 TEST(DaemonGroup, ADaemonThatIsPartitionedFromOtherDaemonsKeepsItsWorkers)
--- a/tests/jobs/latestart_test.cpp
+++ b/tests/jobs/latestart_test.cpp
@@ -89,6 +89,21 @@
   EXPECT_GT(startOne("c"), 0u);
 }
 
+/// Guards against a next holder that isn't told of a start without an answer.
+TEST_F(LateStart, IsAmongThoseThatTheHolderTells)
+{
+  fixture.advance(12'500);
+  const auto latest = [this](const WorkerId& worker) {
+    return fixture.scheduler.lateStartsUntil(SchedulerFixture::shard())
+      .at(worker);
+  };
+  EXPECT_LE(latest(w1), fixture.now);
+  EXPECT_LE(latest(w2), fixture.now);
+  const WorkerId worker = startLate(fixture.request("a", 1, 6800, 2000));
+  EXPECT_EQ(latest(worker), fixture.now + seconds(12));
+  EXPECT_LE(latest(worker == w1 ? w2 : w1), fixture.now);
+}
+
 /// Guards against a second run of a task whose late start is carried out by the
 /// next incarnation of its worker.
 TEST_F(LateStart, BindsTheTaskToItsWorker)
