--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -337,8 +337,11 @@
   figures.refusals = m_overload.refusals();
   figures.taskRate = taskRateFor(m_settings.limits);
   figures.placements = m_holderLookup.placements();
-  for (const auto& worker : m_scheduler.pool().snapshot())
+  for (const auto& worker : m_scheduler.pool().snapshot()) {
     figures.leases.push_back(worker.state);
+    figures.fastWorkers += worker.speed == SpeedClass::Fast ? 1 : 0;
+    figures.slowWorkers += worker.speed == SpeedClass::Slow ? 1 : 0;
+  }
   return figures;
 }
 
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -227,6 +227,9 @@
     bool isReady = false;
     /// The lease state of each worker of the held shards.
     std::vector<LeaseState> leases;
+    /// How many of these workers are known to be faster or slower than usual.
+    std::size_t fastWorkers = 0;
+    std::size_t slowWorkers = 0;
     LossLog::Counts restarts;
     /// Mean lag of the event loop.
     Duration loopLag = Duration::zero();
--- a/src/libentry/entrymetrics.cpp
+++ b/src/libentry/entrymetrics.cpp
@@ -126,6 +126,8 @@
   set("admitted_share", figures.admittedShare);
   set("holder_share", figures.holderShare);
   set("task_rate", double(figures.taskRate));
+  set("workers_fast", double(figures.fastWorkers));
+  set("workers_slow", double(figures.slowWorkers));
   std::map<std::string, double> byState;
   for (const LeaseState state : { LeaseState::Claiming,
                                   LeaseState::Held,
