--- a/src/libentry/overloadguard.cpp
+++ b/src/libentry/overloadguard.cpp
@@ -131,7 +131,7 @@
                       TimePoint now)
 {
   ++m_refusals[{ queue, reason }];
-  const DoorRefusal refusal{
+  DoorRefusal refusal{
     m_control.retryAfter(),
     "the daemon is overloaded; nothing of this submission has run",
     m_control.closesConnections(now)
