--- a/src/libcore/clock.h
+++ b/src/libcore/clock.h
@@ -31,4 +31,12 @@
     std::chrono::steady_clock::now());
 }
 
+/// Returns the duration times `factor`, rounded towards zero.
+inline Duration
+scaled(Duration duration, double factor)
+{
+  return Duration(
+    static_cast<Duration::rep>(double(duration.count()) * factor));
+}
+
 } // namespace cowslippin
--- a/src/libentry/holderlookup.h
+++ b/src/libentry/holderlookup.h
@@ -26,7 +26,7 @@
     const PeerReports& reports;
   };
 
-  /// Numbers of chosen holders for new jobs, by their zone.
+  /// How many holders were chosen for jobs, by the zone of the holder.
   struct Placements
   {
     std::uint64_t inOwnZone = 0;
--- a/src/libentry/looplag.cpp
+++ b/src/libentry/looplag.cpp
@@ -14,12 +14,6 @@
   return std::exp(-double(elapsed.count()) / double(timeConstant.count()));
 }
 
-Duration
-scaled(Duration value, double factor)
-{
-  return Duration(static_cast<Duration::rep>(double(value.count()) * factor));
-}
-
 } // namespace
 
 void
--- a/src/libentry/overloadcontrol.h
+++ b/src/libentry/overloadcontrol.h
@@ -45,8 +45,9 @@
     /// Replies close their connections when the lag has been above twice
     /// `share.maxLag` for this long.
     Duration closeAfter = std::chrono::seconds(1);
-    /// A response later than this many times its ideal time is worth nothing.
-    double worthlessFactor = 3;
+    /// A job that can't be answered within this many times its objective is
+    /// refused.
+    double worthlessFactor = worthlessResponseFactor;
   };
 
   enum class Change
--- a/src/libentry/shardhandover.h
+++ b/src/libentry/shardhandover.h
@@ -12,7 +12,7 @@
 
 namespace cowslippin {
 
-/// What the holder before this daemon has told of a shard's workers.
+/// The previous holder's statement about late starts on a shard's workers.
 struct ShardStatement
 {
   ShardId shard;
--- a/src/libjobs/job.cpp
+++ b/src/libjobs/job.cpp
@@ -5,12 +5,6 @@
 
 namespace cowslippin {
 
-Duration
-scaled(Duration duration, double factor)
-{
-  return Duration(std::int64_t(double(duration.count()) * factor));
-}
-
 std::unique_ptr<Job>
 makeJob(JobRequest request,
         Duration expected,
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -129,9 +129,6 @@
 /// is slow.
 constexpr Duration maxOrphanedRun = std::chrono::milliseconds(1270);
 
-Duration
-scaled(Duration duration, double factor);
-
 /// Returns a job that was just received, with all of its tasks pending. An
 /// answer later than `worthlessFactor` times the response time objective has no
 /// value.
--- a/src/libjobs/jobrequest.h
+++ b/src/libjobs/jobrequest.h
@@ -17,6 +17,10 @@
 
 namespace cowslippin {
 
+/// An answer later than this many times the response time objective has no
+/// value.
+constexpr double worthlessResponseFactor = 3;
+
 /// Maximum number of tasks of a job.
 constexpr TaskIndex maxTasksPerJob = 2000;
 
--- a/src/libjobs/scheduler.h
+++ b/src/libjobs/scheduler.h
@@ -40,7 +40,7 @@
     /// An answer later than this many times the response time objective has no
     /// value: a job that has not started is refused once it can't be done by
     /// then.
-    double worthlessFactor = 3;
+    double worthlessFactor = worthlessResponseFactor;
     /// Share of the workers' capacity that tasks can use, as they don't fill
     /// workers exactly: two tasks of 6.8 cores use 13.6 of 16 cores.
     double usableShare = 0.82;
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -197,9 +197,9 @@
   /// carried out by a later incarnation of the worker. Nothing if that isn't
   /// known, because the worker isn't held.
   std::optional<TimePoint> lateStartsUntil() const;
-  /// Starts of earlier holders can't be carried out after `until`, as the last
-  /// of them has told. Ignored unless the worker was claimed with this token,
-  /// and not again since.
+  /// Limits the time until which starts of earlier holders may be carried out,
+  /// as the previous holder has stated. Ignored if the current token isn't
+  /// `claimedWith`, because the worker has been claimed again.
   void limitEarlierHoldersStarts(FencingToken claimedWith, TimePoint until);
   /// Starts of an earlier holder may still be carried out, as another daemon is
   /// found to have held the worker.
--- a/tests/jobs/latestart_test.cpp
+++ b/tests/jobs/latestart_test.cpp
@@ -89,7 +89,8 @@
   EXPECT_GT(startOne("c"), 0u);
 }
 
-/// Guards against a next holder that isn't told of a start without an answer.
+/// Guards against a statement to the next holder that omits an unanswered
+/// start.
 TEST_F(LateStart, IsAmongThoseThatTheHolderTells)
 {
   fixture.advance(12'500);
