--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -337,6 +337,7 @@
   figures.refusals = m_overload.refusals();
   figures.taskRate = taskRateFor(m_settings.limits);
   figures.placements = m_holderLookup.placements();
+  figures.shards = m_handover.counts();
   for (const auto& worker : m_scheduler.pool().snapshot()) {
     figures.leases.push_back(worker.state);
     figures.fastWorkers += worker.speed == SpeedClass::Fast ? 1 : 0;
@@ -948,7 +949,8 @@
               "shard-handed-over",
               { { "shard", statement->shard.toString() },
                 { "token", statement->takenWith },
-                { "workers", statement->lateStartsUntil.size() } });
+                { "workers", statement->lateStartsUntil.size() },
+                { "withLateStarts", statement->workersWithLateStarts(now) } });
   m_scheduler.limitEarlierHoldersStarts(
     statement->shard, statement->takenWith, statement->lateStartsUntil, now);
 }
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -241,6 +241,7 @@
     /// How many tasks a second this daemon can start and follow.
     std::size_t taskRate = 0;
     HolderLookup::Placements placements;
+    ShardHandover::Counts shards;
   };
   Stats stats() const;
 
--- a/src/libentry/entrymetrics.cpp
+++ b/src/libentry/entrymetrics.cpp
@@ -68,6 +68,11 @@
                    .Name("cowslippin_holder_choices_total")
                    .Help("Choices of a holder for a job, by its zone")
                    .Register(registry))
+    , shards(
+        prometheus::BuildCounter()
+          .Name("cowslippin_shards_taken_total")
+          .Help("Shards taken, with or without the last holder's statement")
+          .Register(registry))
   {
   }
 
@@ -78,6 +83,7 @@
   prometheus::Family<prometheus::Counter>& restarts;
   prometheus::Family<prometheus::Counter>& refusals;
   prometheus::Family<prometheus::Counter>& placements;
+  prometheus::Family<prometheus::Counter>& shards;
 };
 
 EntryMetrics::EntryMetrics()
@@ -150,6 +156,12 @@
   };
   setPlacements("own", figures.placements.inOwnZone);
   setPlacements("other", figures.placements.inOtherZones);
+  const auto setShards = [this](const char* statement, std::uint64_t count) {
+    auto& counter = m_families->shards.Add({ { "statement", statement } });
+    counter.Increment(double(count) - counter.Value());
+  };
+  setShards("used", figures.shards.handedOver);
+  setShards("none", figures.shards.taken - figures.shards.handedOver);
   for (const auto& [queueAndReason, count] : figures.refusals) {
     auto& counter =
       m_families->refusals.Add({ { "queue", queueAndReason.first },
--- a/src/libentry/shardhandover.cpp
+++ b/src/libentry/shardhandover.cpp
@@ -4,6 +4,15 @@
 
 namespace cowslippin {
 
+std::size_t
+ShardStatement::workersWithLateStarts(TimePoint now) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    lateStartsUntil.begin(), lateStartsUntil.end(), [&](const auto& worker) {
+      return worker.second > now;
+    }));
+}
+
 std::vector<ShardId>
 ShardHandover::holderReported(const ShardId& shard,
                               std::uint64_t token,
@@ -34,6 +43,7 @@
   Holder& holder = m_holders[shard];
   const std::uint64_t previous = isContested(shard, now) ? 0 : holder.token;
   m_taken[shard] = { token, previous, now };
+  ++m_counts.taken;
   holder.token = token;
   const auto received = m_received.find(shard);
   if (received == m_received.end())
@@ -42,6 +52,7 @@
   m_received.erase(received);
   if (previous == 0 || statement.token != previous)
     return std::nullopt;
+  ++m_counts.handedOver;
   return ShardStatement{ shard, token, statement.lateStartsUntil };
 }
 
@@ -64,6 +75,7 @@
   if (take.previousToken == 0 || take.previousToken != message.token ||
       now - take.at > maxDelay || isContested(message.shard, now))
     return std::nullopt;
+  ++m_counts.handedOver;
   return ShardStatement{ message.shard,
                          take.token,
                          std::move(lateStartsUntil) };
--- a/src/libentry/shardhandover.h
+++ b/src/libentry/shardhandover.h
@@ -21,6 +21,8 @@
   /// Until when late starts of earlier holders may be carried out, by worker.
   /// Workers that aren't listed are unknown.
   std::map<WorkerId, TimePoint> lateStartsUntil;
+
+  std::size_t workersWithLateStarts(TimePoint now) const;
 };
 
 /// Matches the shards that this daemon takes with what their last holders tell
@@ -48,6 +50,14 @@
   /// Statements on more shards than this are ignored.
   static constexpr std::size_t maxStatements = 256;
 
+  /// How often this daemon has taken a shard, and how often it could use the
+  /// statement of the last holder.
+  struct Counts
+  {
+    std::uint64_t taken = 0;
+    std::uint64_t handedOver = 0;
+  };
+
   /// Records that another daemon holds the shard with this token. Returns the
   /// shards held here on whose workers that daemon may have started something,
   /// so that an earlier statement doesn't count any more.
@@ -68,6 +78,8 @@
   std::optional<ShardStatement> released(const PeerShardReleased& message,
                                          TimePoint now);
 
+  const Counts& counts() const { return m_counts; }
+
 private:
   /// What is known of the last holder of a shard.
   struct Holder
@@ -105,6 +117,7 @@
   std::map<ZoneName, Division> m_divisions;
   std::map<ShardId, Taken> m_taken;
   std::map<ShardId, Received> m_received;
+  Counts m_counts;
 };
 
 } // namespace cowslippin
--- a/tests/entry/shardhandover_test.cpp
+++ b/tests/entry/shardhandover_test.cpp
@@ -40,6 +40,9 @@
   EXPECT_EQ(statement->takenWith, 20u);
   EXPECT_EQ(statement->lateStartsUntil.at(WorkerId("w1")), now);
   EXPECT_EQ(statement->lateStartsUntil.at(WorkerId("w2")), now + seconds(7));
+  EXPECT_EQ(statement->workersWithLateStarts(now), 1u);
+  EXPECT_EQ(handover.counts().taken, 1u);
+  EXPECT_EQ(handover.counts().handedOver, 1u);
 }
 
 TEST_F(ShardHandoverTest, AStatementThatArrivesBeforeTheShardIsTakenCounts)
--- a/tests/entry/simulation_test.cpp
+++ b/tests/entry/simulation_test.cpp
@@ -331,6 +331,25 @@
   expectNoViolations(simulation);
 }
 
+/// Guards against a statement that omits the starts without an answer. One
+/// order in ten gets none here, and 14 s after the start, all starts that may
+/// be late are those of the daemon that leaves.
+TEST(DaemonGroup, ADaemonThatLeavesTellsOfStartsWithoutAnAnswer)
+{
+  LogCapture log;
+  unsigned withLateStarts = 0;
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Simulation simulation(withSingleDaemonZones(), seed);
+    simulation.runFor(seconds(14));
+    simulation.leave(0);
+    simulation.runFor(milliseconds(200));
+    expectNoViolations(simulation);
+  }
+  for (const auto& event : log.of("shard-handed-over"))
+    withLateStarts += event["withLateStarts"].get<unsigned>();
+  EXPECT_GT(withLateStarts, 0u);
+}
+
 /// Guards against a takeover of workers whose holder is alive and still serves
 /// its callers, but is unreachable for the other daemons.
 TEST(DaemonGroup, ADaemonThatIsPartitionedFromOtherDaemonsKeepsItsWorkers)
