Log of runs that are presumed over

A holder takes a run out of its count when it concludes that the run can no longer be in progress, although the worker has listed no end. It did so without a trace, so that a log could not tell by which conclusion the capacity of a worker was freed.

WorkerLease reports each such run with the cause, the token and age of its start, the age of its confirmation and of its answered stop, and the report that decided. The line run-presumed-over has these; it is a warning only for a run that the worker had and no longer lists. A refused start keeps its own line. The conclusions themselves are as before.

--- a/src/libjobs/leaselog.cpp
+++ b/src/libjobs/leaselog.cpp
@@ -2,8 +2,31 @@
 
 #include "libobserve/observe.h"
 
+#include <limits>
+#include <optional>
+#include <variant>
+
 namespace cowslippin {
 
+namespace {
+
+/// Returns a field that is null if there is no value.
+LogField
+optionalField(const char* name, std::optional<std::int64_t> value)
+{
+  return value ? LogField(name, *value)
+               : LogField(name, std::numeric_limits<double>::quiet_NaN());
+}
+
+LogField
+optionalField(const char* name, std::optional<Duration> value)
+{
+  return optionalField(
+    name, value ? std::optional(toMilliseconds(*value)) : std::nullopt);
+}
+
+} // namespace
+
 void
 logOrphanFound(const WorkerId& worker, const RunKey& key)
 {
@@ -87,4 +110,32 @@
                 { "sinceLapseMs", toMilliseconds(note.sinceExpiry) } });
 }
 
+void
+logLeaseEvent(const WorkerId& worker, const RunPresumedOver& note)
+{
+  const auto* cause = std::get_if<UnlistedEnd>(&note.cause);
+  if (cause == nullptr)
+    return;
+  std::optional<Duration> sinceRequest;
+  std::optional<std::int64_t> pastDeadlineMs;
+  if (note.report) {
+    sinceRequest = note.report->sinceRequest;
+    pastDeadlineMs = note.report->pastDeadlineMs;
+  }
+  const bool isUnexpected = *cause == UnlistedEnd::Missing;
+  logDecision(isUnexpected ? LogLevel::Warning : LogLevel::Info,
+              "run-presumed-over",
+              { { "worker", worker },
+                { "task", note.key.task() },
+                { "run", note.key.run() },
+                { "token", note.token },
+                { "cause", toString(*cause) },
+                { "isOrphaned", note.isOrphaned },
+                { "sinceStartMs", toMilliseconds(note.sinceStart) },
+                optionalField("sinceConfirmedMs", note.sinceConfirmed),
+                optionalField("sinceStopAnsweredMs", note.sinceStopAnswered),
+                optionalField("sinceRequestMs", sinceRequest),
+                optionalField("pastDeadlineMs", pastDeadlineMs) });
+}
+
 } // namespace cowslippin
--- a/src/libjobs/leaselog.h
+++ b/src/libjobs/leaselog.h
@@ -22,5 +22,8 @@
 logLeaseEvent(const WorkerId& worker, const EndingRunRenewed& note);
 void
 logLeaseEvent(const WorkerId& worker, const LeaseExpired& note);
+/// Logs nothing for a refused start, which has an event of its own.
+void
+logLeaseEvent(const WorkerId& worker, const RunPresumedOver& note);
 
 } // namespace cowslippin
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -556,6 +556,7 @@
   hooks.stopFailed = [id](const auto& note) { logLeaseEvent(id, note); };
   hooks.endingRunRenewed = [id](const auto& note) { logLeaseEvent(id, note); };
   hooks.expired = [id](const auto& note) { logLeaseEvent(id, note); };
+  hooks.runPresumedOver = [id](const auto& note) { logLeaseEvent(id, note); };
   hooks.orphanEnded = [this, id](const RunKey& key, RunEnd end) {
     logOrphanEnded(id, key, end);
     m_hooks.orphanEnded(id, key, end);
--- a/src/libworkers/leaseevents.h
+++ b/src/libworkers/leaseevents.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "presumedovercause.h"
 #include "runkey.h"
 #include "workerorder.h"
 
 #include "libcore/clock.h"
 
+#include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace cowslippin {
@@ -46,4 +49,33 @@
   Duration sinceExpiry;
 };
 
+/// The report from which a lease concludes that a run is over.
+struct DecidingReport
+{
+  Duration sinceRequest;
+  /// The worker's clock in the report minus the deadline of the run's start.
+  /// Nothing if the deadline isn't known, as for an orphaned run.
+  std::optional<std::int64_t> pastDeadlineMs;
+};
+
+/// A run no longer counts against the worker's capacity although the worker has
+/// not listed its end.
+struct RunPresumedOver
+{
+  RunKey key;
+  PresumedOverCause cause;
+  TimePoint at;
+  bool isOrphaned;
+  /// Token of the order that started the run; 0 if another holder sent it.
+  FencingToken token;
+  /// Time since the start was last sent or, for an orphaned run, since the run
+  /// was found.
+  Duration sinceStart;
+  /// Time since an answer or a report first showed that the worker has the run.
+  std::optional<Duration> sinceConfirmed;
+  std::optional<Duration> sinceStopAnswered;
+  /// Nothing if no report was decisive.
+  std::optional<DecidingReport> report;
+};
+
 } // namespace cowslippin
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -242,6 +242,7 @@
   } else if (!run.isOrphaned) {
     // Another order started an orphaned run, so that this refusal doesn't
     // concern it.
+    presumeOver(found->first, run, failure, now);
     rejectRun(found, failure);
   }
   if (isFenced && isSentWithCurrentToken)
@@ -453,7 +454,7 @@
   }
   if (failure == OrderFailure::OtherIncarnation) {
     setState(LeaseState::Ended);
-    endAllAsLost();
+    endAllAsLost(now);
     return;
   }
   if (failure == OrderFailure::Unanswered)
@@ -497,7 +498,7 @@
   m_reportAskedAt = std::max(m_reportAskedAt, sent);
   applyEndedRuns(report);
   applyActiveRuns(report, now);
-  endMissingRuns(report, sent);
+  endMissingRuns(report, sent, now);
   if (m_state != LeaseState::Held)
     boundEarlierOrders(now);
   setState(LeaseState::Held);
@@ -541,8 +542,11 @@
     run.stopAnsweredAt.reset();
   }
   setState(LeaseState::Restarted);
-  for (const RunKey& key : gone)
-    endMissingRun(m_runs.find(key), RunEnd::Lost);
+  for (const RunKey& key : gone) {
+    const auto found = m_runs.find(key);
+    presumeOver(key, found->second, UnlistedEnd::EarlierIncarnation, now);
+    endMissingRun(found, RunEnd::Lost);
+  }
 }
 
 /// Whether a newer report arrived before this one. Answers may overtake each
@@ -607,37 +611,71 @@
 /// Ends the runs that the worker doesn't have and that can no longer begin
 /// there.
 void
-WorkerLease::endMissingRuns(const WorkerReport& report, TimePoint sent)
+WorkerLease::endMissingRuns(const WorkerReport& report,
+                            TimePoint sent,
+                            TimePoint now)
 {
   std::set<RunKey> present;
   for (const ActiveRun& active : report.active)
     present.insert(active.key);
-  std::vector<RunKey> gone;
+  std::vector<std::pair<RunKey, UnlistedEnd>> gone;
   for (const auto& [key, run] : m_runs) {
-    if (present.count(key) == 0 && canNoLongerRun(run, report.clockMs, sent))
-      gone.push_back(key);
+    if (present.count(key) > 0)
+      continue;
+    if (const auto cause = causeOfEnd(run, report.clockMs, sent))
+      gone.emplace_back(key, *cause);
+  }
+  for (const auto& [key, cause] : gone) {
+    const auto found = m_runs.find(key);
+    const Run& run = found->second;
+    DecidingReport deciding{ now - sent, std::nullopt };
+    if (run.startDeadlineMs > 0)
+      deciding.pastDeadlineMs = report.clockMs - run.startDeadlineMs;
+    presumeOver(key, run, cause, now, deciding);
+    endMissingRun(found, RunEnd::Lost);
   }
-  for (const RunKey& key : gone)
-    endMissingRun(m_runs.find(key), RunEnd::Lost);
 }
 
-bool
-WorkerLease::canNoLongerRun(const Run& run,
-                            std::int64_t clockMs,
-                            TimePoint sent) const
+/// Returns why a run that a report doesn't list can no longer be in progress;
+/// nothing if it still can.
+std::optional<UnlistedEnd>
+WorkerLease::causeOfEnd(const Run& run,
+                        std::int64_t clockMs,
+                        TimePoint sent) const
 {
   // The new incarnation has been claimed with a higher token, so that it
   // ignores any start sent before.
   if (run.isOfEarlierIncarnation)
-    return true;
+    return UnlistedEnd::EarlierIncarnation;
   if (run.confirmedAt && *run.confirmedAt <= sent)
-    return true;
+    return UnlistedEnd::Missing;
   if (run.stopAnsweredAt && *run.stopAnsweredAt <= sent)
-    return true;
+    return UnlistedEnd::MissingAfterStop;
   // The worker ignores a start from its deadline on. The margin covers a start
   // that was carried out at the deadline and isn't in this report.
   const std::int64_t margin = toMilliseconds(m_settings.expiryMargin);
-  return run.startDeadlineMs > 0 && clockMs > run.startDeadlineMs + margin;
+  if (run.startDeadlineMs > 0 && clockMs > run.startDeadlineMs + margin)
+    return UnlistedEnd::StartExpired;
+  return std::nullopt;
+}
+
+void
+WorkerLease::presumeOver(const RunKey& key,
+                         const Run& run,
+                         PresumedOverCause cause,
+                         TimePoint now,
+                         std::optional<DecidingReport> report) const
+{
+  RunPresumedOver note{ key,          cause,
+                        now,          run.isOrphaned,
+                        run.token,    now - run.since,
+                        std::nullopt, std::nullopt,
+                        report };
+  if (run.confirmedAt)
+    note.sinceConfirmed = now - *run.confirmedAt;
+  if (run.stopAnsweredAt)
+    note.sinceStopAnswered = now - *run.stopAnsweredAt;
+  m_hooks.runPresumedOver(note);
 }
 
 void
@@ -685,10 +723,13 @@
 }
 
 void
-WorkerLease::endAllAsLost()
+WorkerLease::endAllAsLost(TimePoint now)
 {
-  while (!m_runs.empty())
-    endRun(m_runs.begin(), RunEnd::Lost);
+  while (!m_runs.empty()) {
+    const auto first = m_runs.begin();
+    presumeOver(first->first, first->second, UnlistedEnd::WorkerReplaced, now);
+    endRun(first, RunEnd::Lost);
+  }
 }
 
 void
@@ -700,8 +741,11 @@
   for (const auto& [key, run] : m_runs)
     note.runs.push_back(key);
   m_hooks.expired(note);
-  while (!m_runs.empty())
-    endMissingRun(m_runs.begin(), RunEnd::Expired);
+  while (!m_runs.empty()) {
+    const auto first = m_runs.begin();
+    presumeOver(first->first, first->second, UnlistedEnd::LeaseExpired, now);
+    endMissingRun(first, RunEnd::Expired);
+  }
 }
 
 /// Reports, once per run, that a renewal extends a run that is to end. A
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -124,6 +124,9 @@
     std::function<void(const StopFailed&)> stopFailed;
     std::function<void(const EndingRunRenewed&)> endingRunRenewed;
     std::function<void(const LeaseExpired&)> expired;
+    /// A run leaves the lease without an end that the worker has listed. Called
+    /// before the hook that takes the run's end or the refusal of its start.
+    std::function<void(const RunPresumedOver&)> runPresumedOver;
     std::function<void(LeaseState)> stateChanged;
     /// Until when a run is wanted, as far as is known now. Nothing if nobody
     /// wants the run any more; the time returned last then still applies.
@@ -302,14 +305,21 @@
   void applyReport(const WorkerReport& report, TimePoint sent, TimePoint now);
   void applyEndedRuns(const WorkerReport& report);
   void applyActiveRuns(const WorkerReport& report, TimePoint now);
-  void endMissingRuns(const WorkerReport& report, TimePoint sent);
-  bool canNoLongerRun(const Run& run,
-                      std::int64_t clockMs,
-                      TimePoint sent) const;
+  void endMissingRuns(const WorkerReport& report,
+                      TimePoint sent,
+                      TimePoint now);
+  std::optional<UnlistedEnd> causeOfEnd(const Run& run,
+                                        std::int64_t clockMs,
+                                        TimePoint sent) const;
+  void presumeOver(const RunKey& key,
+                   const Run& run,
+                   PresumedOverCause cause,
+                   TimePoint now,
+                   std::optional<DecidingReport> report = std::nullopt) const;
   void endRun(Runs::iterator found, RunEnd end);
   void endMissingRun(Runs::iterator found, RunEnd end);
   void rejectRun(Runs::iterator found, OrderFailure failure);
-  void endAllAsLost();
+  void endAllAsLost(TimePoint now);
   bool mayHaveEarlierHoldersStarts(TimePoint now) const;
   Resources freeCapacityInNextIncarnation() const;
   bool mayOvercommitNextIncarnation() const;
--- a/src/libworkers/workers.h
+++ b/src/libworkers/workers.h
@@ -3,6 +3,7 @@
 #include "incarnationtracker.h"
 #include "leaseevents.h"
 #include "ordertimeouts.h"
+#include "presumedovercause.h"
 #include "resources.h"
 #include "runkey.h"
 #include "speedreference.h"
--- a/tests/jobs/losslog_test.cpp
+++ b/tests/jobs/losslog_test.cpp
@@ -227,5 +227,49 @@
   EXPECT_GT(lines[0]["sinceReportMs"], 750);
 }
 
+/// Guards against a run that is taken for over without a record.
+TEST_F(LossLogTest, ARunThatIsPresumedOverLogsItsCause)
+{
+  submit(fixture.request("a", 1));
+  const WorkerId worker = *fixture.workerOf("a.0.0.0");
+  fixture.workers[worker] = FakeWorker();
+  fixture.advance(200);
+  const auto lines = log.of("run-presumed-over");
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0]["level"], "warning");
+  EXPECT_EQ(lines[0]["worker"], worker.value());
+  EXPECT_EQ(lines[0]["task"], "a.0.0.0");
+  EXPECT_EQ(lines[0]["run"], 1);
+  EXPECT_EQ(lines[0]["token"], 10);
+  EXPECT_EQ(lines[0]["cause"], "missing");
+  EXPECT_EQ(lines[0]["isOrphaned"], false);
+  EXPECT_GE(lines[0]["sinceStartMs"], lines[0]["sinceConfirmedMs"]);
+  EXPECT_TRUE(lines[0]["sinceStopAnsweredMs"].is_null());
+  EXPECT_GE(lines[0]["sinceRequestMs"], 0);
+  EXPECT_LT(lines[0]["pastDeadlineMs"], 0);
+}
+
+TEST_F(LossLogTest, AnExpiredLeaseLogsEachRunThatIsPresumedOver)
+{
+  submit(fixture.request("a", 1));
+  passUnanswered(2000);
+  const auto lines = log.of("run-presumed-over");
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0]["level"], "info");
+  EXPECT_EQ(lines[0]["cause"], "lease-expired");
+  EXPECT_TRUE(lines[0]["sinceRequestMs"].is_null());
+}
+
+TEST_F(LossLogTest, AnOrdinaryEndIsNotPresumed)
+{
+  const JobRequest job = fixture.request("a", 2);
+  submit(job);
+  fixture.end("a.0.0.0", RunEnd::Done);
+  fixture.scheduler.cancel(job.key, fixture.now);
+  fixture.settle();
+  EXPECT_EQ(fixture.totalRuns(), 0u);
+  EXPECT_TRUE(log.of("run-presumed-over").empty());
+}
+
 } // namespace
 } // namespace cowslippin::testing
--- a/tests/workers/leaseevents_test.cpp
+++ b/tests/workers/leaseevents_test.cpp
@@ -24,6 +24,33 @@
       fixture.deliver(Delivery::Lost, 1);
   }
 
+  /// Replaces the worker by one without runs that is otherwise the same.
+  void loseRuns() { fixture.worker = FakeWorker(50000, WorkerBootTime(1)); }
+
+  /// Receives a report that was requested `milliseconds` ago.
+  void receiveReport(int milliseconds = 0)
+  {
+    const FencingToken token = fixture.lease.token();
+    const TimePoint sent =
+      fixture.now - std::chrono::milliseconds(milliseconds);
+    fixture.lease.leaseOrderAnswered(
+      { token, sent },
+      fixture.worker.hold({ token, std::nullopt, 0, {} }, fixture.now),
+      fixture.now);
+  }
+
+  /// Expects that exactly one run is presumed over, for this cause.
+  void expectPresumedOver(PresumedOverCause cause)
+  {
+    ASSERT_EQ(fixture.presumedOver.size(), 1u);
+    const RunPresumedOver& note = fixture.presumedOver[0];
+    EXPECT_EQ(note.key, run);
+    EXPECT_STREQ(toString(note.cause), toString(cause));
+    EXPECT_EQ(note.at, fixture.now);
+    EXPECT_FALSE(note.isOrphaned);
+    EXPECT_EQ(note.token, 10u);
+  }
+
   LeaseFixture fixture;
 };
 
@@ -100,5 +127,122 @@
             std::chrono::milliseconds(750));
 }
 
+TEST_F(LeaseEventsTest, DoesNotPresumeARunOverWhoseEndIsListed)
+{
+  fixture.claim();
+  fixture.start(run);
+  fixture.deliver();
+  fixture.lease.stop(run, fixture.now);
+  fixture.deliver();
+  fixture.start(RunKey("b.0.0.0", 1));
+  fixture.deliver();
+  fixture.worker.end(RunKey("b.0.0.0", 1), RunEnd::Done);
+  fixture.deliver();
+  EXPECT_EQ(fixture.ended.size(), 2u);
+  EXPECT_TRUE(fixture.presumedOver.empty());
+}
+
+TEST_F(LeaseEventsTest, ReportsAConfirmedRunThatAReportDoesNotList)
+{
+  fixture.claim();
+  fixture.start(run);
+  fixture.deliver(Delivery::Normal, 2);
+  fixture.now += std::chrono::milliseconds(30);
+  loseRuns();
+  receiveReport(10);
+  expectPresumedOver(UnlistedEnd::Missing);
+  const RunPresumedOver& note = fixture.presumedOver.at(0);
+  EXPECT_EQ(note.sinceStart, std::chrono::milliseconds(30));
+  EXPECT_EQ(note.sinceConfirmed, Duration(std::chrono::milliseconds(30)));
+  EXPECT_FALSE(note.sinceStopAnswered);
+  ASSERT_TRUE(note.report);
+  EXPECT_EQ(note.report->sinceRequest, std::chrono::milliseconds(10));
+  EXPECT_EQ(note.report->pastDeadlineMs, 30 - 750);
+}
+
+TEST_F(LeaseEventsTest, ReportsAnUnlistedRunWhoseStopWasAnswered)
+{
+  fixture.claim();
+  fixture.orders.clear();
+  fixture.start(run);
+  fixture.deliver(Delivery::Lost, 1);
+  fixture.deliver();
+  expectPresumedOver(UnlistedEnd::MissingAfterStop);
+  const RunPresumedOver& note = fixture.presumedOver.at(0);
+  EXPECT_FALSE(note.sinceConfirmed);
+  EXPECT_EQ(note.sinceStopAnswered, Duration::zero());
+}
+
+TEST_F(LeaseEventsTest, ReportsAnUnlistedRunWhoseStartHasExpired)
+{
+  fixture.areStopsLost = true;
+  fixture.claim();
+  fixture.orders.clear();
+  fixture.start(run);
+  fixture.deliver(Delivery::Lost, 1);
+  fixture.now += std::chrono::milliseconds(750 + 60);
+  receiveReport();
+  EXPECT_TRUE(fixture.presumedOver.empty());
+  fixture.now += std::chrono::milliseconds(1);
+  receiveReport();
+  expectPresumedOver(UnlistedEnd::StartExpired);
+  EXPECT_EQ(fixture.presumedOver.at(0).report->pastDeadlineMs, 61);
+}
+
+TEST_F(LeaseEventsTest, ReportsARunOfAnEarlierIncarnation)
+{
+  fixture.claim();
+  fixture.start(run);
+  fixture.deliver();
+  fixture.restart(2);
+  receiveReport();
+  expectPresumedOver(UnlistedEnd::EarlierIncarnation);
+  EXPECT_FALSE(fixture.presumedOver.at(0).report);
+}
+
+TEST_F(LeaseEventsTest, ReportsARunWhoseLeaseHasExpired)
+{
+  fixture.claim();
+  fixture.start(run);
+  fixture.deliver();
+  while (fixture.expiries.empty()) {
+    advance(20);
+    fixture.deliver(Delivery::Lost);
+  }
+  ASSERT_EQ(fixture.presumedOver.size(), 1u);
+  EXPECT_STREQ(toString(fixture.presumedOver[0].cause), "lease-expired");
+}
+
+TEST_F(LeaseEventsTest, ReportsARunOfAReplacedWorker)
+{
+  fixture.claim();
+  fixture.start(run);
+  fixture.deliver();
+  fixture.lease.leaseOrderAnswered(
+    { 10, fixture.now }, OrderFailure::OtherIncarnation, fixture.now);
+  expectPresumedOver(UnlistedEnd::WorkerReplaced);
+}
+
+TEST_F(LeaseEventsTest, ReportsARefusedStart)
+{
+  fixture.claim();
+  fixture.start(run);
+  fixture.lease.startAnswered(run, OrderFailure::Late, fixture.now);
+  ASSERT_EQ(fixture.rejected.size(), 1u);
+  expectPresumedOver(OrderFailure::Late);
+}
+
+TEST_F(LeaseEventsTest, ReportsAnOrphanedRunThatAReportDoesNotList)
+{
+  fixture.worker.start({ 5, run, "spec", 60'000'000 }, fixture.now);
+  fixture.claim();
+  loseRuns();
+  receiveReport();
+  ASSERT_EQ(fixture.presumedOver.size(), 1u);
+  EXPECT_TRUE(fixture.presumedOver[0].isOrphaned);
+  EXPECT_EQ(fixture.presumedOver[0].token, 0u);
+  EXPECT_FALSE(fixture.presumedOver[0].report->pastDeadlineMs);
+}
+
 } // namespace
 } // namespace cowslippin::testing
--- a/tests/workers/leasefixture.h
+++ b/tests/workers/leasefixture.h
@@ -110,6 +110,7 @@
   std::vector<StopFailed> failedStops;
   std::vector<EndingRunRenewed> unwantedRenewals;
   std::vector<LeaseExpired> expiries;
+  std::vector<RunPresumedOver> presumedOver;
   std::vector<LeaseState> states;
   /// Until when each run is wanted; without limit for a run that isn't listed
   /// here.
@@ -190,6 +191,9 @@
       unwantedRenewals.push_back(note);
     };
     hooks.expired = [this](const auto& note) { expiries.push_back(note); };
+    hooks.runPresumedOver = [this](const auto& note) {
+      presumedOver.push_back(note);
+    };
     hooks.stateChanged = [this](LeaseState state) { states.push_back(state); };
     hooks.runWantedUntil =
       [this](const RunKey& key) -> std::optional<TimePoint> {
