Detect runs that were presumed over and are in progress

When a holder takes a run for over by mistake, its worker is given more than it has room for, or the task runs twice. Afterwards nothing told that this had happened: a report that lists such a run looks like one of a run that another daemon left behind.

When a report lists one of them as in progress or as ended by itself, the warning run-reappeared names the cause for which it had been taken for over, how long ago, and worker and token then and now. A run that is started again under its number is forgotten. A run that ends as listed costs a search of an empty container at its start.

--- a/src/libjobs/leaselog.cpp
+++ b/src/libjobs/leaselog.cpp
@@ -138,4 +138,23 @@
                 optionalField("pastDeadlineMs", pastDeadlineMs) });
 }
 
+void
+logRunReappeared(const WorkerId& worker,
+                 FencingToken token,
+                 const RunReappeared& note,
+                 const char* state)
+{
+  logDecision(LogLevel::Warning,
+              "run-reappeared",
+              { { "worker", worker },
+                { "task", note.key.task() },
+                { "run", note.key.run() },
+                { "token", token },
+                { "state", state },
+                { "cause", toString(note.cause) },
+                { "sincePresumedMs", toMilliseconds(note.sincePresumed) },
+                { "previousWorker", note.previousWorker },
+                { "previousToken", note.previousToken } });
+}
+
 } // namespace cowslippin
--- a/src/libjobs/leaselog.h
+++ b/src/libjobs/leaselog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libworkers/leaseevents.h"
+#include "libworkers/presumedoverruns.h"
 
 #include "libcore/core.h"
 
@@ -25,5 +26,12 @@
 /// Logs nothing for a refused start, which has an event of its own.
 void
 logLeaseEvent(const WorkerId& worker, const RunPresumedOver& note);
+/// `token` is that of the lease whose report lists the run. `state` is
+/// `running`, or how the run has ended.
+void
+logRunReappeared(const WorkerId& worker,
+                 FencingToken token,
+                 const RunReappeared& note,
+                 const char* state);
 
 } // namespace cowslippin
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -253,6 +253,7 @@
                   const std::string& spec,
                   TimePoint now)
 {
+  m_presumedOver.runStarted(key);
   m_entries.at(worker).lease->start(key, resources, spec, now);
 }
 
@@ -376,6 +377,7 @@
   Entry* entry = find(worker);
   if (entry == nullptr)
     return;
+  m_answeredAt = now;
   entry->lease->leaseOrderAnswered(sent, answer, now);
   claimRestarted(worker, *entry, now);
 }
@@ -551,14 +553,21 @@
   hooks.runProgressed = [this, id](const RunKey& key, int percent) {
     m_hooks.runProgressed(id, key, percent);
   };
-  hooks.orphanFound = [id](const RunKey& key) { logOrphanFound(id, key); };
+  hooks.orphanFound = [this, id](const RunKey& key) {
+    logOrphanFound(id, key);
+    detectReappearance(id, key, "running");
+  };
   hooks.orphanStopped = [id](const auto& note) { logLeaseEvent(id, note); };
   hooks.stopFailed = [id](const auto& note) { logLeaseEvent(id, note); };
   hooks.endingRunRenewed = [id](const auto& note) { logLeaseEvent(id, note); };
   hooks.expired = [id](const auto& note) { logLeaseEvent(id, note); };
-  hooks.runPresumedOver = [id](const auto& note) { logLeaseEvent(id, note); };
+  hooks.runPresumedOver = [this, id](const auto& note) {
+    presumeOver(id, note);
+  };
   hooks.orphanEnded = [this, id](const RunKey& key, RunEnd end) {
     logOrphanEnded(id, key, end);
+    if (end == RunEnd::Done || end == RunEnd::Failed)
+      detectReappearance(id, key, toString(end));
     m_hooks.orphanEnded(id, key, end);
   };
   hooks.runWantedUntil = m_hooks.runWantedUntil;
@@ -584,6 +593,23 @@
   return hooks;
 }
 
+void
+WorkerPool::presumeOver(const WorkerId& id, const RunPresumedOver& note)
+{
+  logLeaseEvent(id, note);
+  m_presumedOver.add(id, note);
+}
+
+void
+WorkerPool::detectReappearance(const WorkerId& id,
+                               const RunKey& key,
+                               const char* state)
+{
+  const auto note = m_presumedOver.runListed(key, m_answeredAt);
+  if (note)
+    logRunReappeared(id, m_entries.at(id).lease->token(), *note, state);
+}
+
 /// Done only when a worker is added and after each of its runs: choosing a
 /// worker is much more frequent.
 void
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -285,6 +285,7 @@
     double failureShare = 0;
   };
   std::vector<WorkerView> snapshot() const;
+  const PresumedOverRuns& presumedOverRuns() const { return m_presumedOver; }
 
 private:
   /// A worker under load completes as many runs within some 10 s.
@@ -320,6 +321,11 @@
   Entry* find(const WorkerId& worker);
   void addWorker(const WorkerRecord& record, TimePoint now);
   WorkerLease::Hooks leaseHooks(const WorkerId& id);
+  void presumeOver(const WorkerId& id, const RunPresumedOver& note);
+  /// Logs it if a run that a report lists was presumed over.
+  void detectReappearance(const WorkerId& id,
+                          const RunKey& key,
+                          const char* state);
   void estimateSpeed(Entry& entry) const;
   void claimRestarted(const WorkerId& id, Entry& entry, TimePoint now);
   void removeUnlisted();
@@ -362,6 +368,9 @@
   std::map<WorkerId, Resources> m_fullCapacity;
   SpeedReference m_speeds;
   Entries m_entries;
+  PresumedOverRuns m_presumedOver;
+  /// When the last answer to a lease order arrived.
+  TimePoint m_answeredAt{};
 };
 
 } // namespace cowslippin
--- a/src/libworkers/workers.h
+++ b/src/libworkers/workers.h
@@ -4,6 +4,7 @@
 #include "leaseevents.h"
 #include "ordertimeouts.h"
 #include "presumedovercause.h"
+#include "presumedoverruns.h"
 #include "resources.h"
 #include "runkey.h"
 #include "speedreference.h"
--- a/tests/jobs/losslog_test.cpp
+++ b/tests/jobs/losslog_test.cpp
@@ -260,6 +260,52 @@
   EXPECT_TRUE(lines[0]["sinceRequestMs"].is_null());
 }
 
+/// Guards against a run that goes on after it was taken for over, of which
+/// nothing is recorded.
+TEST_F(LossLogTest, ARunThatReappearsLogsWhyItWasPresumedOver)
+{
+  submit(fixture.request("a", 1));
+  const WorkerId worker = *fixture.workerOf("a.0.0.0");
+  fixture.workers[worker] = FakeWorker();
+  fixture.advance(100);
+  ASSERT_EQ(log.of("run-presumed-over").size(), 1u);
+  fixture.workers[worker].start(
+    { 10, RunKey("a.0.0.0", 1), "spec", 60'000'000 }, fixture.now);
+  EXPECT_TRUE(log.of("run-reappeared").empty());
+  fixture.advance(400);
+  const auto lines = log.of("run-reappeared");
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0]["level"], "warning");
+  EXPECT_EQ(lines[0]["worker"], worker.value());
+  EXPECT_EQ(lines[0]["task"], "a.0.0.0");
+  EXPECT_EQ(lines[0]["run"], 1);
+  EXPECT_EQ(lines[0]["token"], 10);
+  EXPECT_EQ(lines[0]["state"], "running");
+  EXPECT_EQ(lines[0]["cause"], "missing");
+  EXPECT_GT(lines[0]["sincePresumedMs"], 0);
+  EXPECT_EQ(lines[0]["previousWorker"], worker.value());
+  EXPECT_EQ(lines[0]["previousToken"], 10);
+}
+
+/// Guards against a start that is carried out although it was refused, of which
+/// nothing is recorded.
+TEST_F(LossLogTest, ARefusedStartThatEndsByItselfLogsItsRefusal)
+{
+  fixture.delaysStarts = true;
+  fixture.scheduler.submit(fixture.request("a", 1), fixture.now);
+  ASSERT_EQ(fixture.lateStarts.size(), 1u);
+  const auto [worker, order] = fixture.lateStarts[0];
+  fixture.scheduler.startAnswered(
+    worker, order.key, OrderFailure::NoRoom, fixture.now);
+  ASSERT_EQ(log.of("start-rejected").size(), 1u);
+  fixture.workers[worker].end(order.key, RunEnd::Done);
+  fixture.advance(100);
+  const auto lines = log.of("run-reappeared");
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0]["cause"], "no-room");
+  EXPECT_EQ(lines[0]["state"], "done");
+}
+
 TEST_F(LossLogTest, AnOrdinaryEndIsNotPresumed)
 {
   const JobRequest job = fixture.request("a", 2);
