Log the token of a start, of its refusal and of a released shard

task-started, task-restarted and start-rejected name the fencing token of the run's first start order, and shard-released the token with which the shard was taken. A log thereby tells under which lease a run was started: until now this had to be inferred from the times of the lines between taking and releasing, and a lease that was claimed again was not told from the one before.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -780,11 +780,12 @@
     m_shards.workerFenced(shard, now);
   const ShardTable::Decisions decisions = m_shards.decide(now);
   for (const ShardId& shard : decisions.release) {
+    const PeerShardReleased release = shardRelease(shard, now);
     logDecision(LogLevel::Info,
                 "shard-released",
                 { { "shard", shard.toString() },
+                  { "token", release.token },
                   { "isIsolated", m_shards.isIsolated() } });
-    const PeerShardReleased release = shardRelease(shard, now);
     m_shards.shardReleased(shard, now);
     m_handover.shardReleased(shard);
     m_scheduler.releaseShard(shard, now);
--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -5,6 +5,7 @@
 #include "restartcause.h"
 
 #include "libworkers/runkey.h"
+#include "libworkers/workerorder.h"
 
 #include <functional>
 #include <map>
@@ -46,6 +47,8 @@
   bool isBeingStopped = false;
   WorkerId worker;
   std::uint64_t run = 0;
+  /// Token of the first order that started the run; 0 if it was adopted.
+  FencingToken token = 0;
   /// Whether the next start has the number `run`. The start that had this
   /// number was neither seen in progress nor rejected, so that the worker takes
   /// both for one run.
--- a/src/libjobs/joblog.cpp
+++ b/src/libjobs/joblog.cpp
@@ -44,6 +44,7 @@
              { "task", task.index },
              { "run", task.run },
              { "worker", task.worker },
+             { "token", task.token },
              { "waitedMs", toMilliseconds(now - job.arrivedAt) } });
 }
 
@@ -101,6 +102,7 @@
              { "task", task.index },
              { "run", task.run },
              { "worker", task.worker },
+             { "token", task.token },
              { "reason", toString(failure) } });
 }
 
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -171,6 +171,7 @@
     return false;
   task.worker = run->first;
   task.run = run->second.run();
+  task.token = 0;
   task.nextRun = std::max(task.nextRun, task.run + 1);
   task.startedAt = now;
   task.wasAdopted = true;
@@ -662,6 +663,7 @@
     task.worker.isEmpty() ? task.lastWorker : task.worker;
   task.worker = *worker;
   task.run = key.run();
+  task.token = m_pool.tokenOf(*worker);
   task.startedAt = now;
   task.progressAt = now;
   task.percent = 0;
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -204,6 +204,11 @@
              const Resources& resources,
              const std::string& spec,
              TimePoint now);
+  /// Returns the fencing token of the lease on a worker of a held shard.
+  FencingToken tokenOf(const WorkerId& worker) const
+  {
+    return m_entries.at(worker).lease->token();
+  }
   /// Starts nothing else on the worker until this run is over.
   void reserveForRun(const WorkerId& worker, const RunKey& key);
   /// Whether the worker has restarted, or another worker has its address, so
--- a/tests/entry/losstrace_test.cpp
+++ b/tests/entry/losstrace_test.cpp
@@ -81,6 +81,28 @@
   }
 }
 
+/// Guards against a log that doesn't tell under which lease a run was started.
+TEST(LossTrace, EachReleaseOfAShardLogsTheTokenOfItsTaking)
+{
+  LogCapture log;
+  Simulation simulation({}, 7);
+  for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon) {
+    simulation.runFor(seconds(2));
+    simulation.leave(daemon);
+  }
+  simulation.runFor(seconds(3));
+  const auto shardAndToken = [](const auto& line) {
+    return line["shard"].dump() + " " + line["token"].dump();
+  };
+  std::set<std::string> taken;
+  for (const auto& line : log.of("shard-taken"))
+    taken.insert(shardAndToken(line));
+  const auto releases = log.of("shard-released");
+  EXPECT_FALSE(releases.empty());
+  for (const auto& line : releases)
+    EXPECT_EQ(taken.count(shardAndToken(line)), 1u) << line;
+}
+
 TEST(LossTrace, MetricsCountTaskRestartsByCause)
 {
   Simulation simulation({}, 7);
--- a/tests/jobs/losslog_test.cpp
+++ b/tests/jobs/losslog_test.cpp
@@ -45,12 +45,14 @@
   submit(fixture.request("a", 1));
   const auto first = fixture.workerOf("a.0.0.0");
   fixture.end("a.0.0.0", RunEnd::Failed);
-  EXPECT_EQ(log.of("task-started").size(), 1u);
+  ASSERT_EQ(log.of("task-started").size(), 1u);
+  EXPECT_EQ(log.of("task-started")[0]["token"], 10);
   const auto lines = log.of("task-restarted");
   ASSERT_EQ(lines.size(), 1u);
   EXPECT_EQ(lines[0]["job"], "a");
   EXPECT_EQ(lines[0]["task"], 0);
   EXPECT_EQ(lines[0]["run"], 2);
+  EXPECT_EQ(lines[0]["token"], 10);
   EXPECT_EQ(lines[0]["cause"], "failed");
   EXPECT_EQ(lines[0]["previousWorker"], first->value());
   EXPECT_EQ(lines[0]["sinceLossMs"], -1);
@@ -297,7 +299,12 @@
   const auto [worker, order] = fixture.lateStarts[0];
   fixture.scheduler.startAnswered(
     worker, order.key, OrderFailure::NoRoom, fixture.now);
-  ASSERT_EQ(log.of("start-rejected").size(), 1u);
+  const auto rejected = log.of("start-rejected");
+  ASSERT_EQ(rejected.size(), 1u);
+  EXPECT_EQ(rejected[0]["worker"], worker.value());
+  EXPECT_EQ(rejected[0]["run"], order.key.run());
+  EXPECT_EQ(rejected[0]["token"], order.token);
+  EXPECT_EQ(rejected[0]["reason"], "no-room");
   fixture.workers[worker].end(order.key, RunEnd::Done);
   fixture.advance(100);
   const auto lines = log.of("run-reappeared");
