Metrics of runs that are presumed over and of those that reappear

cowslippin_runs_presumed_over_total and cowslippin_runs_reappeared_total count by cause what the lines run-presumed-over, start-rejected and run-reappeared log, so that operators can be alerted to a holder that takes runs for over by mistake before a worker is found over its capacity.

In its simulated crashes of workers the counters equal the lines in the log, and no run reappears.

--- a/src/libentry/entrycore.cpp
+++ b/src/libentry/entrycore.cpp
@@ -331,6 +331,9 @@
   figures.evacuatedZones = m_evacuations.zones.size();
   figures.isReady = isReady();
   figures.restarts = m_scheduler.restartCounts();
+  const PresumedOverRuns& presumed = m_scheduler.pool().presumedOverRuns();
+  figures.presumedOver = presumed.presumedOver();
+  figures.reappeared = presumed.reappeared();
   figures.loopLag = m_overload.meanLag();
   figures.admittedShare = m_overload.admittedShare();
   figures.holderShare = m_overload.holderShare();
--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -231,6 +231,10 @@
     std::size_t fastWorkers = 0;
     std::size_t slowWorkers = 0;
     LossLog::Counts restarts;
+    /// Runs without a listed end that count as over, and those of them that a
+    /// report has listed afterwards.
+    PresumedOverRuns::Counts presumedOver;
+    PresumedOverRuns::Counts reappeared;
     /// Mean lag of the event loop.
     Duration loopLag = Duration::zero();
     /// Share of the callers' work that is admitted on arrival.
--- a/src/libentry/entrymetrics.cpp
+++ b/src/libentry/entrymetrics.cpp
@@ -35,6 +35,17 @@
   return "other";
 }
 
+/// Sets one counter for each cause.
+template<class Counts>
+void
+setCounts(prometheus::Family<prometheus::Counter>& family, const Counts& counts)
+{
+  for (const auto& [cause, count] : counts) {
+    auto& counter = family.Add({ { "cause", toString(cause) } });
+    counter.Increment(double(count) - counter.Value());
+  }
+}
+
 } // namespace
 
 struct EntryMetrics::Families
@@ -60,6 +71,16 @@
                  .Name("cowslippin_task_restarts_total")
                  .Help("Second and later starts of tasks by their cause")
                  .Register(registry))
+    , presumedOver(
+        prometheus::BuildCounter()
+          .Name("cowslippin_runs_presumed_over_total")
+          .Help("Runs that count as over without a listed end, by cause")
+          .Register(registry))
+    , reappeared(
+        prometheus::BuildCounter()
+          .Name("cowslippin_runs_reappeared_total")
+          .Help("Runs that a worker has listed after they were presumed over")
+          .Register(registry))
     , refusals(prometheus::BuildCounter()
                  .Name("cowslippin_overload_refusals_total")
                  .Help("Jobs refused for lack of processor time")
@@ -81,6 +102,8 @@
   prometheus::Family<prometheus::Gauge>& gauges;
   prometheus::Family<prometheus::Gauge>& workers;
   prometheus::Family<prometheus::Counter>& restarts;
+  prometheus::Family<prometheus::Counter>& presumedOver;
+  prometheus::Family<prometheus::Counter>& reappeared;
   prometheus::Family<prometheus::Counter>& refusals;
   prometheus::Family<prometheus::Counter>& placements;
   prometheus::Family<prometheus::Counter>& shards;
@@ -146,10 +169,9 @@
     ++byState[toString(state)];
   for (const auto& [state, count] : byState)
     m_families->workers.Add({ { "lease", state } }).Set(count);
-  for (const auto& [cause, count] : figures.restarts) {
-    auto& counter = m_families->restarts.Add({ { "cause", toString(cause) } });
-    counter.Increment(double(count) - counter.Value());
-  }
+  setCounts(m_families->restarts, figures.restarts);
+  setCounts(m_families->presumedOver, figures.presumedOver);
+  setCounts(m_families->reappeared, figures.reappeared);
   const auto setPlacements = [this](const char* zone, std::uint64_t count) {
     auto& counter = m_families->placements.Add({ { "zone", zone } });
     counter.Increment(double(count) - counter.Value());
--- a/tests/entry/losstrace_test.cpp
+++ b/tests/entry/losstrace_test.cpp
@@ -103,6 +103,40 @@
     EXPECT_EQ(taken.count(shardAndToken(line)), 1u) << line;
 }
 
+/// Guards against a run that is taken for over, or that goes on afterwards,
+/// without being counted.
+TEST(LossTrace, MetricsCountRunsThatArePresumedOverByCause)
+{
+  LogCapture log;
+  Simulation simulation({}, 7);
+  for (std::size_t worker = 0; worker < 6; ++worker) {
+    simulation.runFor(seconds(1));
+    simulation.crashWorker(worker);
+  }
+  simulation.runFor(seconds(5));
+  std::map<std::string, std::uint64_t> counted;
+  std::string rendered;
+  for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon) {
+    const EntryCore::Stats stats = simulation.core(daemon).stats();
+    for (const auto& [cause, count] : stats.presumedOver)
+      counted[toString(cause)] += count;
+    EXPECT_TRUE(stats.reappeared.empty());
+    rendered += EntryMetrics().render(simulation.core(daemon));
+  }
+  std::map<std::string, std::uint64_t> logged;
+  for (const auto& line : log.of("run-presumed-over"))
+    ++logged[line["cause"]];
+  for (const auto& line : log.of("start-rejected"))
+    ++logged[line["reason"]];
+  EXPECT_FALSE(logged.empty());
+  EXPECT_EQ(counted, logged);
+  for (const auto& [cause, count] : counted)
+    EXPECT_NE(rendered.find("cowslippin_runs_presumed_over_total{cause=\"" +
+                            cause + "\"}"),
+              std::string::npos);
+  EXPECT_TRUE(log.of("run-reappeared").empty());
+}
+
 TEST(LossTrace, MetricsCountTaskRestartsByCause)
 {
   Simulation simulation({}, 7);
