Test of the metric of runs that reappear

The counters equal the lines run-reappeared in simulations in which a tenth of the orders and a tenth of the answers are lost. The runs that reappear there end before the lease of their silent worker has expired.

--- a/tests/entry/losstrace_test.cpp
+++ b/tests/entry/losstrace_test.cpp
@@ -137,6 +137,37 @@
   EXPECT_TRUE(log.of("run-reappeared").empty());
 }
 
+/// Runs whose worker didn't answer end before its lease expires, and are listed
+/// afterwards.
+TEST(LossTrace, MetricsCountRunsThatReappearByCause)
+{
+  Simulation::Settings settings;
+  settings.lostOrderShare = 0.1;
+  settings.lostAnswerShare = 0.1;
+  std::map<std::string, std::uint64_t> counted;
+  std::map<std::string, std::uint64_t> logged;
+  std::string rendered;
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    LogCapture log;
+    Simulation simulation(settings, seed);
+    simulation.runFor(seconds(21));
+    for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon) {
+      const EntryCore& core = simulation.core(daemon);
+      for (const auto& [cause, count] : core.stats().reappeared)
+        counted[toString(cause)] += count;
+      rendered += EntryMetrics().render(core);
+    }
+    for (const auto& line : log.of("run-reappeared"))
+      ++logged[line["cause"]];
+  }
+  EXPECT_FALSE(logged.empty());
+  EXPECT_EQ(counted, logged);
+  for (const auto& [cause, count] : counted)
+    EXPECT_NE(rendered.find("cowslippin_runs_reappeared_total{cause=\"" +
+                            cause + "\"}"),
+              std::string::npos);
+}
+
 TEST(LossTrace, MetricsCountTaskRestartsByCause)
 {
   Simulation simulation({}, 7);
