Tests: simulated workers that report no boot time, orders retransmitted by TCP

All workers of the group's simulation reported a boot time, and late orders came 2 s late or later, after the deadline of a start.

Six fault scenarios play such workers, with orders and report requests that arrive up to 1.5 s late, so also within a start's deadline, orders that a partition holds up and delivers after it, daemons that are back within 60 ms of a kill, and both daemons of a zone that shut down in a row. A call to the earlier id of a worker is answered by its next one.

--- a/tests/entry/faultscenario.cpp
+++ b/tests/entry/faultscenario.cpp
@@ -101,6 +101,19 @@
   return settings;
 }
 
+/// Workers that don't report their boot time, and orders that arrive late
+/// within and after the deadline of a start.
+Simulation::Settings
+withoutBootTimes(Simulation::Settings settings)
+{
+  settings.haveBootTimes = false;
+  settings.retransmitsOrders = true;
+  settings.lateOrderShare = 0.1;
+  settings.minLateDelay = milliseconds(20);
+  settings.maxLateDelay = milliseconds(1500);
+  return settings;
+}
+
 /// Daemons read the list of workers up to 4 s after other daemons.
 Simulation::Settings
 withDelayedWorkerLists()
@@ -216,6 +229,35 @@
   return delay;
 }
 
+/// A daemon is killed twice and is back within 60 ms each time.
+void
+killTwice(Simulation& simulation)
+{
+  const std::size_t daemon = randomDaemon(simulation);
+  for (int i = 0; i < 2; ++i) {
+    simulation.kill(daemon, milliseconds(5 + simulation.random()() % 55));
+    simulation.runFor(milliseconds(100 + simulation.random()() % 700));
+  }
+}
+
+/// The daemons of a zone are shut down shortly after each other, at times while
+/// the zone's workers can't be reached from other zones.
+void
+leaveTwice(Simulation& simulation)
+{
+  const std::size_t first = randomDaemon(simulation);
+  const unsigned zone = simulation.zoneOf(first);
+  if (simulation.random()() % 2 == 0)
+    simulation.partitionZone(zone,
+                             milliseconds(300 + simulation.random()() % 1500));
+  for (std::size_t daemon = 0; daemon < simulation.daemons(); ++daemon) {
+    if (simulation.zoneOf(daemon) != zone)
+      continue;
+    simulation.leave(daemon);
+    simulation.runFor(milliseconds(simulation.random()() % 900));
+  }
+}
+
 /// The callers of one daemon disconnect while a daemon, mostly another one,
 /// handles its input late.
 void
@@ -520,6 +562,33 @@
         restartRandomWorkers(s);
       },
       withOrderFaults() },
+    { "KillTwiceWithoutBootTimes",
+      killTwice,
+      withoutBootTimes(withBusyWorkers()) },
+    { "LeaveTwiceWithoutBootTimes",
+      leaveTwice,
+      withoutBootTimes(withBusyWorkers()) },
+    { "AnyFaultWithoutBootTimes",
+      injectBasicFault,
+      withoutBootTimes(withBusyWorkers()) },
+    { "RestartWorkersAndAnyFaultWithoutBootTimes",
+      [](Simulation& s) {
+        restartRandomWorkers(s);
+        s.runFor(milliseconds(s.random()() % 300));
+        injectBasicFault(s);
+      },
+      withoutBootTimes(withBusyWorkers()) },
+    { "ExpiredEntriesWithoutBootTimes",
+      expireEntriesAndLoseDaemon,
+      withoutBootTimes(withBusyWorkers()) },
+    { "PartitionZoneWithoutBootTimes",
+      [](Simulation& s) {
+        s.partitionZone(s.random()() % s.zones(),
+                        milliseconds(200 + s.random()() % 3000));
+        s.runFor(milliseconds(s.random()() % 800));
+        injectBasicFault(s);
+      },
+      withoutBootTimes(withBusyWorkers()) },
   };
 }
 
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -38,6 +38,16 @@
     double lostOrderShare = 0;
     double lostAnswerShare = 0;
     double lateOrderShare = 0;
+    /// How much later late orders arrive.
+    Duration minLateDelay = std::chrono::seconds(2);
+    Duration maxLateDelay = std::chrono::seconds(12);
+    /// Whether late orders, report requests among them, are answered like
+    /// others, and orders that a partition holds up arrive after it, as with
+    /// TCP.
+    bool retransmitsOrders = false;
+    /// Whether workers report their boot time. A worker that doesn't has a new
+    /// id each time that it starts, and answers orders to its earlier ids.
+    bool haveBootTimes = true;
     /// Upper limit of the delay after which a daemon reads a changed list of
     /// workers or of evacuated zones.
     Duration maxReadDelay = std::chrono::milliseconds(300);
@@ -330,6 +340,15 @@
   Duration sendTime(std::size_t node, std::size_t bytes);
   Duration receiveTime(std::size_t node, std::size_t bytes);
   Worker* findWorker(const WorkerId& id);
+  /// Whether another worker answers orders to this id.
+  bool isReplaced(const WorkerId& id);
+  Duration randomLateDelay();
+  /// Calls `arrive` after `delay`, or as soon after that as the daemon reaches
+  /// the worker. Orders that are held up arrive in any order.
+  void deliverOrder(std::size_t node,
+                    const WorkerId& id,
+                    Duration delay,
+                    const std::function<void()>& arrive);
   template<class Order, class Answer>
   void sendOrder(std::size_t node,
                  const WorkerRecord& record,
--- a/tests/entry/simulationworkers.cpp
+++ b/tests/entry/simulationworkers.cpp
@@ -10,6 +10,9 @@
 
 using std::chrono::milliseconds;
 
+/// TCP sends bytes again at most this long after a partition has ended.
+constexpr unsigned maxRetransmissionMs = 250;
+
 /// Time within which every daemon has read an operator's evacuation at the
 /// platform or heard of it from another daemon.
 constexpr Duration evacuationLimit = milliseconds(700);
@@ -74,7 +77,10 @@
 void
 Simulation::restartWorker(std::size_t index)
 {
-  startWorker(index, m_workers[index].record.id());
+  if (m_settings.haveBootTimes)
+    startWorker(index, m_workers[index].record.id());
+  else
+    replaceWorker(index);
   scheduleWorkerListReads();
 }
 
@@ -102,7 +108,9 @@
   ++worker.incarnation;
   const std::int64_t sinceStart = toMilliseconds(m_now.time_since_epoch());
   const auto clock = static_cast<std::int64_t>(1000 * index);
-  const WorkerBootTime bootTime(initialTimeOfDayMs + sinceStart);
+  const WorkerBootTime bootTime =
+    m_settings.haveBootTimes ? WorkerBootTime(initialTimeOfDayMs + sinceStart)
+                             : WorkerBootTime();
   worker.fake = std::make_unique<FakeWorker>(clock - sinceStart, bootTime);
   worker.runCpuMillis.clear();
   worker.pendingHolds.clear();
@@ -166,6 +174,38 @@
   return nullptr;
 }
 
+bool
+Simulation::isReplaced(const WorkerId& id)
+{
+  return !m_settings.haveBootTimes && !findWorker(id);
+}
+
+Duration
+Simulation::randomLateDelay()
+{
+  const Duration range = m_settings.maxLateDelay - m_settings.minLateDelay;
+  return m_settings.minLateDelay +
+         milliseconds(randomBelow(std::size_t(toMilliseconds(range))));
+}
+
+void
+Simulation::deliverOrder(std::size_t node,
+                         const WorkerId& id,
+                         Duration delay,
+                         const std::function<void()>& arrive)
+{
+  schedule(delay, [=] {
+    const Worker* worker = findWorker(id);
+    if (worker && !reachesWorker(node, *worker)) {
+      if (m_settings.retransmitsOrders)
+        deliverOrder(
+          node, id, milliseconds(1 + randomBelow(maxRetransmissionMs)), arrive);
+      return;
+    }
+    arrive();
+  });
+}
+
 template<class Order, class Answer>
 void
 Simulation::sendOrder(std::size_t node,
@@ -175,20 +215,20 @@
                       std::function<void(const Answer&)> done,
                       std::function<Answer(Worker&, const Order&)> carryOut)
 {
-  const auto isAnswered = std::make_shared<bool>(false);
+  const auto hasAnswer = std::make_shared<bool>(false);
   const unsigned incarnation = m_nodes[node].incarnation;
   charge(node,
          std::is_same_v<Order, StartOrder> ? processortime::startOrder
                                            : processortime::otherOrder);
   const auto answer =
-    [this, node, incarnation, isAnswered, done](const Answer& value) {
-      deliver(node, incarnation, [isAnswered, done, value] {
-        if (!std::exchange(*isAnswered, true))
+    [this, node, incarnation, hasAnswer, done](const Answer& value) {
+      deliver(node, incarnation, [hasAnswer, done, value] {
+        if (!std::exchange(*hasAnswer, true))
           done(value);
       });
     };
-  schedule(timeout, [this, answer, isAnswered] {
-    if (!hasProcessor() || !*isAnswered)
+  schedule(timeout, [this, answer, hasAnswer] {
+    if (!hasProcessor() || !*hasAnswer)
       answer(OrderFailure::Unanswered);
   });
   const double draw = randomFraction();
@@ -202,16 +242,19 @@
     return;
   const bool isDelayed =
     std::is_same_v<Order, StartOrder> && m_now < m_startsDelayedUntil;
-  Duration delay = isLate ? milliseconds(2000 + randomBelow(10000))
-                          : oneWayDelay + sendTime(node, wireBytes(order));
+  Duration delay =
+    isLate ? randomLateDelay() : oneWayDelay + sendTime(node, wireBytes(order));
   if (isDelayed)
     delay = m_startDelay;
-  schedule(delay, [=] {
+  const bool isAnswered =
+    !isAnswerLost && !isDelayed && (!isLate || m_settings.retransmitsOrders);
+  deliverOrder(node, record.id(), delay, [=] {
     Worker* worker = findWorker(record.id());
-    if (!worker || !reachesWorker(node, *worker))
+    if (!worker && !isReplaced(record.id()))
       return;
-    const Answer value = carryOut(*worker, order);
-    if (!isAnswerLost && !isLate && !isDelayed)
+    const Answer value =
+      worker ? carryOut(*worker, order) : OrderFailure::OtherIncarnation;
+    if (isAnswered)
       schedule(oneWayDelay + receiveTime(node, wireBytes(value)),
                [answer, value] { answer(value); });
   });
@@ -243,9 +286,15 @@
   });
   if (randomFraction() < m_settings.lostOrderShare + m_settings.lostAnswerShare)
     return;
-  schedule(oneWayDelay + sendTime(node, orderBytes), [=] {
+  Duration delay = oneWayDelay + sendTime(node, orderBytes);
+  if (m_settings.retransmitsOrders &&
+      randomFraction() < m_settings.lateOrderShare)
+    delay = randomLateDelay();
+  deliverOrder(node, record.id(), delay, [=] {
+    if (isReplaced(record.id()))
+      answer(OrderFailure::OtherIncarnation);
     Worker* worker = findWorker(record.id());
-    if (!worker || !reachesWorker(node, *worker))
+    if (!worker)
       return;
     const LeaseOrderAnswer value = worker->fake->hold(hold, m_now);
     const auto* report = std::get_if<WorkerReport>(&value);
