Soak: proxies that reset, delay and refuse each connection for itself

The soak's proxies treated all connections of a link alike: a delay moved the whole stream of orders, a reset lost what was under way. Now each connection can have a delay of its own, so that orders overtake each other; a share of the connections can be reset, with or without the delivery of what is under way; a proxy can stop listening, so that connections are refused rather than reset; and an observer is told who sent what and for how long it was held up.

--- a/tests/soak/loopbackproxy.cpp
+++ b/tests/soak/loopbackproxy.cpp
@@ -12,6 +12,9 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+/// A target that a caller is gone from has this time to close its side.
+constexpr Duration targetCloseTime = std::chrono::seconds(3);
+
 tcp::endpoint
 endpointOf(const Address& address)
 {
@@ -24,9 +27,21 @@
                              const Address& listen,
                              const Address& target)
   : m_context(context)
+  , m_listen(endpointOf(listen))
   , m_target(endpointOf(target))
-  , m_acceptor(context, endpointOf(listen))
+  , m_acceptor(context)
 {
+  open();
+}
+
+void
+LoopbackProxy::open()
+{
+  m_acceptor.open(m_listen.protocol());
+  m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+  m_acceptor.bind(m_listen);
+  m_acceptor.listen();
+  m_listen = m_acceptor.local_endpoint();
   accept();
 }
 
@@ -102,6 +117,42 @@
   }
 }
 
+void
+LoopbackProxy::resetSome(const std::function<bool()>& isReset, bool delivers)
+{
+  const auto links = m_links;
+  for (const LinkPtr& link : links) {
+    if (link->isCallerGone || !isReset())
+      continue;
+    if (!delivers) {
+      abort(*link);
+      continue;
+    }
+    link->isCallerGone = true;
+    abort(link->sockets[0]);
+    m_remnants.push_back({ steadyNow() + targetCloseTime, link });
+  }
+}
+
+void
+LoopbackProxy::setOwnDelays(std::function<Duration()> draw)
+{
+  m_drawDelay = std::move(draw);
+  for (const LinkPtr& link : m_links)
+    link->ownDelay = m_drawDelay ? m_drawDelay() : Duration::zero();
+}
+
+void
+LoopbackProxy::setClosed(bool isClosed)
+{
+  if (isClosed == !m_acceptor.is_open())
+    return;
+  if (isClosed)
+    m_acceptor.close();
+  else
+    open();
+}
+
 void
 LoopbackProxy::tick(TimePoint now)
 {
@@ -147,9 +198,11 @@
   if (!error)
     link->source = source.address().to_string();
   link->isCut = isCut(*link);
+  if (m_drawDelay)
+    link->ownDelay = m_drawDelay();
   m_links.push_back(link);
   link->sockets[1].async_connect(m_target, [this, link](error_code error) {
-    if (error || link->isOver) {
+    if (error || link->isOver || link->isCallerGone) {
       abort(*link);
       return;
     }
@@ -169,13 +222,15 @@
     [this, link, direction](error_code error, std::size_t count) {
       if (link->isOver || (error && losesEnd(*link, direction)))
         return;
-      if (error && error != boost::asio::error::eof) {
+      const bool isOwnEnd = direction == 0 && link->isCallerGone;
+      if (error && error != boost::asio::error::eof && !isOwnEnd) {
         holdReset(link, direction);
         return;
       }
       Pipe& read = link->pipes[direction];
       const TimePoint now = steadyNow();
-      read.held.push_back({ now + delayOf(direction, now),
+      read.held.push_back({ now,
+                            now + delayOf(*link, direction, now),
                             std::string(read.buffer.data(), count) });
       pass(link, direction, now);
       if (!error)
@@ -188,21 +243,23 @@
 {
   const TimePoint now = steadyNow();
   Chunk reset;
-  reset.dueAt = now + delayOf(direction, now);
+  reset.dueAt = now + delayOf(*link, direction, now);
   reset.isReset = true;
   link->pipes[direction].held.push_back(reset);
   pass(link, direction, now);
 }
 
 Duration
-LoopbackProxy::delayOf(std::size_t direction, TimePoint now) const
+LoopbackProxy::delayOf(const Link& link,
+                       std::size_t direction,
+                       TimePoint now) const
 {
   const Fault& fault = m_faults[direction];
   const Duration passed = now - m_faultsSince;
   const Duration nearEnd = std::min(passed, fault.rampTime - passed);
   if (nearEnd <= Duration::zero())
-    return fault.delay;
-  return fault.delay +
+    return fault.delay + link.ownDelay;
+  return fault.delay + link.ownDelay +
          fault.peakDelay * (2 * nearEnd.count()) / fault.rampTime.count();
 }
 
@@ -217,6 +274,11 @@
     abort(*link);
     return;
   }
+  if (direction == 1 && link->isCallerGone) {
+    pipe.hasEnded = pipe.held.front().bytes.empty();
+    pipe.held.pop_front();
+    return;
+  }
   Socket& to = link->sockets[1 - direction];
   if (pipe.held.front().bytes.empty()) {
     error_code ignored; // The other side may have closed before.
@@ -225,6 +287,9 @@
     pipe.hasEnded = true;
     return;
   }
+  if (direction == 0 && m_observer)
+    m_observer(
+      link->source, pipe.held.front().bytes, now - pipe.held.front().readAt);
   pipe.isWriting = true;
   boost::asio::async_write(
     to,
--- a/tests/soak/loopbackproxy.h
+++ b/tests/soak/loopbackproxy.h
@@ -63,6 +63,22 @@
   /// Resets the callers' side of every connection at once, and the target's
   /// only so much later. What was under way is lost.
   void resetCallers(Duration targetLater);
+  /// Resets the callers' side of those connections for which `isReset` says so.
+  /// The target still gets what is under way to it if `delivers`; its answers
+  /// are lost.
+  void resetSome(const std::function<bool()>& isReset, bool delivers);
+  /// Draws a delay of both directions for each connection that is open and for
+  /// each new one, beside the faults; none if empty.
+  void setOwnDelays(std::function<Duration()> draw);
+  /// Whether it doesn't listen, so that new connections are refused. Throws
+  /// boost::system::system_error if it can't listen again.
+  void setClosed(bool isClosed);
+  /// Is called with the bytes that go to the target, where they come from and
+  /// how long they were held up.
+  using Observer = std::function<void(const std::string& source,
+                                      const std::string& bytes,
+                                      Duration heldFor)>;
+  void setObserver(Observer observer) { m_observer = std::move(observer); }
   /// Passes on what is due; to be called every 10 ms or so.
   void tick(TimePoint now);
 
@@ -74,6 +90,7 @@
 
   struct Chunk
   {
+    TimePoint readAt{};
     TimePoint dueAt{};
     /// Empty for the end of the stream.
     std::string bytes;
@@ -100,7 +117,9 @@
     std::array<Pipe, 2> pipes;
     /// The caller's IP address; empty if it was gone at once.
     std::string source;
+    Duration ownDelay = Duration::zero();
     bool isCut = false;
+    bool isCallerGone = false;
     bool isOver = false;
   };
   using LinkPtr = std::shared_ptr<Link>;
@@ -111,12 +130,15 @@
     LinkPtr link;
   };
 
+  void open();
   void accept();
   void accepted(const LinkPtr& link);
   void read(const LinkPtr& link, std::size_t direction);
   /// Passes on a reset no sooner than the bytes of that direction.
   void holdReset(const LinkPtr& link, std::size_t direction);
-  Duration delayOf(std::size_t direction, TimePoint now) const;
+  Duration delayOf(const Link& link,
+                   std::size_t direction,
+                   TimePoint now) const;
   bool isCut(const Link& link) const;
   /// Whether the target isn't to learn of this end of a stream.
   bool losesEnd(const Link& link, std::size_t direction) const;
@@ -126,12 +148,15 @@
   static void abort(Socket& socket);
 
   boost::asio::io_context& m_context;
+  boost::asio::ip::tcp::endpoint m_listen;
   const boost::asio::ip::tcp::endpoint m_target;
   boost::asio::ip::tcp::acceptor m_acceptor;
   std::array<Fault, 2> m_faults;
   TimePoint m_faultsSince{};
   Cut m_cut;
   bool m_isRefusing = false;
+  std::function<Duration()> m_drawDelay;
+  Observer m_observer;
   std::vector<LinkPtr> m_links;
   std::vector<Remnant> m_remnants;
 };
--- a/tests/soak/loopbackproxy_test.cpp
+++ b/tests/soak/loopbackproxy_test.cpp
@@ -294,5 +294,68 @@
   EXPECT_GE(steadyNow() - sent, slow.delay);
 }
 
+TEST_F(LoopbackProxyTest, DeliversWhatIsUnderWayWhenACallerIsReset)
+{
+  collect(target, received);
+  proxy.setOwnDelays([] { return milliseconds(100); });
+  boost::asio::write(caller, boost::asio::buffer("order", 5));
+  runFor(milliseconds(20));
+  proxy.resetSome([] { return true; }, true);
+  std::string answer;
+  collect(caller, answer);
+  runUntil(
+    [this] { return lastError == boost::asio::error::connection_reset; });
+  runUntil([this] { return received == "order"; });
+}
+
+TEST_F(LoopbackProxyTest, LosesWhatIsUnderWayWhenBothSidesAreReset)
+{
+  collect(target, received);
+  proxy.setOwnDelays([] { return milliseconds(100); });
+  boost::asio::write(caller, boost::asio::buffer("order", 5));
+  runFor(milliseconds(20));
+  proxy.resetSome([] { return true; }, false);
+  runUntil(
+    [this] { return lastError == boost::asio::error::connection_reset; });
+  EXPECT_EQ(received, "");
+}
+
+TEST_F(LoopbackProxyTest, LeavesConnectionsThatAreNotChosen)
+{
+  proxy.resetSome([] { return false; }, true);
+  boost::asio::write(caller, boost::asio::buffer("order", 5));
+  runUntil([this] { return target.available() == 5; });
+}
+
+TEST_F(LoopbackProxyTest, TellsItsObserverWhoSentWhatAndHowLongItWasHeldUp)
+{
+  std::string seen;
+  Duration held = Duration::zero();
+  proxy.setObserver(
+    [&](const std::string& source, const std::string& bytes, Duration heldFor) {
+      seen = source + ' ' + bytes;
+      held = heldFor;
+    });
+  proxy.setOwnDelays([] { return milliseconds(50); });
+  boost::asio::write(caller, boost::asio::buffer("order", 5));
+  runUntil([&] { return seen == "127.0.0.1 order"; });
+  EXPECT_GE(held, milliseconds(50));
+}
+
+TEST_F(LoopbackProxyTest, RefusesConnectionsWhileItIsClosed)
+{
+  const tcp::endpoint endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                               proxy.address().port());
+  proxy.setClosed(true);
+  tcp::socket next(context);
+  boost::system::error_code error;
+  next.connect(endpoint, error);
+  EXPECT_EQ(error, boost::asio::error::connection_refused);
+  next.close();
+  proxy.setClosed(false);
+  next.connect(endpoint, error);
+  EXPECT_FALSE(error);
+}
+
 } // namespace
 } // namespace cowslippin::testing
