Soak: workers without a birth, and traces of violations

Every worker of the soak reported its birth and kept its id through a restart, so that what daemons do for workers without one was played by no real process. With `--births 0` no entry and no report has a birth, each life has a new id, the entry under the old one stays in the store for 4.5 s, clocks are up to 2% slow, and a stop takes up to 50 ms. The default stays.

A violation was a line without the runs that caused it. Workers' answers to orders give the worker's clock rather than that of the soak.

--- a/tests/soak/leasedplatform.cpp
+++ b/tests/soak/leasedplatform.cpp
@@ -38,6 +38,20 @@
   return text;
 }
 
+/// The entry of a worker that is gone stays in the store for so long.
+constexpr Duration staleEntryTime = milliseconds(4500);
+constexpr double slowestClock = 0.98;
+constexpr int maxStopMs = 50;
+constexpr std::size_t tracedOrders = 60;
+
+std::int64_t
+systemMs()
+{
+  return std::chrono::duration_cast<milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
 std::int64_t
 clockMs()
 {
@@ -123,13 +137,6 @@
   tickLater();
 }
 
-void
-LeasedPlatform::setOrderFaults(double lost, double late)
-{
-  m_lost = lost;
-  m_late = late;
-}
-
 void
 LeasedPlatform::lapseEntries(double share)
 {
@@ -139,12 +146,24 @@
   }
 }
 
+void
+LeasedPlatform::forgetEntry(std::size_t index, Duration time)
+{
+  const Worker& worker = m_workers[index];
+  put("keyed.servers", worker.id, "");
+  afterInLife(
+    worker, time, [this](const Worker& same) { publishWorker(same); });
+}
+
 void
 LeasedPlatform::crashWorker(std::size_t index)
 {
   Worker& worker = m_workers[index];
-  if (!worker.id.empty())
+  if (!worker.id.empty() && m_settings.reportsBirths)
     put("keyed.servers", worker.id, "");
+  if (!worker.id.empty() && !m_settings.reportsBirths)
+    after(staleEntryTime,
+          [this, id = worker.id] { put("keyed.servers", id, ""); });
   worker.id = "w" + std::to_string(++m_lastWorker);
   beginLife(worker);
 }
@@ -152,7 +171,10 @@
 void
 LeasedPlatform::restartWorker(std::size_t index)
 {
-  beginLife(m_workers[index]);
+  if (m_settings.reportsBirths)
+    beginLife(m_workers[index]);
+  else
+    crashWorker(index);
 }
 
 /// The worker's clock, its count of ends and its tokens begin anew.
@@ -161,8 +183,14 @@
 {
   ++worker.life;
   worker.bornMs = firstBirthMs + clockMs();
-  worker.fake =
-    std::make_unique<FakeWorker>(-clockMs(), WorkerBootTime(worker.bornMs));
+  const double clockRate =
+    m_settings.reportsBirths ? 1 : 1 - (1 - slowestClock) * chance();
+  worker.fake = std::make_unique<FakeWorker>(
+    -clockMs(), WorkerBootTime(worker.bornMs), clockRate);
+  worker.fake->setOnEnd([this, id = worker.id](const RunKey& key, RunEnd end) {
+    noteEnd(id, key, end);
+  });
+  noteOrder(worker, "life " + std::to_string(worker.life) + " as " + worker.id);
   worker.sizes.clear();
   worker.holds.clear();
   publishWorker(worker);
@@ -206,6 +234,17 @@
 void
 LeasedPlatform::serveStore(const HttpRequest& request,
                            const Transaction& transaction)
+{
+  if (m_storeDelay > Duration::zero())
+    after(m_storeDelay,
+          [this, request, transaction] { answerStore(request, transaction); });
+  else
+    answerStore(request, transaction);
+}
+
+void
+LeasedPlatform::answerStore(const HttpRequest& request,
+                            const Transaction& transaction)
 {
   if (m_isStoreDown)
     transaction->answer(HttpReply::json(503, "{}"));
@@ -317,25 +356,43 @@
                             const HttpRequest& request,
                             const Transaction& transaction)
 {
-  const double fate = chance();
-  if (fate < m_lost)
-    return;
-  if (fate < m_lost + m_late) {
-    // Carried out seconds later and never answered.
-    after(milliseconds(2000 + m_random() % 3000),
-          [this, index, request] { carryOut(index, request, nullptr); });
-    return;
+  double fate = chance();
+  const auto isFate = [&fate](double share) {
+    const bool isThis = fate < share;
+    fate -= share;
+    return isThis;
+  };
+  if (isFate(m_faults.lost)) {
+    noteOrder(m_workers[index], "lost " + request.path());
+  } else if (isFate(m_faults.late)) {
+    const Duration range = m_faults.maxDelay - m_faults.minDelay;
+    const Duration delay =
+      m_faults.minDelay + milliseconds(m_random() % static_cast<std::uint64_t>(
+                                                      range / milliseconds(1)));
+    after(delay,
+          [this, index, request] { carryOut(index, request, nullptr, true); });
+  } else if (isFate(m_faults.unanswered)) {
+    carryOut(index, request, nullptr);
+  } else if (isFate(m_faults.unhealthy)) {
+    noteOrder(m_workers[index], "503 to " + request.path());
+    transaction->answer(HttpReply::json(503, "{}"));
+  } else {
+    carryOut(index, request, transaction);
   }
-  carryOut(index, request, transaction);
 }
 
 void
 LeasedPlatform::carryOut(std::size_t index,
                          const HttpRequest& request,
-                         const Transaction& transaction)
+                         const Transaction& transaction,
+                         bool isLate)
 {
   Worker& worker = m_workers[index];
+  noteOrder(worker,
+            request.path() + ' ' + request.body() + (isLate ? " late" : "") +
+              (transaction ? "" : " unanswered"));
   if (request.header("X-Cowslippin-Target-Instance") != worker.id) {
+    noteOrder(worker, "421, for another id");
     if (transaction)
       transaction->answer(HttpReply::json(421, "{}"));
     return;
@@ -345,16 +402,38 @@
     return;
   }
   if (request.path() == "/v1/run-start") {
-    start(worker, request, transaction);
+    start(worker, request, transaction, isLate);
     return;
   }
+  stop(worker, request, transaction);
+}
+
+void
+LeasedPlatform::stop(Worker& worker,
+                     const HttpRequest& request,
+                     const Transaction& transaction)
+{
   const json body = json::parse(request.body());
-  const OrderAnswer answer =
-    worker.fake->stop({ body.at("fencing_token").get<FencingToken>(),
-                        RunKey(body.at("task"), body.at("run")) },
-                      steadyNow());
+  const StopOrder order{ body.at("fencing_token").get<FencingToken>(),
+                         RunKey(body.at("task"), body.at("run")) };
+  for (RunTrace& run : m_runs[order.key.task()]) {
+    if (run.key == order.key && run.stopMs == 0)
+      run.stopMs = systemMs();
+  }
+  const OrderAnswer answer = m_settings.reportsBirths
+                               ? worker.fake->stop(order, steadyNow())
+                               : worker.fake->beginStop(order, steadyNow());
   if (transaction)
-    transaction->answer(orderReply(answer, clockMs()));
+    transaction->answer(orderReply(answer, worker.fake->clockMs(steadyNow())));
+  if (answer || !worker.fake->isRunning(order.key))
+    return;
+  afterInLife(worker,
+              milliseconds(m_random() % maxStopMs),
+              [this, key = order.key](Worker& same) {
+                if (same.fake->isRunning(key))
+                  same.fake->end(key, RunEnd::Stopped);
+                answerHolds(same, steadyNow());
+              });
 }
 
 void
@@ -382,37 +461,47 @@
 void
 LeasedPlatform::start(Worker& worker,
                       const HttpRequest& request,
-                      const Transaction& transaction)
+                      const Transaction& transaction,
+                      bool isLate)
 {
   const json body = json::parse(request.body());
   const RunKey key(body.at("task"), body.at("run"));
   const bool wasRunning = worker.fake->isRunning(key);
-  const OrderAnswer answer =
-    worker.fake->start({ body.at("fencing_token").get<FencingToken>(),
-                         key,
-                         body.at("spec"),
-                         body.at("deadline_ms").get<std::int64_t>() },
-                       steadyNow());
+  const auto token = body.at("fencing_token").get<FencingToken>();
+  const OrderAnswer answer = worker.fake->start(
+    { token, key, body.at("spec"), body.at("deadline_ms").get<std::int64_t>() },
+    steadyNow());
+  if (answer)
+    noteOrder(worker, std::string("refused: ") + reasonOf(*answer));
   if (transaction)
-    transaction->answer(orderReply(answer, clockMs()));
+    transaction->answer(orderReply(answer, worker.fake->clockMs(steadyNow())));
   if (answer || wasRunning)
     return;
+  m_runs[key.task()].push_back({ key, token, worker.id, isLate, systemMs() });
   ++m_starts;
   // The specification of a task is its run time and its size.
   const std::string spec = body.at("spec");
   worker.sizes[key] = std::stoll(spec.substr(spec.find(',') + 1));
   check(worker, key);
-  after(milliseconds(std::stoi(spec)),
-        [this, id = worker.id, life = worker.life, key] {
-          for (Worker& candidate : m_workers) {
-            if (candidate.id != id || candidate.life != life)
-              continue;
-            candidate.fake->expireLease(steadyNow());
-            if (candidate.fake->isRunning(key))
-              candidate.fake->end(key, RunEnd::Done);
-            answerHolds(candidate, steadyNow());
-          }
-        });
+  afterInLife(worker, milliseconds(std::stoi(spec)), [this, key](Worker& same) {
+    same.fake->expireLease(steadyNow());
+    if (same.fake->isRunning(key))
+      same.fake->end(key, RunEnd::Done);
+    answerHolds(same, steadyNow());
+  });
+}
+
+void
+LeasedPlatform::afterInLife(const Worker& worker,
+                            Duration delay,
+                            const std::function<void(Worker&)>& action)
+{
+  after(delay, [this, id = worker.id, life = worker.life, action] {
+    for (Worker& candidate : m_workers) {
+      if (candidate.id == id && candidate.life == life)
+        action(candidate);
+    }
+  });
 }
 
 void
@@ -429,7 +518,7 @@
 {
   const LeaseOrderAnswer answer = worker.fake->hold(hold.order, now);
   if (const auto* failure = std::get_if<OrderFailure>(&answer)) {
-    hold.transaction->answer(orderReply(*failure, clockMs()));
+    hold.transaction->answer(orderReply(*failure, worker.fake->clockMs(now)));
     return;
   }
   const auto& report = std::get<WorkerReport>(answer);
@@ -445,23 +534,25 @@
   for (const EndedRun& run : report.ended)
     finished.push_back(json::array(
       { run.sequence, run.key.task(), run.key.run(), toString(run.end), "" }));
-  hold.transaction->answer(
-    HttpReply::json(200,
-                    json{ { "clock_ms", report.clockMs },
-                          { "born", worker.bornMs },
-                          { "running", std::move(running) },
-                          { "finished", std::move(finished) } }
-                      .dump()));
+  json reply{ { "clock_ms", report.clockMs },
+              { "running", std::move(running) },
+              { "finished", std::move(finished) } };
+  if (m_settings.reportsBirths)
+    reply["born"] = worker.bornMs;
+  hold.transaction->answer(HttpReply::json(200, reply.dump()));
 }
 
 void
 LeasedPlatform::check(const Worker& worker, const RunKey& started)
 {
   std::int64_t used = 0;
-  for (const RunKey& key : worker.fake->runs())
+  std::set<std::string> tasks;
+  for (const RunKey& key : worker.fake->runs()) {
     used += worker.sizes.at(key);
+    tasks.insert(key.task());
+  }
   if (used > worker.cpu)
-    m_violations.push_back("over capacity: " + worker.id);
+    violated("over capacity: " + worker.id, worker, tasks);
   unsigned runs = 0;
   for (const Worker& other : m_workers) {
     other.fake->expireLease(steadyNow());
@@ -469,7 +560,7 @@
   }
   if (runs > 1) {
     ++m_doubleRuns;
-    m_violations.push_back("two runs of " + started.task());
+    violated("two runs of " + started.task(), worker, { started.task() });
   }
   const std::string job = started.task().substr(0, started.task().find('.'));
   m_started.insert(job);
@@ -477,6 +568,69 @@
     m_violations.push_back("a start of the refused " + job);
 }
 
+void
+LeasedPlatform::violated(const std::string& what,
+                         const Worker& worker,
+                         const std::set<std::string>& tasks)
+{
+  m_violations.push_back(what);
+  m_traces.push_back({ what, systemMs(), tasks, worker.orders });
+}
+
+void
+LeasedPlatform::noteOrder(Worker& worker, const std::string& order)
+{
+  worker.orders.push_back(std::to_string(systemMs()) + ' ' + order);
+  if (worker.orders.size() > tracedOrders)
+    worker.orders.pop_front();
+}
+
+void
+LeasedPlatform::noteEnd(const std::string& worker,
+                        const RunKey& key,
+                        RunEnd end)
+{
+  for (RunTrace& run : m_runs[key.task()]) {
+    if (run.key == key && run.worker == worker && run.endMs == 0) {
+      run.endMs = systemMs();
+      run.end = end;
+    }
+  }
+}
+
+std::string
+LeasedPlatform::describe(const RunTrace& run) const
+{
+  const auto timeOf = [](std::int64_t ms) {
+    return ms == 0 ? "-" : std::to_string(ms);
+  };
+  std::string text = "run " + run.key.task() + ' ' +
+                     std::to_string(run.key.run()) + " on " + run.worker +
+                     ", token " + std::to_string(run.token);
+  if (m_settings.describeStart)
+    text += m_settings.describeStart(run.token, run.key);
+  text += std::string(", late ") + (run.isLate ? "true" : "false") +
+          ", start " + timeOf(run.startMs) + ", stop " + timeOf(run.stopMs) +
+          ", end " + timeOf(run.endMs);
+  return run.endMs == 0 ? text : text + ' ' + toString(run.end);
+}
+
+std::vector<std::string>
+LeasedPlatform::traces() const
+{
+  std::vector<std::string> lines;
+  for (const ViolationTrace& trace : m_traces) {
+    lines.push_back(std::to_string(trace.timeMs) + ' ' + trace.violation);
+    for (const std::string& task : trace.tasks) {
+      for (const RunTrace& run : m_runs.at(task))
+        lines.push_back("  " + describe(run));
+    }
+    for (const std::string& order : trace.orders)
+      lines.push_back("  order " + order);
+  }
+  return lines;
+}
+
 void
 LeasedPlatform::after(Duration delay, const std::function<void()>& action)
 {
@@ -491,18 +645,18 @@
 void
 LeasedPlatform::publishWorker(const Worker& worker)
 {
-  put("keyed.servers",
-      worker.id,
-      json{ { "backend", "booking" },
-            { "address",
-              Address(m_settings.listedWorkerHost, worker.address.port())
-                .toString() },
-            { "zone", worker.zone },
-            { "state", "ready" },
-            { "capacity", { { "cpu", worker.cpu }, { "mem_mb", 32768 } } },
-            { "labels", { "a" } },
-            { "born", worker.bornMs } }
-        .dump());
+  json entry{
+    { "backend", "booking" },
+    { "address",
+      Address(m_settings.listedWorkerHost, worker.address.port()).toString() },
+    { "zone", worker.zone },
+    { "state", "ready" },
+    { "capacity", { { "cpu", worker.cpu }, { "mem_mb", 32768 } } },
+    { "labels", { "a" } }
+  };
+  if (m_settings.reportsBirths)
+    entry["born"] = worker.bornMs;
+  put("keyed.servers", worker.id, entry.dump());
 }
 
 } // namespace cowslippin::testing
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -60,6 +60,8 @@
             << ", descriptors left " << openDescriptors() << std::endl;
   for (const std::string& violation : report.violations)
     std::cout << "  " << violation << std::endl;
+  for (const std::string& line : report.traces)
+    std::cout << "  trace: " << line << std::endl;
   if (isGood)
     return;
   for (const std::string& strike : report.strikes)
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -32,6 +32,7 @@
 constexpr std::uint16_t readinessPort = 2;
 constexpr std::uint16_t peerPort = 3;
 constexpr std::uint16_t firstWorker = 10;
+const LeasedPlatform::OrderFaults randomOrderFaults{ 0.03, 0.04 };
 constexpr const char* workerProxyHost = "127.0.3.1";
 
 LeasedPlatform::Settings
@@ -44,6 +45,7 @@
   platform.firstWorkerPort =
     static_cast<std::uint16_t>(settings.firstPort + firstWorker);
   platform.listedWorkerHost = workerProxyHost;
+  platform.reportsBirths = settings.reportsBirths;
   return platform;
 }
 
@@ -110,6 +112,9 @@
   runUntil(steadyNow() + std::chrono::seconds(3));
   m_report.violations = m_platform.violations();
   m_report.doubleRuns = m_platform.doubleRuns();
+  m_report.traces = m_platform.traces();
+  for (const std::string& line : m_report.traces)
+    note("trace " + line);
   return m_report;
 }
 
@@ -261,7 +266,7 @@
   if (m_isStoreStruck && now >= m_storeBackAt)
     endStoreOutage();
   if (now >= m_ordersWellAt)
-    m_platform.setOrderFaults(0, 0);
+    m_platform.setOrderFaults({});
   if (m_isStruck && m_settings.strikesAtRandom && now >= m_nextStrikeAt)
     strike(now);
   if (m_isStruck && m_settings.strikesLinks && now >= m_nextLinkStrikeAt)
@@ -387,7 +392,7 @@
       break;
     case 4:
       note("orders lost, not");
-      m_platform.setOrderFaults(0.03, 0.04);
+      m_platform.setOrderFaults(randomOrderFaults);
       m_ordersWellAt = now + time;
       break;
     case 5:
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -70,6 +70,8 @@
     /// Whether other writers, callers and daemons send bytes that no daemon
     /// expects.
     bool strikesForeign = false;
+    /// Whether workers say when they began.
+    bool reportsBirths = true;
     /// Whether callers submit again at a daemon of the same zone.
     bool retriesInZone = false;
     /// The only kind of overlapping strike, one at a time; all if negative.
@@ -82,6 +84,8 @@
   {
     std::vector<std::string> violations;
     std::vector<std::string> strikes;
+    /// The runs and orders behind the violations.
+    std::vector<std::string> traces;
     /// The violations that are two runs of a task at once.
     unsigned doubleRuns = 0;
     unsigned submitted = 0;
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <filesystem>
+#include <iostream>
 #include <unistd.h>
 
 namespace cowslippin::testing {
@@ -47,6 +48,8 @@
     play(settings, seed, std::chrono::seconds(8), std::chrono::seconds(4));
   for (const std::string& violation : report.violations)
     ADD_FAILURE() << violation;
+  for (const std::string& line : report.traces)
+    std::cerr << line << '\n';
   EXPECT_GT(report.completed, 0u);
   EXPECT_GT(report.calmCompleted, report.calmSubmitted / 2);
 }
--- a/tests/soak/soakoptions.cpp
+++ b/tests/soak/soakoptions.cpp
@@ -163,6 +163,11 @@
              "how much the run times of the mix vary: the standard deviation "
              "of their logarithm",
              inRange(settings.spread, 0.0, 1.0) },
+           { "births",
+             "1",
+             "whether workers say when they began; those that don't get a new "
+             "id with each life, slow clocks and stops that take a while",
+             yesOrNo(settings.reportsBirths) },
            { "retry-in-zone",
              "0",
              "whether callers submit again at daemons of the same zone",
--- a/tests/soak/soakoptions_test.cpp
+++ b/tests/soak/soakoptions_test.cpp
@@ -18,6 +18,7 @@
   EXPECT_EQ(options->settings.onlyKind, -1);
   EXPECT_FALSE(options->settings.strikesCuts);
   EXPECT_FALSE(options->settings.strikesForeign);
+  EXPECT_TRUE(options->settings.reportsBirths);
   EXPECT_FALSE(options->settings.retriesInZone);
   EXPECT_TRUE(options->settings.program.empty());
   EXPECT_EQ(options->settings.firstPort, 21000);
@@ -58,6 +59,13 @@
   EXPECT_TRUE(options->settings.retriesInZone);
 }
 
+TEST(SoakOptions, TakeWorkersWithoutBirths)
+{
+  const auto options = SoakOptions::parse({ "--births=0" });
+  ASSERT_TRUE(options) << options.error().detail();
+  EXPECT_FALSE(options->settings.reportsBirths);
+}
+
 TEST(SoakOptions, TakeForeignBytes)
 {
   const auto options = SoakOptions::parse({ "--strike-foreign=1" });
@@ -116,6 +124,7 @@
                                            Refused{ "strike-rate", "1x" },
                                            Refused{ "strike-links", "yes" },
                                            Refused{ "strike-cuts", "2" },
+                                           Refused{ "births", "2" },
                                            Refused{ "lost-ends", "1.1" },
                                            Refused{ "lost-ends", "-0.1" },
                                            Refused{ "retry-in-zone", "" },
--- a/tests/support/fakeworker.h
+++ b/tests/support/fakeworker.h
@@ -2,7 +2,9 @@
 
 #include "libworkers/workers.h"
 
+#include <cmath>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -12,17 +14,25 @@
 /// A worker in memory, as the platform describes it: it ignores orders with a
 /// lower token than it has seen, starts whatever it is told, ends what its
 /// lease no longer covers, and lists ends until they are acknowledged. Its
-/// clock is the test's plus an offset.
+/// clock is the test's plus an offset, and may be slow.
 class FakeWorker
 {
 public:
   explicit FakeWorker(std::int64_t clockOffsetMs = 50000,
-                      WorkerBootTime bootTime = {})
+                      WorkerBootTime bootTime = {},
+                      double clockRate = 1)
     : m_offset(clockOffsetMs)
     , m_bootTime(bootTime)
+    , m_clockRate(clockRate)
   {
   }
 
+  /// Is called whenever a run ends.
+  void setOnEnd(std::function<void(const RunKey&, RunEnd)> onEnd)
+  {
+    m_onEnd = std::move(onEnd);
+  }
+
   LeaseOrderAnswer hold(const LeaseOrder& order, TimePoint now)
   {
     expireLease(now);
@@ -71,12 +81,24 @@
     return std::nullopt;
   }
 
+  /// Accepts a stop; the run goes on until the test ends it.
+  OrderAnswer beginStop(const StopOrder& order, TimePoint now)
+  {
+    expireLease(now);
+    if (!admit(order.token))
+      return OrderFailure::Fenced;
+    noteRun(order.key);
+    return std::nullopt;
+  }
+
   /// Ends a run by itself.
   void end(const RunKey& key, RunEnd how)
   {
     m_running.erase(key);
     noteRun(key);
     m_ended.push_back({ ++m_lastEnd, key, how });
+    if (m_onEnd)
+      m_onEnd(key, how);
   }
 
   void setPercent(const RunKey& key, int percent) { m_running[key] = percent; }
@@ -115,15 +137,19 @@
   }
   FencingToken highestToken() const { return m_token; }
 
-private:
   std::int64_t clockMs(TimePoint now) const
   {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-             now.time_since_epoch())
-             .count() +
-           m_offset;
+    const std::int64_t passed =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        now.time_since_epoch())
+        .count() +
+      m_offset;
+    return m_clockRate == 1
+             ? passed
+             : std::llround(static_cast<double>(passed) * m_clockRate);
   }
 
+private:
   bool admit(FencingToken token)
   {
     if (token < m_token)
@@ -145,6 +171,8 @@
 
   std::int64_t m_offset;
   WorkerBootTime m_bootTime;
+  double m_clockRate = 1;
+  std::function<void(const RunKey&, RunEnd)> m_onEnd;
   FencingToken m_token = 0;
   std::int64_t m_deadlineMs = 0;
   std::map<RunKey, int> m_running;
