Soak: orders struck in transit, and strikes in series

The soak struck links with whole faults and let a daemon be away for 200 ms or more. Not played were: connections reset while an order is delivered and its answer is not; orders that overtake each other within a start's deadline; refused connections; a store that answers after 150 ms or more; a daemon that is back 5 to 50 ms after its kill; rolls of a zone's daemons at once, also while they are cut from their workers; workers that crash behind a cut while orders wait; freezes of 100 to 900 ms in series; entries of workers that lapse for some 100 ms. `--strike-orders 1` and `--strike-series 1` play them, from the seed, overlapping with the other strikes.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -36,7 +36,9 @@
 constexpr const char* workerProxyHost = "127.0.3.1";
 
 LeasedPlatform::Settings
-platformSettings(const Soak::Settings& settings)
+platformSettings(
+  const Soak::Settings& settings,
+  std::function<std::string(FencingToken, const RunKey&)> describeStart)
 {
   LeasedPlatform::Settings platform;
   platform.zones = settings.zones;
@@ -46,6 +48,7 @@
     static_cast<std::uint16_t>(settings.firstPort + firstWorker);
   platform.listedWorkerHost = workerProxyHost;
   platform.reportsBirths = settings.reportsBirths;
+  platform.describeStart = std::move(describeStart);
   return platform;
 }
 
@@ -60,8 +63,15 @@
   , m_cutRandom(seed + 4)
   , m_storeRandom(seed + 5)
   , m_foreignRandom(seed + 6)
+  , m_ordersRandom(seed + 8)
+  , m_seriesRandom(seed + 9)
   , m_foreign(seed + 7)
-  , m_platform(m_context, platformSettings(m_settings), seed)
+  , m_platform(m_context,
+               platformSettings(m_settings,
+                                [this](FencingToken token, const RunKey& key) {
+                                  return describeStart(token, key);
+                                }),
+               seed)
 {
   setUpForeign();
   const unsigned count = m_settings.zones * m_settings.daemonsPerZone;
@@ -77,6 +87,10 @@
     const Address& worker = m_platform.workerAddress(i);
     m_workerLinks.push_back(std::make_unique<LoopbackProxy>(
       m_context, Address(workerProxyHost, worker.port()), worker));
+    m_workerLinks.back()->setObserver(
+      [this](const std::string& source,
+             const std::string& bytes,
+             Duration heldFor) { noteOrder(source, bytes, heldFor); });
   }
 }
 
@@ -97,6 +111,8 @@
   m_nextLateAt = m_nextStrikeAt;
   m_nextCutAt = m_nextStrikeAt;
   m_nextForeignAt = m_nextStrikeAt;
+  m_nextOrdersAt = m_nextStrikeAt;
+  m_nextSeriesAt = m_nextStrikeAt;
   runUntil(start + std::chrono::seconds(3) + struckTime);
   m_isStruck = false;
   // What strikes still hold back ends within seconds; then all must be well.
@@ -276,6 +292,11 @@
   if (m_isStruck && m_settings.strikesLateResets && m_settings.onlyKind < 0 &&
       now >= m_nextLateAt)
     strikeLate(now);
+  if (m_isStruck && m_settings.strikesOrders && now >= m_nextOrdersAt)
+    strikeOrders(now);
+  if (m_isStruck && m_settings.strikesSeries && now >= m_nextSeriesAt)
+    strikeSeries(now);
+  tickRolls(now);
   checkProcesses();
   tickForeign(now);
   tickCuts(now);
@@ -331,7 +352,8 @@
   const bool isLogged = !m_settings.logFolder.empty();
   std::vector<std::string> command{ "/usr/bin/env",
                                     "COWSLIPPIN_BOOT=" + daemon.settingsFile };
-  if (m_settings.strikesCuts) {
+  if (m_settings.strikesCuts || m_settings.strikesOrders ||
+      m_settings.strikesSeries) {
     command.push_back(std::string("LD_PRELOAD=") + SOURCE_ADDRESS_LIBRARY);
     command.push_back("COWSLIPPIN_SOAK_SOURCE=" + daemon.listenHost);
   }
@@ -350,6 +372,7 @@
 Soak::endProcess(Daemon& daemon)
 {
   daemon.process.reset();
+  daemon.isBackWhenEnded = false;
   daemon.continueAt = {};
 }
 
@@ -397,11 +420,14 @@
       break;
     case 5:
       note("worker crashed, not");
-      m_platform.crashWorker(below(m_platform.workers()));
+      crashWorker(below(m_platform.workers()));
       break;
     case 6:
       note("worker started again, not");
-      m_platform.restartWorker(below(m_platform.workers()));
+      if (m_settings.reportsBirths)
+        m_platform.restartWorker(below(m_platform.workers()));
+      else
+        crashWorker(below(m_platform.workers()));
       break;
     default:
       if (below(4) > 0)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -72,6 +72,12 @@
     bool strikesForeign = false;
     /// Whether workers say when they began.
     bool reportsBirths = true;
+    /// Whether orders to workers, and requests to the store, are delayed by
+    /// less than their deadlines, lose their connections, or are refused.
+    bool strikesOrders = false;
+    /// Whether restarts, rolls, freezes, crashes of workers and lapses of their
+    /// entries come in series.
+    bool strikesSeries = false;
     /// Whether callers submit again at a daemon of the same zone.
     bool retriesInZone = false;
     /// The only kind of overlapping strike, one at a time; all if negative.
@@ -127,6 +133,8 @@
     bool hasEnded = false;
     TimePoint continueAt{};
     TimePoint killAt{};
+    /// Whether it comes back as soon as it has ended by itself.
+    bool isBackWhenEnded = false;
     TimePoint isBehindUntil{};
     TimePoint nextPauseAt{};
     /// Callers keep them open until the daemon closes them.
@@ -145,6 +153,13 @@
     bool isCalm = false;
   };
 
+  /// How an order got to its worker.
+  struct OrderWay
+  {
+    std::string source;
+    Duration heldFor = Duration::zero();
+  };
+
   /// Daemons and workers that are cut from all others.
   struct GroupCut
   {
@@ -200,6 +215,35 @@
   void resetLate(Daemon& daemon);
   void kill(Daemon& daemon);
   void roll(Daemon& daemon);
+  /// Strikes orders and requests to the store while they are in transit.
+  void strikeOrders(TimePoint now);
+  void resetOrders();
+  void resetOrdersAgain(unsigned times, double share);
+  void delayOrders();
+  void refuseOrders();
+  void failOrders();
+  void delayStore();
+  void strikeStoreRequests();
+  /// Links to some workers, or to all.
+  std::vector<LoopbackProxy*> chooseWorkerLinks();
+  void noteOrder(const std::string& source,
+                 const std::string& bytes,
+                 Duration heldFor);
+  std::string describeStart(std::uint64_t token, const RunKey& key) const;
+  /// Strikes that are repeated soon.
+  void strikeSeries(TimePoint now);
+  void restartAgain(Daemon& daemon, unsigned times);
+  void rollZone();
+  void cutZoneFromWorkers(std::size_t zone);
+  void crashBehindCut();
+  void freezeAgain(Daemon& daemon, unsigned times);
+  void forgetEntriesAgain(unsigned times, double share);
+  void crashWorkersAgain(unsigned times);
+  /// Its connections are reset with it.
+  void crashWorker(std::size_t index);
+  /// Starts rolled daemons again that have ended.
+  void tickRolls(TimePoint now);
+  static bool hasProcessEnded(const Daemon& daemon);
   void tickMore(TimePoint now);
   /// Slows a daemon down by many pauses, each too short to be noticed.
   void tickPauses(Daemon& daemon, TimePoint now);
@@ -246,6 +290,11 @@
   std::mt19937_64 m_cutRandom;
   std::mt19937_64 m_storeRandom;
   std::mt19937_64 m_foreignRandom;
+  std::mt19937_64 m_ordersRandom;
+  std::mt19937_64 m_seriesRandom;
+  /// Starts by task and run, and the senders of tokens.
+  std::map<std::string, OrderWay> m_starts;
+  std::map<std::uint64_t, std::string> m_senders;
   ForeignWriter m_foreign;
   boost::asio::io_context m_context;
   LeasedPlatform m_platform;
@@ -264,6 +313,8 @@
   TimePoint m_nextLateAt{};
   TimePoint m_nextCutAt{};
   TimePoint m_nextForeignAt{};
+  TimePoint m_nextOrdersAt{};
+  TimePoint m_nextSeriesAt{};
   std::optional<GroupCut> m_cut;
   std::vector<std::pair<TimePoint, std::function<void()>>> m_later;
   std::size_t m_notedViolations = 0;
--- a/tests/soak/soakoptions.cpp
+++ b/tests/soak/soakoptions.cpp
@@ -208,6 +208,16 @@
              "whether other writers, callers and daemons send bytes that no "
              "daemon expects",
              yesOrNo(settings.strikesForeign) },
+           { "strike-orders",
+             "0",
+             "whether orders to workers and requests to the store are delayed "
+             "within their deadlines, lose their connections or are refused",
+             yesOrNo(settings.strikesOrders) },
+           { "strike-series",
+             "0",
+             "whether restarts, rolls, freezes, crashes of workers and lapses "
+             "of their entries come in series",
+             yesOrNo(settings.strikesSeries) },
            { "lost-ends",
              "0.5",
              "share of these cuts in which daemons aren't told that "
--- a/tests/soak/soakoptions_test.cpp
+++ b/tests/soak/soakoptions_test.cpp
@@ -18,6 +18,8 @@
   EXPECT_EQ(options->settings.onlyKind, -1);
   EXPECT_FALSE(options->settings.strikesCuts);
   EXPECT_FALSE(options->settings.strikesForeign);
+  EXPECT_FALSE(options->settings.strikesOrders);
+  EXPECT_FALSE(options->settings.strikesSeries);
   EXPECT_TRUE(options->settings.reportsBirths);
   EXPECT_FALSE(options->settings.retriesInZone);
   EXPECT_TRUE(options->settings.program.empty());
@@ -59,11 +61,14 @@
   EXPECT_TRUE(options->settings.retriesInZone);
 }
 
-TEST(SoakOptions, TakeWorkersWithoutBirths)
+TEST(SoakOptions, TakeWorkersWithoutBirthsAndStrikesOfOrdersInSeries)
 {
-  const auto options = SoakOptions::parse({ "--births=0" });
+  const auto options = SoakOptions::parse(
+    { "--births=0", "--strike-orders=1", "--strike-series=1" });
   ASSERT_TRUE(options) << options.error().detail();
   EXPECT_FALSE(options->settings.reportsBirths);
+  EXPECT_TRUE(options->settings.strikesOrders);
+  EXPECT_TRUE(options->settings.strikesSeries);
 }
 
 TEST(SoakOptions, TakeForeignBytes)
@@ -125,6 +130,8 @@
                                            Refused{ "strike-links", "yes" },
                                            Refused{ "strike-cuts", "2" },
                                            Refused{ "births", "2" },
+                                           Refused{ "strike-orders", "on" },
+                                           Refused{ "strike-series", "" },
                                            Refused{ "lost-ends", "1.1" },
                                            Refused{ "lost-ends", "-0.1" },
                                            Refused{ "retry-in-zone", "" },
