Soak: daemons that come back with another time of day

Fencing tokens begin with the time of day, and the soak gave all daemons one clock, so that a daemon never came back with an earlier time than it had. With `--strike-series 1` half of the starts of a daemon have a time of day that is wrong by up to 1.4 s, so that two daemons differ by less than 3 s, the bound that tokens rely on. The library that is preloaded for source addresses sets it; other clocks stay.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -357,6 +357,9 @@
     command.push_back(std::string("LD_PRELOAD=") + SOURCE_ADDRESS_LIBRARY);
     command.push_back("COWSLIPPIN_SOAK_SOURCE=" + daemon.listenHost);
   }
+  if (m_settings.strikesSeries)
+    command.push_back("COWSLIPPIN_SOAK_CLOCK_MS=" +
+                      std::to_string(chooseClockOffset(daemon)));
   command.insert(command.end(),
                  { m_settings.program,
                    "--peer-listen-host",
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -233,6 +233,8 @@
   /// Strikes that are repeated soon.
   void strikeSeries(TimePoint now);
   void restartAgain(Daemon& daemon, unsigned times);
+  /// Of the time of day of a daemon's process, in ms.
+  long chooseClockOffset(const Daemon& daemon);
   void rollZone();
   void cutZoneFromWorkers(std::size_t zone);
   void crashBehindCut();
--- a/tests/soak/soakseries.cpp
+++ b/tests/soak/soakseries.cpp
@@ -9,6 +9,9 @@
 
 using std::chrono::milliseconds;
 
+/// The clocks of two daemons differ by less than 3 s.
+constexpr long maxClockOffsetMs = 1400;
+
 std::string
 inMs(Duration time)
 {
@@ -46,6 +49,20 @@
   }
 }
 
+/// A daemon may come back with an earlier time of day than it had.
+long
+Soak::chooseClockOffset(const Daemon& daemon)
+{
+  if (below(2, m_seriesRandom) == 0)
+    return 0;
+  const long offset =
+    static_cast<long>(below(2 * maxClockOffsetMs + 1, m_seriesRandom)) -
+    maxClockOffsetMs;
+  struck("clock of " + daemon.host + " is wrong by ms " +
+         std::to_string(offset));
+  return offset;
+}
+
 void
 Soak::restartAgain(Daemon& daemon, unsigned times)
 {
--- a/tests/soak/sourceaddress.cpp
+++ b/tests/soak/sourceaddress.cpp
@@ -1,6 +1,7 @@
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstdlib>
+#include <ctime>
 #include <dlfcn.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -8,6 +9,11 @@
 namespace {
 
 using Connect = int (*)(int, const sockaddr*, socklen_t);
+using ClockGetTime = int (*)(clockid_t, timespec*);
+
+constexpr long msPerSecond = 1000;
+constexpr long nsPerMs = 1000000;
+constexpr long nsPerSecond = msPerSecond * nsPerMs;
 
 /// Lets the system choose the port when the connection is made, so that
 /// connections to different targets may share one. False with errno set if
@@ -45,3 +51,27 @@
     return -1;
   return next(socket, target, length);
 }
+
+/// The time of day is wrong by what COWSLIPPIN_SOAK_CLOCK_MS says; other clocks
+/// aren't.
+extern "C" int
+clock_gettime(clockid_t clock, timespec* time)
+{
+  static const auto next =
+    reinterpret_cast<ClockGetTime>(dlsym(RTLD_NEXT, "clock_gettime"));
+  static const char* text = std::getenv("COWSLIPPIN_SOAK_CLOCK_MS");
+  const int result = next(clock, time);
+  if (result != 0 || clock != CLOCK_REALTIME || text == nullptr)
+    return result;
+  const long offsetMs = std::strtol(text, nullptr, 10);
+  time->tv_sec += offsetMs / msPerSecond;
+  time->tv_nsec += offsetMs % msPerSecond * nsPerMs;
+  if (time->tv_nsec < 0) {
+    time->tv_nsec += nsPerSecond;
+    --time->tv_sec;
+  } else if (time->tv_nsec >= nsPerSecond) {
+    time->tv_nsec -= nsPerSecond;
+    ++time->tv_sec;
+  }
+  return result;
+}
--- a/tests/soak/sourceaddress_test.cpp
+++ b/tests/soak/sourceaddress_test.cpp
@@ -5,11 +5,36 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
+#include <string>
+
 namespace cowslippin::testing {
 namespace {
 
 using boost::asio::ip::tcp;
 
+/// In ms.
+std::int64_t
+timeOfDay()
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+/// What a program reads as the time of day, in ms.
+std::int64_t
+timeOfDayWithOffset(const std::string& offset)
+{
+  ChildProcess child({ "/usr/bin/env",
+                       std::string("LD_PRELOAD=") + SOURCE_ADDRESS_LIBRARY,
+                       "COWSLIPPIN_SOAK_CLOCK_MS=" + offset,
+                       "/bin/date",
+                       "+time %s%3N" });
+  const std::string line = child.waitForLine("time ");
+  return std::stoll(line.substr(line.find(' ')));
+}
+
 TEST(SourceAddress, IsWhereAProgramsConnectionsComeFrom)
 {
   boost::asio::io_context context;
@@ -30,5 +55,16 @@
   EXPECT_EQ(child.wait().code, 0);
 }
 
+TEST(SourceAddress, LeavesTheTimeOfDayAsItIsWithoutAnOffset)
+{
+  EXPECT_NEAR(timeOfDayWithOffset("0"), timeOfDay(), 20000);
+}
+
+TEST(SourceAddress, SetsTheTimeOfDayBackAndAhead)
+{
+  EXPECT_NEAR(timeOfDayWithOffset("-100500"), timeOfDay() - 100500, 20000);
+  EXPECT_NEAR(timeOfDayWithOffset("100500"), timeOfDay() + 100500, 20000);
+}
+
 } // namespace
 } // namespace cowslippin::testing
