Limit the free slots that a heartbeat tells

Peers refused all heartbeats of a daemon whose shard had above 1,000,000 free slots, as with two workers whose entries another writer has replaced by ones with the largest capacity. The encoder now limits the number to what the decoder accepts. AHeartbeatOfAnyNumberOfSlotsIsDecoded failed before.

--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -5,6 +5,7 @@
 #include "libobserve/observe.h"
 
 #include <algorithm>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -462,7 +463,8 @@
       slots +=
         lease.freeCapacity().cpuMillis() / std::max<std::int64_t>(cpuMillis, 1);
   }
-  return static_cast<unsigned>(slots);
+  constexpr std::int64_t most = std::numeric_limits<unsigned>::max();
+  return static_cast<unsigned>(std::min(slots, most));
 }
 
 std::int64_t
--- a/src/libpeers/peerdecoder.cpp
+++ b/src/libpeers/peerdecoder.cpp
@@ -28,7 +28,6 @@
 constexpr std::int64_t maxDuration =
   Duration(std::chrono::hours(24 * 30)).count();
 constexpr std::int64_t maxResource = 1'000'000'000;
-constexpr unsigned maxSlots = 1'000'000;
 constexpr std::size_t maxWorkers = 1'000'000;
 constexpr std::size_t maxTaskRate = 1'000'000;
 constexpr int maxSlowness = 1000;
--- a/src/libpeers/peerencoder.cpp
+++ b/src/libpeers/peerencoder.cpp
@@ -4,6 +4,8 @@
 
 #include "libjson/json.h"
 
+#include <algorithm>
+
 namespace cowslippin {
 
 namespace {
@@ -114,7 +116,7 @@
     writer.list(4);
     write(writer, held.first);
     writer.integer(held.second.token);
-    writer.integer(held.second.freeSlots);
+    writer.integer(std::min(held.second.freeSlots, maxSlots));
     writer.integer(held.second.workersDigest);
   });
   writer.integer(beat.highestToken);
--- a/tests/peers/foreignmessage_test.cpp
+++ b/tests/peers/foreignmessage_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace cowslippin::testing {
@@ -55,6 +56,21 @@
   }
 }
 
+/// Guards against heartbeats that every peer refuses, because an entry in the
+/// list of workers has a capacity that no machine has.
+TEST(ForeignMessage, AHeartbeatOfAnyNumberOfSlotsIsDecoded)
+{
+  const ShardId shard(ZoneName("z1"), 0, 1);
+  for (const unsigned slots : { 0u, 999'999u, 1'000'000u, 4'294'967'295u }) {
+    PeerHeartbeat beat;
+    beat.shards[shard].freeSlots = slots;
+    const auto decoded = decodePeerMessage(encoded(beat));
+    ASSERT_TRUE(decoded) << decoded.error().detail();
+    EXPECT_EQ(std::get<PeerHeartbeat>(*decoded).shards.at(shard).freeSlots,
+              std::min(slots, 1'000'000u));
+  }
+}
+
 /// Guards against a measurement of the machine at a daemon's start that times
 /// how fast a message is refused.
 TEST(ForeignMessage, AnEmptySubmissionIsDecoded)
