Worker directory: an unreadable sequence number is no renewal

A sequence number of 400 digits, none at all, or one with leading zeros made an odd entry of another writer equal to the valid one before, so that it counted as its renewal: the hash of an entry skipped all digits after the name.

--- a/tests/platformadapter/oddentry_test.cpp
+++ b/tests/platformadapter/oddentry_test.cpp
@@ -314,6 +314,22 @@
   }
 }
 
+/// Guards against an entry that counts as renewed by one that can't be decoded,
+/// as only its sequence number differs.
+TEST(WorkerDirectory, AnUnreadableSequenceNumberIsNoRenewal)
+{
+  const TimePoint now{ std::chrono::hours(1) };
+  const std::string usual = workerAt("10.0.0.2:8080");
+  for (const std::string& sequence :
+       { std::string(400, '9'), std::string(), std::string("007") }) {
+    WorkerDirectory directory;
+    directory.update("a", usual, now);
+    directory.update(
+      "a", replaced(usual, "\"seq\":1", "\"seq\":" + sequence), now);
+    EXPECT_TRUE(directory.workers().empty()) << sequence;
+  }
+}
+
 /// Guards against a log that an odd entry fills which stays in the store.
 TEST(WorkerDirectory, LogsAnOddEntryOnce)
 {
