--- a/tests/platformadapter/platformstore_test.cpp
+++ b/tests/platformadapter/platformstore_test.cpp
@@ -151,6 +151,31 @@
   std::optional<FencingToken> highest;
 };
 
+/// Guards against daemons that don't find each other or the holders of shards
+/// any more, as more odd entries than are read at a time come first, and
+/// against a log that these fill.
+TEST_F(PlatformStoreTest, ManyOddEntriesHideNoOthers)
+{
+  const LogCapture log;
+  const ShardId shard(ZoneName("z1"), 0, 1);
+  auto& entries = topics["keyed.cowslippin"];
+  for (int i = 0; i < 12'000; ++i)
+    entries["holder/odd-" + std::to_string(i)] = "{}";
+  entries["holder/z1/0of1"] = encodeHolder({ VmId("vm-2"), shard, 99, 1 });
+  entries["member/10.0.0.2:7720"] =
+    encodeMember({ VmId("vm-2"), Address("10.0.0.2", 7720) });
+  restart();
+  await([&] { return highest.has_value() && !members.empty(); });
+  EXPECT_EQ(*highest, 99u);
+  EXPECT_EQ(holders[shard], VmId("vm-2"));
+  EXPECT_EQ(members, std::set<Address>{ Address("10.0.0.2", 7720) });
+  for (int read = 0; read < 2; ++read) {
+    highest.reset();
+    await([&] { return highest.has_value(); });
+  }
+  EXPECT_EQ(log.of("own-entry-refused").size(), 12'000u);
+}
+
 /// Guards against tokens that all other daemons refuse for good, because one
 /// entry of another writer has the highest token that is read.
 TEST_F(PlatformStoreTest, AnOddTokenDoesNotRaiseTokensOutOfTheirRange)
