Soak: odd entries of another writer in every list at once

Real daemons read very deep entries, numbers too large and ports out of range in every list, one of them starts again, and good jobs and changes of workers are still followed. The stand-in of the store ends a response at 1 MB, as the store does.

--- a/tests/soak/foreignbytes_test.cpp
+++ b/tests/soak/foreignbytes_test.cpp
@@ -4,6 +4,7 @@
 
 #include "libasynchttp/asynchttp.h"
 #include "libpeers/peers.h"
+#include "support/oddvalues.h"
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -13,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <list>
+#include <set>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -197,9 +199,9 @@
 
   /// Calls a function at intervals while valid jobs are submitted.
   template<class Function>
-  void play(Function foreign)
+  void play(Function foreign, Duration time = playedTime)
   {
-    const TimePoint end = steadyNow() + playedTime;
+    const TimePoint end = steadyNow() + time;
     TimePoint nextAt = steadyNow();
     while (steadyNow() < end) {
       if (steadyNow() >= nextAt) {
@@ -444,6 +446,141 @@
     EXPECT_TRUE(isInLog(daemon, "peer-up")) << daemon.host;
 }
 
+class OddEntries : public ForeignBytes
+{
+protected:
+  void putEntriesBeforeStart() override { putOddEntries(); }
+
+  /// Puts odd entries into each list that daemons read; the same ones each
+  /// time.
+  void putOddEntries()
+  {
+    unsigned number = 0;
+    const auto putInAll = [&](const std::string& host,
+                              const std::string& port,
+                              const std::string& count) {
+      const std::string name = "odd-" + std::to_string(++number);
+      putEntry("keyed.servers", name, workerEntry(host + ':' + port, count));
+      putEntry("keyed.cowslippin",
+               "member/" + name,
+               R"({"vm":")" + name + R"(","host":")" + host + R"(","port":)" +
+                 (port == "8080" ? count : port) + "}");
+      putEntry("keyed.cowslippin",
+               "holder/" + name,
+               R"({"vm":")" + name +
+                 R"(","zone":"z0","index":0,"count":1,"beat":1,"token":)" +
+                 count + "}");
+    };
+    for (const OddValue& value : unreadableValues())
+      putInAll("127.0.0.1", "8080", value.text);
+    for (const OddValue& value : largeNumbers())
+      putInAll("127.0.0.1", "8080", value.text);
+    putInAll("127.0.0.1", "8080", "9007199254740992");
+    for (const std::string& oddPort : oddPorts())
+      putInAll("127.0.0.1", oddPort, "16000000000");
+    for (const std::string& host : oddHosts())
+      putInAll(host, "7720", "16000000000");
+    // A port that isn't one of a member's doesn't make its entry odd otherwise.
+    for (const std::string& oddPort : oddPorts())
+      putEntry("keyed.servers",
+               "odd-port-" + oddPort,
+               workerEntry("127.0.0.1:" + oddPort, "16000"));
+    for (const std::string& host : oddHosts()) {
+      putEntry("keyed.servers",
+               "odd-host-" + host,
+               workerEntry(host + ":8080", "16000"));
+      putEntry("keyed.cowslippin",
+               "member/odd-host-" + host,
+               R"({"vm":"odd","host":")" + host + R"(","port":7720})");
+    }
+  }
+
+  static std::string workerEntry(const std::string& address,
+                                 const std::string& cpu)
+  {
+    return R"({"backend":"booking","zone":"z0","state":"ready","address":")" +
+           address + R"(","capacity":{"cpu":)" + cpu +
+           R"(,"mem_mb":32768},"slots":8,"seq":1})";
+  }
+
+  /// Waits until a daemon completes a job.
+  void awaitService(const Daemon& daemon)
+  {
+    bool isServed = false;
+    unsigned attempts = 0;
+    TimePoint nextAt{};
+    await([&] {
+      if (steadyNow() >= nextAt) {
+        nextAt = steadyNow() + jobInterval;
+        post(
+          daemon,
+          "probe-" + std::to_string(m_jobs++) + '-' +
+            std::to_string(attempts++),
+          jobBody({ { "count", 1 }, { "cpu", 1000 }, { "estimate_ms", 20 } }),
+          [&](const HttpCallResult& end) { isServed |= end.status == 200; });
+      }
+      return isServed && m_callers.empty();
+    });
+  }
+
+  /// Checks the log of a daemon, which it writes when it ends: it has connected
+  /// to the other daemon, has listed the workers and none of the odd ones, and
+  /// has said once of each odd entry that it was refused.
+  void endAndCheckLog(Daemon& daemon, const std::set<std::string>& workers)
+  {
+    EXPECT_FALSE(hasEnded(daemon)) << daemon.host;
+    daemon.process.reset();
+    checkLog(daemon);
+    std::ifstream log(daemon.logFile);
+    std::set<std::string> listed;
+    std::map<std::string, unsigned> refused;
+    bool hasPeer = false;
+    for (std::string text; std::getline(log, text);) {
+      const json line = json::parse(text);
+      const std::string event = line["event"];
+      hasPeer |= event == "peer-up";
+      if (event == "worker-listed")
+        listed.insert(line["worker"].get<std::string>());
+      else if (event.find("-refused") != std::string::npos)
+        ++refused[event + ' ' + line.value("key", line.value("worker", ""))];
+    }
+    EXPECT_TRUE(hasPeer) << daemon.host;
+    for (const std::string& worker : workers)
+      EXPECT_EQ(listed.count(worker), 1u) << worker;
+    for (const std::string& worker : listed)
+      EXPECT_NE(worker.rfind("odd", 0), 0u) << worker;
+    EXPECT_GT(refused.size(), 0u);
+    for (const auto& [what, count] : refused)
+      EXPECT_EQ(count, 1u) << what;
+    std::filesystem::remove(daemon.logFile);
+  }
+};
+
+/// Guards against daemons that end, don't find each other any more, or stop
+/// following the list of workers because of an entry in one of their lists that
+/// is nested too deep, has a number too large or a port out of range.
+TEST_F(OddEntries, InEveryListLeaveServiceAsItIs)
+{
+  putOddEntries();
+  putEntry("keyed.op", "config", nestedLists(deepestEntry));
+  m_platform.crashWorker(0);
+  play([] {}, seconds(1));
+  endAndCheckLog(m_daemons[1], { "w2", "w5" });
+
+  m_daemons.pop_back();
+  start(1);
+  awaitService(m_daemons[1]);
+  m_served = 0;
+  m_submitted = 0;
+  putOddEntries();
+  m_platform.crashWorker(1);
+  play([] {}, seconds(2));
+  EXPECT_GE(m_served * 10, m_submitted * 9)
+    << m_served << " of " << m_submitted;
+  endAndCheckLog(m_daemons[0], { "w2", "w5", "w6" });
+  endAndCheckLog(m_daemons[1], { "w5", "w6" });
+}
+
 /// Guards against the end of a daemon by SIGHUP before it handles signals.
 TEST_F(ForeignBytes, ASignalAtTheStartOfADaemonDoesNotEndIt)
 {
--- a/tests/soak/leasedplatform.cpp
+++ b/tests/soak/leasedplatform.cpp
@@ -87,6 +87,8 @@
 /// A page of the newest records has at most this many, or bytes.
 constexpr std::size_t maxPageRecords = 500;
 constexpr std::size_t maxPageBytes = 1'000'000;
+/// A response with appended records ends with the record that exceeds this.
+constexpr std::size_t maxReadBytes = std::size_t(1) << 20;
 
 std::string
 configuration()
@@ -339,7 +341,9 @@
     HttpReply::Fields reply;
     reply.contentType = "application/octet-stream";
     reply.body = bigEndian(records.size(), 8) + bigEndian(0, 8);
-    for (std::size_t i = read.from; i < records.size(); ++i) {
+    for (std::size_t i = read.from;
+         i < records.size() && reply.body.size() < maxReadBytes;
+         ++i) {
       const auto& [key, value] = records[i];
       reply.body += bigEndian(1 + key.size() + value.size(), 4);
       reply.body += static_cast<char>(key.size());
