--- a/review/build.sh
+++ b/review/build.sh
@@ -14,8 +14,7 @@
 mkdir -p review/build
 libraries=(build/tests/support/libtest_support.a
   build/src/libasynchttp/libasynchttp.a build/src/libhttp/libhttp.a
-  build/src/libobserve/libobserve.a build/src/libjson/libjson.a
-  build/src/libcore/libcore.a)
+  build/src/libobserve/libobserve.a build/src/libcore/libcore.a)
 for program in "${programs[@]}"; do
   g++ -std=c++17 -O1 -DBOOST_ALL_DYN_LINK -Isrc -Itests -Ireview/standins \
     review/standins/standins.cpp review/standins/peerrelay.cpp \
