--- a/src/libpeers/peerformat.h
+++ b/src/libpeers/peerformat.h
@@ -6,8 +6,8 @@
 /// that an older daemon can't read.
 constexpr int peerFormatVersion = 12;
 
-/// The number of free slots of a shard that a heartbeat tells at most. More is
-/// not told: receivers only compare it with the number of tasks of a job.
+/// Largest number of free slots of a shard in a heartbeat. Larger numbers are
+/// sent as this one.
 constexpr unsigned maxSlots = 1'000'000;
 
 } // namespace cowslippin
