Runs that reappear: only at the worker where they were presumed over

run-reappeared was logged for a run of the same number at another worker, which is of a later submission, and for the earlier run whose number a start had been refused for. Now the worker counts too, and a stale number isn't remembered, so that the metric grows only where a conclusion was wrong or a silent worker's run had ended.

--- a/src/libjobs/leaselog.cpp
+++ b/src/libjobs/leaselog.cpp
@@ -153,7 +153,6 @@
                 { "state", state },
                 { "cause", toString(note.cause) },
                 { "sincePresumedMs", toMilliseconds(note.sincePresumed) },
-                { "previousWorker", note.previousWorker },
                 { "previousToken", note.previousToken } });
 }
 
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -254,7 +254,7 @@
                   const std::string& spec,
                   TimePoint now)
 {
-  m_presumedOver.runStarted(key);
+  m_presumedOver.runStarted(worker, key);
   m_entries.at(worker).lease->start(key, resources, spec, now);
 }
 
@@ -607,7 +607,7 @@
                                const RunKey& key,
                                const char* state)
 {
-  const auto note = m_presumedOver.runListed(key, m_answeredAt);
+  const auto note = m_presumedOver.runListed(id, key, m_answeredAt);
   if (note)
     logRunReappeared(id, m_entries.at(id).lease->token(), *note, state);
 }
--- a/src/libworkers/presumedoverruns.cpp
+++ b/src/libworkers/presumedoverruns.cpp
@@ -8,7 +8,9 @@
 PresumedOverRuns::add(const WorkerId& worker, const RunPresumedOver& note)
 {
   ++m_presumedOver[note.cause];
-  forget(note.key);
+  forget(worker, note.key);
+  if (note.cause == PresumedOverCause(OrderFailure::StaleRun))
+    return;
   while (!m_runs.empty() &&
          (m_runs.size() >= maxRuns || note.at - m_runs.front().at >= memory))
     m_runs.pop_front();
@@ -16,31 +18,31 @@
 }
 
 std::optional<RunReappeared>
-PresumedOverRuns::runListed(const RunKey& key, TimePoint now)
+PresumedOverRuns::runListed(const WorkerId& worker,
+                            const RunKey& key,
+                            TimePoint now)
 {
-  const auto found = find(key);
+  const auto found = find(worker, key);
   if (found == m_runs.end() || now - found->at >= memory)
     return std::nullopt;
   ++m_reappeared[found->cause];
-  const RunReappeared note{
-    key, found->cause, now - found->at, found->worker, found->token
-  };
+  const RunReappeared note{ key, found->cause, now - found->at, found->token };
   m_runs.erase(found);
   return note;
 }
 
 PresumedOverRuns::Runs::iterator
-PresumedOverRuns::find(const RunKey& key)
+PresumedOverRuns::find(const WorkerId& worker, const RunKey& key)
 {
   return std::find_if(m_runs.begin(), m_runs.end(), [&](const Run& run) {
-    return run.key == key;
+    return run.worker == worker && run.key == key;
   });
 }
 
 void
-PresumedOverRuns::forget(const RunKey& key)
+PresumedOverRuns::forget(const WorkerId& worker, const RunKey& key)
 {
-  const auto found = find(key);
+  const auto found = find(worker, key);
   if (found != m_runs.end())
     m_runs.erase(found);
 }
--- a/src/libworkers/presumedoverruns.h
+++ b/src/libworkers/presumedoverruns.h
@@ -22,15 +22,15 @@
   /// Why the run was presumed over, and how long ago.
   PresumedOverCause cause;
   Duration sincePresumed;
-  /// The worker on which it was presumed over.
-  WorkerId previousWorker;
   /// Token of the order that had started the run; 0 if another holder sent it.
   FencingToken previousToken = 0;
 };
 
 /// The runs of all workers of this daemon that were presumed over lately.
 /// Detects that a worker has such a run after all, so that the conclusion was
-/// wrong. The class reads no clock.
+/// wrong. A run of the same name at another worker is a different one. So is
+/// one whose number a start was refused for: it is an earlier run. The class
+/// reads no clock.
 class PresumedOverRuns
 {
 public:
@@ -43,10 +43,16 @@
 
   void add(const WorkerId& worker, const RunPresumedOver& note);
   /// A start with this key is sent again on purpose.
-  void runStarted(const RunKey& key) { forget(key); }
-  /// A report lists the run as in progress, or as ended by itself. Returns
-  /// nothing unless it was presumed over. Each run is returned once.
-  std::optional<RunReappeared> runListed(const RunKey& key, TimePoint now);
+  void runStarted(const WorkerId& worker, const RunKey& key)
+  {
+    forget(worker, key);
+  }
+  /// A worker's report lists the run as in progress, or as ended by itself.
+  /// Returns nothing unless it was presumed over there. Each run is returned
+  /// once.
+  std::optional<RunReappeared> runListed(const WorkerId& worker,
+                                         const RunKey& key,
+                                         TimePoint now);
 
   /// How many runs were presumed over, and how many of them have reappeared,
   /// by the cause for which they were presumed over.
@@ -64,8 +70,8 @@
   };
   using Runs = std::deque<Run>;
 
-  Runs::iterator find(const RunKey& key);
-  void forget(const RunKey& key);
+  Runs::iterator find(const WorkerId& worker, const RunKey& key);
+  void forget(const WorkerId& worker, const RunKey& key);
 
   /// The oldest first.
   Runs m_runs;
