Tokens of entries: plausible by the time of day instead of below a constant

A token of another writer just below the bound of 2^52 was adopted, and the daemons' own tokens were above the bound from then on: daemons that start after the loss of the whole group would not have adopted them. A token is adopted if it is less than a year ahead of the time of day; those generated above it stay so.

--- a/src/libentry/entrycore.h
+++ b/src/libentry/entrycore.h
@@ -166,6 +166,11 @@
   /// All holders' entries were read from the platform; `highest` is the highest
   /// fencing token in them.
   void holdersRead(FencingToken highest);
+  /// Whether a token that was read from the platform may be one of a daemon.
+  bool isPlausibleToken(FencingToken token) const
+  {
+    return m_tokens.isPlausible(token);
+  }
 
   std::shared_ptr<const RoutingTable> routing() const
   {
--- a/src/libentry/fencingtokengenerator.cpp
+++ b/src/libentry/fencingtokengenerator.cpp
@@ -22,6 +22,8 @@
 /// Maximum number of doublings of `refusalIncrement`; it then stands for 51
 /// minutes.
 constexpr unsigned maxDoublings = 10;
+/// Refusals don't move a token this far ahead of the time of day.
+constexpr std::int64_t maxAheadMs = std::int64_t(365) * 24 * 3600 * 1000;
 
 } // namespace
 
@@ -39,6 +41,15 @@
   m_highest = std::max(m_highest, token);
 }
 
+bool
+FencingTokenGenerator::isPlausible(FencingToken token) const
+{
+  const std::int64_t sinceEpoch = m_timeOfDay() - tokenEpochMs;
+  return token / tokensPerMs <
+         static_cast<std::uint64_t>(std::max<std::int64_t>(sinceEpoch, 0) +
+                                    maxAheadMs);
+}
+
 FencingToken
 FencingTokenGenerator::next()
 {
--- a/src/libentry/fencingtokengenerator.h
+++ b/src/libentry/fencingtokengenerator.h
@@ -21,6 +21,11 @@
   /// A token is in use at another daemon or a worker.
   void observe(FencingToken token);
 
+  /// Whether a daemon can have generated the token: it is less than a year
+  /// ahead of the time of day. Tokens that are generated above such a one stay
+  /// plausible, as the time of day advances faster than they do.
+  bool isPlausible(FencingToken token) const;
+
   FencingToken next();
 
   /// Generates a token after a worker has refused one in favour of a higher
--- a/tests/entry/fencingtokengenerator_test.cpp
+++ b/tests/entry/fencingtokengenerator_test.cpp
@@ -39,6 +39,26 @@
   EXPECT_GT(source(1).next(), earlier);
 }
 
+/// Guards against tokens that daemons which have just started don't adopt,
+/// because one of another writer was only just plausible.
+TEST_F(FencingTokenGeneratorTest, TokensAboveAPlausibleOneStayPlausible)
+{
+  constexpr std::int64_t yearMs = std::int64_t(365) * 24 * 3600 * 1000;
+  timeOfDay += yearMs - 1;
+  const FencingToken odd = source(3).next();
+  timeOfDay += 1;
+  const FencingToken tooHigh = source(3).next();
+  timeOfDay -= yearMs;
+  FencingTokenGenerator tokens = source();
+  EXPECT_TRUE(tokens.isPlausible(odd));
+  EXPECT_FALSE(tokens.isPlausible(tooHigh));
+  tokens.observe(odd);
+  for (int i = 0; i < 1000; ++i) {
+    timeOfDay += 2;
+    EXPECT_TRUE(source(9).isPlausible(tokens.next()));
+  }
+}
+
 TEST_F(FencingTokenGeneratorTest,
        AfterARefusalTheTokenExceedsThoseOfAClockTwoSecondsAhead)
 {
--- a/tests/platformadapter/platformstore_test.cpp
+++ b/tests/platformadapter/platformstore_test.cpp
@@ -81,6 +81,9 @@
     hooks.onLastHolder = [this](const ShardId& shard, const VmId& vm) {
       holders[shard] = vm;
     };
+    hooks.isPlausibleToken = [this](FencingToken token) {
+      return tokens.isPlausible(token);
+    };
     hooks.onHoldersRead = [this](FencingToken token) { highest = token; };
     store = std::make_unique<PlatformStore>(
       context, address, VmId("vm-1"), Address("10.0.0.1", 7720), hooks);
@@ -148,6 +151,7 @@
   WorkerList workers;
   std::set<Address> members;
   std::map<ShardId, VmId> holders;
+  FencingTokenGenerator tokens{ [] { return 1800000000000; }, 7 };
   std::optional<FencingToken> highest;
 };
 
@@ -180,14 +184,14 @@
 /// entry of another writer has the highest token that is read.
 TEST_F(PlatformStoreTest, AnOddTokenDoesNotRaiseTokensOutOfTheirRange)
 {
-  std::vector<std::string> tokens = { "9007199254740992",
-                                      "9007199254740991",
-                                      "4503599627370497",
-                                      "4503599627370496" };
+  std::vector<std::string> oddTokens = { "9007199254740992",
+                                         "9007199254740991",
+                                         "4503599627370497",
+                                         "4503599627370496" };
   for (const OddValue& value : largeNumbers())
-    tokens.push_back(value.text);
+    oddTokens.push_back(value.text);
   const ShardId shard(ZoneName("z1"), 0, 1);
-  for (const std::string& token : tokens) {
+  for (const std::string& token : oddTokens) {
     topics["keyed.cowslippin"] = {
       { "holder/odd",
         R"({"vm":"odd","zone":"z9","index":0,"count":1,"beat":1,"token":)" +
@@ -196,9 +200,9 @@
     };
     restart();
     await([&] { return highest.has_value(); });
-    EXPECT_GE(*highest, 99u) << token;
+    EXPECT_EQ(*highest, 99u) << token;
     EXPECT_EQ(holders[shard], VmId("vm-2"));
-    FencingTokenGenerator generator([] { return 1800000000000; }, 7);
+    FencingTokenGenerator generator = tokens;
     generator.observe(*highest);
     FencingToken next = 0;
     for (unsigned refusals = 0; refusals < 1000; ++refusals)
