--- a/tests/soak/loopbackproxy.cpp
+++ b/tests/soak/loopbackproxy.cpp
@@ -12,7 +12,7 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
-/// A target that a caller is gone from has this time to close its side.
+/// Time that a target has to close its side after its caller has gone.
 constexpr Duration targetCloseTime = std::chrono::seconds(3);
 
 tcp::endpoint
