HTTP client: the callbacks of a destroyed pool are dropped

Daemons aren't concerned as they run: their clients of the store and of the workers live as long as the event loop.

Cause: a pool that is destroyed closes its connections. The aborted reads are reported in a later turn of the loop, and call the callback of the call in progress, which refers to the pool's destroyed owner. The class is a callback that outlives what it refers to; each owner of a pool had it.

Evidence: valgrind on the unchanged test, four of four runs: invalid reads in TopicReader::call's callback and in TopicReader::callFailed, from endCall of an aborted read. AsyncHttp.ADestroyedPoolCallsNothing fails before (two callbacks) and passes now.

Why this works: the pool's destructor drops the callbacks, also those that were posted without a connection.

--- a/src/libasynchttp/asynchttpconnection.cpp
+++ b/src/libasynchttp/asynchttpconnection.cpp
@@ -132,6 +132,23 @@
   m_buffer.clear();
 }
 
+void
+AsyncHttpConnection::endNow()
+{
+  if (isBusy())
+    endCall(m_isSent ? HttpCallResult::Kind::Unanswered
+                     : HttpCallResult::Kind::NotSent);
+  close();
+}
+
+void
+AsyncHttpConnection::abandon()
+{
+  m_done = nullptr;
+  ++m_generation;
+  close();
+}
+
 void
 AsyncHttpConnection::connect()
 {
--- a/src/libasynchttp/asynchttpconnection.h
+++ b/src/libasynchttp/asynchttpconnection.h
@@ -107,6 +107,10 @@
   void expire(TimePoint now);
   /// Closes the connection; a call in progress ends.
   void close();
+  /// Ends the call in progress, if there is one, and closes the connection.
+  void endNow();
+  /// Closes the connection; the callback of a call in progress is dropped.
+  void abandon();
 
 private:
   void extendDeadline(TimePoint now);
--- a/src/libasynchttp/asynchttpconnectionpool.cpp
+++ b/src/libasynchttp/asynchttpconnectionpool.cpp
@@ -20,7 +20,7 @@
 AsyncHttpConnectionPool::~AsyncHttpConnectionPool()
 {
   for (const auto& connection : m_connections)
-    connection->close();
+    connection->abandon();
 }
 
 void
@@ -66,9 +66,19 @@
 void
 AsyncHttpConnectionPool::failUnsent(AsyncHttpConnection::Done done)
 {
-  boost::asio::post(m_context, [done = std::move(done)] {
-    done({ HttpCallResult::Kind::NotSent, 0, {} });
-  });
+  boost::asio::post(m_context,
+                    [alive = std::weak_ptr(m_alive), done = std::move(done)] {
+                      if (!alive.expired())
+                        done({ HttpCallResult::Kind::NotSent, 0, {} });
+                    });
+}
+
+void
+AsyncHttpConnectionPool::endCalls()
+{
+  // The callback of an ended call may start another call.
+  for (const auto& connection : std::exchange(m_connections, {}))
+    connection->endNow();
 }
 
 void
--- a/src/libasynchttp/asynchttpconnectionpool.h
+++ b/src/libasynchttp/asynchttpconnectionpool.h
@@ -7,7 +7,9 @@
 
 namespace cowslippin {
 
-/// The connections to one server, each with one call at a time.
+/// The connections to one server, each with one call at a time. When the pool
+/// is destroyed, the callbacks of calls in progress are dropped, so that they
+/// may refer to the pool's owner.
 class AsyncHttpConnectionPool
 {
 public:
@@ -34,6 +36,9 @@
   /// owner calls it at short intervals.
   void expire(TimePoint now);
 
+  /// Ends all calls in progress and closes the connections.
+  void endCalls();
+
   /// Whether a part of a response to any call in progress has been received.
   bool isReceiving() const;
 
@@ -47,6 +52,8 @@
   const Address m_address;
   const std::size_t m_maxConnections;
   std::vector<std::shared_ptr<AsyncHttpConnection>> m_connections;
+  /// Tells callbacks of calls without a connection whether the pool exists.
+  const std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 } // namespace cowslippin
--- a/tests/asynchttp/asynchttp_test.cpp
+++ b/tests/asynchttp/asynchttp_test.cpp
@@ -348,6 +348,22 @@
   EXPECT_EQ(call(pool, "/a", "").kind, HttpCallResult::Kind::NotSent);
 }
 
+/// Guards against a callback that refers to the pool's destroyed owner.
+TEST_F(AsyncHttp, ADestroyedPoolCallsNothing)
+{
+  auto pool = std::make_unique<AsyncHttpConnectionPool>(context, address, 1);
+  HttpCallRequest order;
+  order.target = "/wait";
+  int ends = 0;
+  const auto done = [&](const HttpCallResult&) { ++ends; };
+  pool->call(order, steadyNow() + seconds(20), done);
+  await([&] { return pendingTransaction != nullptr; });
+  pool->call(order, steadyNow() + seconds(20), done);
+  pool.reset();
+  context.run_for(milliseconds(50));
+  EXPECT_EQ(ends, 0);
+}
+
 /// A server that a test answers for by hand, and a client's connections to it.
 class AnsweredByHand : public AsyncHttp
 {
--- a/tests/platformadapter/workerclient_test.cpp
+++ b/tests/platformadapter/workerclient_test.cpp
@@ -163,5 +163,22 @@
   EXPECT_EQ(*second, OrderFailure::NotSent) << "nothing listens there";
 }
 
+TEST_F(WorkerCalls, ACallToAnEarlierAddressEnds)
+{
+  isAnswering = false;
+  std::vector<OrderAnswer> ends;
+  const auto done = [&](const OrderAnswer& end) { ends.push_back(end); };
+  const StopOrder order{ 1, RunKey("t", 1) };
+  client.stopRun(record(), order, seconds(20), done);
+  await([&] { return transactions.size() == 1; });
+  WorkerRecord::Fields fields;
+  fields.id = WorkerId("worker-1");
+  fields.address = Address("127.0.0.2", address.port());
+  client.stopRun(WorkerRecord(fields), order, seconds(20), done);
+  client.tick(steadyNow());
+  ASSERT_FALSE(ends.empty());
+  EXPECT_EQ(ends[0], OrderFailure::Unanswered);
+}
+
 } // namespace
 } // namespace cowslippin::testing
