Simulation: workers that list a start some time after its check

What is shown: with workers that check the token of a start, answer a claim, and list the run up to 1.4 ms after the check, workers exceed their capacity when daemons hand their shards over. That is the picture of the users' record: several workers, one daemon, no stop, no late order. It isn't shown that their workers do so.

The test lands failing.

--- a/tests/entry/faultscenario.cpp
+++ b/tests/entry/faultscenario.cpp
@@ -1,5 +1,7 @@
 #include "faultscenario.h"
 
+#include "simulationtimes.h"
+
 namespace cowslippin::testing {
 
 namespace {
@@ -114,6 +116,16 @@
   return settings;
 }
 
+/// Workers that list a start some time after they have checked its token, less
+/// than the round trip of an order.
+Simulation::Settings
+withListingDelay()
+{
+  Simulation::Settings settings = withoutBootTimes(withBusyWorkers());
+  settings.maxListingDelay = 2 * oneWayDelay;
+  return settings;
+}
+
 /// Daemons read the list of workers up to 4 s after other daemons.
 Simulation::Settings
 withDelayedWorkerLists()
@@ -589,6 +601,7 @@
         injectBasicFault(s);
       },
       withoutBootTimes(withBusyWorkers()) },
+    { "LeaveTwiceWithListingDelay", leaveTwice, withListingDelay() },
   };
 }
 
--- a/tests/entry/simulation.h
+++ b/tests/entry/simulation.h
@@ -48,6 +48,9 @@
     /// Whether workers report their boot time. A worker that doesn't has a new
     /// id each time that it starts, and answers orders to its earlier ids.
     bool haveBootTimes = true;
+    /// Upper limit of the time between a worker's check of a start and the
+    /// start of the run, which is listed and answered from then on.
+    Duration maxListingDelay = Duration::zero();
     /// Upper limit of the delay after which a daemon reads a changed list of
     /// workers or of evacuated zones.
     Duration maxReadDelay = std::chrono::milliseconds(300);
@@ -362,6 +365,10 @@
                      Duration timeout,
                      const std::function<void(const LeaseOrderAnswer&)>& done);
   OrderAnswer carryOutStart(Worker& worker, const StartOrder& order);
+  void beginRun(Worker& worker, const StartOrder& order);
+  void acceptStart(Worker& worker,
+                   const StartOrder& order,
+                   const std::function<void(const OrderAnswer&)>& reply);
   OrderAnswer carryOutStop(Worker& worker, const StopOrder& order);
   void endRun(const WorkerId& id,
               unsigned incarnation,
--- a/tests/entry/simulationworkers.cpp
+++ b/tests/entry/simulationworkers.cpp
@@ -252,14 +252,48 @@
     Worker* worker = findWorker(record.id());
     if (!worker && !isReplaced(record.id()))
       return;
-    const Answer value =
-      worker ? carryOut(*worker, order) : OrderFailure::OtherIncarnation;
-    if (isAnswered)
-      schedule(oneWayDelay + receiveTime(node, wireBytes(value)),
-               [answer, value] { answer(value); });
+    const auto reply = [=](const Answer& value) {
+      if (isAnswered)
+        schedule(oneWayDelay + receiveTime(node, wireBytes(value)),
+                 [answer, value] { answer(value); });
+    };
+    if constexpr (std::is_same_v<Order, StartOrder>) {
+      if (worker && m_settings.maxListingDelay > Duration::zero()) {
+        acceptStart(*worker, order, reply);
+        return;
+      }
+    }
+    reply(worker ? carryOut(*worker, order) : OrderFailure::OtherIncarnation);
   });
 }
 
+/// Checks a start now and carries it out later.
+void
+Simulation::acceptStart(Worker& worker,
+                        const StartOrder& order,
+                        const std::function<void(const OrderAnswer&)>& reply)
+{
+  if (const OrderAnswer refusal = worker.fake->accept(order, m_now)) {
+    reply(refusal);
+    return;
+  }
+  const auto range =
+    static_cast<std::size_t>(m_settings.maxListingDelay.count());
+  schedule(
+    Duration(randomBelow(range)),
+    [this, id = worker.record.id(), life = worker.incarnation, order, reply] {
+      Worker* same = findWorker(id);
+      if (!same || same->incarnation != life)
+        return;
+      if (same->fake->isStale(order.key)) {
+        reply(OrderFailure::StaleRun);
+        return;
+      }
+      beginRun(*same, order);
+      reply(std::nullopt);
+    });
+}
+
 void
 Simulation::sendHoldOrder(
   std::size_t node,
@@ -362,10 +396,18 @@
 OrderAnswer
 Simulation::carryOutStart(Worker& worker, const StartOrder& order)
 {
-  const bool wasRunning = worker.fake->isRunning(order.key);
-  const OrderAnswer answer = worker.fake->start(order, m_now);
-  if (answer || wasRunning)
-    return answer;
+  const OrderAnswer answer = worker.fake->accept(order, m_now);
+  if (!answer)
+    beginRun(worker, order);
+  return answer;
+}
+
+void
+Simulation::beginRun(Worker& worker, const StartOrder& order)
+{
+  if (worker.fake->isRunning(order.key))
+    return;
+  worker.fake->list(order.key);
   ++m_startedTasks;
   ++m_startedInZone[worker.zone];
   checkEvacuation(worker, order.key);
@@ -385,7 +427,6 @@
              endRun(
                id, incarnation, key, fails ? RunEnd::Failed : RunEnd::Done);
            });
-  return answer;
 }
 
 OrderAnswer
--- a/tests/support/fakeworker.h
+++ b/tests/support/fakeworker.h
@@ -53,6 +53,15 @@
   }
 
   OrderAnswer start(const StartOrder& order, TimePoint now)
+  {
+    const OrderAnswer answer = accept(order, now);
+    if (!answer)
+      list(order.key);
+    return answer;
+  }
+
+  /// Checks a start. One that is accepted takes effect with `list`.
+  OrderAnswer accept(const StartOrder& order, TimePoint now)
   {
     expireLease(now);
     if (!admit(order.token))
@@ -60,16 +69,25 @@
     extend(order.deadlineMs);
     if (clockMs(now) >= order.deadlineMs)
       return OrderFailure::Late;
-    if (m_running.count(order.key) > 0)
-      return std::nullopt;
-    const auto last = m_lastRuns.find(order.key.task());
-    if (last != m_lastRuns.end() && order.key.run() <= last->second)
+    if (m_running.count(order.key) == 0 && isStale(order.key))
       return OrderFailure::StaleRun;
-    m_running[order.key] = 0;
-    ++m_starts[order.key.task()];
     return std::nullopt;
   }
 
+  /// Whether this run or a later one of its task has ended or was stopped.
+  bool isStale(const RunKey& key) const
+  {
+    const auto last = m_lastRuns.find(key.task());
+    return last != m_lastRuns.end() && key.run() <= last->second;
+  }
+
+  /// Begins the run of an accepted start unless it is in progress.
+  void list(const RunKey& key)
+  {
+    if (m_running.emplace(key, 0).second)
+      ++m_starts[key.task()];
+  }
+
   OrderAnswer stop(const StopOrder& order, TimePoint now)
   {
     expireLease(now);
