Workers: one that is listed again is claimed with a higher token

What callers would see: a task that runs twice on one worker, and the worker over its capacity. A worker's address is answered by another worker (421), for example as another writer's entry names a wrong one. The lease ends and forgets the starts in transit; none of them is stopped. While the worker is listed it was claimed again with the shard's token, which refuses none of them.

Cause: a new lease of a worker reused the token of the one before it. The class is two lives of a lease that the worker can't tell apart.

Evidence: WorkerListedAgain.RefusesAStartOfTheEarlierLease fails before: the start is carried out beside the new run of its task, on the same worker, with no stop. WorkerListedAgain.IsClaimedWithAHigherToken: 10 instead of more than 10.

Why this works: each lease that a pool begins has a token above all that the daemon has used, so that the claim fences what the earlier lease has sent. Only the token of a shard that is taken is shared, by leases that begin with it.

--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -53,7 +53,7 @@
       found->second.lease->setRecord(record, now);
       claimRestarted(id, found->second, now);
     } else if (holds(m_map.shardOf(record)))
-      addWorker(record, now);
+      addWorker(record, m_hooks.higherToken(0), now);
   }
   removeUnlisted();
 }
@@ -87,10 +87,10 @@
 void
 WorkerPool::takeShard(const ShardId& shard, FencingToken token, TimePoint now)
 {
-  m_shards[shard] = token;
+  m_shards.insert(shard);
   for (const auto& [id, record] : m_list) {
     if (m_map.shardOf(record) == shard && m_entries.count(id) == 0)
-      addWorker(record, now);
+      addWorker(record, token, now);
   }
 }
 
@@ -516,7 +516,9 @@
 }
 
 void
-WorkerPool::addWorker(const WorkerRecord& record, TimePoint now)
+WorkerPool::addWorker(const WorkerRecord& record,
+                      FencingToken token,
+                      TimePoint now)
 {
   const ShardId shard = m_map.shardOf(record);
   Entry entry(m_settings.health);
@@ -526,7 +528,7 @@
     record, m_settings.lease, leaseHooks(record.id()), m_answerTimes, now);
   estimateSpeed(entry);
   const auto added = m_entries.emplace(record.id(), std::move(entry)).first;
-  added->second.lease->claim(m_shards.at(shard), now);
+  added->second.lease->claim(token, now);
 }
 
 WorkerLease::Hooks
@@ -629,7 +631,6 @@
   if (entry.lease->state() != LeaseState::Restarted)
     return;
   const FencingToken token = m_hooks.higherToken(0);
-  m_shards[entry.shard] = token;
   entry.health = WorkerHealth(m_settings.health);
   entry.speed = WorkerSpeed(speedSamples);
   estimateSpeed(entry);
@@ -671,10 +672,8 @@
     if (now - *entry.fencedAt < entry.reclaimWait)
       continue;
     const auto [token, isNew] = tokens.try_emplace(entry.shard);
-    if (isNew) {
+    if (isNew)
       token->second = m_hooks.higherToken(entry.refusals);
-      m_shards[entry.shard] = token->second;
-    }
     entry.lease->claim(token->second, now);
   }
 }
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -324,7 +324,9 @@
 
   /// Returns null if the worker isn't in a held shard, or no longer.
   Entry* find(const WorkerId& worker);
-  void addWorker(const WorkerRecord& record, TimePoint now);
+  /// Claims the worker with a token higher than that of any lease that this
+  /// daemon has had on it, whose orders may still be in transit.
+  void addWorker(const WorkerRecord& record, FencingToken token, TimePoint now);
   WorkerLease::Hooks leaseHooks(const WorkerId& id);
   void presumeOver(const WorkerId& id, const RunPresumedOver& note);
   /// Logs it if a run that a report lists was presumed over.
@@ -366,7 +368,7 @@
   const std::shared_ptr<OrderTimeouts> m_answerTimes;
   WorkerList m_list;
   ShardMap m_map;
-  std::map<ShardId, FencingToken> m_shards;
+  std::set<ShardId> m_shards;
   std::set<ZoneName> m_evacuated;
   /// The largest capacity that each listed worker has reported. A worker whose
   /// capacity is reduced for a while may grow again.
