Soak: two runs of a task on one worker count, too

What: the stand-in of workers counts the runs of a task, no longer the workers on which it runs.

Why: a worker starts whatever it is told, so that a second run of a task beside the first on the same worker is a violation like one elsewhere; it was seen only if it exceeded the capacity. LeasedPlatformTest.CountsTwoRunsOfATaskOnOneWorker shows it.

--- a/tests/soak/leasedplatform.cpp
+++ b/tests/soak/leasedplatform.cpp
@@ -84,6 +84,19 @@
     409, json{ { "clock_ms", clock }, { "reason", reasonOf(*answer) } }.dump());
 }
 
+/// How many runs of a task are in progress there.
+std::size_t
+runsOf(const std::string& task, const FakeWorker& worker)
+{
+  if (!worker.isTaskRunning(task))
+    return 0;
+  const std::vector<RunKey> runs = worker.runs();
+  return static_cast<std::size_t>(
+    std::count_if(runs.begin(), runs.end(), [&](const RunKey& key) {
+      return key.task() == task;
+    }));
+}
+
 /// A page of the newest records has at most this many, or bytes.
 constexpr std::size_t maxPageRecords = 500;
 constexpr std::size_t maxPageBytes = 1'000'000;
@@ -603,10 +616,10 @@
   }
   if (used > worker.cpu)
     violated("over capacity: " + worker.id, worker, tasks);
-  unsigned runs = 0;
+  std::size_t runs = 0;
   for (const Worker& other : m_workers) {
     other.fake->expireLease(steadyNow());
-    runs += other.fake->isTaskRunning(started.task()) ? 1 : 0;
+    runs += runsOf(started.task(), *other.fake);
   }
   if (runs > 1) {
     ++m_doubleRuns;
--- a/tests/soak/leasedplatform_test.cpp
+++ b/tests/soak/leasedplatform_test.cpp
@@ -110,6 +110,14 @@
   EXPECT_EQ(std::count_if(lines.begin(), lines.end(), isOrder), 2);
 }
 
+TEST_F(LeasedPlatformTest, CountsTwoRunsOfATaskOnOneWorker)
+{
+  LeasedPlatform platform(context, settingsOf(true), 1);
+  EXPECT_EQ(start(platform, "job1.0.0.0", 1), 200);
+  EXPECT_EQ(start(platform, "job1.0.0.0", 2), 200);
+  EXPECT_EQ(platform.doubleRuns(), 1u);
+}
+
 TEST_F(LeasedPlatformTest, TellsNoBirthAndANewIdAfterACrashIfAsked)
 {
   LeasedPlatform platform(context, settingsOf(false), 1);
