--- a/tests/soak/leasedplatform.cpp
+++ b/tests/soak/leasedplatform.cpp
@@ -84,6 +84,19 @@
     409, json{ { "clock_ms", clock }, { "reason", reasonOf(*answer) } }.dump());
 }
 
+/// How many runs of a task are in progress there.
+std::size_t
+runsOf(const std::string& task, const FakeWorker& worker)
+{
+  if (!worker.isTaskRunning(task))
+    return 0;
+  const std::vector<RunKey> runs = worker.runs();
+  return static_cast<std::size_t>(
+    std::count_if(runs.begin(), runs.end(), [&](const RunKey& key) {
+      return key.task() == task;
+    }));
+}
+
 /// A page of the newest records has at most this many, or bytes.
 constexpr std::size_t maxPageRecords = 500;
 constexpr std::size_t maxPageBytes = 1'000'000;
@@ -469,22 +482,50 @@
                       bool isLate)
 {
   const json body = json::parse(request.body());
-  const RunKey key(body.at("task"), body.at("run"));
+  const StartOrder order{ body.at("fencing_token").get<FencingToken>(),
+                          RunKey(body.at("task"), body.at("run")),
+                          body.at("spec"),
+                          body.at("deadline_ms").get<std::int64_t>() };
+  if (const OrderAnswer refusal = worker.fake->accept(order, steadyNow())) {
+    answerStart(worker, refusal, transaction);
+    return;
+  }
+  if (m_settings.maxListingDelay == Duration::zero()) {
+    list(worker, order, transaction, isLate);
+    return;
+  }
+  afterInLife(worker,
+              chooseListingDelay(),
+              [this, order, transaction, isLate](Worker& same) {
+                same.fake->expireLease(steadyNow());
+                noteOrder(same,
+                          "lists " + order.key.task() + ' ' +
+                            std::to_string(order.key.run()));
+                list(same, order, transaction, isLate);
+              });
+}
+
+void
+LeasedPlatform::list(Worker& worker,
+                     const StartOrder& order,
+                     const Transaction& transaction,
+                     bool isLate)
+{
+  const RunKey& key = order.key;
   const bool wasRunning = worker.fake->isRunning(key);
-  const auto token = body.at("fencing_token").get<FencingToken>();
-  const OrderAnswer answer = worker.fake->start(
-    { token, key, body.at("spec"), body.at("deadline_ms").get<std::int64_t>() },
-    steadyNow());
-  if (answer)
-    noteOrder(worker, std::string("refused: ") + reasonOf(*answer));
-  if (transaction)
-    transaction->answer(orderReply(answer, worker.fake->clockMs(steadyNow())));
-  if (answer || wasRunning)
+  if (!wasRunning && worker.fake->isStale(key)) {
+    answerStart(worker, OrderFailure::StaleRun, transaction);
+    return;
+  }
+  worker.fake->list(key);
+  answerStart(worker, std::nullopt, transaction);
+  if (wasRunning)
     return;
-  m_runs[key.task()].push_back({ key, token, worker.id, isLate, systemMs() });
+  m_runs[key.task()].push_back(
+    { key, order.token, worker.id, isLate, systemMs() });
   ++m_starts;
   // The specification of a task is its run time and its size.
-  const std::string spec = body.at("spec");
+  const std::string& spec = order.spec;
   worker.sizes[key] = std::stoll(spec.substr(spec.find(',') + 1));
   check(worker, key);
   afterInLife(worker, milliseconds(std::stoi(spec)), [this, key](Worker& same) {
@@ -495,6 +536,24 @@
   });
 }
 
+void
+LeasedPlatform::answerStart(Worker& worker,
+                            const OrderAnswer& answer,
+                            const Transaction& transaction)
+{
+  if (answer)
+    noteOrder(worker, std::string("refused: ") + reasonOf(*answer));
+  if (transaction)
+    transaction->answer(orderReply(answer, worker.fake->clockMs(steadyNow())));
+}
+
+Duration
+LeasedPlatform::chooseListingDelay()
+{
+  return Duration(std::uniform_int_distribution<Duration::rep>(
+    0, m_settings.maxListingDelay.count())(m_random));
+}
+
 void
 LeasedPlatform::afterInLife(const Worker& worker,
                             Duration delay,
@@ -557,10 +616,10 @@
   }
   if (used > worker.cpu)
     violated("over capacity: " + worker.id, worker, tasks);
-  unsigned runs = 0;
+  std::size_t runs = 0;
   for (const Worker& other : m_workers) {
     other.fake->expireLease(steadyNow());
-    runs += other.fake->isTaskRunning(started.task()) ? 1 : 0;
+    runs += runsOf(started.task(), *other.fake);
   }
   if (runs > 1) {
     ++m_doubleRuns;
