Workers: a higher token only where orders of an earlier lease may be in transit

Such a shard would wait 8 s. Nor was it needed: a worker that has left the list is dropped only without runs, so that nothing is in transit. Only a lease that ends because another worker was found at the address forgets starts.

--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -5,6 +5,7 @@
 #include "libobserve/observe.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <tuple>
 #include <utility>
@@ -52,9 +53,16 @@
     if (found != m_entries.end()) {
       found->second.lease->setRecord(record, now);
       claimRestarted(id, found->second, now);
-    } else if (holds(m_map.shardOf(record)))
-      addWorker(record, m_hooks.higherToken(0), now);
+    } else if (holds(m_map.shardOf(record))) {
+      const bool hasLostOrders = m_withLostOrders.erase(id) > 0;
+      addWorker(record,
+                hasLostOrders ? m_hooks.higherToken(0)
+                              : m_shards.at(m_map.shardOf(record)),
+                now);
+    }
   }
+  for (auto id = m_withLostOrders.begin(); id != m_withLostOrders.end();)
+    id = m_list.count(*id) > 0 ? std::next(id) : m_withLostOrders.erase(id);
   removeUnlisted();
 }
 
@@ -87,7 +95,7 @@
 void
 WorkerPool::takeShard(const ShardId& shard, FencingToken token, TimePoint now)
 {
-  m_shards.insert(shard);
+  m_shards[shard] = token;
   for (const auto& [id, record] : m_list) {
     if (m_map.shardOf(record) == shard && m_entries.count(id) == 0)
       addWorker(record, token, now);
@@ -631,6 +639,7 @@
   if (entry.lease->state() != LeaseState::Restarted)
     return;
   const FencingToken token = m_hooks.higherToken(0);
+  m_shards[entry.shard] = token;
   entry.health = WorkerHealth(m_settings.health);
   entry.speed = WorkerSpeed(speedSamples);
   estimateSpeed(entry);
@@ -647,8 +656,10 @@
 {
   for (auto entry = m_entries.begin(); entry != m_entries.end();) {
     const WorkerLease& lease = *entry->second.lease;
-    const bool isOver = lease.state() == LeaseState::Ended ||
-                        (!entry->second.isListed && lease.isIdle());
+    const bool isEnded = lease.state() == LeaseState::Ended;
+    const bool isOver = isEnded || (!entry->second.isListed && lease.isIdle());
+    if (isEnded)
+      m_withLostOrders.insert(entry->first);
     if (isOver)
       entry = m_entries.erase(entry);
     else
@@ -672,8 +683,10 @@
     if (now - *entry.fencedAt < entry.reclaimWait)
       continue;
     const auto [token, isNew] = tokens.try_emplace(entry.shard);
-    if (isNew)
+    if (isNew) {
       token->second = m_hooks.higherToken(entry.refusals);
+      m_shards[entry.shard] = token->second;
+    }
     entry.lease->claim(token->second, now);
   }
 }
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -324,8 +324,6 @@
 
   /// Returns null if the worker isn't in a held shard, or no longer.
   Entry* find(const WorkerId& worker);
-  /// Claims the worker with a token higher than that of any lease that this
-  /// daemon has had on it, whose orders may still be in transit.
   void addWorker(const WorkerRecord& record, FencingToken token, TimePoint now);
   WorkerLease::Hooks leaseHooks(const WorkerId& id);
   void presumeOver(const WorkerId& id, const RunPresumedOver& note);
@@ -368,7 +366,13 @@
   const std::shared_ptr<OrderTimeouts> m_answerTimes;
   WorkerList m_list;
   ShardMap m_map;
-  std::set<ShardId> m_shards;
+  /// With the token that the next worker of the shard is claimed with.
+  std::map<ShardId, FencingToken> m_shards;
+  /// Listed workers at whose address another one was found. Orders of the lease
+  /// that ended then may still be in transit, so that the next one gets a
+  /// higher token. The others keep the shard's token, by which other daemons
+  /// ask whether the shard is used.
+  std::set<WorkerId> m_withLostOrders;
   std::set<ZoneName> m_evacuated;
   /// The largest capacity that each listed worker has reported. A worker whose
   /// capacity is reduced for a while may grow again.
--- a/tests/entry/simulationworkers.cpp
+++ b/tests/entry/simulationworkers.cpp
@@ -285,6 +285,7 @@
       Worker* same = findWorker(id);
       if (!same || same->incarnation != life)
         return;
+      same->fake->expireLease(m_now);
       if (same->fake->isStale(order.key)) {
         reply(OrderFailure::StaleRun);
         return;
