Log of the daemon's status: counts of runs that were presumed over

Their lines suppress those that name a job, and the metric that counts them by reason isn't in a record of logs. The line that recurs every 10 s has the counts now, so that a part of a log tells a storm, refusals by workers and runs without a listed end apart.

--- a/tests/platformadapter/statuslog_test.cpp
+++ b/tests/platformadapter/statuslog_test.cpp
@@ -37,5 +37,27 @@
   }
 }
 
+/// Guards against a record in which a flood of starts that couldn't be sent has
+/// suppressed the lines that would tell so.
+TEST(StatusLog, CountsRunsThatWerePresumedOver)
+{
+  LogCapture log;
+  StatusLog status("0123456789ab", TimePoint{});
+  EntryCore::Stats stats;
+  stats.presumedOver = { { OrderFailure::NotSent, 90000 },
+                         { OrderFailure::Fenced, 2 },
+                         { OrderFailure::StaleRun, 3 },
+                         { UnlistedEnd::Missing, 4 },
+                         { UnlistedEnd::LeaseExpired, 5 } };
+  stats.reappeared = { { UnlistedEnd::Missing, 1 } };
+  status.write(stats, TimePoint{});
+  const auto lines = log.of("daemon-status");
+  ASSERT_EQ(lines.size(), 1u);
+  EXPECT_EQ(lines[0]["startsNotSent"], 90000);
+  EXPECT_EQ(lines[0]["startsRefused"], 5);
+  EXPECT_EQ(lines[0]["unlistedEnds"], 9);
+  EXPECT_EQ(lines[0]["runsReappeared"], 1);
+}
+
 } // namespace
 } // namespace cowslippin::testing
