Workers: no task for a short time after a start that failed

When connections to workers are refused or reset, a start fails unsent at once, and the scheduler tried the next worker in the same turn of the event loop, without a delay or a limit: the avoided workers of a task are only chosen last. The same holds for starts that a worker refuses as late, for want of room, or as another incarnation, once a round trip.

A worker whose start has failed for the worker's own state is given no task for 90 ms. The task goes to another worker at once, to another holder that has room, or waits. A worker that is unhealthy was excluded already, one that has fenced the start isn't a candidate, and a stale run number has nothing to do with the worker's state.

--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -23,6 +23,16 @@
          (label.empty() || worker.hasLabel(label));
 }
 
+/// Whether a start failed because of the state of its worker, so that the next
+/// one, whichever task it is of, would fail as well.
+bool
+isForOwnState(OrderFailure failure)
+{
+  return failure == OrderFailure::NotSent || failure == OrderFailure::Late ||
+         failure == OrderFailure::NoRoom ||
+         failure == OrderFailure::OtherIncarnation;
+}
+
 /// Whether all runs that were started on the worker before `since` are known.
 bool
 hasReportedSince(const WorkerLease& lease, TimePoint since)
@@ -186,8 +196,7 @@
   Candidates candidates;
   for (auto& item : m_entries) {
     const Entry& entry = item.second;
-    if (entry.isListed && canStart(entry, Resources()) &&
-        entry.health.isUsable(entry.lease->runCount(), now))
+    if (entry.isListed && canStart(entry, Resources()) && isUsable(entry, now))
       candidates.m_workers.push_back(&item);
   }
   return candidates;
@@ -402,6 +411,8 @@
     return;
   if (answer == OrderFailure::Unhealthy)
     entry->health.runStalled(now);
+  else if (answer && isForOwnState(*answer))
+    entry->startsAllowedAt = now + m_settings.startRetryDelay;
   entry->lease->startAnswered(key, answer, now);
 }
 
@@ -466,7 +477,7 @@
   std::int64_t slots = 0;
   for (const auto& [id, entry] : m_entries) {
     const WorkerLease& lease = *entry.lease;
-    if (entry.shard == shard && entry.health.isUsable(lease.runCount(), now) &&
+    if (entry.shard == shard && isUsable(entry, now) &&
         canStart(entry, Resources(cpuMillis, 0, 0)))
       slots +=
         lease.freeCapacity().cpuMillis() / std::max<std::int64_t>(cpuMillis, 1);
@@ -691,6 +702,13 @@
   }
 }
 
+bool
+WorkerPool::isUsable(const Entry& entry, TimePoint now)
+{
+  return now >= entry.startsAllowedAt &&
+         entry.health.isUsable(entry.lease->runCount(), now);
+}
+
 bool
 WorkerPool::canStart(const Entry& entry, const Resources& resources) const
 {
@@ -745,8 +763,7 @@
   const WorkerLease& lease = *entry.lease;
   return entry.isListed && entry.shard == request.shard &&
          matchesRequest(lease.record(), request) &&
-         canStart(entry, request.needs.resources) &&
-         entry.health.isUsable(lease.runCount(), now);
+         canStart(entry, request.needs.resources) && isUsable(entry, now);
 }
 
 } // namespace cowslippin
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -56,6 +56,10 @@
     Duration reclaimDelay = std::chrono::milliseconds(300);
     /// The wait doubles with each attempt up to this maximum.
     Duration maxReclaimDelay = std::chrono::milliseconds(1500);
+    /// How long a worker is given no task after a start that couldn't be sent
+    /// to it or that it has refused for its own state. Without the delay, the
+    /// next one would fail at once as well.
+    Duration startRetryDelay = std::chrono::milliseconds(90);
   };
 
   /// All hooks must be set. They are called from within the pool's functions.
@@ -307,6 +311,8 @@
     /// The job of the last run that `speed` has recorded.
     JobKey speedSampledFrom;
     bool isListed = true;
+    /// Nothing is started before, as a start has failed.
+    TimePoint startsAllowedAt{};
     /// Name of the task beside which nothing is started while it runs here.
     std::string reservedFor;
     /// When a tick first found that another daemon has claimed the worker.
@@ -336,6 +342,9 @@
   void removeUnlisted();
   void recordCapacities();
   void reclaim(TimePoint now);
+  /// Whether neither the ends of the worker's runs nor a failed start are
+  /// against a start now.
+  static bool isUsable(const Entry& entry, TimePoint now);
   /// Whether a task of this size can be started on the worker now.
   bool canStart(const Entry& entry, const Resources& resources) const;
   /// Whether the worker, in its present incarnation, can run such a task and
