HTTP client: connections that were closed don't count against a pool's limit

After a reset of all connections a worker's pool had no room until the next tick removed the closed ones, so that each order to the worker failed unsent at once: starts, stops and requests for reports.

A closed connection that isn't removed yet is opened again for the next call.

ResetConnections.MakeRoomForNewOnesAtOnce: both connections of a pool of two are closed by the server; the next call ended as NotSent before, and is received by the server now.

--- a/src/libasynchttp/asynchttpconnectionpool.cpp
+++ b/src/libasynchttp/asynchttpconnectionpool.cpp
@@ -46,18 +46,26 @@
 }
 
 /// The most recently used idle connection, or a new one; null if all that are
-/// allowed are in use.
+/// allowed are in use. One that was closed and not yet removed is opened again
+/// rather than counted against the limit: after a reset of all connections
+/// calls would otherwise fail unsent until they are removed.
 AsyncHttpConnection*
 AsyncHttpConnectionPool::idleConnection()
 {
   AsyncHttpConnection* best = nullptr;
+  AsyncHttpConnection* closed = nullptr;
   for (const auto& connection : m_connections) {
-    if (!connection->isBusy() && connection->isOpen() &&
-        (!best || connection->idleSince() > best->idleSince()))
+    if (connection->isBusy())
+      continue;
+    if (!connection->isOpen())
+      closed = connection.get();
+    else if (!best || connection->idleSince() > best->idleSince())
       best = connection.get();
   }
-  if (best || m_connections.size() >= m_maxConnections)
-    return best;
+  if (best || closed)
+    return best ? best : closed;
+  if (m_connections.size() >= m_maxConnections)
+    return nullptr;
   m_connections.push_back(
     std::make_shared<AsyncHttpConnection>(m_context, m_address));
   return m_connections.back().get();
