Tasks: the gap of run numbers doubles with each refusal

A holder that doesn't know how often a task was started begins at run 1 and adds 8 when a worker finds the number too low.

The gap doubles with each refusal of the task. Found by reading, not seen in a record.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -38,6 +38,8 @@
   std::uint64_t nextRun = 1;
   RestartCause restartCause = RestartCause::None;
   unsigned failures = 0;
+  /// Number of starts that were refused because of the run's number.
+  unsigned staleStarts = 0;
   /// Number of workers that were lost while a run of the task was in progress
   /// there.
   unsigned crashes = 0;
@@ -109,9 +111,19 @@
 };
 
 /// Added to a task's run number when another daemon may have started the task
-/// under higher numbers. It is more than that daemon can have used.
+/// under higher numbers. It is more than that daemon has used in most cases.
 constexpr std::uint64_t runNumberGap = 8;
 
+/// Returns what to add to a task's run number after this many refusals of it.
+/// It doubles with each refusal, so that a few starts make up for any number
+/// that another daemon may have reached.
+constexpr std::uint64_t
+runNumberGapAfter(unsigned refusals)
+{
+  constexpr unsigned maxDoublings = 24;
+  return runNumberGap << (refusals < maxDoublings ? refusals : maxDoublings);
+}
+
 /// How long a run may go on after its submitter was last known to be alive. A
 /// caller whose connection breaks submits again 1,300 ms later; the difference
 /// covers a worker's clock that is 2% slow.
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -878,7 +878,7 @@
   m_runs.erase(found);
   logStartRejected(job, task, failure);
   if (failure == OrderFailure::StaleRun) {
-    task.nextRun += runNumberGap;
+    task.nextRun += runNumberGapAfter(task.staleStarts++);
     task.restartCause = RestartCause::StaleRun;
   }
   if (failure == OrderFailure::Invalid) {
