Workers: a claim is complete with a report requested after its first answer

Cause: the answer to a claim was the only report that was used without a second one. The lease was held from then on, though a start that had been accepted before wasn't listed yet.

Now the first answer gives the worker's clock, its ends and the runs that it lists, and the state stays `claiming`: nothing starts, no run of an earlier incarnation counts as over, no start is sent again, and no quarantine or adoption relies on it. A second report is requested at once, without a wait. It was requested after the worker had answered the claim, so that a round trip lies between them; a start that is listed within it is in the report. Each claim begins anew, a lost second report is requested again, and a worker that falls silent between the two counts as silent, so that the runs that were found expire.

Not covered: a worker that lists a start later than a round trip after the claim.

Three older tests and the fixture delivered one answer and expected a held lease; they now deliver two and expect `claiming` in between, so that they fail on the code before as well.

--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -70,6 +70,8 @@
   if (m_state != LeaseState::Restarted)
     expectEarlierHoldersStarts(now);
   m_token = token;
+  m_claimAnsweredAt.reset();
+  m_isClaimComplete = false;
   m_unansweredReports = 0;
   m_reportRequestsInFlight = 0;
   setState(LeaseState::Claiming);
@@ -468,8 +470,8 @@
   if (m_unansweredReports >= m_settings.unansweredReportLimit) {
     m_nextReportRequestAt = now + m_settings.silentRetryDelay;
     const bool hasRestarted = now < m_earlierOrdersUntil;
-    if (m_state == LeaseState::Held ||
-        (m_state == LeaseState::Claiming && hasRestarted))
+    if (m_state == LeaseState::Held || (m_state == LeaseState::Claiming &&
+                                        (hasRestarted || m_claimAnsweredAt)))
       setState(LeaseState::Silent);
   }
 }
@@ -496,26 +498,40 @@
   m_reportAt = now;
   m_clockOffsetMs = report.clockMs - toMilliseconds(now.time_since_epoch());
   m_reportAskedAt = std::max(m_reportAskedAt, sent);
+  m_isClaimComplete = m_isClaimComplete || completesClaim(sent);
   applyEndedRuns(report);
   applyActiveRuns(report, now);
   endMissingRuns(report, sent, now);
   if (m_state != LeaseState::Held)
     boundEarlierOrders(now);
-  setState(LeaseState::Held);
-  resendStarts(now);
+  if (m_isClaimComplete) {
+    setState(LeaseState::Held);
+    resendStarts(now);
+  } else if (!m_claimAnsweredAt) {
+    m_claimAnsweredAt = now;
+  }
   requestNextReport(now);
 }
 
+/// Whether a report that was requested at `sent` lists all runs that the worker
+/// accepted before the claim, as a round trip lies between them.
+bool
+WorkerLease::completesClaim(TimePoint sent) const
+{
+  return m_claimAnsweredAt && sent >= *m_claimAnsweredAt;
+}
+
 /// Bounds the time in which orders to an earlier incarnation may have effects:
-/// from now on they do nothing, and runs that they may have started end with
-/// the longest lease that the worker grants.
+/// once a claim is complete they do nothing, and runs that they may have
+/// started end with the longest lease that the worker grants.
 void
 WorkerLease::boundEarlierOrders(TimePoint now)
 {
   const auto lease = std::chrono::duration_cast<Duration>(
     m_settings.maxGrantedLease * m_settings.maxClockDriftFactor);
-  m_earlierOrdersUntil =
-    std::min(m_earlierOrdersUntil, now + lease + m_settings.expiryMargin);
+  if (m_isClaimComplete)
+    m_earlierOrdersUntil =
+      std::min(m_earlierOrdersUntil, now + lease + m_settings.expiryMargin);
   // The previous holder may have renewed the lease just now.
   m_leasedUntil = std::max(m_leasedUntil, now + m_settings.leaseDuration);
 }
@@ -564,7 +580,9 @@
 {
   m_nextReportRequestAt = now;
   if (m_reportRequestsInFlight == 0)
-    sendLeaseOrder(m_answerTimes->reportWait(now), now);
+    sendLeaseOrder(m_isClaimComplete ? m_answerTimes->reportWait(now)
+                                     : Duration::zero(),
+                   now);
 }
 
 void
@@ -645,7 +663,7 @@
 {
   // The new incarnation has been claimed with a higher token, so that it
   // ignores any start sent before.
-  if (run.isOfEarlierIncarnation)
+  if (run.isOfEarlierIncarnation && m_isClaimComplete)
     return UnlistedEnd::EarlierIncarnation;
   if (run.confirmedAt && *run.confirmedAt <= sent)
     return UnlistedEnd::Missing;
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -23,7 +23,9 @@
 enum class LeaseState
 {
   /// A claim with a new token is in progress. Which runs are on the worker
-  /// isn't known yet.
+  /// isn't known for certain before a report is answered that was requested
+  /// after the first answer to the claim: the worker may have accepted a start
+  /// before the claim and list it only after that answer.
   Claiming,
   /// Only this daemon may start runs on the worker, and it knows all runs
   /// there.
@@ -299,6 +301,7 @@
   void resendStarts(TimePoint now);
   void reportRequestFailed(OrderFailure failure, TimePoint now);
   void beginNextIncarnation(TimePoint now);
+  bool completesClaim(TimePoint sent) const;
   void boundEarlierOrders(TimePoint now);
   bool isOutdated(const WorkerReport& report, TimePoint sent) const;
   void requestNextReport(TimePoint now);
@@ -336,6 +339,10 @@
   IncarnationTracker m_incarnations;
   LeaseState m_state = LeaseState::Claiming;
   FencingToken m_token = 0;
+  /// When the first report under the current token arrived.
+  std::optional<TimePoint> m_claimAnsweredAt;
+  /// Whether the runs on the worker are known since the last claim.
+  bool m_isClaimComplete = false;
   Runs m_runs;
   UnansweredStarts m_unansweredStarts;
   /// Until when a start of an earlier holder may still be carried out.
--- a/tests/workers/leasefixture.h
+++ b/tests/workers/leasefixture.h
@@ -65,10 +65,12 @@
     }
   }
 
+  /// Claims the worker. The answer to the claim is followed by the report that
+  /// completes it.
   void claim(FencingToken token = 10)
   {
     lease.claim(token, now);
-    deliver(Delivery::Normal, 1);
+    deliver(Delivery::Normal, 2);
   }
 
   void start(const RunKey& key, std::int64_t cpu = 6800)
--- a/tests/workers/restartedworker_test.cpp
+++ b/tests/workers/restartedworker_test.cpp
@@ -178,6 +178,8 @@
   start(Delivery::Normal);
   EXPECT_NE(fixture.lease.state(), LeaseState::Fenced);
   claim(Delivery::Normal);
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Claiming);
+  fixture.deliver(Delivery::Normal, 1);
   EXPECT_EQ(fixture.lease.state(), LeaseState::Held);
 }
 
--- a/tests/workers/workerlease_test.cpp
+++ b/tests/workers/workerlease_test.cpp
@@ -10,12 +10,14 @@
 const RunKey run1("job.0.0.0", 1);
 const Resources task(6800, 10, 0);
 
-TEST(WorkerLease, StartsNothingBeforeItsClaimIsAnswered)
+TEST(WorkerLease, StartsNothingBeforeItsClaimIsComplete)
 {
   LeaseFixture fixture;
   fixture.lease.claim(10, fixture.now);
   EXPECT_FALSE(fixture.lease.canStart(task));
   fixture.deliver(Delivery::Normal, 1);
+  EXPECT_FALSE(fixture.lease.canStart(task));
+  fixture.deliver(Delivery::Normal, 1);
   EXPECT_TRUE(fixture.lease.canStart(task));
 }
 
@@ -253,6 +255,8 @@
   EXPECT_EQ(fixture.lease.state(), LeaseState::Claiming);
   EXPECT_FALSE(fixture.lease.canStart(task));
   fixture.deliver(Delivery::Normal, 1);
+  EXPECT_EQ(fixture.lease.state(), LeaseState::Claiming);
+  fixture.deliver(Delivery::Normal, 1);
   EXPECT_EQ(fixture.lease.state(), LeaseState::Held);
   EXPECT_EQ(fixture.worker.highestToken(), 20u);
 }
