Soak: a bound on the starts that are tried for one task

A daemon that tried the starts of a task by the thousands passed the soak: starts that can't be sent reach no worker, and those that are refused begin no run.

The stand-in counts the starts that reach workers for each task, whether they are carried out or not, and looks at their run numbers, which tell the tries before. Both have to be within a bound that follows from what daemons promise: a lease tries a task once in 90 ms on a worker, a start without an answer is sent again after 30 ms at the earliest, and 8 numbers are left out after a refusal as stale, when a shard is released, and after a loss of contact of 850 ms. Claims, runs and refusals are counted as they are seen; time is counted from the submission, so that starts that are held up on their way don't count as faster than they were sent. A start beyond it is a violation with a trace, once a task.

--- a/tests/soak/leasedplatform.cpp
+++ b/tests/soak/leasedplatform.cpp
@@ -121,6 +121,8 @@
   , m_settings(settings)
   , m_random(seed)
   , m_timer(context)
+  , m_startBound(settings.zones,
+                 std::size_t(settings.zones) * settings.workersPerZone)
 {
   m_store = std::make_unique<AsyncHttpServer>(
     context,
@@ -197,6 +199,7 @@
 LeasedPlatform::beginLife(Worker& worker)
 {
   ++worker.life;
+  worker.token = 0;
   worker.bornMs = firstBirthMs + clockMs();
   const double clockRate =
     m_settings.reportsBirths ? 1 : 1 - (1 - slowestClock) * chance();
@@ -373,6 +376,8 @@
                             const HttpRequest& request,
                             const Transaction& transaction)
 {
+  if (request.path() == "/v1/run-start")
+    checkArrival(m_workers[index], request);
   double fate = chance();
   const auto isFate = [&fate](double share) {
     const bool isThis = fate < share;
@@ -461,6 +466,7 @@
   const json body = json::parse(request.body());
   WaitingHold hold;
   hold.order.token = body.at("fencing_token").get<FencingToken>();
+  noteToken(worker, hold.order.token);
   hold.order.acknowledgedEnd = body.at("ack_cursor").get<std::uint64_t>();
   if (body.contains("deadline_ms"))
     hold.order.deadlineMs = body.at("deadline_ms").get<std::int64_t>();
@@ -486,7 +492,10 @@
                           RunKey(body.at("task"), body.at("run")),
                           body.at("spec"),
                           body.at("deadline_ms").get<std::int64_t>() };
+  noteToken(worker, order.token);
   if (const OrderAnswer refusal = worker.fake->accept(order, steadyNow())) {
+    if (refusal == OrderFailure::StaleRun)
+      m_startBound.refusedAsStale(order.key.task());
     answerStart(worker, refusal, transaction);
     return;
   }
@@ -514,6 +523,7 @@
   const RunKey& key = order.key;
   const bool wasRunning = worker.fake->isRunning(key);
   if (!wasRunning && worker.fake->isStale(key)) {
+    m_startBound.refusedAsStale(key.task());
     answerStart(worker, OrderFailure::StaleRun, transaction);
     return;
   }
@@ -524,6 +534,7 @@
   m_runs[key.task()].push_back(
     { key, order.token, worker.id, isLate, systemMs() });
   ++m_starts;
+  m_startBound.began(key.task());
   // The specification of a task is its run time and its size.
   const std::string& spec = order.spec;
   worker.sizes[key] = std::stoll(spec.substr(spec.find(',') + 1));
@@ -605,6 +616,24 @@
   hold.transaction->answer(HttpReply::json(200, reply.dump()));
 }
 
+void
+LeasedPlatform::noteToken(Worker& worker, FencingToken token)
+{
+  if (token <= worker.token)
+    return;
+  worker.token = token;
+  m_startBound.claimed(static_cast<std::size_t>(&worker - m_workers.data()));
+}
+
+void
+LeasedPlatform::checkArrival(const Worker& worker, const HttpRequest& request)
+{
+  const json body = json::parse(request.body());
+  const RunKey key(body.at("task"), body.at("run"));
+  if (const auto problem = m_startBound.arrived(key, steadyNow()))
+    violated(*problem, worker, { key.task() });
+}
+
 void
 LeasedPlatform::check(const Worker& worker, const RunKey& started)
 {
@@ -685,7 +714,10 @@
   for (const ViolationTrace& trace : m_traces) {
     lines.push_back(std::to_string(trace.timeMs) + ' ' + trace.violation);
     for (const std::string& task : trace.tasks) {
-      for (const RunTrace& run : m_runs.at(task))
+      const auto runs = m_runs.find(task);
+      if (runs == m_runs.end())
+        continue;
+      for (const RunTrace& run : runs->second)
         lines.push_back("  " + describe(run));
     }
     for (const std::string& order : trace.orders)
--- a/tests/soak/leasedplatform.h
+++ b/tests/soak/leasedplatform.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "startbound.h"
+
 #include "support/fakeworker.h"
 
 #include "libasynchttp/asynchttp.h"
@@ -20,7 +22,8 @@
 
 /// A stand-in for the platform: its store of records and its workers, on
 /// loopback, on one thread. It checks what workers see: no task runs twice at
-/// the same time, and none is started beyond a worker's room.
+/// the same time, none is started beyond a worker's room, and none is tried
+/// without a limit.
 class LeasedPlatform
 {
 public:
@@ -92,6 +95,11 @@
     return m_workers[index].address;
   }
 
+  /// A caller submits this job.
+  void submitted(const std::string& job)
+  {
+    m_startBound.submitted(job, steadyNow());
+  }
   /// Jobs that were refused to their callers for good: none of their tasks may
   /// run, before or after.
   void refused(const std::string& job);
@@ -139,6 +147,8 @@
     std::int64_t cpu = 16000;
     unsigned life = 0;
     std::int64_t bornMs = 0;
+    /// The highest one of this life.
+    FencingToken token = 0;
     std::unique_ptr<FakeWorker> fake;
     std::map<RunKey, std::int64_t> sizes;
     std::vector<WaitingHold> holds;
@@ -210,6 +220,9 @@
   void afterInLife(const Worker& worker,
                    Duration delay,
                    const std::function<void(Worker&)>& action);
+  void noteToken(Worker& worker, FencingToken token);
+  /// Also of one that isn't carried out.
+  void checkArrival(const Worker& worker, const HttpRequest& request);
   void check(const Worker& worker, const RunKey& started);
   void violated(const std::string& what,
                 const Worker& worker,
@@ -232,6 +245,7 @@
   std::vector<WaitingRead> m_reads;
   std::unique_ptr<AsyncHttpServer> m_store;
   std::vector<Worker> m_workers;
+  StartBound m_startBound;
   unsigned m_lastWorker = 0;
   OrderFaults m_faults;
   Duration m_storeDelay = Duration::zero();
--- a/tests/soak/leasedplatform_test.cpp
+++ b/tests/soak/leasedplatform_test.cpp
@@ -118,6 +118,21 @@
   EXPECT_EQ(platform.doubleRuns(), 1u);
 }
 
+/// Guards against a check that sees only the starts that are carried out.
+TEST_F(LeasedPlatformTest, TellsStartsThatAreTriedWithoutLimit)
+{
+  LeasedPlatform platform(context, settingsOf(true), 1);
+  platform.submitted("job1");
+  EXPECT_EQ(
+    call(platform, "/v1/run-start", startOf("job1.0.0.0", 1000), "w0").first,
+    421);
+  ASSERT_EQ(platform.violations().size(), 1u);
+  const std::string what = "too many starts of job1.0.0.0: run number 1000";
+  EXPECT_EQ(platform.violations()[0].rfind(what, 0), 0u);
+  EXPECT_EQ(platform.doubleRuns(), 0u);
+  EXPECT_FALSE(platform.traces().empty());
+}
+
 TEST_F(LeasedPlatformTest, TellsNoBirthAndANewIdAfterACrashIfAsked)
 {
   LeasedPlatform platform(context, settingsOf(false), 1);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -466,6 +466,7 @@
   const std::string job = "job" + std::to_string(++m_lastJob);
   m_callers[job] = newCaller();
   ++m_report.submitted;
+  m_platform.submitted(job);
   submit(job);
 }
 
