Soak: resets of all connections at one time

No strike of the soak does that: links are struck one at a time, or those to workers, or those to the store.

Of each it is drawn whether what is under way is delivered or lost. The strike draws from a random engine of its own and is off by default, so that seeds strike as they did before.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -66,6 +66,7 @@
   , m_foreignRandom(seed + 6)
   , m_ordersRandom(seed + 8)
   , m_seriesRandom(seed + 9)
+  , m_resetsRandom(seed + 10)
   , m_foreign(seed + 7)
   , m_platform(m_context,
                platformSettings(m_settings,
@@ -114,6 +115,7 @@
   m_nextForeignAt = m_nextStrikeAt;
   m_nextOrdersAt = m_nextStrikeAt;
   m_nextSeriesAt = m_nextStrikeAt;
+  m_nextResetsAt = m_nextStrikeAt;
   runUntil(start + std::chrono::seconds(3) + struckTime);
   m_isStruck = false;
   // What strikes still hold back ends within seconds; then all must be well.
@@ -297,6 +299,8 @@
     strikeOrders(now);
   if (m_isStruck && m_settings.strikesSeries && now >= m_nextSeriesAt)
     strikeSeries(now);
+  if (m_isStruck && m_settings.strikesResets && now >= m_nextResetsAt)
+    strikeResets(now);
   tickRolls(now);
   checkProcesses();
   tickForeign(now);
@@ -354,7 +358,7 @@
   std::vector<std::string> command{ "/usr/bin/env",
                                     "COWSLIPPIN_BOOT=" + daemon.settingsFile };
   if (m_settings.strikesCuts || m_settings.strikesOrders ||
-      m_settings.strikesSeries) {
+      m_settings.strikesSeries || m_settings.strikesResets) {
     command.push_back(std::string("LD_PRELOAD=") + SOURCE_ADDRESS_LIBRARY);
     command.push_back("COWSLIPPIN_SOAK_SOURCE=" + daemon.listenHost);
   }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -81,6 +81,8 @@
     /// Whether restarts, rolls, freezes, crashes of workers and lapses of their
     /// entries come in series.
     bool strikesSeries = false;
+    /// Whether all connections are reset at one time.
+    bool strikesResets = false;
     /// Whether callers submit again at a daemon of the same zone.
     bool retriesInZone = false;
     /// The only kind of overlapping strike, one at a time; all if negative.
@@ -246,6 +248,14 @@
   void crashWorkersAgain(unsigned times);
   /// Its connections are reset with it.
   void crashWorker(std::size_t index);
+  /// Strikes all connections at one time.
+  void strikeResets(TimePoint now);
+  void resetAllAgain(unsigned times);
+  /// To the store and to workers, between daemons and with callers. What is
+  /// under way on some of them is delivered.
+  void resetAll();
+  void killAfterReset(Daemon& daemon);
+  void refuseAfterReset();
   /// Starts rolled daemons again that have ended.
   void tickRolls(TimePoint now);
   static bool hasProcessEnded(const Daemon& daemon);
@@ -297,6 +307,7 @@
   std::mt19937_64 m_foreignRandom;
   std::mt19937_64 m_ordersRandom;
   std::mt19937_64 m_seriesRandom;
+  std::mt19937_64 m_resetsRandom;
   /// Starts by task and run, and the senders of tokens.
   std::map<std::string, OrderWay> m_starts;
   std::map<std::uint64_t, std::string> m_senders;
@@ -320,6 +331,7 @@
   TimePoint m_nextForeignAt{};
   TimePoint m_nextOrdersAt{};
   TimePoint m_nextSeriesAt{};
+  TimePoint m_nextResetsAt{};
   std::optional<GroupCut> m_cut;
   std::vector<std::pair<TimePoint, std::function<void()>>> m_later;
   std::size_t m_notedViolations = 0;
--- a/tests/soak/soakoptions.cpp
+++ b/tests/soak/soakoptions.cpp
@@ -239,6 +239,12 @@
              "whether restarts, rolls, freezes, crashes of workers and lapses "
              "of their entries come in series",
              yesOrNo(settings.strikesSeries) },
+           { "strike-resets",
+             "0",
+             "whether all connections of all daemons are reset at one time, "
+             "sometimes in series, with a kill, or with workers that refuse "
+             "new ones for a moment",
+             yesOrNo(settings.strikesResets) },
            { "lost-ends",
              "0.5",
              "share of these cuts in which daemons aren't told that "
--- a/tests/soak/soakoptions_test.cpp
+++ b/tests/soak/soakoptions_test.cpp
@@ -20,6 +20,7 @@
   EXPECT_FALSE(options->settings.strikesForeign);
   EXPECT_FALSE(options->settings.strikesOrders);
   EXPECT_FALSE(options->settings.strikesSeries);
+  EXPECT_FALSE(options->settings.strikesResets);
   EXPECT_TRUE(options->settings.reportsBirths);
   EXPECT_EQ(options->settings.maxListingDelay, Duration::zero());
   EXPECT_FALSE(options->settings.retriesInZone);
@@ -72,6 +73,13 @@
   EXPECT_TRUE(options->settings.strikesSeries);
 }
 
+TEST(SoakOptions, TakeResetsOfAllConnections)
+{
+  const auto options = SoakOptions::parse({ "--strike-resets=1" });
+  ASSERT_TRUE(options) << options.error().detail();
+  EXPECT_TRUE(options->settings.strikesResets);
+}
+
 TEST(SoakOptions, TakeAListingDelayInMilliseconds)
 {
   const auto options = SoakOptions::parse({ "--listing-delay=30" });
@@ -143,6 +151,7 @@
                                            Refused{ "listing-delay", "701" },
                                            Refused{ "strike-orders", "on" },
                                            Refused{ "strike-series", "" },
+                                           Refused{ "strike-resets", "2" },
                                            Refused{ "lost-ends", "1.1" },
                                            Refused{ "lost-ends", "-0.1" },
                                            Refused{ "retry-in-zone", "" },
