--- a/tests/soak/startbound_test.cpp
+++ b/tests/soak/startbound_test.cpp
@@ -87,5 +87,14 @@
   EXPECT_FALSE(isAllowed(allowed + 1, milliseconds(10)));
 }
 
+TEST_F(StartBoundTest, AllowsGapsThatDoubleWithEachRefusalAsStale)
+{
+  for (int i = 0; i < 3; ++i)
+    bound.refusedAsStale("job1.0.0.0");
+  const std::uint64_t gaps = 7 * std::uint64_t(StartBound::runNumberGap);
+  EXPECT_TRUE(isAllowed(aDelay + moves + 3 + gaps, milliseconds(10)));
+  EXPECT_FALSE(isAllowed(aDelay + moves + 3 + gaps + 1, milliseconds(10)));
+}
+
 } // namespace
 } // namespace cowslippin::testing
