--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -137,6 +137,33 @@
   checkPromises(settings, 1001);
 }
 
+/// Guards against a second run, and against starts that are tried without a
+/// limit, when a network drops all connections of a small deployment at once.
+TEST(Soak, RunsNoTaskTwiceAndTriesNoneWithoutLimitWhenAllConnectionsAreReset)
+{
+  Soak::Settings settings;
+  settings.zones = 3;
+  settings.daemonsPerZone = 1;
+  settings.workersPerZone = 16;
+  settings.jobsPerSecond = 60;
+  settings.mix =
+    RequestMix({ { 8, 60, 34.4 }, { 4, 900, 6.25 }, { 2, 200, 100 } });
+  settings.spread = 0.3;
+  settings.reportsBirths = false;
+  settings.strikesLinks = false;
+  settings.strikesAtRandom = false;
+  settings.strikesLateResets = false;
+  settings.strikesSeries = true;
+  settings.strikesResets = true;
+  const Soak::Report report =
+    play(settings, 360, std::chrono::seconds(8), Duration::zero());
+  for (const std::string& violation : report.violations)
+    ADD_FAILURE() << violation;
+  for (const std::string& line : report.traces)
+    std::cerr << line << '\n';
+  EXPECT_GT(report.completed, 0u);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, SoakSeed, ::testing::Values(1, 2));
 
 } // namespace
