Tests: crowds of clients at a daemon that runs as a process

A new test program starts cowslippind-platform with small limits (40 MB, 1,000 descriptors) beside the stand-in of the platform. A crowd of clients sends what a case says, stays, and connects again whenever its connection is closed. While the crowd stays and after it has gone, one ordinary job must be answered with 200; the process must live, its resident memory with the unread bytes of its sockets must stay below the limit, and so must its open descriptors less the 200 that are for files. No time and no share of served jobs is checked.

--- /dev/null
+++ b/tests/crowd/crowd_test.cpp
@@ -0,0 +1,50 @@
+#include "crowddaemon.h"
+
+#include <algorithm>
+
+namespace cowslippin::testing {
+namespace {
+
+constexpr unsigned smallCrowdSize = 40;
+constexpr std::size_t endlessBytes = std::size_t(2) << 20;
+constexpr std::size_t pieceBytes = std::size_t(16) << 10;
+
+const std::string requestBegin = "POST /jobs/0123456789abcdef HTTP/1.1\r\n"
+                                 "Host: jobs.example\r\n";
+
+/// `head`, followed by `unit` again and again, `size` bytes in all.
+std::function<std::string(std::size_t)>
+repeated(const std::string& head, const std::string& unit, std::size_t size)
+{
+  std::string block;
+  while (block.size() < pieceBytes)
+    block += unit;
+  return [head, block, period = unit.size(), size](std::size_t sent) {
+    if (sent >= size)
+      return std::string();
+    if (sent < head.size())
+      return head.substr(sent);
+    const std::size_t phase = (sent - head.size()) % period;
+    return block.substr(phase, std::min(size - sent, pieceBytes / 2));
+  };
+}
+
+/// Guards against memory that headers without end take.
+TEST_F(CrowdDaemon, HeadersWithoutEndStayWithinMemory)
+{
+  addClients(smallCrowdSize,
+             { callerAddress(),
+               repeated(requestBegin, "Name: value\r\n", endlessBytes) });
+  checkServiceBesideCrowd();
+}
+
+/// Guards against memory and time that empty lines in front of a request take.
+TEST_F(CrowdDaemon, EmptyLinesWithoutEndStayWithinMemory)
+{
+  addClients(smallCrowdSize,
+             { callerAddress(), repeated("\r\n", "\r\n", endlessBytes) });
+  checkServiceBesideCrowd();
+}
+
+} // namespace
+} // namespace cowslippin::testing
