HTTP server: no part of a request without a limit

A daemon with a crowd of 40 clients held some 100 MB: of chunked bodies with trailers or chunk extensions without end. Boost.Beast limits the header and the bytes of the body. A line before a chunk and a block of trailers are parsed as a whole, and until they are, they stay in the reader's buffer, which nothing limited. A header of 16 KB may also have 4,000 fields, which take 20 times their bytes.

The session reads into a buffer that never holds more than the limit of the header, which is the longest part that is parsed as a whole, and refuses what doesn't fit with 431. Header and trailers have at most 100 fields. An ordinary request is still read at once; reads grow while they are filled, so that a large body takes fewer of them than before. The session has files of its own.

--- a/src/libasynchttp/asynchttpserver.h
+++ b/src/libasynchttp/asynchttpserver.h
@@ -24,7 +24,11 @@
 public:
   struct Settings
   {
+    /// Of a request's header, of the line before a chunk of its body, and of
+    /// its trailers.
     std::uint32_t maxHeaderBytes = 16 * 1024;
+    /// Of header and trailers. A field takes memory beside its bytes.
+    std::size_t maxHeaderFields = 100;
     std::uint64_t maxBodyBytes = std::uint64_t(256) * 1024;
     /// How many connections may wait to be accepted. Beyond that the kernel
     /// drops SYN packets, which the client repeats after a second.
--- /dev/null
+++ b/src/libasynchttp/asynchttpsession.cpp
@@ -0,0 +1,296 @@
+#include "asynchttpsession.h"
+
+#include "libobserve/observe.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace cowslippin {
+
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using net::ip::tcp;
+
+/// Most requests with their bodies are smaller; the buffer grows for others.
+constexpr std::size_t initialBufferBytes = 1024;
+constexpr int contentTooLarge = 413;
+constexpr int headerFieldsTooLarge = 431;
+
+HttpRequest
+toHttpRequest(http::request<BoundedBody>& message)
+{
+  HttpRequest::Fields fields;
+  fields.method = std::string(message.method_string());
+  const std::string target(message.target());
+  const std::size_t queryStart = target.find('?');
+  fields.path = target.substr(0, queryStart);
+  if (queryStart != std::string::npos)
+    fields.query = target.substr(queryStart + 1);
+  for (const auto& field : message)
+    fields.headers.emplace_back(std::string(field.name_string()),
+                                std::string(field.value()));
+  fields.body = std::move(message.body().bytes);
+  return HttpRequest(std::move(fields));
+}
+
+/// Doesn't say whether the request has had an effect, which isn't known.
+HttpReply
+handlerFailedReply()
+{
+  constexpr int internalServerError = 500;
+  return HttpReply::json(
+    internalServerError,
+    R"({"error":"the daemon failed while it handled the request"})");
+}
+
+std::string
+render(const HttpReply& reply, bool isLast)
+{
+  std::string text = "HTTP/1.1 " + std::to_string(reply.status()) + ' ' +
+                     std::string(http::obsolete_reason(
+                       static_cast<http::status>(reply.status()))) +
+                     "\r\n";
+  if (!reply.contentType().empty())
+    text += "Content-Type: " + reply.contentType() + "\r\n";
+  for (const HttpHeader& header : reply.headers())
+    text += header.name() + ": " + header.value() + "\r\n";
+  if (isLast)
+    text += "Connection: close\r\n";
+  text += "Content-Length: " + std::to_string(reply.body().size()) +
+          "\r\n\r\n" + reply.body();
+  return text;
+}
+
+} // namespace
+
+AsyncHttpServer::Session::Session(tcp::socket socket,
+                                  std::weak_ptr<AsyncHttpServer*> server)
+  : m_socket(std::move(socket))
+  , m_server(std::move(server))
+  , m_readBytes(initialBufferBytes)
+  , m_idleSince(steadyNow())
+{
+  m_buffer.reserve(initialBufferBytes);
+}
+
+AsyncHttpServer::Session::~Session()
+{
+  setPending(false);
+}
+
+void
+AsyncHttpServer::Session::readRequest()
+{
+  const auto server = m_server.lock();
+  if (!server)
+    return;
+  const Settings& settings = (*server)->m_settings;
+  m_parser.emplace();
+  m_parser->eager(true);
+  m_parser->header_limit(settings.maxHeaderBytes);
+  m_parser->body_limit(settings.maxBodyBytes);
+  m_parser->get().body().maxBytes = settings.maxBodyBytes;
+  m_buffer.max_size(settings.maxHeaderBytes);
+  if (m_buffer.size() > 0)
+    parse();
+  else
+    readSome();
+}
+
+void
+AsyncHttpServer::Session::parse()
+{
+  const auto server = m_server.lock();
+  if (!server)
+    return;
+  error_code error;
+  m_buffer.consume(m_parser->put(m_buffer.data(), error));
+  const bool needsMore = !error || error == http::error::need_more;
+  if (error == http::error::body_limit)
+    refuse(contentTooLarge, "the request is too large");
+  else if (error == http::error::header_limit ||
+           (needsMore && hasTooManyFields(**server)))
+    refuse(headerFieldsTooLarge, "the request's header is too large");
+  else if (!needsMore)
+    close();
+  else if (m_parser->is_done())
+    requestRead(**server);
+  else
+    readSome();
+}
+
+void
+AsyncHttpServer::Session::readSome()
+{
+  const std::size_t room = m_buffer.max_size() - m_buffer.size();
+  if (room == 0) {
+    refuse(headerFieldsTooLarge, "a line of the request is too long");
+    return;
+  }
+  const std::size_t wanted = std::min(m_readBytes, room);
+  m_socket.async_read_some(
+    m_buffer.prepare(wanted),
+    [self = shared_from_this(), wanted](error_code error, std::size_t count) {
+      if (error) {
+        self->close();
+        return;
+      }
+      self->m_buffer.commit(count);
+      if (count == wanted)
+        self->m_readBytes = std::min(2 * wanted, self->m_buffer.max_size());
+      self->parse();
+    });
+}
+
+bool
+AsyncHttpServer::Session::hasTooManyFields(const AsyncHttpServer& server) const
+{
+  const auto& fields = m_parser->get().base();
+  return std::size_t(std::distance(fields.begin(), fields.end())) >
+         server.m_settings.maxHeaderFields;
+}
+
+void
+AsyncHttpServer::Session::requestRead(AsyncHttpServer& server)
+{
+  setPending(true);
+  m_requestAge = steadyNow() - m_idleSince;
+  m_keepAlive = m_parser->get().keep_alive();
+  const HttpRequest request = toHttpRequest(m_parser->get());
+  m_parser.reset();
+  shrinkBuffer();
+  if (!runGuarded("request",
+                  [&] { server.m_handler(request, shared_from_this()); }))
+    answer(handlerFailedReply());
+  if (!m_isAnswered)
+    watchForDisconnect();
+}
+
+void
+AsyncHttpServer::Session::refuse(int status, const std::string& reason)
+{
+  setPending(true);
+  m_keepAlive = false;
+  answer(HttpReply::json(status, "{\"error\":\"" + reason + "\"}"));
+}
+
+void
+AsyncHttpServer::Session::shrinkBuffer()
+{
+  m_readBytes = initialBufferBytes;
+  if (m_buffer.size() == 0 && m_buffer.capacity() > initialBufferBytes) {
+    m_buffer.shrink_to_fit();
+    m_buffer.reserve(initialBufferBytes);
+  }
+}
+
+void
+AsyncHttpServer::Session::answer(const HttpReply& reply)
+{
+  if (!m_isPending || m_isAnswered)
+    return;
+  m_isAnswered = true;
+  m_onClientDisconnected = nullptr;
+  const auto server = m_server.lock();
+  const bool replyCloses = reply.header("Connection") == "close";
+  const bool isLast =
+    replyCloses || !m_keepAlive || !server || (*server)->m_closesAfterReplies;
+  m_output = render(reply, isLast && !replyCloses);
+  error_code ignored;
+  if (m_isWatchingForDisconnect)
+    m_socket.cancel(ignored);
+  net::async_write(
+    m_socket,
+    net::buffer(m_output),
+    [self = shared_from_this(), isLast](error_code error, std::size_t) {
+      self->replyWritten(error, isLast);
+    });
+}
+
+void
+AsyncHttpServer::Session::onClientDisconnected(std::function<void()> callback)
+{
+  m_onClientDisconnected = std::move(callback);
+}
+
+void
+AsyncHttpServer::Session::closeIfIdle()
+{
+  if (!m_isPending)
+    close();
+}
+
+void
+AsyncHttpServer::Session::watchForDisconnect()
+{
+  if (m_buffer.size() > 0)
+    return;
+  m_isWatchingForDisconnect = true;
+  m_socket.async_wait(tcp::socket::wait_read,
+                      [self = shared_from_this()](error_code error) {
+                        self->m_isWatchingForDisconnect = false;
+                        if (!error && !self->m_isAnswered)
+                          self->checkForDisconnect();
+                      });
+}
+
+void
+AsyncHttpServer::Session::checkForDisconnect()
+{
+  char byte = 0;
+  error_code error;
+  m_socket.non_blocking(true, error);
+  const std::size_t count = m_socket.receive(
+    net::buffer(&byte, 1), net::socket_base::message_peek, error);
+  if (error == net::error::would_block) {
+    watchForDisconnect();
+    return;
+  }
+  if (!error && count > 0)
+    return;
+  m_isAnswered = true;
+  setPending(false);
+  close();
+  if (const auto callback = std::exchange(m_onClientDisconnected, nullptr))
+    callback();
+}
+
+void
+AsyncHttpServer::Session::replyWritten(error_code error, bool isLast)
+{
+  setPending(false);
+  m_idleSince = steadyNow();
+  m_isAnswered = false;
+  m_output.clear();
+  if (error || isLast) {
+    close();
+    return;
+  }
+  readRequest();
+}
+
+void
+AsyncHttpServer::Session::close()
+{
+  error_code ignored;
+  m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+  m_socket.close(ignored);
+}
+
+void
+AsyncHttpServer::Session::setPending(bool isPending)
+{
+  const auto server = m_server.lock();
+  if (server && isPending != m_isPending)
+    isPending ? ++(*server)->m_pendingRequests : --(*server)->m_pendingRequests;
+  m_isPending = isPending;
+}
+
+} // namespace cowslippin
--- /dev/null
+++ b/src/libasynchttp/asynchttpsession.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "asynchttpserver.h"
+#include "boundedbody.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <optional>
+#include <string>
+
+namespace cowslippin {
+
+/// A client's connection to a server, and its pending request if there is one.
+class AsyncHttpServer::Session
+  : public HttpTransaction
+  , public std::enable_shared_from_this<Session>
+{
+public:
+  Session(boost::asio::ip::tcp::socket socket,
+          std::weak_ptr<AsyncHttpServer*> server);
+  ~Session() override;
+
+  void readRequest();
+  void answer(const HttpReply& reply) override;
+  Duration maxRequestAge() const override { return m_requestAge; }
+  void onClientDisconnected(std::function<void()> callback) override;
+  void closeIfIdle();
+
+private:
+  using Parser = boost::beast::http::request_parser<BoundedBody>;
+  using ErrorCode = boost::system::error_code;
+
+  /// Parses what the buffer has. Reads more if that isn't a whole request.
+  void parse();
+  void readSome();
+  /// Whether the header, with the trailers if they have arrived, has more
+  /// fields than allowed.
+  bool hasTooManyFields(const AsyncHttpServer& server) const;
+  void requestRead(AsyncHttpServer& server);
+  void refuse(int status, const std::string& reason);
+  /// Returns the memory of a large request.
+  void shrinkBuffer();
+  /// Waits for the client to disconnect. Ends without effect when bytes of a
+  /// further request arrive.
+  void watchForDisconnect();
+  void checkForDisconnect();
+  void replyWritten(ErrorCode error, bool isLast);
+  void close();
+  void setPending(bool isPending);
+
+  boost::asio::ip::tcp::socket m_socket;
+  const std::weak_ptr<AsyncHttpServer*> m_server;
+  /// Holds no more than the longest part of a request that is parsed as a
+  /// whole: its header, the line before a chunk, or its trailers.
+  boost::beast::flat_buffer m_buffer;
+  std::optional<Parser> m_parser;
+  std::size_t m_readBytes;
+  std::string m_output;
+  TimePoint m_idleSince;
+  Duration m_requestAge = Duration::zero();
+  std::function<void()> m_onClientDisconnected;
+  bool m_keepAlive = true;
+  bool m_isPending = false;
+  bool m_isAnswered = false;
+  bool m_isWatchingForDisconnect = false;
+};
+
+} // namespace cowslippin
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -5,12 +5,16 @@
 namespace cowslippin::testing {
 namespace {
 
+/// So many connections don't reach the limit of descriptors.
+constexpr unsigned crowdSize = 200;
 constexpr unsigned smallCrowdSize = 40;
 constexpr std::size_t endlessBytes = std::size_t(2) << 20;
 constexpr std::size_t pieceBytes = std::size_t(16) << 10;
 
 const std::string requestBegin = "POST /jobs/0123456789abcdef HTTP/1.1\r\n"
                                  "Host: jobs.example\r\n";
+const std::string chunkedBegin =
+  requestBegin + "Transfer-Encoding: chunked\r\n\r\n";
 
 /// `head`, followed by `unit` again and again, `size` bytes in all.
 std::function<std::string(std::size_t)>
@@ -29,6 +33,26 @@
   };
 }
 
+/// Guards against memory that the trailers of a chunked body take.
+TEST_F(CrowdDaemon, TrailersWithoutEndStayWithinMemory)
+{
+  addClients(smallCrowdSize,
+             { callerAddress(),
+               repeated(chunkedBegin + "1\r\nx\r\n0\r\n",
+                        "Trailer: value\r\n",
+                        endlessBytes) });
+  checkServiceBesideCrowd();
+}
+
+/// Guards against memory that the extensions of a chunk take.
+TEST_F(CrowdDaemon, ChunkExtensionsWithoutEndStayWithinMemory)
+{
+  addClients(smallCrowdSize,
+             { callerAddress(),
+               repeated(chunkedBegin + "1", ";name=value", endlessBytes) });
+  checkServiceBesideCrowd();
+}
+
 /// Guards against memory that headers without end take.
 TEST_F(CrowdDaemon, HeadersWithoutEndStayWithinMemory)
 {
@@ -38,6 +62,19 @@
   checkServiceBesideCrowd();
 }
 
+/// Guards against memory that the fields of a header within its limit take,
+/// which is many times their length, while its body isn't whole.
+TEST_F(CrowdDaemon, ManyHeaderFieldsBeforeUnfinishedBodiesStayWithinMemory)
+{
+  std::string head = requestBegin + "Content-Length: 2\r\n";
+  while (head.size() < std::size_t(16'000))
+    head += "a:\r\n";
+  addClients(
+    crowdSize,
+    { callerAddress(), repeated(head + "\r\n", "x", head.size() + 3) });
+  checkServiceBesideCrowd();
+}
+
 /// Guards against memory and time that empty lines in front of a request take.
 TEST_F(CrowdDaemon, EmptyLinesWithoutEndStayWithinMemory)
 {
