HTTP servers: a budget for what all connections hold

A daemon with 200 clients, each of which sends a body of 256 KB but for its last 8 bytes and stays connected, held 59 to 92 MB; with more clients it grows until the system ends it. Each request is inside its limits; nothing limited their sum, and no request had to become whole.

Each says what its buffer, unfinished request and unsent answer take, and since when it has waited for its client. When the sum exceeds the budget, the sessions that have waited longest are closed, so that a newcomer gets through, which may be an ordinary caller. A session whose whole request is being served is never closed. A request that never became whole never runs.

--- a/src/libasynchttp/asynchttp.h
+++ b/src/libasynchttp/asynchttp.h
@@ -3,3 +3,4 @@
 #include "asynchttpconnection.h"
 #include "asynchttpconnectionpool.h"
 #include "asynchttpserver.h"
+#include "connectionbudget.h"
--- a/src/libasynchttp/asynchttpserver.cpp
+++ b/src/libasynchttp/asynchttpserver.cpp
@@ -14,14 +14,23 @@
 using boost::system::error_code;
 using net::ip::tcp;
 
+constexpr std::size_t defaultBudgetBytes = std::size_t(64) << 20;
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
+AsyncHttpServer::Settings
+withBudget(AsyncHttpServer::Settings settings)
+{
+  if (!settings.budget)
+    settings.budget = std::make_shared<ConnectionBudget>(defaultBudgetBytes);
+  return settings;
+}
+
 } // namespace
 
 AsyncHttpServer::AsyncHttpServer(net::io_context& context,
                                  Settings settings,
                                  Handler handler)
-  : m_settings(settings)
+  : m_settings(withBudget(std::move(settings)))
   , m_handler(std::move(handler))
   , m_acceptor(context)
   , m_acceptTimer(context)
@@ -88,8 +97,8 @@
     if (!error) {
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
-      const auto session =
-        std::make_shared<Session>(std::move(socket), std::weak_ptr(m_self));
+      const auto session = std::make_shared<Session>(
+        std::move(socket), m_settings.budget, std::weak_ptr(m_self));
       m_sessions.remove_if([](const auto& weak) { return weak.expired(); });
       m_sessions.push_back(session);
       session->readRequest();
--- a/src/libasynchttp/asynchttpserver.h
+++ b/src/libasynchttp/asynchttpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connectionbudget.h"
 #include "httptransaction.h"
 
 #include "libhttp/httprequest.h"
@@ -33,6 +34,9 @@
     /// How many connections may wait to be accepted. Beyond that the kernel
     /// drops SYN packets, which the client repeats after a second.
     int backlog = 512;
+    /// What all connections may hold, of this server and of those that share
+    /// it. If empty, the server has one of its own, of 64 MB.
+    std::shared_ptr<ConnectionBudget> budget = nullptr;
   };
 
   using Handler = std::function<void(const HttpRequest&,
--- a/src/libasynchttp/asynchttpsession.cpp
+++ b/src/libasynchttp/asynchttpsession.cpp
@@ -20,6 +20,8 @@
 
 /// Most requests with their bodies are smaller; the buffer grows for others.
 constexpr std::size_t initialBufferBytes = 1024;
+/// What a field of a header takes beside its name and its value.
+constexpr std::size_t fieldOverheadBytes = 100;
 constexpr int contentTooLarge = 413;
 constexpr int headerFieldsTooLarge = 431;
 
@@ -71,10 +73,12 @@
 } // namespace
 
 AsyncHttpServer::Session::Session(tcp::socket socket,
+                                  std::shared_ptr<ConnectionBudget> budget,
                                   std::weak_ptr<AsyncHttpServer*> server)
   : m_socket(std::move(socket))
   , m_server(std::move(server))
   , m_readBytes(initialBufferBytes)
+  , m_share(std::move(budget), [this] { close(); })
   , m_idleSince(steadyNow())
 {
   m_buffer.reserve(initialBufferBytes);
@@ -122,23 +126,29 @@
     close();
   else if (m_parser->is_done())
     requestRead(**server);
-  else
+  else {
+    if (!m_waitingSince)
+      m_waitingSince = steadyNow();
     readSome();
+  }
 }
 
 void
 AsyncHttpServer::Session::readSome()
 {
-  const std::size_t room = m_buffer.max_size() - m_buffer.size();
-  if (room == 0) {
+  const std::size_t freeBytes = m_buffer.max_size() - m_buffer.size();
+  if (freeBytes == 0) {
     refuse(headerFieldsTooLarge, "a line of the request is too long");
     return;
   }
-  const std::size_t wanted = std::min(m_readBytes, room);
+  const std::size_t wanted = std::min(m_readBytes, freeBytes);
+  const auto room = m_buffer.prepare(wanted);
+  if (!account())
+    return;
   m_socket.async_read_some(
-    m_buffer.prepare(wanted),
+    room,
     [self = shared_from_this(), wanted](error_code error, std::size_t count) {
-      if (error) {
+      if (error || self->m_isClosed) {
         self->close();
         return;
       }
@@ -149,6 +159,26 @@
     });
 }
 
+bool
+AsyncHttpServer::Session::account()
+{
+  m_share.hold(heldBytes(), m_waitingSince);
+  return !m_isClosed;
+}
+
+std::size_t
+AsyncHttpServer::Session::heldBytes() const
+{
+  std::size_t sum = m_buffer.capacity() + m_output.capacity();
+  if (!m_parser)
+    return sum;
+  sum += m_parser->get().body().bytes.capacity();
+  for (const auto& field : m_parser->get())
+    sum +=
+      fieldOverheadBytes + field.name_string().size() + field.value().size();
+  return sum;
+}
+
 bool
 AsyncHttpServer::Session::hasTooManyFields(const AsyncHttpServer& server) const
 {
@@ -165,11 +195,13 @@
   m_keepAlive = m_parser->get().keep_alive();
   const HttpRequest request = toHttpRequest(m_parser->get());
   m_parser.reset();
+  m_waitingSince.reset();
   shrinkBuffer();
+  account();
   if (!runGuarded("request",
                   [&] { server.m_handler(request, shared_from_this()); }))
     answer(handlerFailedReply());
-  if (!m_isAnswered)
+  if (!m_isAnswered && !m_isClosed)
     watchForDisconnect();
 }
 
@@ -206,6 +238,9 @@
   error_code ignored;
   if (m_isWatchingForDisconnect)
     m_socket.cancel(ignored);
+  m_waitingSince = steadyNow();
+  if (!account())
+    return;
   net::async_write(
     m_socket,
     net::buffer(m_output),
@@ -265,10 +300,13 @@
 void
 AsyncHttpServer::Session::replyWritten(error_code error, bool isLast)
 {
+  if (m_isClosed)
+    return;
   setPending(false);
   m_idleSince = steadyNow();
   m_isAnswered = false;
-  m_output.clear();
+  m_waitingSince.reset();
+  m_output = {};
   if (error || isLast) {
     close();
     return;
@@ -279,9 +317,19 @@
 void
 AsyncHttpServer::Session::close()
 {
+  if (m_isClosed)
+    return;
   error_code ignored;
   m_socket.shutdown(tcp::socket::shutdown_both, ignored);
   m_socket.close(ignored);
+  m_isClosed = true;
+  setPending(false);
+  m_waitingSince.reset();
+  m_parser.reset();
+  m_buffer.clear();
+  m_buffer.shrink_to_fit();
+  m_output = {};
+  m_share.hold(0, std::nullopt);
 }
 
 void
--- a/src/libasynchttp/asynchttpsession.h
+++ b/src/libasynchttp/asynchttpsession.h
@@ -18,6 +18,7 @@
 {
 public:
   Session(boost::asio::ip::tcp::socket socket,
+          std::shared_ptr<ConnectionBudget> budget,
           std::weak_ptr<AsyncHttpServer*> server);
   ~Session() override;
 
@@ -34,6 +35,10 @@
   /// Parses what the buffer has. Reads more if that isn't a whole request.
   void parse();
   void readSome();
+  /// Tells the budget what the session holds. Returns false if the session had
+  /// to close.
+  bool account();
+  std::size_t heldBytes() const;
   /// Whether the header, with the trailers if they have arrived, has more
   /// fields than allowed.
   bool hasTooManyFields(const AsyncHttpServer& server) const;
@@ -46,6 +51,7 @@
   void watchForDisconnect();
   void checkForDisconnect();
   void replyWritten(ErrorCode error, bool isLast);
+  /// Closes the connection and returns what it holds.
   void close();
   void setPending(bool isPending);
 
@@ -57,6 +63,10 @@
   std::optional<Parser> m_parser;
   std::size_t m_readBytes;
   std::string m_output;
+  ConnectionBudget::Share m_share;
+  /// Since when the rest of a request is missing, or an answer is being
+  /// written.
+  std::optional<TimePoint> m_waitingSince;
   TimePoint m_idleSince;
   Duration m_requestAge = Duration::zero();
   std::function<void()> m_onClientDisconnected;
@@ -64,6 +74,7 @@
   bool m_isPending = false;
   bool m_isAnswered = false;
   bool m_isWatchingForDisconnect = false;
+  bool m_isClosed = false;
 };
 
 } // namespace cowslippin
--- /dev/null
+++ b/src/libentry/clientlimits.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "libjobs/machinelimits.h"
+
+#include <cstddef>
+
+namespace cowslippin {
+
+/// Limits on what the clients of a daemon's HTTP servers may take of its
+/// machine, over all connections.
+struct ClientLimits
+{
+  /// Memory of requests that aren't whole and of answers that aren't read.
+  std::size_t maxBytes = 0;
+
+  friend bool operator==(const ClientLimits& a, const ClientLimits& b)
+  {
+    return a.maxBytes == b.maxBytes;
+  }
+  friend bool operator!=(const ClientLimits& a, const ClientLimits& b)
+  {
+    return !(a == b);
+  }
+};
+
+/// Returns the limits for a machine, of which a part stays for the daemon's own
+/// use. They are fixed where the machine has no limit.
+ClientLimits
+clientLimitsFor(const MachineLimits& machine);
+
+} // namespace cowslippin
--- a/src/libentry/entry.h
+++ b/src/libentry/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientlimits.h"
 #include "configurationcheck.h"
 #include "entrycore.h"
 #include "entrydaemon.h"
--- a/src/libentry/operatorserver.cpp
+++ b/src/libentry/operatorserver.cpp
@@ -4,15 +4,30 @@
 
 #include <nlohmann/json.hpp>
 
+#include <utility>
+
 namespace cowslippin {
 
+namespace {
+
+AsyncHttpServer::Settings
+serverSettings(std::shared_ptr<ConnectionBudget> budget)
+{
+  AsyncHttpServer::Settings settings;
+  settings.budget = std::move(budget);
+  return settings;
+}
+
+} // namespace
+
 OperatorServer::OperatorServer(boost::asio::io_context& context,
                                EntryCore& core,
-                               EntryMetrics& metrics)
+                               EntryMetrics& metrics,
+                               std::shared_ptr<ConnectionBudget> budget)
   : m_core(core)
   , m_metrics(metrics)
   , m_server(context,
-             {},
+             serverSettings(std::move(budget)),
              [this](const HttpRequest& request,
                     const std::shared_ptr<HttpTransaction>& transaction) {
                serve(request, transaction);
--- a/src/libentry/operatorserver.h
+++ b/src/libentry/operatorserver.h
@@ -14,7 +14,8 @@
 public:
   OperatorServer(boost::asio::io_context& context,
                  EntryCore& core,
-                 EntryMetrics& metrics);
+                 EntryMetrics& metrics,
+                 std::shared_ptr<ConnectionBudget> budget);
 
   std::optional<Problem> listen(const Address& address);
   void stop() { m_server.stop(); }
--- a/src/libjobs/machinelimits.h
+++ b/src/libjobs/machinelimits.h
@@ -12,10 +12,14 @@
   double cores = 0;
   /// Bandwidth of the network link in each direction.
   double megabitsPerSecond = 0;
+  /// Resident memory of the process, in 2^20 bytes, with the bytes that its
+  /// sockets have received and that weren't read.
+  double memoryMegabytes = 0;
 
   friend bool operator==(const MachineLimits& a, const MachineLimits& b)
   {
-    return a.cores == b.cores && a.megabitsPerSecond == b.megabitsPerSecond;
+    return a.cores == b.cores && a.megabitsPerSecond == b.megabitsPerSecond &&
+           a.memoryMegabytes == b.memoryMegabytes;
   }
   friend bool operator!=(const MachineLimits& a, const MachineLimits& b)
   {
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -8,6 +8,9 @@
 /// So many connections don't reach the limit of descriptors.
 constexpr unsigned crowdSize = 200;
 constexpr unsigned smallCrowdSize = 40;
+constexpr std::size_t maxBodyBytes = std::size_t(256) * 1024;
+/// Bodies stop so many bytes short of their end.
+constexpr std::size_t missingBytes = 8;
 constexpr std::size_t endlessBytes = std::size_t(2) << 20;
 constexpr std::size_t pieceBytes = std::size_t(16) << 10;
 
@@ -44,6 +47,45 @@
   checkServiceBesideCrowd();
 }
 
+/// Guards against memory that many unfinished bodies take in all.
+TEST_F(CrowdDaemon, UnfinishedBodiesInOneChunkStayWithinMemory)
+{
+  const std::string head = chunkedBegin + "40000\r\n";
+  addClients(
+    crowdSize,
+    { callerAddress(),
+      repeated(head, "x", head.size() + maxBodyBytes - missingBytes) });
+  checkServiceBesideCrowd();
+}
+
+/// Guards against memory that many unfinished bodies take in all, in chunks
+/// that are smaller than their framing.
+TEST_F(CrowdDaemon, UnfinishedBodiesInSmallChunksStayWithinMemory)
+{
+  const std::string unit = "1\r\nx\r\n";
+  addClients(crowdSize,
+             { callerAddress(),
+               repeated(chunkedBegin,
+                        unit,
+                        chunkedBegin.size() +
+                          (maxBodyBytes - missingBytes) * unit.size()) });
+  checkServiceBesideCrowd();
+}
+
+/// Guards against memory that many unfinished bodies take in all, whose length
+/// was announced.
+TEST_F(CrowdDaemon, UnfinishedBodiesOfAnnouncedLengthStayWithinMemory)
+{
+  const std::string head = requestBegin +
+                           "Content-Length: " + std::to_string(maxBodyBytes) +
+                           "\r\n\r\n";
+  addClients(
+    crowdSize,
+    { callerAddress(),
+      repeated(head, "x", head.size() + maxBodyBytes - missingBytes) });
+  checkServiceBesideCrowd();
+}
+
 /// Guards against memory that the extensions of a chunk take.
 TEST_F(CrowdDaemon, ChunkExtensionsWithoutEndStayWithinMemory)
 {
