HTTP servers: limits of connections, so that descriptors remain

Clients that connect and send nothing took one descriptor each, without a limit: 1,050 of them brought a daemon with a limit of 1,000 to 1,024 to 1,074 open descriptors. A real process gets no descriptor beyond its limit, and then reaches no worker, daemon or store either.

At the limit a new connection replaces one that waits for its client: first those whose request or answer has taken more than a second, then the one that has idled longest. One whose request is being served stays, and if there are only such, the new one is closed.

An ordinary job is answered while the crowd connects again and again.

--- a/src/libasynchttp/asynchttpserver.cpp
+++ b/src/libasynchttp/asynchttpserver.cpp
@@ -78,15 +78,6 @@
   }
 }
 
-std::size_t
-AsyncHttpServer::connectionCount() const
-{
-  std::size_t count = 0;
-  for (const auto& session : m_sessions)
-    count += session.expired() ? 0 : 1;
-  return count;
-}
-
 void
 AsyncHttpServer::accept()
 {
@@ -95,13 +86,7 @@
     if (alive.expired() || error == net::error::operation_aborted)
       return;
     if (!error) {
-      error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      const auto session = std::make_shared<Session>(
-        std::move(socket), m_settings.budget, std::weak_ptr(m_self));
-      m_sessions.remove_if([](const auto& weak) { return weak.expired(); });
-      m_sessions.push_back(session);
-      session->readRequest();
+      addSession(std::move(socket));
       if (m_acceptor.is_open())
         accept();
       return;
@@ -112,6 +97,39 @@
   });
 }
 
+void
+AsyncHttpServer::addSession(tcp::socket socket)
+{
+  m_sessions.remove_if([](const auto& weak) { return weak.expired(); });
+  if (!makeRoom())
+    return;
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  const auto session = std::make_shared<Session>(
+    std::move(socket), m_settings.budget, std::weak_ptr(m_self));
+  m_sessions.push_back(session);
+  session->readRequest();
+}
+
+bool
+AsyncHttpServer::makeRoom()
+{
+  if (m_connections < m_settings.maxConnections)
+    return true;
+  const TimePoint now = steadyNow();
+  std::shared_ptr<Session> first;
+  for (const auto& weak : m_sessions) {
+    auto session = weak.lock();
+    if (session && session->isWaitingForClient() &&
+        (!first || session->closesBefore(*first, now)))
+      first = std::move(session);
+  }
+  if (!first)
+    return false;
+  first->close();
+  return true;
+}
+
 /// Without the delay, accepting would fail again at once, and without end,
 /// while the process has no descriptors left.
 void
--- a/src/libasynchttp/asynchttpserver.h
+++ b/src/libasynchttp/asynchttpserver.h
@@ -34,6 +34,9 @@
     /// How many connections may wait to be accepted. Beyond that the kernel
     /// drops SYN packets, which the client repeats after a second.
     int backlog = 512;
+    /// How many connections may be open. For a further one, one that waits for
+    /// its client is closed.
+    std::size_t maxConnections = 4096;
     /// What all connections may hold, of this server and of those that share
     /// it. If empty, the server has one of its own, of 64 MB.
     std::shared_ptr<ConnectionBudget> budget = nullptr;
@@ -59,12 +62,17 @@
 
   /// The number of requests that were read and whose reply isn't fully written.
   std::size_t pendingRequests() const { return m_pendingRequests; }
-  std::size_t connectionCount() const;
+  /// The number of open connections.
+  std::size_t connectionCount() const { return m_connections; }
 
 private:
   class Session;
 
   void accept();
+  void addSession(boost::asio::ip::tcp::socket socket);
+  /// Closes a session if there are as many as allowed. Returns false if there
+  /// is none that may be closed.
+  bool makeRoom();
   void acceptLater();
 
   const Settings m_settings;
@@ -72,6 +80,7 @@
   boost::asio::ip::tcp::acceptor m_acceptor;
   boost::asio::steady_timer m_acceptTimer;
   std::list<std::weak_ptr<Session>> m_sessions;
+  std::size_t m_connections = 0;
   std::size_t m_pendingRequests = 0;
   bool m_closesAfterReplies = false;
   /// Sessions may outlive the server. They hold a weak pointer to this and
--- a/src/libasynchttp/asynchttpsession.cpp
+++ b/src/libasynchttp/asynchttpsession.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t initialBufferBytes = 1024;
 /// What a field of a header takes beside its name and its value.
 constexpr std::size_t fieldOverheadBytes = 100;
+/// Requests of ordinary clients arrive within this time of their first bytes.
+constexpr Duration usualRequestTime = std::chrono::seconds(1);
 constexpr int contentTooLarge = 413;
 constexpr int headerFieldsTooLarge = 431;
 
@@ -82,11 +84,13 @@
   , m_idleSince(steadyNow())
 {
   m_buffer.reserve(initialBufferBytes);
+  if (const auto owner = m_server.lock())
+    ++(*owner)->m_connections;
 }
 
 AsyncHttpServer::Session::~Session()
 {
-  setPending(false);
+  close();
 }
 
 void
@@ -262,6 +266,24 @@
     close();
 }
 
+bool
+AsyncHttpServer::Session::closesBefore(const Session& other,
+                                       TimePoint now) const
+{
+  const auto order = [now](const Session& session) {
+    const int group = session.isSlow(now) ? 0 : session.m_waitingSince ? 2 : 1;
+    return std::pair(group,
+                     session.m_waitingSince.value_or(session.m_idleSince));
+  };
+  return order(*this) < order(other);
+}
+
+bool
+AsyncHttpServer::Session::isSlow(TimePoint now) const
+{
+  return m_waitingSince && now - *m_waitingSince > usualRequestTime;
+}
+
 void
 AsyncHttpServer::Session::watchForDisconnect()
 {
@@ -323,6 +345,8 @@
   m_socket.shutdown(tcp::socket::shutdown_both, ignored);
   m_socket.close(ignored);
   m_isClosed = true;
+  if (const auto server = m_server.lock())
+    --(*server)->m_connections;
   setPending(false);
   m_waitingSince.reset();
   m_parser.reset();
--- a/src/libasynchttp/asynchttpsession.h
+++ b/src/libasynchttp/asynchttpsession.h
@@ -27,6 +27,18 @@
   Duration maxRequestAge() const override { return m_requestAge; }
   void onClientDisconnected(std::function<void()> callback) override;
   void closeIfIdle();
+  /// Closes the connection and returns what it holds.
+  void close();
+  /// Whether it is open and no request is being served: it waits for a request,
+  /// for the rest of one, or for the client to read an answer.
+  bool isWaitingForClient() const
+  {
+    return !m_isClosed && (!m_isPending || m_isAnswered);
+  }
+  /// Whether it is closed before another one that also waits, to make room for
+  /// a new connection: slow clients first, then those without a request, each
+  /// in the order of how long they have waited.
+  bool closesBefore(const Session& other, TimePoint now) const;
 
 private:
   using Parser = boost::beast::http::request_parser<BoundedBody>;
@@ -51,8 +63,7 @@
   void watchForDisconnect();
   void checkForDisconnect();
   void replyWritten(ErrorCode error, bool isLast);
-  /// Closes the connection and returns what it holds.
-  void close();
+  bool isSlow(TimePoint now) const;
   void setPending(bool isPending);
 
   boost::asio::ip::tcp::socket m_socket;
--- a/src/libentry/clientlimits.h
+++ b/src/libentry/clientlimits.h
@@ -12,10 +12,17 @@
 {
   /// Memory of requests that aren't whole and of answers that aren't read.
   std::size_t maxBytes = 0;
+  /// Connections of callers, of readiness checks and of operators. Those of one
+  /// kind can't take another's.
+  std::size_t maxCallers = 0;
+  std::size_t maxReadinessChecks = 0;
+  std::size_t maxOperators = 0;
 
   friend bool operator==(const ClientLimits& a, const ClientLimits& b)
   {
-    return a.maxBytes == b.maxBytes;
+    return a.maxBytes == b.maxBytes && a.maxCallers == b.maxCallers &&
+           a.maxReadinessChecks == b.maxReadinessChecks &&
+           a.maxOperators == b.maxOperators;
   }
   friend bool operator!=(const ClientLimits& a, const ClientLimits& b)
   {
--- a/src/libentry/operatorserver.cpp
+++ b/src/libentry/operatorserver.cpp
@@ -4,17 +4,17 @@
 
 #include <nlohmann/json.hpp>
 
-#include <utility>
-
 namespace cowslippin {
 
 namespace {
 
 AsyncHttpServer::Settings
-serverSettings(std::shared_ptr<ConnectionBudget> budget)
+serverSettings(std::size_t maxConnections,
+               const std::shared_ptr<ConnectionBudget>& budget)
 {
   AsyncHttpServer::Settings settings;
-  settings.budget = std::move(budget);
+  settings.maxConnections = maxConnections;
+  settings.budget = budget;
   return settings;
 }
 
@@ -23,11 +23,12 @@
 OperatorServer::OperatorServer(boost::asio::io_context& context,
                                EntryCore& core,
                                EntryMetrics& metrics,
-                               std::shared_ptr<ConnectionBudget> budget)
+                               const ClientLimits& limits,
+                               const std::shared_ptr<ConnectionBudget>& budget)
   : m_core(core)
   , m_metrics(metrics)
   , m_server(context,
-             serverSettings(std::move(budget)),
+             serverSettings(limits.maxOperators, budget),
              [this](const HttpRequest& request,
                     const std::shared_ptr<HttpTransaction>& transaction) {
                serve(request, transaction);
--- a/src/libentry/operatorserver.h
+++ b/src/libentry/operatorserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "clientlimits.h"
 #include "entrycore.h"
 #include "entrymetrics.h"
 
@@ -15,7 +16,8 @@
   OperatorServer(boost::asio::io_context& context,
                  EntryCore& core,
                  EntryMetrics& metrics,
-                 std::shared_ptr<ConnectionBudget> budget);
+                 const ClientLimits& limits,
+                 const std::shared_ptr<ConnectionBudget>& budget);
 
   std::optional<Problem> listen(const Address& address);
   void stop() { m_server.stop(); }
--- a/src/libjobs/machinelimits.h
+++ b/src/libjobs/machinelimits.h
@@ -15,11 +15,14 @@
   /// Resident memory of the process, in 2^20 bytes, with the bytes that its
   /// sockets have received and that weren't read.
   double memoryMegabytes = 0;
+  /// Open descriptors of the process.
+  double descriptors = 0;
 
   friend bool operator==(const MachineLimits& a, const MachineLimits& b)
   {
     return a.cores == b.cores && a.megabitsPerSecond == b.megabitsPerSecond &&
-           a.memoryMegabytes == b.memoryMegabytes;
+           a.memoryMegabytes == b.memoryMegabytes &&
+           a.descriptors == b.descriptors;
   }
   friend bool operator!=(const MachineLimits& a, const MachineLimits& b)
   {
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -125,5 +125,30 @@
   checkServiceBesideCrowd();
 }
 
+/// Guards against descriptors that idle connections take from the daemon's own
+/// connections to workers, other daemons and the store.
+TEST_F(CrowdDaemon, IdleConnectionsLeaveDescriptors)
+{
+  addClients(maxDescriptors + 50,
+             { callerAddress(), [](std::size_t) { return std::string(); } });
+  checkServiceBesideCrowd();
+}
+
+/// The same of connections to the port for readiness checks.
+TEST_F(CrowdDaemon, IdleConnectionsOfReadinessChecksLeaveDescriptors)
+{
+  addClients(maxDescriptors + 50,
+             { readinessAddress(), [](std::size_t) { return std::string(); } });
+  checkServiceBesideCrowd();
+}
+
+/// The same of connections to the port for operators.
+TEST_F(CrowdDaemon, IdleConnectionsOfOperatorsLeaveDescriptors)
+{
+  addClients(maxDescriptors + 50,
+             { operatorAddress(), [](std::size_t) { return std::string(); } });
+  checkServiceBesideCrowd();
+}
+
 } // namespace
 } // namespace cowslippin::testing
