Port for daemons: bounds on accepted connections

Clients that are no daemons could hold any number of connections to the port for other daemons, and with them the descriptors that a daemon needs for its workers, the store and its callers. A connection without a byte ended with the handshake's timeout, one without a hello after 5 s; nothing bounded how many there were, so that a crowd that connects again at once kept as many as it liked: 1,500 connections without a byte took 1,175 descriptors of a running daemon, and 2,000 with a handshake and no hello 2,013 (crowd of 1,500 and 2,000 from one process on loopback, 3 s).

The transport now knows each connection from the moment it is accepted, and its owner tells it which peers are identified. Over 128 connections without an identified peer, or 1,024 accepted ones, the oldest unidentified one is ended, so that a daemon, which says hello at once, still gets in. Connections with an identified peer are never ended for another. A crowd that opens 26,000 connections a second goes through all 128 in some 5 ms: a daemon whose handshake takes longer doesn't get in while that lasts.

cowslippind uses the same transport and has the same bounds.

UnidentifiedTest failed 3 of its 4 tests with the bound switched off: 40 of 40 connections stayed open where 8 or 2 are allowed.

--- a/src/libpeers/peerconnections.cpp
+++ b/src/libpeers/peerconnections.cpp
@@ -36,6 +36,8 @@
   transport.maxMessageBytes = maxPeerMessageBytes;
   transport.maxBufferedBytes = maxBufferedBytes;
   transport.handshakeTimeout = settings.connectTimeout;
+  transport.maxUnidentified = settings.maxUnidentified;
+  transport.maxAccepted = settings.maxAccepted;
   return transport;
 }
 
@@ -432,6 +434,7 @@
                                peer.incarnation == hello.incarnation &&
                                isDialledByOtherSide(peer, link);
   m_links[link].peer = hello.address;
+  m_transport.identified(link);
   if (haveBothDialled && !isPreferred(link, hello.address)) {
     retire(link, now);
     return;
--- a/src/libpeers/peerconnections.h
+++ b/src/libpeers/peerconnections.h
@@ -37,6 +37,10 @@
     /// Limit of connections being established at the same time. Without it, a
     /// large group that starts at once would establish none within the timeout.
     std::size_t maxConcurrentDials = 24;
+    /// Limits of accepted connections without a `PeerHello`, and of all of
+    /// them. Beyond either, the oldest without a `PeerHello` is closed.
+    std::size_t maxUnidentified = 128;
+    std::size_t maxAccepted = 1024;
     Duration reconnectMin = std::chrono::milliseconds(150);
     Duration reconnectMax = std::chrono::milliseconds(1200);
     /// Host to listen on if it differs from the host that others connect to,
--- a/src/libprotocol/peernetworkthread.cpp
+++ b/src/libprotocol/peernetworkthread.cpp
@@ -164,10 +164,12 @@
 PeerNetworkThread::setRoute(const VmId& vm, std::optional<LinkId> link)
 {
   auto routes = std::make_shared<Routes>(*std::atomic_load(&m_routes));
-  if (link)
+  if (link) {
     (*routes)[vm] = *link;
-  else
+    m_transport.identified(*link);
+  } else {
     routes->erase(vm);
+  }
   std::atomic_store(&m_routes, std::shared_ptr<const Routes>(routes));
 }
 
--- a/src/libprotocol/websockettransport.cpp
+++ b/src/libprotocol/websockettransport.cpp
@@ -1,5 +1,7 @@
 #include "websockettransport.h"
 
+#include "libobserve/observe.h"
+
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
@@ -13,6 +15,8 @@
 using asio::ip::tcp;
 
 constexpr int listenBacklog = 256;
+/// A crowd that connects again at once must not fill the log.
+constexpr Duration limitLogInterval = std::chrono::seconds(1);
 
 Problem
 cannotListen(const Address& address, const std::string& reason)
@@ -49,6 +53,8 @@
   closeAll();
   for (const auto& entry : m_closing)
     abort(entry.second);
+  for (const auto& entry : m_accepted)
+    abort(entry.second);
 }
 
 Result<Address>
@@ -89,6 +95,12 @@
   return link;
 }
 
+void
+WebSocketTransport::identified(LinkId link)
+{
+  m_unidentified.erase(link);
+}
+
 void
 WebSocketTransport::send(LinkId link, const std::vector<std::uint8_t>& bytes)
 {
@@ -112,6 +124,7 @@
     return;
   const ConnectionPtr connection = found->second;
   m_links.erase(found);
+  forgetAccepted(link);
   abort(connection);
 }
 
@@ -123,6 +136,7 @@
     return;
   const ConnectionPtr connection = found->second;
   m_links.erase(found);
+  forgetAccepted(link);
   websocketpp::lib::error_code error;
   connection->close(websocketpp::close::status::going_away, "", error);
   if (error)
@@ -164,7 +178,8 @@
   server.set_max_message_size(m_settings.maxMessageBytes);
   server.set_reuse_addr(true);
   server.set_listen_backlog(listenBacklog);
-  server.set_open_handler([this](const auto& handle) { acceptedOpen(handle); });
+  server.set_tcp_pre_init_handler(
+    [this](const auto& handle) { connectionAccepted(handle); });
 }
 
 void
@@ -179,8 +194,10 @@
   connection->set_close_handler([this, link](const auto&) { ended(link); });
 }
 
+/// Called before anything is read from the connection.
 void
-WebSocketTransport::acceptedOpen(const websocketpp::connection_hdl& handle)
+WebSocketTransport::connectionAccepted(
+  const websocketpp::connection_hdl& handle)
 {
   const ConnectionPtr connection = m_server.get_con_from_hdl(handle);
   if (m_isClosing) {
@@ -189,6 +206,65 @@
   }
   const LinkId link = ++m_lastLink;
   setHandlers(link, connection);
+  connection->set_open_handler(
+    [this, link](const auto&) { acceptedOpen(link); });
+  m_accepted.emplace(link, connection);
+  m_unidentified.insert(link);
+  boundAccepted();
+}
+
+/// Ends the oldest connection whose peer isn't identified if there are too
+/// many: a daemon that connects says hello at once.
+void
+WebSocketTransport::boundAccepted()
+{
+  if (m_unidentified.size() <= m_settings.maxUnidentified &&
+      m_accepted.size() <= m_settings.maxAccepted)
+    return;
+  logLimit();
+  const LinkId oldest = *m_unidentified.begin();
+  const ConnectionPtr connection = m_accepted.at(oldest);
+  if (m_links.count(oldest) != 0)
+    endLater(oldest);
+  else
+    abort(connection);
+  forgetAccepted(oldest);
+}
+
+void
+WebSocketTransport::logLimit()
+{
+  ++m_endedUnlogged;
+  const TimePoint now = steadyNow();
+  if (now < m_nextLimitLogAt)
+    return;
+  logEvent(LogLevel::Warning,
+           "peer-connections-ended",
+           { { "count", std::exchange(m_endedUnlogged, 0) },
+             { "accepted", m_accepted.size() },
+             { "unidentified", m_unidentified.size() } });
+  m_nextLimitLogAt = now + limitLogInterval;
+}
+
+void
+WebSocketTransport::forgetAccepted(LinkId link)
+{
+  m_accepted.erase(link);
+  m_unidentified.erase(link);
+}
+
+void
+WebSocketTransport::acceptedOpen(LinkId link)
+{
+  const auto found = m_accepted.find(link);
+  if (found == m_accepted.end())
+    return;
+  const ConnectionPtr connection = found->second;
+  if (m_isClosing) {
+    forgetAccepted(link);
+    abort(connection);
+    return;
+  }
   m_links.emplace(link, connection);
   boost::system::error_code ignored;
   connection->get_raw_socket().set_option(tcp::no_delay(true), ignored);
@@ -209,6 +285,7 @@
 WebSocketTransport::ended(LinkId link)
 {
   m_closing.erase(link);
+  forgetAccepted(link);
   const auto found = m_links.find(link);
   if (found == m_links.end())
     return;
--- a/src/libprotocol/websockettransport.h
+++ b/src/libprotocol/websockettransport.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace cowslippin {
@@ -28,6 +29,13 @@
     std::size_t maxBufferedBytes = 0;
     /// Bounds the WebSocket handshake and the closing handshake.
     Duration handshakeTimeout = {};
+    /// Limit of accepted connections whose peer isn't identified. When one more
+    /// is accepted, the oldest of them is ended. A group of daemons that starts
+    /// together is smaller.
+    std::size_t maxUnidentified = 128;
+    /// Limit of all accepted connections. Beyond it, too, the oldest whose peer
+    /// isn't identified is ended.
+    std::size_t maxAccepted = 1024;
   };
 
   /// None of these may be empty. None is called from within `dial`, `send`,
@@ -53,6 +61,10 @@
   /// Starts to connect. If that fails, `closed` follows.
   LinkId dial(const Address& address);
 
+  /// Tells that the peer of an open connection has said which daemon it is, so
+  /// that the connection isn't ended in favour of a new one.
+  void identified(LinkId link);
+
   /// Queues a message for an open connection; does nothing for another.
   void send(LinkId link, const std::vector<std::uint8_t>& bytes);
 
@@ -76,7 +88,11 @@
   void setUp(WebSocketClient& client);
   void setUp(WebSocketServer& server);
   void setHandlers(LinkId link, const ConnectionPtr& connection);
-  void acceptedOpen(const websocketpp::connection_hdl& handle);
+  void connectionAccepted(const websocketpp::connection_hdl& handle);
+  void boundAccepted();
+  void logLimit();
+  void forgetAccepted(LinkId link);
+  void acceptedOpen(LinkId link);
   void dialledOpen(LinkId link);
   void ended(LinkId link);
   void endLater(LinkId link);
@@ -90,7 +106,15 @@
   WebSocketServer m_server;
   LinkId m_lastLink = 0;
   bool m_isClosing = false;
+  /// Connections that are open or being dialled.
   std::map<LinkId, ConnectionPtr> m_links;
+  /// Accepted connections, also during their handshakes.
+  std::map<LinkId, ConnectionPtr> m_accepted;
+  /// Those of them whose peer isn't identified, the oldest first.
+  std::set<LinkId> m_unidentified;
+  /// Connections that were ended for the limits since that was logged.
+  std::size_t m_endedUnlogged = 0;
+  TimePoint m_nextLimitLogAt{};
   /// Connections that nobody is told of any more.
   std::map<LinkId, ConnectionPtr> m_closing;
 };
--- /dev/null
+++ b/tests/peers/unidentified_test.cpp
@@ -0,0 +1,216 @@
+#include "libpeers/peers.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cowslippin::testing {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/// Only a test that hangs runs into it.
+constexpr Duration hangLimit = std::chrono::seconds(20);
+
+constexpr char handshake[] =
+  "GET / HTTP/1.1\r\nHost: daemon\r\nUpgrade: websocket\r\n"
+  "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+  "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
+
+/// A connection of a program that isn't a daemon.
+class Stranger
+{
+public:
+  Stranger(asio::io_context& context, const Address& address)
+    : m_socket(context)
+  {
+    m_socket.open(tcp::v4());
+    m_socket.set_option(tcp::socket::send_buffer_size(1 << 14));
+    m_socket.connect({ asio::ip::make_address(address.host()),
+                       address.port() });
+    m_socket.non_blocking(true);
+  }
+
+  /// Sends what fits into the buffers. Returns the number of bytes, 0 also if
+  /// the connection is closed.
+  std::size_t send(const std::string& bytes)
+  {
+    boost::system::error_code error;
+    return m_socket.write_some(asio::buffer(bytes), error);
+  }
+
+  /// Reads what has arrived. Returns false if the connection is closed.
+  bool isOpen()
+  {
+    std::array<char, 4096> buffer{};
+    boost::system::error_code error;
+    while (!error) {
+      const std::size_t size = m_socket.read_some(asio::buffer(buffer), error);
+      m_received.append(buffer.data(), size);
+    }
+    return error == asio::error::would_block;
+  }
+
+  const std::string& received() const { return m_received; }
+
+private:
+  tcp::socket m_socket;
+  std::string m_received;
+};
+
+/// A daemon, another one that it doesn't know, and strangers. No timeout of a
+/// connection ends before the test does.
+class UnidentifiedTest : public ::testing::Test
+{
+protected:
+  struct Node
+  {
+    std::unique_ptr<PeerConnections> links;
+    unsigned ups = 0;
+  };
+
+  static PeerConnections::Settings settings()
+  {
+    PeerConnections::Settings settings;
+    settings.connectTimeout = 3 * hangLimit;
+    settings.helloTimeout = 3 * hangLimit;
+    settings.silence.sharedJobsLimit = 3 * hangLimit;
+    settings.maxUnidentified = 8;
+    settings.maxAccepted = 12;
+    return settings;
+  }
+
+  void SetUp() override { start(m_daemon, 1); }
+
+  void start(Node& node, unsigned number)
+  {
+    PeerHello hello;
+    hello.vm = VmId("vm-" + std::to_string(number));
+    hello.incarnation = Incarnation(std::to_string(number));
+    hello.zone = ZoneName("z1");
+    hello.address = Address("127.0.0." + std::to_string(number), m_port);
+    PeerConnections::Hooks hooks;
+    hooks.connected = [&node](const PeerHello&) { ++node.ups; };
+    hooks.disconnected = [](const VmId&, PeerLoss) {};
+    hooks.received = [](const VmId&, const PeerMessage&) {};
+    node.links =
+      std::make_unique<PeerConnections>(m_context, hello, settings(), hooks);
+    ASSERT_EQ(node.links->listen(), std::nullopt);
+  }
+
+  static std::uint16_t freePort()
+  {
+    asio::io_context context;
+    tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    return acceptor.local_endpoint().port();
+  }
+
+  Address address() const { return { "127.0.0.1", m_port }; }
+
+  Stranger& addStranger()
+  {
+    m_strangers.push_back(std::make_unique<Stranger>(m_context, address()));
+    return *m_strangers.back();
+  }
+
+  std::size_t openStrangers()
+  {
+    return static_cast<std::size_t>(
+      std::count_if(m_strangers.begin(), m_strangers.end(), [](auto& stranger) {
+        return stranger->isOpen();
+      }));
+  }
+
+  /// Lets the daemons do all that they can do now.
+  void run()
+  {
+    while (m_context.poll() > 0) {
+    }
+    m_context.run_for(milliseconds(20));
+  }
+
+  template<class Condition>
+  void runUntil(Condition condition)
+  {
+    const TimePoint limit = steadyNow() + hangLimit;
+    while (!condition()) {
+      ASSERT_LT(steadyNow(), limit);
+      run();
+    }
+  }
+
+  /// Has another daemon connect.
+  void connectDaemon(unsigned number)
+  {
+    m_others.push_back(std::make_unique<Node>());
+    Node& other = *m_others.back();
+    start(other, number);
+    other.links->addAddress(address(), steadyNow());
+    other.links->tick(steadyNow());
+    runUntil([&] { return other.ups > 0; });
+  }
+
+  asio::io_context m_context;
+  const std::uint16_t m_port = freePort();
+  Node m_daemon;
+  std::vector<std::unique_ptr<Node>> m_others;
+  std::vector<std::unique_ptr<Stranger>> m_strangers;
+};
+
+/// Guards against descriptors and memory of connections without a byte.
+TEST_F(UnidentifiedTest, ConnectionsWithoutAHandshakeAreBounded)
+{
+  for (unsigned i = 0; i < 40; ++i)
+    addStranger();
+  runUntil([this] { return openStrangers() <= 8; });
+  EXPECT_TRUE(m_strangers.back()->isOpen());
+  connectDaemon(2);
+  EXPECT_EQ(m_daemon.ups, 1u);
+}
+
+/// Guards against descriptors and memory of connections without a hello.
+TEST_F(UnidentifiedTest, ConnectionsWithoutAHelloAreBounded)
+{
+  for (unsigned i = 0; i < 40; ++i)
+    addStranger().send(handshake);
+  runUntil([this] { return openStrangers() <= 8; });
+  EXPECT_TRUE(m_strangers.back()->isOpen());
+  connectDaemon(2);
+  EXPECT_EQ(m_daemon.ups, 1u);
+}
+
+/// Guards against the loss of daemons that are connected when others connect.
+TEST_F(UnidentifiedTest, TheConnectionOfADaemonIsNotClosedForAnother)
+{
+  connectDaemon(2);
+  for (unsigned i = 0; i < 40; ++i)
+    addStranger();
+  runUntil([this] { return openStrangers() <= 8; });
+  EXPECT_TRUE(m_daemon.links->isConnected(VmId("vm-2")));
+  EXPECT_TRUE(m_others.front()->links->isConnected(VmId("vm-1")));
+}
+
+/// Guards against descriptors that accepted connections take from workers and
+/// the store.
+TEST_F(UnidentifiedTest, AcceptedConnectionsAreBounded)
+{
+  for (unsigned number = 2; number <= 11; ++number)
+    connectDaemon(number);
+  for (unsigned i = 0; i < 40; ++i)
+    addStranger();
+  runUntil([this] { return openStrangers() <= 2; });
+  EXPECT_EQ(m_daemon.links->connectedPeers().size(), 10u);
+}
+
+} // namespace
+} // namespace cowslippin::testing
