Port for daemons: handshakes of at most 2,048 bytes

A client that is no daemon could send a body of 32 MB with the request of a WebSocket handshake, or a header of 16,000 bytes, which takes some 300 KB as short fields and is kept as long as the connection. 200 connections with bodies that stop short of their end took a running daemon from 9 to over 1,500 MB within 3 s, where the trial was stopped; 500 with headers took 138 MB.

No daemon sends a body or more than some 200 bytes of header. A body is now refused with 413 before any of it is read, a request of over 2,048 bytes with 431.

AHandshakeWithABodyIsRefused and AHandshakeWithALargeHeaderIsRefused failed before: the one was waited for, the other answered with 101. Played: test_peers, test_protocol.

--- a/src/libprotocol/websocketconfig.h
+++ b/src/libprotocol/websocketconfig.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "handshakerequest.h"
+
 #include <websocketpp/client.hpp>
 #include <websocketpp/concurrency/none.hpp>
 #include <websocketpp/config/core_client.hpp>
@@ -20,6 +22,7 @@
   using concurrency_type = websocketpp::concurrency::none;
   using alog_type = websocketpp::log::stub;
   using elog_type = websocketpp::log::stub;
+  using request_type = HandshakeRequest;
   using rng_type =
     websocketpp::random::random_device::int_generator<std::uint32_t,
                                                       concurrency_type>;
--- a/src/libprotocol/websockettransport.cpp
+++ b/src/libprotocol/websockettransport.cpp
@@ -176,6 +176,7 @@
   server.set_close_handshake_timeout(
     toMilliseconds(m_settings.handshakeTimeout));
   server.set_max_message_size(m_settings.maxMessageBytes);
+  server.set_max_http_body_size(0);
   server.set_reuse_addr(true);
   server.set_listen_backlog(listenBacklog);
   server.set_tcp_pre_init_handler(
--- a/tests/peers/unidentified_test.cpp
+++ b/tests/peers/unidentified_test.cpp
@@ -36,8 +36,8 @@
   {
     m_socket.open(tcp::v4());
     m_socket.set_option(tcp::socket::send_buffer_size(1 << 14));
-    m_socket.connect({ asio::ip::make_address(address.host()),
-                       address.port() });
+    m_socket.connect(
+      { asio::ip::make_address(address.host()), address.port() });
     m_socket.non_blocking(true);
   }
 
@@ -212,5 +212,31 @@
   EXPECT_EQ(m_daemon.links->connectedPeers().size(), 10u);
 }
 
+/// Guards against memory of the body of a handshake, which no daemon sends.
+TEST_F(UnidentifiedTest, AHandshakeWithABodyIsRefused)
+{
+  Stranger& stranger = addStranger();
+  stranger.send("POST / HTTP/1.1\r\nHost: daemon\r\n"
+                "Content-Length: 1000000\r\n\r\n");
+  runUntil([&] { return !stranger.isOpen(); });
+  EXPECT_EQ(stranger.received().rfind("HTTP/1.1 413", 0), 0u)
+    << stranger.received();
+}
+
+/// Guards against memory of many short fields in the header of a handshake,
+/// which take several times their size.
+TEST_F(UnidentifiedTest, AHandshakeWithALargeHeaderIsRefused)
+{
+  std::string header = handshake;
+  header.resize(header.size() - 2);
+  for (unsigned i = 1000; i < 2000; ++i)
+    header += std::to_string(i) + ":\r\n";
+  Stranger& stranger = addStranger();
+  stranger.send(header + "\r\n");
+  runUntil([&] { return !stranger.isOpen(); });
+  EXPECT_EQ(stranger.received().rfind("HTTP/1.1 431", 0), 0u)
+    << stranger.received();
+}
+
 } // namespace
 } // namespace cowslippin::testing
