Port for daemons: pings aren't answered

Daemons send heartbeats and never ping, so pings are ignored.

PingsAreNotAnswered failed before: a pong was received. Played: test_peers, test_protocol.

--- a/src/libprotocol/websockettransport.cpp
+++ b/src/libprotocol/websockettransport.cpp
@@ -27,6 +27,15 @@
                                  ")");
 }
 
+/// Leaves pings without an answer: daemons send heartbeats instead, and
+/// websocketpp queues pongs without limit for a peer that doesn't read.
+bool
+ignorePing(const websocketpp::connection_hdl& /*handle*/,
+           const std::string& /*payload*/)
+{
+  return false;
+}
+
 LinkEnd
 endOf(const WebSocketConnection& connection)
 {
@@ -191,6 +200,7 @@
       if (m_links.count(link) != 0)
         m_hooks.received(link, message->get_payload());
     });
+  connection->set_ping_handler(ignorePing);
   connection->set_fail_handler([this, link](const auto&) { ended(link); });
   connection->set_close_handler([this, link](const auto&) { ended(link); });
 }
--- a/tests/peers/unidentified_test.cpp
+++ b/tests/peers/unidentified_test.cpp
@@ -238,5 +238,20 @@
     << stranger.received();
 }
 
+/// Guards against memory of pongs to a program that doesn't read them.
+TEST_F(UnidentifiedTest, PingsAreNotAnswered)
+{
+  Stranger& stranger = addStranger();
+  stranger.send(handshake);
+  runUntil([&] { return stranger.isOpen() && !stranger.received().empty(); });
+  const std::string ping("\x89\x80\0\0\0\0", 6);
+  const std::string close("\x88\x80\0\0\0\0", 6);
+  const std::string frames = ping + ping + close;
+  EXPECT_EQ(stranger.send(frames), frames.size());
+  runUntil([&] { return !stranger.isOpen(); });
+  const std::string pong("\x8a\0", 2);
+  EXPECT_EQ(stranger.received().find(pong), std::string::npos);
+}
+
 } // namespace
 } // namespace cowslippin::testing
