Port for daemons: a short first message

A client that is no daemon could announce messages of 1 MB without a hello, and stop short of their end: 1,500 such connections took a running daemon from 9 to 1,306 MB within 3 s.

The first message of a daemon lists the addresses of the others and is much shorter. Until the peer is identified, a message or the sum of its fragments may have 128 KB, room for 2,000 addresses; a longer one ends the connection when it is announced. From then on the limit is that of all messages, as before. With the bound on unidentified connections their messages take 16 MB at most.

ALargeMessageBeforeTheHelloEndsTheConnection failed before: the connection waited for the message. ALargeMessageAfterTheHelloIsReceived guards against the new limit.

--- a/src/libprotocol/websockettransport.cpp
+++ b/src/libprotocol/websockettransport.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace cowslippin {
@@ -15,6 +16,9 @@
 using asio::ip::tcp;
 
 constexpr int listenBacklog = 256;
+/// Limit of a message of a peer that isn't identified. The first message of a
+/// daemon lists the addresses of the others, which has room for 2,000 of them.
+constexpr std::size_t maxFirstMessageBytes = std::size_t(128) << 10;
 /// A crowd that connects again at once must not fill the log.
 constexpr Duration limitLogInterval = std::chrono::seconds(1);
 
@@ -108,6 +112,8 @@
 WebSocketTransport::identified(LinkId link)
 {
   m_unidentified.erase(link);
+  if (const ConnectionPtr connection = find(link))
+    connection->set_max_message_size(m_settings.maxMessageBytes);
 }
 
 void
@@ -173,7 +179,6 @@
     toMilliseconds(m_settings.handshakeTimeout));
   client.set_close_handshake_timeout(
     toMilliseconds(m_settings.handshakeTimeout));
-  client.set_max_message_size(m_settings.maxMessageBytes);
 }
 
 void
@@ -184,7 +189,6 @@
     toMilliseconds(m_settings.handshakeTimeout));
   server.set_close_handshake_timeout(
     toMilliseconds(m_settings.handshakeTimeout));
-  server.set_max_message_size(m_settings.maxMessageBytes);
   server.set_max_http_body_size(0);
   server.set_reuse_addr(true);
   server.set_listen_backlog(listenBacklog);
@@ -200,6 +204,8 @@
       if (m_links.count(link) != 0)
         m_hooks.received(link, message->get_payload());
     });
+  connection->set_max_message_size(
+    std::min(maxFirstMessageBytes, m_settings.maxMessageBytes));
   connection->set_ping_handler(ignorePing);
   connection->set_fail_handler([this, link](const auto&) { ended(link); });
   connection->set_close_handler([this, link](const auto&) { ended(link); });
--- a/src/libprotocol/websockettransport.h
+++ b/src/libprotocol/websockettransport.h
@@ -62,7 +62,8 @@
   LinkId dial(const Address& address);
 
   /// Tells that the peer of an open connection has said which daemon it is, so
-  /// that the connection isn't ended in favour of a new one.
+  /// that the connection isn't ended in favour of a new one. Until then
+  /// messages of over 128 KB end it.
   void identified(LinkId link);
 
   /// Queues a message for an open connection; does nothing for another.
--- a/tests/peers/unidentified_test.cpp
+++ b/tests/peers/unidentified_test.cpp
@@ -77,6 +77,7 @@
   {
     std::unique_ptr<PeerConnections> links;
     unsigned ups = 0;
+    unsigned received = 0;
   };
 
   static PeerConnections::Settings settings()
@@ -102,7 +103,9 @@
     PeerConnections::Hooks hooks;
     hooks.connected = [&node](const PeerHello&) { ++node.ups; };
     hooks.disconnected = [](const VmId&, PeerLoss) {};
-    hooks.received = [](const VmId&, const PeerMessage&) {};
+    hooks.received = [&node](const VmId&, const PeerMessage&) {
+      ++node.received;
+    };
     node.links =
       std::make_unique<PeerConnections>(m_context, hello, settings(), hooks);
     ASSERT_EQ(node.links->listen(), std::nullopt);
@@ -253,5 +256,33 @@
   EXPECT_EQ(stranger.received().find(pong), std::string::npos);
 }
 
+/// Guards against memory of large messages that are announced by programs that
+/// aren't daemons, and never sent to their end.
+TEST_F(UnidentifiedTest, ALargeMessageBeforeTheHelloEndsTheConnection)
+{
+  Stranger& stranger = addStranger();
+  stranger.send(handshake);
+  runUntil([&] { return stranger.isOpen() && !stranger.received().empty(); });
+  const std::string header("\x82\xff\0\0\0\0\0\x08\0\0\0\0\0\0", 14);
+  EXPECT_EQ(stranger.send(header), header.size());
+  const std::string messageTooBig("\x03\xf1", 2);
+  runUntil([&] {
+    stranger.isOpen();
+    return stranger.received().find(messageTooBig) != std::string::npos;
+  });
+}
+
+/// Guards against a bound on first messages that large ones of daemons meet.
+TEST_F(UnidentifiedTest, ALargeMessageAfterTheHelloIsReceived)
+{
+  connectDaemon(2);
+  constexpr std::size_t size = 500'000;
+  const PeerConfigPart part{ 1, size, 0, std::string(size, 'x') };
+  EXPECT_TRUE(m_others.front()->links->send(VmId("vm-1"), part));
+  runUntil([this] { return m_daemon.received > 0; });
+  EXPECT_TRUE(m_daemon.links->send(VmId("vm-2"), part));
+  runUntil([this] { return m_others.front()->received > 0; });
+}
+
 } // namespace
 } // namespace cowslippin::testing
