Port for daemons: nothing beyond 2,048 bytes of a handshake is parsed

A client that is no daemon could still have 16,000 bytes of a handshake parsed into some 300 KB before it was refused, once for each connection that is read in a turn of the event loop: 500 of them took a running daemon to 41 MB.

The limit now holds for what is parsed.

--- a/src/libprotocol/handshakerequest.h
+++ b/src/libprotocol/handshakerequest.h
@@ -2,6 +2,7 @@
 
 #include <websocketpp/http/request.hpp>
 
+#include <algorithm>
 #include <cstddef>
 
 namespace cowslippin {
@@ -20,9 +21,10 @@
   /// too many.
   std::size_t consume(const char* bytes, std::size_t size)
   {
-    const std::size_t consumed = request::consume(bytes, size);
+    const std::size_t consumed =
+      request::consume(bytes, std::min(size, maxBytes - m_bytes));
     m_bytes += consumed;
-    if (m_bytes > maxBytes)
+    if (!ready() && m_bytes == maxBytes)
       throw websocketpp::http::exception(
         "Handshake too large",
         websocketpp::http::status_code::request_header_fields_too_large);
