Port for daemons: a bound on bytes that wait to be read

What the system has received for a connection and the daemon hasn't read yet counts toward the machine's memory. The system lets a connection that is read quickly have more and more of it, here up to 32 MB (net.ipv4.tcp_rmem), so that a crowd that keeps the event loop busy could have it hold many times what the daemon itself does: 120 clients with pings had 11 MB unread at one look.

Accepted connections now have a receive buffer of 128 KB, which the kernel doubles for its own bookkeeping. The largest message, 1 MB, is received as before.

UnreadBytesOfAConnectionAreBounded failed before: the largest window that a connection could announce was 67,107,840 bytes, where 1 MB is allowed.

--- a/src/libprotocol/websockettransport.cpp
+++ b/src/libprotocol/websockettransport.cpp
@@ -19,6 +19,9 @@
 /// Limit of a message of a peer that isn't identified. The first message of a
 /// daemon lists the addresses of the others, which has room for 2,000 of them.
 constexpr std::size_t maxFirstMessageBytes = std::size_t(128) << 10;
+/// Limit of received bytes of an accepted connection that weren't read yet. The
+/// system would raise its own with each connection that is read quickly.
+constexpr int receiveBufferBytes = 128 << 10;
 /// A crowd that connects again at once must not fill the log.
 constexpr Duration limitLogInterval = std::chrono::seconds(1);
 
@@ -40,6 +43,16 @@
   return false;
 }
 
+/// Accepted connections inherit the size from the listening socket.
+websocketpp::lib::error_code
+limitReceiveBuffer(const std::shared_ptr<tcp::acceptor>& acceptor)
+{
+  boost::system::error_code error;
+  acceptor->set_option(
+    asio::socket_base::receive_buffer_size(receiveBufferBytes), error);
+  return error;
+}
+
 LinkEnd
 endOf(const WebSocketConnection& connection)
 {
@@ -192,6 +205,7 @@
   server.set_max_http_body_size(0);
   server.set_reuse_addr(true);
   server.set_listen_backlog(listenBacklog);
+  server.set_tcp_pre_bind_handler(limitReceiveBuffer);
   server.set_tcp_pre_init_handler(
     [this](const auto& handle) { connectionAccepted(handle); });
 }
--- a/tests/peers/unidentified_test.cpp
+++ b/tests/peers/unidentified_test.cpp
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include <netinet/tcp.h>
+
 namespace cowslippin::testing {
 namespace {
 
@@ -61,6 +63,18 @@
     return error == asio::error::would_block;
   }
 
+  /// The largest window that the other side can ever have announced, in bytes.
+  std::size_t largestWindow()
+  {
+    constexpr std::size_t maxUnscaled = 65535;
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    EXPECT_EQ(
+      getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size),
+      0);
+    return maxUnscaled << info.tcpi_snd_wscale;
+  }
+
   const std::string& received() const { return m_received; }
 
 private:
@@ -284,5 +298,12 @@
   runUntil([this] { return m_others.front()->received > 0; });
 }
 
+/// Guards against memory of received bytes that the daemon hasn't read yet: the
+/// system lets a connection that is read quickly have more and more of them.
+TEST_F(UnidentifiedTest, UnreadBytesOfAConnectionAreBounded)
+{
+  EXPECT_LT(addStranger().largestWindow(), std::size_t(1) << 20);
+}
+
 } // namespace
 } // namespace cowslippin::testing
