Port for daemons: addresses only from identified peers

A client that is no daemon could have a daemon keep up to 4,096 addresses that it made up, without saying hello: the daemon dialled all of them, 24 at a time for 0.6 s each, while dials of other daemons waited, and sent them on to others with its hello.

Addresses are now read only on connections with a hello. Daemons send them after it in each direction.

AddressesBeforeAHelloAreIgnored failed before: 50 addresses were kept.

--- a/src/libpeers/peerconnections.cpp
+++ b/src/libpeers/peerconnections.cpp
@@ -342,13 +342,13 @@
       helloReceived(link, *hello);
     return;
   }
+  if (!found->second.peer)
+    return;
   if (const auto* news = std::get_if<PeerAddresses>(&*message)) {
     for (const Address& address : news->addresses)
       addAddress(address, steadyNow());
     return;
   }
-  if (!found->second.peer)
-    return;
   const auto peer = m_peers.find(*found->second.peer);
   if (peer == m_peers.end() || isRetiredSubmit(peer->second, link, *message))
     return;
--- a/tests/peers/unidentified_test.cpp
+++ b/tests/peers/unidentified_test.cpp
@@ -305,5 +305,24 @@
   EXPECT_LT(addStranger().largestWindow(), std::size_t(1) << 20);
 }
 
+/// Guards against dials to addresses that a program which isn't a daemon made
+/// up, for which daemons that start would wait.
+TEST_F(UnidentifiedTest, AddressesBeforeAHelloAreIgnored)
+{
+  PeerAddresses news;
+  for (unsigned i = 0; i < 50; ++i)
+    news.addresses.emplace_back("127.9.9." + std::to_string(i + 1), m_port);
+  const auto bytes = encodePeerMessage(news);
+  std::string frame("\x82\xfe", 2);
+  frame += static_cast<char>(bytes.size() >> 8);
+  frame += static_cast<char>(bytes.size());
+  frame += std::string(4, '\0') + std::string(bytes.begin(), bytes.end());
+  const std::string close("\x88\x80\0\0\0\0", 6);
+  Stranger& stranger = addStranger();
+  stranger.send(handshake + frame + close);
+  runUntil([&] { return !stranger.isOpen(); });
+  EXPECT_EQ(m_daemon.links->knownPeerCount(), 0u);
+}
+
 } // namespace
 } // namespace cowslippin::testing
