HTTP client: a new connection in the place of a closed one

A write of several parts that the ended call had begun goes on with the rest of its request, from memory that was freed, on the new connection.

A closed connection is replaced in its place instead; operations that it has begun keep it until they end.

--- a/src/libasynchttp/asynchttpconnectionpool.cpp
+++ b/src/libasynchttp/asynchttpconnectionpool.cpp
@@ -46,29 +46,30 @@
 }
 
 /// The most recently used idle connection, or a new one; null if all that are
-/// allowed are in use. One that was closed and not yet removed is opened again
-/// rather than counted against the limit: after a reset of all connections
-/// calls would otherwise fail unsent until they are removed.
+/// allowed are in use. A new one takes the place of one that was closed and not
+/// yet removed: after a reset of all connections calls would otherwise fail
+/// unsent until the closed ones are removed. It isn't opened again, as a write
+/// that its call has begun may go on.
 AsyncHttpConnection*
 AsyncHttpConnectionPool::idleConnection()
 {
   AsyncHttpConnection* best = nullptr;
-  AsyncHttpConnection* closed = nullptr;
-  for (const auto& connection : m_connections) {
+  std::shared_ptr<AsyncHttpConnection>* closed = nullptr;
+  for (auto& connection : m_connections) {
     if (connection->isBusy())
       continue;
     if (!connection->isOpen())
-      closed = connection.get();
+      closed = &connection;
     else if (!best || connection->idleSince() > best->idleSince())
       best = connection.get();
   }
-  if (best || closed)
-    return best ? best : closed;
-  if (m_connections.size() >= m_maxConnections)
-    return nullptr;
-  m_connections.push_back(
-    std::make_shared<AsyncHttpConnection>(m_context, m_address));
-  return m_connections.back().get();
+  if (best || (!closed && m_connections.size() >= m_maxConnections))
+    return best;
+  auto added = std::make_shared<AsyncHttpConnection>(m_context, m_address);
+  if (!closed)
+    return m_connections.emplace_back(std::move(added)).get();
+  *closed = std::move(added);
+  return closed->get();
 }
 
 void
