Tasks that were handed over: a stop before an unlisted run counts as over

A holder that hands a job over names the workers on which its tasks may run. The next holder started such a task again as soon as the worker had reported without listing the run: an inference from one report, which a worker makes wrong that lists a run later than a round trip after it has accepted it.

Before the quarantine of such a task ends, the worker is now told to stop all runs of the task up to the highest number that the earlier holder may have used, and that stop counts as a run until a report that was requested after its answer. A worker rejects a run that was stopped before it began, however late that is. A run that is listed meanwhile is adopted as before. It takes a round trip more, for tasks that were handed over and aren't listed.

UnlistedStart.OfARunThatWasHandedOverDoesNotRunBesideAnother fails before.

Not covered: a holder that was killed, which names no worker.

--- a/src/libjobs/job.h
+++ b/src/libjobs/job.h
@@ -38,6 +38,9 @@
   std::uint64_t nextRun = 1;
   RestartCause restartCause = RestartCause::None;
   unsigned failures = 0;
+  /// Whether starts of earlier holders on `lastWorker`, which it may have
+  /// accepted and not listed yet, were stopped.
+  bool areEarlierStartsFenced = false;
   /// Number of starts that were refused because of the run's number.
   unsigned staleStarts = 0;
   /// Number of workers that were lost while a run of the task was in progress
--- a/src/libjobs/scheduler.cpp
+++ b/src/libjobs/scheduler.cpp
@@ -1086,7 +1086,9 @@
 }
 
 /// Adopts the runs of quarantined tasks, or ends the quarantine once the tasks
-/// may be started again. Returns false if that ended the job.
+/// may be started again. Returns false if that ended the job. That the worker
+/// of an earlier run doesn't list it ends a quarantine only after a stop,
+/// because a worker may list a run some time after it has accepted it.
 bool
 Scheduler::updateQuarantine(Job& job, TimePoint now)
 {
@@ -1110,6 +1112,13 @@
       continue;
     } else if (const auto cause = restartCauseOf(job, task, now);
                cause != RestartCause::None) {
+      if (cause == RestartCause::WorkerReported &&
+          !task.areEarlierStartsFenced) {
+        task.areEarlierStartsFenced = true;
+        m_pool.fenceUnlistedStarts(
+          task.lastWorker, RunKey(name, task.nextRun - 1), now);
+        continue;
+      }
       task.restartCause = cause;
       logQuarantineEnded(job, task, false, now);
       enqueueTask(job, task);
--- a/src/libjobs/workerpool.cpp
+++ b/src/libjobs/workerpool.cpp
@@ -298,6 +298,15 @@
   return entry != nullptr && entry->lease->stop(key, now);
 }
 
+void
+WorkerPool::fenceUnlistedStarts(const WorkerId& worker,
+                                const RunKey& key,
+                                TimePoint now)
+{
+  if (Entry* entry = find(worker))
+    entry->lease->fenceUnlistedStarts(key, now);
+}
+
 void
 WorkerPool::requestReport(const WorkerId& worker, TimePoint now)
 {
--- a/src/libjobs/workerpool.h
+++ b/src/libjobs/workerpool.h
@@ -220,6 +220,10 @@
   bool isIncarnationOver(const WorkerId& worker) const;
   /// See `WorkerLease::stop`.
   bool stop(const WorkerId& worker, const RunKey& key, TimePoint now);
+  /// See `WorkerLease::fenceUnlistedStarts`.
+  void fenceUnlistedStarts(const WorkerId& worker,
+                           const RunKey& key,
+                           TimePoint now);
   /// Requests a report from a held worker at once.
   void requestReport(const WorkerId& worker, TimePoint now);
   /// See `WorkerLease::unansweredStartExpiry`.
--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -130,6 +130,20 @@
     m_hooks.startStopped(key, cause);
 }
 
+void
+WorkerLease::fenceUnlistedStarts(const RunKey& key, TimePoint now)
+{
+  const auto [found, isNew] = m_runs.try_emplace(key);
+  if (!isNew)
+    return;
+  Run& run = found->second;
+  run.isOrphaned = true;
+  ++m_orphanCount;
+  run.since = now;
+  run.state = RunState::Stopping;
+  sendStop(key, run, now);
+}
+
 std::optional<RunKey>
 WorkerLease::adoptOrphan(const std::string& task, const Resources& resources)
 {
--- a/src/libworkers/workerlease.h
+++ b/src/libworkers/workerlease.h
@@ -157,6 +157,11 @@
   /// or is being stopped already.
   bool stop(const RunKey& key, TimePoint now);
 
+  /// Fences starts of this run and of lower ones of its task that the worker
+  /// may have accepted and not listed yet. They count as a run until a report
+  /// that was requested after the answer.
+  void fenceUnlistedStarts(const RunKey& key, TimePoint now);
+
   /// Requests a report that is answered at once, in addition to one that waits
   /// for a run to end. Does nothing while such a request is in flight.
   void requestReport(TimePoint now);
