HTTP servers: no client without a time, and small buffers of its socket

A client that sends requests and reads no answers, or never finishes a request, kept its connection and what the system buffers for it as long as it liked. 450 such clients at the callers' port brought the unread bytes of a daemon to 38 to 49 MB, which count toward its memory; the same at the other two ports.

The sockets of callers, readiness checks and operators have buffers of 16 KB in each direction, and a short backlog where few connections are allowed.

The sizes of servers that don't ask for it are the system's own now.

--- a/src/libasynchttp/asynchttpserver.cpp
+++ b/src/libasynchttp/asynchttpserver.cpp
@@ -15,8 +15,13 @@
 using net::ip::tcp;
 
 constexpr std::size_t defaultBudgetBytes = std::size_t(64) << 20;
+constexpr Duration slowClientInterval = std::chrono::seconds(1);
+constexpr Duration closedLogInterval = std::chrono::seconds(1);
 constexpr Duration acceptRetryDelay = std::chrono::milliseconds(50);
 
+constexpr const char* closedForConnections = "connections";
+constexpr const char* closedAsLate = "late";
+
 AsyncHttpServer::Settings
 withBudget(AsyncHttpServer::Settings settings)
 {
@@ -34,6 +39,7 @@
   , m_handler(std::move(handler))
   , m_acceptor(context)
   , m_acceptTimer(context)
+  , m_slowClientTimer(context)
   , m_self(std::make_shared<AsyncHttpServer*>(this))
 {
 }
@@ -56,6 +62,7 @@
   ifNoError([&] { m_acceptor.open(endpoint.protocol(), error); });
   ifNoError(
     [&] { m_acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
+  setBufferSizes();
   ifNoError([&] { m_acceptor.bind(endpoint, error); });
   ifNoError([&] { m_acceptor.listen(m_settings.backlog, error); });
   if (error)
@@ -67,6 +74,20 @@
   return std::nullopt;
 }
 
+/// Connections inherit the sizes. If the system refuses them, its own apply.
+void
+AsyncHttpServer::setBufferSizes()
+{
+  if (m_settings.socketBufferBytes == 0)
+    return;
+  error_code ignored;
+  m_acceptor.set_option(
+    net::socket_base::receive_buffer_size(m_settings.socketBufferBytes),
+    ignored);
+  m_acceptor.set_option(
+    net::socket_base::send_buffer_size(m_settings.socketBufferBytes), ignored);
+}
+
 void
 AsyncHttpServer::stop()
 {
@@ -124,12 +145,59 @@
         (!first || session->closesBefore(*first, now)))
       first = std::move(session);
   }
+  noteClosed(closedForConnections);
   if (!first)
     return false;
   first->close();
   return true;
 }
 
+void
+AsyncHttpServer::watchSlowClients()
+{
+  if (std::exchange(m_isWatchingSlowClients, true))
+    return;
+  m_slowClientTimer.expires_after(slowClientInterval);
+  m_slowClientTimer.async_wait(
+    [this, alive = std::weak_ptr(m_self)](error_code error) {
+      if (error || alive.expired())
+        return;
+      m_isWatchingSlowClients = false;
+      closeLateSessions();
+    });
+}
+
+void
+AsyncHttpServer::closeLateSessions()
+{
+  const TimePoint now = steadyNow();
+  for (const auto& weak : m_sessions) {
+    const auto session = weak.lock();
+    if (session && session->isLate(now)) {
+      session->close();
+      noteClosed(closedAsLate);
+    } else if (session && session->isWaitingForRest())
+      watchSlowClients();
+  }
+}
+
+void
+AsyncHttpServer::noteClosed(const std::string& reason)
+{
+  ++m_closed[reason];
+  const TimePoint now = steadyNow();
+  if (now < m_nextClosedLogAt)
+    return;
+  m_nextClosedLogAt = now + closedLogInterval;
+  for (const auto& [why, count] : std::exchange(m_closed, {}))
+    logEvent(LogLevel::Info,
+             "client-connections-closed",
+             { { "reason", why },
+               { "count", count },
+               { "open", m_connections },
+               { "heldBytes", m_settings.budget->heldBytes() } });
+}
+
 /// Without the delay, accepting would fail again at once, and without end,
 /// while the process has no descriptors left.
 void
--- a/src/libasynchttp/asynchttpserver.h
+++ b/src/libasynchttp/asynchttpserver.h
@@ -13,7 +13,9 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
+#include <string>
 
 namespace cowslippin {
 
@@ -37,6 +39,15 @@
     /// How many connections may be open. For a further one, one that waits for
     /// its client is closed.
     std::size_t maxConnections = 4096;
+    /// Of the system's buffers of each connection, for what it has received and
+    /// for what it has to send. 0 for the system's own sizes.
+    int socketBufferBytes = 0;
+    /// How long a request's header may take, from its first bytes on, and an
+    /// answer until the client has read it.
+    Duration clientTimeout = std::chrono::seconds(30);
+    /// How long a whole request may take, from its first bytes on, by its
+    /// header. The body isn't given. If empty, `clientTimeout`.
+    std::function<Duration(const HttpRequest&)> requestTimeout = nullptr;
     /// What all connections may hold, of this server and of those that share
     /// it. If empty, the server has one of its own, of 64 MB.
     std::shared_ptr<ConnectionBudget> budget = nullptr;
@@ -68,17 +79,30 @@
 private:
   class Session;
 
+  void setBufferSizes();
   void accept();
   void addSession(boost::asio::ip::tcp::socket socket);
   /// Closes a session if there are as many as allowed. Returns false if there
   /// is none that may be closed.
   bool makeRoom();
+  /// Closes the sessions whose clients are late, as long as there are any that
+  /// wait for a request's rest or for an answer to be read.
+  void watchSlowClients();
+  void closeLateSessions();
+  /// Counts a connection that was closed for a limit, and logs the counts, at
+  /// most once a second.
+  void noteClosed(const std::string& reason);
   void acceptLater();
 
   const Settings m_settings;
   const Handler m_handler;
   boost::asio::ip::tcp::acceptor m_acceptor;
   boost::asio::steady_timer m_acceptTimer;
+  boost::asio::steady_timer m_slowClientTimer;
+  bool m_isWatchingSlowClients = false;
+  /// By reason, since the last line in the log.
+  std::map<std::string, std::size_t> m_closed;
+  TimePoint m_nextClosedLogAt{};
   std::list<std::weak_ptr<Session>> m_sessions;
   std::size_t m_connections = 0;
   std::size_t m_pendingRequests = 0;
--- a/src/libasynchttp/asynchttpsession.cpp
+++ b/src/libasynchttp/asynchttpsession.cpp
@@ -28,7 +28,7 @@
 constexpr int headerFieldsTooLarge = 431;
 
 HttpRequest
-toHttpRequest(http::request<BoundedBody>& message)
+toHttpRequest(const http::request<BoundedBody>& message, std::string body)
 {
   HttpRequest::Fields fields;
   fields.method = std::string(message.method_string());
@@ -40,7 +40,7 @@
   for (const auto& field : message)
     fields.headers.emplace_back(std::string(field.name_string()),
                                 std::string(field.value()));
-  fields.body = std::move(message.body().bytes);
+  fields.body = std::move(body);
   return HttpRequest(std::move(fields));
 }
 
@@ -80,7 +80,8 @@
   : m_socket(std::move(socket))
   , m_server(std::move(server))
   , m_readBytes(initialBufferBytes)
-  , m_share(std::move(budget), [this] { close(); })
+  , m_share(std::move(budget), [this] { closeForBudget(); })
+  , m_clientTimeout(Duration::zero())
   , m_idleSince(steadyNow())
 {
   m_buffer.reserve(initialBufferBytes);
@@ -122,27 +123,49 @@
   m_buffer.consume(m_parser->put(m_buffer.data(), error));
   const bool needsMore = !error || error == http::error::need_more;
   if (error == http::error::body_limit)
-    refuse(contentTooLarge, "the request is too large");
+    refuse(contentTooLarge);
   else if (error == http::error::header_limit ||
            (needsMore && hasTooManyFields(**server)))
-    refuse(headerFieldsTooLarge, "the request's header is too large");
+    refuse(headerFieldsTooLarge);
   else if (!needsMore)
     close();
   else if (m_parser->is_done())
     requestRead(**server);
   else {
-    if (!m_waitingSince)
-      m_waitingSince = steadyNow();
+    waitForRest();
+    if (m_parser->is_header_done() && !m_isRequestTimeoutKnown) {
+      m_isRequestTimeoutKnown = true;
+      m_clientTimeout = requestTimeout(**server);
+    }
     readSome();
   }
 }
 
+void
+AsyncHttpServer::Session::waitForRest()
+{
+  const auto server = m_server.lock();
+  if (m_waitingSince || !server)
+    return;
+  m_waitingSince = steadyNow();
+  m_clientTimeout = (*server)->m_settings.clientTimeout;
+  (*server)->watchSlowClients();
+}
+
+Duration
+AsyncHttpServer::Session::requestTimeout(const AsyncHttpServer& server)
+{
+  const auto& timeoutOf = server.m_settings.requestTimeout;
+  return timeoutOf ? timeoutOf(toHttpRequest(m_parser->get(), std::string()))
+                   : server.m_settings.clientTimeout;
+}
+
 void
 AsyncHttpServer::Session::readSome()
 {
   const std::size_t freeBytes = m_buffer.max_size() - m_buffer.size();
   if (freeBytes == 0) {
-    refuse(headerFieldsTooLarge, "a line of the request is too long");
+    refuse(headerFieldsTooLarge);
     return;
   }
   const std::size_t wanted = std::min(m_readBytes, freeBytes);
@@ -197,9 +220,11 @@
   setPending(true);
   m_requestAge = steadyNow() - m_idleSince;
   m_keepAlive = m_parser->get().keep_alive();
-  const HttpRequest request = toHttpRequest(m_parser->get());
+  const HttpRequest request =
+    toHttpRequest(m_parser->get(), std::move(m_parser->get().body().bytes));
   m_parser.reset();
   m_waitingSince.reset();
+  m_isRequestTimeoutKnown = false;
   shrinkBuffer();
   account();
   if (!runGuarded("request",
@@ -210,11 +235,11 @@
 }
 
 void
-AsyncHttpServer::Session::refuse(int status, const std::string& reason)
+AsyncHttpServer::Session::refuse(int status)
 {
   setPending(true);
   m_keepAlive = false;
-  answer(HttpReply::json(status, "{\"error\":\"" + reason + "\"}"));
+  answer(HttpReply::json(status, R"({"error":"the request is too large"})"));
 }
 
 void
@@ -242,7 +267,7 @@
   error_code ignored;
   if (m_isWatchingForDisconnect)
     m_socket.cancel(ignored);
-  m_waitingSince = steadyNow();
+  waitForRest();
   if (!account())
     return;
   net::async_write(
@@ -259,6 +284,14 @@
   m_onClientDisconnected = std::move(callback);
 }
 
+void
+AsyncHttpServer::Session::closeForBudget()
+{
+  close();
+  if (const auto server = m_server.lock())
+    (*server)->noteClosed("bytes");
+}
+
 void
 AsyncHttpServer::Session::closeIfIdle()
 {
@@ -278,6 +311,12 @@
   return order(*this) < order(other);
 }
 
+bool
+AsyncHttpServer::Session::isLate(TimePoint now) const
+{
+  return m_waitingSince && now - *m_waitingSince > m_clientTimeout;
+}
+
 bool
 AsyncHttpServer::Session::isSlow(TimePoint now) const
 {
--- a/src/libasynchttp/asynchttpsession.h
+++ b/src/libasynchttp/asynchttpsession.h
@@ -35,6 +35,10 @@
   {
     return !m_isClosed && (!m_isPending || m_isAnswered);
   }
+  /// Whether the rest of a request is missing, or an answer isn't sent yet.
+  bool isWaitingForRest() const { return m_waitingSince.has_value(); }
+  /// Whether that has taken longer than a client has for it.
+  bool isLate(TimePoint now) const;
   /// Whether it is closed before another one that also waits, to make room for
   /// a new connection: slow clients first, then those without a request, each
   /// in the order of how long they have waited.
@@ -47,6 +51,10 @@
   /// Parses what the buffer has. Reads more if that isn't a whole request.
   void parse();
   void readSome();
+  /// The client has to send more, or to read, from now on if it didn't before.
+  void waitForRest();
+  /// How long the client has for the request in progress.
+  Duration requestTimeout(const AsyncHttpServer& server);
   /// Tells the budget what the session holds. Returns false if the session had
   /// to close.
   bool account();
@@ -55,7 +63,7 @@
   /// fields than allowed.
   bool hasTooManyFields(const AsyncHttpServer& server) const;
   void requestRead(AsyncHttpServer& server);
-  void refuse(int status, const std::string& reason);
+  void refuse(int status);
   /// Returns the memory of a large request.
   void shrinkBuffer();
   /// Waits for the client to disconnect. Ends without effect when bytes of a
@@ -63,6 +71,7 @@
   void watchForDisconnect();
   void checkForDisconnect();
   void replyWritten(ErrorCode error, bool isLast);
+  void closeForBudget();
   bool isSlow(TimePoint now) const;
   void setPending(bool isPending);
 
@@ -78,6 +87,9 @@
   /// Since when the rest of a request is missing, or an answer is being
   /// written.
   std::optional<TimePoint> m_waitingSince;
+  /// How long the client has from then on. It is set anew with the header.
+  Duration m_clientTimeout;
+  bool m_isRequestTimeoutKnown = false;
   TimePoint m_idleSince;
   Duration m_requestAge = Duration::zero();
   std::function<void()> m_onClientDisconnected;
--- a/src/libentry/clientlimits.cpp
+++ b/src/libentry/clientlimits.cpp
@@ -13,7 +13,7 @@
 
 /// The system may hold so many unread bytes of a connection, which count toward
 /// the memory of the process.
-constexpr double unreadBytesPerConnection = 16.0 * 1024;
+constexpr double unreadBytesPerConnection = clientSocketBufferBytes;
 constexpr double shareOfMemoryForUnread = 1.0 / 4;
 /// Descriptors that aren't for clients: files, up to 12 connections to each of
 /// 40 workers, one to each of 100 daemons in both directions, and some to the
--- a/src/libentry/clientlimits.h
+++ b/src/libentry/clientlimits.h
@@ -6,6 +6,9 @@
 
 namespace cowslippin {
 
+/// The size of the system's buffers of a client's socket, in each direction.
+constexpr int clientSocketBufferBytes = 16 * 1024;
+
 /// Limits on what the clients of a daemon's HTTP servers may take of its
 /// machine, over all connections.
 struct ClientLimits
--- a/src/libentry/operatorserver.cpp
+++ b/src/libentry/operatorserver.cpp
@@ -8,12 +8,17 @@
 
 namespace {
 
+/// Connections that wait to be accepted hold unread bytes.
+constexpr int fewConnectionsBacklog = 64;
+
 AsyncHttpServer::Settings
 serverSettings(std::size_t maxConnections,
                const std::shared_ptr<ConnectionBudget>& budget)
 {
   AsyncHttpServer::Settings settings;
   settings.maxConnections = maxConnections;
+  settings.socketBufferBytes = clientSocketBufferBytes;
+  settings.backlog = fewConnectionsBacklog;
   settings.budget = budget;
   return settings;
 }
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -8,6 +8,7 @@
 /// So many connections don't reach the limit of descriptors.
 constexpr unsigned crowdSize = 200;
 constexpr unsigned smallCrowdSize = 40;
+constexpr unsigned unreadingCrowdSize = 450;
 constexpr std::size_t maxBodyBytes = std::size_t(256) * 1024;
 /// Bodies stop so many bytes short of their end.
 constexpr std::size_t missingBytes = 8;
@@ -150,5 +151,42 @@
   checkServiceBesideCrowd();
 }
 
+CrowdClient::Settings
+unreadingClient(const Address& address, const std::string& request)
+{
+  return { address, repeated("", request, endlessBytes), false };
+}
+
+/// Guards against memory that requests and answers take while callers send
+/// many and read no answer.
+TEST_F(CrowdDaemon, UnreadAnswersToCallersStayWithinMemory)
+{
+  addClients(unreadingCrowdSize,
+             unreadingClient(callerAddress(),
+                             "GET /jobs/ HTTP/1.1\r\n"
+                             "Host: jobs.example\r\n\r\n"));
+  checkServiceBesideCrowd();
+}
+
+/// The same of readiness checks.
+TEST_F(CrowdDaemon, UnreadAnswersToReadinessChecksStayWithinMemory)
+{
+  addClients(unreadingCrowdSize,
+             unreadingClient(readinessAddress(),
+                             "GET /v1/readyz HTTP/1.1\r\n"
+                             "Host: jobs.example\r\n\r\n"));
+  checkServiceBesideCrowd();
+}
+
+/// The same of operators.
+TEST_F(CrowdDaemon, UnreadAnswersToOperatorsStayWithinMemory)
+{
+  addClients(unreadingCrowdSize,
+             unreadingClient(operatorAddress(),
+                             "GET /metrics HTTP/1.1\r\n"
+                             "Host: jobs.example\r\n\r\n"));
+  checkServiceBesideCrowd();
+}
+
 } // namespace
 } // namespace cowslippin::testing
