--- a/tests/asynchttp/reopenedconnection_test.cpp
+++ b/tests/asynchttp/reopenedconnection_test.cpp
@@ -79,8 +79,10 @@
   HttpCallRequest large;
   large.method = "POST";
   large.target = "/first";
-  // From now on memory of this size isn't unmapped when it is freed.
-  std::string(std::size_t(30) << 20, 'y');
+  {
+    // From now on memory of this size isn't unmapped when it is freed.
+    const std::string freed(std::size_t(30) << 20, 'y');
+  }
   large.body.assign(std::size_t(12) << 20, 'x');
   HttpCallRequest next;
   next.target = "/second";
