--- a/src/libworkers/workerlease.cpp
+++ b/src/libworkers/workerlease.cpp
@@ -527,8 +527,9 @@
   requestNextReport(now);
 }
 
-/// Whether a report that was requested at `sent` lists all runs that the worker
-/// accepted before the claim, as a round trip lies between them.
+/// Whether a report that was requested at `sent` completes the claim. It lists
+/// all runs that the worker accepted before the claim, unless the worker takes
+/// longer than a round trip to list them.
 bool
 WorkerLease::completesClaim(TimePoint sent) const
 {
--- a/tests/jobs/unlistedstart_test.cpp
+++ b/tests/jobs/unlistedstart_test.cpp
@@ -7,8 +7,8 @@
 
 using std::chrono::milliseconds;
 
-/// Guards against a task that is started beside its run, of which the earlier
-/// holder has told, as the worker lists that run some time after the claim.
+/// Guards against a second run of a task beside one that the earlier holder has
+/// named and that its worker lists only after the claim.
 TEST(UnlistedStart, OfARunThatWasHandedOverDoesNotRunBesideAnother)
 {
   SchedulerFixture fixture;
--- a/tests/soak/startbound.h
+++ b/tests/soak/startbound.h
@@ -34,8 +34,7 @@
   /// The worker with index `i` belongs to the zone `i % zones`.
   StartBound(unsigned zones, std::size_t workers);
 
-  /// A caller submits the job. The tasks of jobs that aren't told are not
-  /// checked.
+  /// A caller submits the job. Tasks of other jobs aren't checked.
   void submitted(const std::string& job, TimePoint now);
   /// A worker has learned of a lease.
   void claimed(std::size_t worker) { ++m_claims[worker]; }
