--- /dev/null
+++ b/review/standin-3/cases.h
@@ -0,0 +1,357 @@
+struct Case
+{
+  Settings settings;
+  std::function<void(Bench&, bool, std::vector<std::shared_ptr<void>>&)> begin;
+};
+
+inline Ask
+usualAsk(World& world)
+{
+  const double draw = world.chance();
+  Ask ask;
+  if (draw < 0.25)
+    ask = { 8, 60, 6800, "", 0, -1, 1500 };
+  else if (draw < 0.35)
+    ask = { 4, 900, 6800, "", 0, -1, 3000 };
+  return ask;
+}
+
+inline void
+repeat(Bench& bench, std::int64_t every, std::function<void()> action)
+{
+  after(bench.world.context, ms(every), [&bench, every, action] {
+    if (bench.isOver)
+      return;
+    action();
+    repeat(bench, every, action);
+  });
+}
+
+/// Workers restart under their ids and are of another kind then.
+inline Case
+kindCase()
+{
+  Case made;
+  made.settings.hasBorn = true;
+  made.settings.seconds = 40;
+  made.begin = [](Bench& bench, bool isTrouble, auto& kept) {
+    kept.push_back(std::make_shared<Stream>(bench, 30, [&bench] {
+      Ask ask = usualAsk(bench.world);
+      ask.label = bench.world.chance() < 0.5 ? "a" : "b";
+      return ask;
+    }));
+    if (!isTrouble)
+      return;
+    auto next = std::make_shared<std::size_t>(0);
+    repeat(bench, 2500, [&bench, next] {
+      auto& workers = bench.world.workers;
+      Worker& worker = *workers[(*next)++ % workers.size()];
+      if (!worker.isUp())
+        return;
+      const Worker::Kind kind = worker.kind().label == "a"
+                                  ? Worker::Kind{ "b", 24000 }
+                                  : Worker::Kind{ "a", 16000 };
+      worker.crash(ms(1000), true, kind);
+    });
+  };
+  return made;
+}
+
+/// All kinds of trouble at random.
+inline Case
+randomCase(bool hasBorn)
+{
+  Case made;
+  made.settings.hasBorn = hasBorn;
+  made.settings.seconds = 100;
+  made.settings.workersPerZone = 5;
+  made.begin = [hasBorn](Bench& bench, bool isTrouble, auto& kept) {
+    auto stream = std::make_shared<Stream>(bench, 30, [&bench] {
+      Ask ask = usualAsk(bench.world);
+      if (bench.world.chance() < 0.2)
+        ask.maxPerServer = 1;
+      return ask;
+    });
+    stream->leaveShare = 0.05;
+    kept.push_back(stream);
+    if (!isTrouble)
+      return;
+    bench.world.failShare = 0.03;
+    const auto more = std::make_shared<std::function<void()>>();
+    kept.push_back(more);
+    const std::int64_t begin = steadyMs();
+    after(bench.world.context, ms(82000), [&bench, stream] {
+      bench.answers.clear();
+      for (auto& worker : bench.world.workers)
+        worker->startsSeen = 0;
+      stream->factor = 2.5;
+      bench.world.record.line("calm from here");
+    });
+    after(bench.world.context, ms(99500), [&bench] {
+      for (auto& worker : bench.world.workers)
+        if (worker->isUp() && !worker->isDraining())
+          std::cout << worker->id() << ' ' << worker->zone() << ' '
+                    << worker->startsSeen << "; ";
+      std::cout << std::endl;
+    });
+    *more = [&bench, hasBorn, stream, begin, more = more.get()] {
+      if (bench.isOver || steadyMs() - begin > 68000)
+        return;
+      World& world = bench.world;
+      Daemon& daemon = *world.daemons[world.below(world.daemons.size())];
+      Worker& worker = *world.workers[world.below(world.workers.size())];
+      const auto pick = world.below(14);
+      const std::int64_t time = 200 + std::int64_t(world.below(3800));
+      const auto disturb = [&world](std::int64_t ms) {
+        world.disturbedUntil =
+          std::max(world.disturbedUntil, steadyMs() + ms + world.contactMs);
+      };
+      switch (pick) {
+        case 0:
+        case 1:
+          disturb(time + 1000);
+          bench.kill(daemon, time);
+          break;
+        case 2:
+        case 3:
+          disturb(time);
+          bench.freeze(daemon, time);
+          break;
+        case 4:
+          disturb(7000);
+          bench.terminate(daemon);
+          break;
+        case 5:
+        case 6:
+          if (worker.isUp())
+            worker.crash(ms(time), hasBorn && world.chance() < 0.7, worker.kind());
+          break;
+        case 7:
+          if (worker.isUp() && !worker.isDraining()) {
+            const unsigned zone = unsigned(worker.zone().back() - 'a');
+            if (world.workers.size() < 90) {
+              worker.drain(ms(2000 + time));
+              bench.addWorker(zone, worker.kind());
+            }
+          }
+          break;
+        case 8:
+          worker.setCut(true);
+          after(world.context, ms(time), [&worker] { worker.setCut(false); });
+          break;
+        case 9: {
+          const std::string zone = daemon.zone;
+          if (world.evacuatedAt.empty()) {
+            world.store.put("keyed.op", "evacuate/" + zone, "{}");
+            world.evacuatedAt[zone] = steadyMs();
+            world.record.line("evacuation of " + zone);
+            after(world.context, ms(6000), [&world, zone] {
+              world.evacuatedAt.erase(zone);
+              world.store.put("keyed.op", "evacuate/" + zone, "");
+              world.record.line("end of the evacuation of " + zone);
+            });
+          }
+          break;
+        }
+        case 10:
+          disturb(time);
+          bench.cutFromStore(daemon, time);
+          break;
+        case 11:
+          stream->factor = 2.5;
+          after(world.context, ms(time), [stream] { stream->factor = 1; });
+          break;
+        case 12: {
+          const auto kind = worker.kind();
+          if (kind.cpu >= 16000) {
+            worker.setCapacity(kind.cpu / 2);
+            after(world.context, ms(time), [&worker, kind] {
+              worker.setCapacity(kind.cpu);
+            });
+          }
+          break;
+        }
+        default:
+          disturb(time + 1000);
+          for (auto& each : world.daemons) {
+            if (each->zone == daemon.zone || world.chance() < 0.3)
+              bench.kill(*each, 200 + std::int64_t(world.below(1500)));
+          }
+      }
+      after(world.context, ms(100 + world.below(1500)), *more);
+    };
+    (*more)();
+  };
+  return made;
+}
+
+/// A burst of jobs whose tasks have to be on different servers.
+inline Case
+spreadCase()
+{
+  Case made;
+  made.settings.seconds = 60;
+  made.settings.workersPerZone = 5;
+  made.begin = [](Bench& bench, bool isTrouble, auto& kept) {
+    auto stream = std::make_shared<Stream>(bench, 21, [] {
+      Ask ask;
+      ask.tasks = 4;
+      ask.taskMs = 200;
+      ask.cpu = 6800;
+      ask.maxPerServer = 1;
+      return ask;
+    });
+    kept.push_back(stream);
+    if (!isTrouble)
+      return;
+    repeat(bench, 6000, [&bench, stream] {
+      bench.world.record.line("burst of 1.9 times the traffic for 4.5 s");
+      stream->factor = 1.9;
+      after(bench.world.context, ms(4500), [stream] { stream->factor = 1; });
+    });
+  };
+  return made;
+}
+
+/// Two daemons of a zone are partitioned from the store while one of the zone's
+/// workers drains; the third daemon reaches the store.
+inline Case
+drainCase()
+{
+  Case made;
+  made.settings.seconds = 50;
+  made.settings.kinds = { { "a", 16000 } };
+  made.begin = [](Bench& bench, bool isTrouble, auto& kept) {
+    kept.push_back(std::make_shared<Stream>(bench, 70, [&bench] {
+      Ask ask = usualAsk(bench.world);
+      return ask;
+    }));
+    auto round = std::make_shared<unsigned>(0);
+    repeat(bench, 7000, [&bench, round, isTrouble] {
+      World& world = bench.world;
+      for (unsigned i = 0; i < 3; ++i) {
+        const std::string zone = bench.zoneName((*round)++ % 3);
+        std::vector<Daemon*> readers;
+        bool isHolderReader = false;
+        for (auto& daemon : world.daemons) {
+          if (daemon->zone != zone ||
+              world.store.listReads(daemon->storePort) == 0)
+            continue;
+          readers.push_back(daemon.get());
+          isHolderReader =
+            isHolderReader || world.store.isHolder(daemon->storePort, zone);
+        }
+        world.record.line("zone " + zone + ": " +
+                          std::to_string(readers.size()) +
+                          " daemons read the list of workers" +
+                          (isHolderReader ? ", the holder among them" : ""));
+        if (readers.size() != 2 || isHolderReader)
+          continue;
+        if (isTrouble) {
+          for (Daemon* daemon : readers)
+            bench.cutFromStore(*daemon, 5000);
+        }
+        for (auto& worker : world.workers) {
+          if (worker->zone() != zone || worker->isDraining() || !worker->isUp())
+            continue;
+          Worker* one = worker.get();
+          after(world.context, ms(10), [&bench, one, zone] {
+            one->drain(ms(4000));
+            bench.addWorker(unsigned(zone.back() - 'a'), one->kind());
+          });
+          return;
+        }
+      }
+    });
+  };
+  return made;
+}
+
+/// Odd texts as specifications.
+inline Case
+specCase()
+{
+  Case made;
+  made.settings.seconds = 15;
+  made.begin = [](Bench& bench, bool, auto& kept) {
+    auto turn = std::make_shared<unsigned>(0);
+    bench.specOf = [turn] {
+      static const std::vector<std::string> texts{
+        "\xe2\x80\xa8 \xf0\x9f\x98\x80",
+        std::string("a\0b", 3),
+        "\"\\/\b\f\n\r\t",
+        "\x7f\x01\x1f",
+        std::string(4000, 'x'),
+        "\xed\x9f\xbf\xef\xbf\xbd",
+        "",
+        "{\"a\":[1]}",
+      };
+      return texts[(*turn)++ % texts.size()];
+    };
+    kept.push_back(std::make_shared<Stream>(
+      bench, 20, [&bench] { return usualAsk(bench.world); }));
+  };
+  return made;
+}
+
+/// Clients cancel jobs that are in progress.
+inline Case
+cancelCase()
+{
+  Case made;
+  made.settings.seconds = 30;
+  made.begin = [](Bench& bench, bool isTrouble, auto& kept) {
+    kept.push_back(std::make_shared<Stream>(
+      bench, 10, [&bench] { return usualAsk(bench.world); }));
+    repeat(bench, 3000, [&bench, isTrouble] {
+      Ask ask;
+      ask.tasks = 1;
+      ask.taskMs = 3600;
+      ask.deadlineMs = 10000;
+      ask.cancelAfterMs = isTrouble ? 200 : 0;
+      bench.submit(ask);
+    });
+  };
+  return made;
+}
+
+/// Configurations that move queues between two services, and trouble.
+inline Case
+configCase()
+{
+  Case made = randomCase(false);
+  const auto inner = made.begin;
+  made.settings.kinds = { { "a", 16000, "booking" },
+                          { "a", 16000, "other" },
+                          { "b", 24000, "booking" },
+                          { "b", 24000, "other" } };
+  made.settings.workersPerZone = 8;
+  made.begin = [inner](Bench& bench, bool isTrouble, auto& kept) {
+    inner(bench, isTrouble, kept);
+    repeat(bench, 2700, [&bench] {
+      std::vector<std::string> services;
+      for (int i = 0; i < 3; ++i) {
+        const auto draw = bench.world.below(7);
+        services.push_back(draw == 0 ? "" : draw < 4 ? "booking" : "other");
+      }
+      bench.putConfiguration(services);
+    });
+  };
+  return made;
+}
+
+inline const std::map<std::string, Case>&
+cases()
+{
+  static const std::map<std::string, Case> all{
+    { "kind", kindCase() },
+    { "random", randomCase(false) },
+    { "random-born", randomCase(true) },
+    { "spread", spreadCase() },
+    { "drain", drainCase() },
+    { "spec", specCase() },
+    { "config", configCase() },
+    { "cancel", cancelCase() },
+  };
+  return all;
+}
