--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -33,9 +33,9 @@
 {
   Case made;
   made.settings.hasBorn = true;
-  made.settings.seconds = 40;
+  made.settings.seconds = 60;
   made.begin = [](Bench& bench, bool isTrouble, auto& kept) {
-    kept.push_back(std::make_shared<Stream>(bench, 30, [&bench] {
+    kept.push_back(std::make_shared<Stream>(bench, 40, [&bench] {
       Ask ask = usualAsk(bench.world);
       ask.label = bench.world.chance() < 0.5 ? "a" : "b";
       return ask;
@@ -43,15 +43,13 @@
     if (!isTrouble)
       return;
     auto next = std::make_shared<std::size_t>(0);
-    repeat(bench, 2500, [&bench, next] {
+    repeat(bench, 1500, [&bench, next] {
       auto& workers = bench.world.workers;
       Worker& worker = *workers[(*next)++ % workers.size()];
-      if (!worker.isUp())
-        return;
       const Worker::Kind kind = worker.kind().label == "a"
                                   ? Worker::Kind{ "b", 24000 }
                                   : Worker::Kind{ "a", 16000 };
-      worker.crash(ms(1000), true, kind);
+      worker.crash(ms(100), true, kind);
     });
   };
   return made;
@@ -340,6 +338,49 @@
   return made;
 }
 
+/// A configuration adds two queues, one of them for a host with a long name.
+inline Case
+hostCase()
+{
+  Case made;
+  made.settings.seconds = 25;
+  made.begin = [](Bench& bench, bool isTrouble, auto& kept) {
+    auto isAdded = std::make_shared<bool>(false);
+    kept.push_back(std::make_shared<Stream>(bench, 20, [&bench, isAdded] {
+      Ask ask = usualAsk(bench.world);
+      if (*isAdded && bench.world.chance() < 0.3)
+        ask.queue = 3;
+      return ask;
+    }));
+    after(bench.world.context, ms(5000), [&bench, isTrouble, isAdded] {
+      std::string host = "bookings";
+      if (isTrouble) {
+        host = "bookings-of-the-notaries-and-clerks-of-montevideo-centro";
+        for (const char* label : { "public-portal-of-the-division-of-scheduling",
+                                   "escribania-digital-rioplatense",
+                                   "celeste-servicios-sociedad-anonima" })
+          host += std::string(".") + label;
+      }
+      host += ".example";
+      bench.world.record.line("a queue is added for host " + host + " (" +
+                              std::to_string(host.size()) + " bytes)");
+      bench.putConfiguration({ "booking", "booking", "booking", "booking" },
+                             json::array({ { { "name", "long" },
+                                             { "host", host },
+                                             { "path_prefix", "/long/" },
+                                             { "type", "unsafe" },
+                                             { "timeout_ms", 1500 },
+                                             { "target_duration_ms", 60 },
+                                             { "priority", 1 },
+                                             { "backend", "booking" },
+                                             { "max_attempts", 3 },
+                                             { "stretch", 1.6 } } }));
+      *isAdded = true;
+    });
+  };
+  return made;
+}
+
 inline const std::map<std::string, Case>&
 cases()
 {
@@ -350,6 +391,7 @@
     { "spread", spreadCase() },
     { "drain", drainCase() },
     { "spec", specCase() },
+    { "host", hostCase() },
     { "config", configCase() },
     { "cancel", cancelCase() },
   };
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -36,6 +36,8 @@
   std::int64_t deadlineMs = 1500;
   /// When the client cancels the job; 0 if it doesn't.
   std::int64_t cancelAfterMs = 0;
+  /// The queue; by the length of the tasks if negative.
+  int queue = -1;
 };
 
 class Bench
@@ -91,11 +93,13 @@
     return "zone-" + std::string(1, char('a' + zone));
   }
 
-  void putConfiguration(const std::vector<std::string>& services)
+  /// `services` has the service of each queue, empty if the queue is dropped.
+  void putConfiguration(const std::vector<std::string>& services,
+                        const json& moreRoutes = json::array())
   {
     m_version += 2;
     json routes = json::array();
-    for (unsigned i = 0; i < 3; ++i) {
+    for (unsigned i = 0; i < services.size(); ++i) {
       if (services[i].empty())
         continue;
       routes.push_back({ { "name", "q" + std::to_string(i) },
@@ -109,6 +113,8 @@
                          { "max_attempts", 3 },
                          { "stretch", 1.6 } });
     }
+    for (const json& route : moreRoutes)
+      routes.push_back(route);
     json backends = json::array();
     for (const char* name : { "booking", "other" })
       backends.push_back({ { "name", name },
@@ -452,7 +458,10 @@
       step["required_label"] = ask.label;
     if (ask.maxPerServer > 0)
       step["max_per_server"] = ask.maxPerServer;
-    const unsigned queue = ask.taskMs < 100 ? 0 : ask.taskMs < 500 ? 1 : 2;
+    const unsigned queue = ask.queue >= 0     ? unsigned(ask.queue)
+                           : ask.taskMs < 100 ? 0
+                           : ask.taskMs < 500 ? 1
+                                              : 2;
     job.queue = queue;
     Request request(http::verb::post, "/q" + std::to_string(queue) + "/" + id, 11);
     request.set(http::field::host, "jobs.example");
@@ -508,9 +517,18 @@
       return;
     }
     if (status == 404) {
+      // Allowed if a configuration without the queue may be in force.
       bool mayBeDropped = false;
-      for (const auto& [at, services] : world.configurations)
-        mayBeDropped = mayBeDropped || services[job.queue].empty();
+      for (std::size_t i = 0; i < world.configurations.size(); ++i) {
+        const auto& services = world.configurations[i].second;
+        const bool isReplaced =
+          i + 1 < world.configurations.size() &&
+          job.firstSentAt >
+            world.configurations[i + 1].first + world.configApplyMs;
+        const bool lacksQueue =
+          job.queue >= services.size() || services[job.queue].empty();
+        mayBeDropped = mayBeDropped || (lacksQueue && !isReplaced);
+      }
       if (!mayBeDropped)
         world.record.broken("CONFIG", "404 for job " + id);
     }
--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -809,8 +809,9 @@
       sent.firstSentAt > m_world.configurations[i + 1].first +
                            m_world.configApplyMs &&
       sent.firstSentAt > m_world.disturbedUntil;
-    if (!isReplaced &&
-        m_world.configurations[i].second[sent.queue] == m_kind.service)
+    const auto& services = m_world.configurations[i].second;
+    if (!isReplaced && sent.queue < services.size() &&
+        services[sent.queue] == m_kind.service)
       isAllowed = true;
   }
   if (!isAllowed)
