--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -381,6 +381,44 @@
   return made;
 }
 
+/// The store turns the daemons of a zone away and serves the others, while the
+/// rooms of two of the zone's workers shrink and grow again.
+inline Case
+roomCase()
+{
+  Case made;
+  made.settings.kinds = { { "a", 24000 } };
+  made.settings.seconds = 48;
+  made.begin = [](Bench& bench, bool isTrouble, auto& kept) {
+    kept.push_back(std::make_shared<Stream>(
+      bench, 45, [&bench] { return usualAsk(bench.world); }));
+    auto round = std::make_shared<unsigned>(0);
+    repeat(bench, 12000, [&bench, round, isTrouble] {
+      World& world = bench.world;
+      const std::string zone = bench.zoneName((*round)++ % 3);
+      for (auto& daemon : world.daemons) {
+        if (!isTrouble || daemon->zone != zone)
+          continue;
+        world.record.line("the store turns " + daemon->name +
+                          " away for 9 s");
+        world.store.setTurnedAway(daemon->storePort, true);
+        after(world.context, ms(9000), [&world, port = daemon->storePort] {
+          world.store.setTurnedAway(port, false);
+        });
+      }
+      unsigned shrunk = 0;
+      for (auto& worker : world.workers) {
+        if (worker->zone() != zone || shrunk++ >= 2)
+          continue;
+        Worker* one = worker.get();
+        after(world.context, ms(200), [one] { one->setCapacity(12000); });
+        after(world.context, ms(10500), [one] { one->setCapacity(24000); });
+      }
+    });
+  };
+  return made;
+}
+
 inline const std::map<std::string, Case>&
 cases()
 {
@@ -391,6 +429,7 @@
     { "spread", spreadCase() },
     { "drain", drainCase() },
     { "spec", specCase() },
+    { "room", roomCase() },
     { "host", hostCase() },
     { "config", configCase() },
     { "cancel", cancelCase() },
--- a/review/standin-3/platform.h
+++ b/review/standin-3/platform.h
@@ -123,6 +123,7 @@
   {
     const std::size_t index = m_ports.size();
     m_isCut.push_back(false);
+    m_isTurnedAway.push_back(false);
     m_listReads.emplace_back();
     m_ports.push_back(std::make_unique<Server>(
       m_context,
@@ -130,10 +131,16 @@
       [this, index](const Request& request, const Respond& respond) {
         if (m_isCut[index])
           return;
+        if (m_isTurnedAway[index]) {
+          respond(429, "{}", "application/json");
+          return;
+        }
         const Respond gated = [this, index, respond](int status,
                                                      const std::string& body,
                                                      const std::string& type) {
-          if (!m_isCut[index])
+          if (m_isTurnedAway[index])
+            respond(429, "{}", "application/json");
+          else if (!m_isCut[index])
             respond(status, body, type);
         };
         note(index, request);
@@ -170,6 +177,12 @@
       m_ports[port]->reset();
   }
 
+  /// While a machine is turned away, its calls are answered 429.
+  void setTurnedAway(std::size_t port, bool isTurnedAway)
+  {
+    m_isTurnedAway[port] = isTurnedAway;
+  }
+
   void put(const std::string& topic,
            const std::string& key,
            const std::string& value)
@@ -298,6 +311,7 @@
   std::map<std::size_t, std::pair<std::string, std::int64_t>> m_holderNotes;
   std::vector<std::unique_ptr<Server>> m_ports;
   std::vector<bool> m_isCut;
+  std::vector<bool> m_isTurnedAway;
   std::map<std::string, std::vector<std::pair<std::string, std::string>>>
     m_topics;
   std::vector<Waiter> m_waiting;
