--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -338,7 +338,10 @@
   return made;
 }
 
-/// A configuration adds two queues, one of them for a host with a long name.
+/// A configuration drops a queue and adds two, one of them for a host with a
+/// long name.
+/// FIELD chooses another field of that route that is large: `path`, `attempts`
+/// or `target`.
 inline Case
 hostCase()
 {
@@ -353,28 +356,37 @@
       return ask;
     }));
     after(bench.world.context, ms(5000), [&bench, isTrouble, isAdded] {
-      std::string host = "bookings";
-      if (isTrouble) {
-        host = "bookings-of-the-notaries-and-clerks-of-montevideo-centro";
-        for (const char* label : { "public-portal-of-the-division-of-scheduling",
-                                   "escribania-digital-rioplatense",
-                                   "celeste-servicios-sociedad-anonima" })
-          host += std::string(".") + label;
-      }
-      host += ".example";
-      bench.world.record.line("a queue is added for host " + host + " (" +
-                              std::to_string(host.size()) + " bytes)");
-      bench.putConfiguration({ "booking", "booking", "booking", "booking" },
-                             json::array({ { { "name", "long" },
-                                             { "host", host },
-                                             { "path_prefix", "/long/" },
-                                             { "type", "unsafe" },
-                                             { "timeout_ms", 1500 },
-                                             { "target_duration_ms", 60 },
-                                             { "priority", 1 },
-                                             { "backend", "booking" },
-                                             { "max_attempts", 3 },
-                                             { "stretch", 1.6 } } }));
+      const char* chosen = std::getenv("FIELD");
+      const std::string field = !isTrouble ? "" : chosen ? chosen : "host";
+      std::string longName =
+        "bookings-of-the-notaries-and-clerks-of-montevideo-centro";
+      for (const char* label : { "public-portal-of-the-division-of-scheduling",
+                                 "escribania-digital-rioplatense",
+                                 "celeste-servicios-sociedad-anonima" })
+        longName += std::string(".") + label;
+      json route{ { "name", "long" },
+                  { "host", "bookings.example" },
+                  { "path_prefix", "/long/" },
+                  { "type", "unsafe" },
+                  { "timeout_ms", 1500 },
+                  { "target_duration_ms", 60 },
+                  { "priority", 1 },
+                  { "backend", "booking" },
+                  { "max_attempts", 3 },
+                  { "stretch", 1.6 } };
+      if (field == "host")
+        route["host"] = longName + ".example";
+      else if (field == "path")
+        route["path_prefix"] = "/" + longName + "/";
+      else if (field == "attempts")
+        route["max_attempts"] = 2147483647;
+      else if (field == "target")
+        route["target_duration_ms"] = 172800000;
+      bench.world.record.line(
+        "two queues are added, one is dropped; one new route is " +
+        route.dump());
+      bench.putConfiguration({ "booking", "booking", "", "booking" },
+                             json::array({ route }));
       *isAdded = true;
     });
   };
