--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -1,3 +1,6 @@
+/// The cases of review/7 to review/10, and what was tried beside them. Included
+/// by main.cpp.
+
 struct Case
 {
   Settings settings;
@@ -341,7 +344,7 @@
 /// A configuration drops a queue and adds two, one of them for a host with a
 /// long name.
 /// FIELD chooses another field of that route that is large: `path`, `attempts`
-/// or `target`.
+/// or `target`. With LOSS set all daemons are killed 10 s later.
 inline Case
 hostCase()
 {
@@ -388,6 +391,16 @@
       bench.putConfiguration({ "booking", "booking", "", "booking" },
                              json::array({ route }));
       *isAdded = true;
+      if (std::getenv("LOSS") == nullptr)
+        return;
+      after(bench.world.context, ms(10000), [&bench] {
+        for (auto& daemon : bench.world.daemons)
+          bench.kill(*daemon, 500);
+        after(bench.world.context, ms(3000), [&bench] {
+          std::cout << "answers of the next 7 s begin" << std::endl;
+          bench.answers.clear();
+        });
+      });
     });
   };
   return made;
